Lay out the workspace, the wire types and the checks

Cause: nothing stood yet; several parts are to be built side by side and need one set of types to meet at. Change: workspace of two modules, JSON over HTTP/2 towards endpoints and the platform, connect between daemons, CBOR with integer keys in the log. Conclusion: the parts can be built against these types.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+include tools/versions.mk
+
+GO ?= go
+BIN := $(CURDIR)/bin
+LINT := $(BIN)/golangci-lint-$(GOLANGCI_LINT_VERSION)
+MODULES := . operator
+
+.PHONY: test demo build check generate generate-tools unit matrix bench-policy bench-capacity
+
+# test runs the formatter, the linter, vet, the check of generated code and
+# all tests with the race detector.
+test: check unit
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+demo: build
+	./scripts/demo.sh
+
+$(LINT):
+	GOBIN=$(BIN) GOWORK=off $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
+	mv $(BIN)/golangci-lint $(LINT)
+
+check: $(LINT)
+	./scripts/check.sh $(LINT)
+
+unit:
+	./scripts/unit.sh
+
+# generate-tools builds the code generators; only changing a .proto needs them.
+generate-tools:
+	GOBIN=$(BIN) GOWORK=off $(GO) install github.com/bufbuild/buf/cmd/buf@$(BUF_VERSION)
+	cd tools/protoc && GOWORK=off $(GO) build -o $(BIN)/ google.golang.org/protobuf/cmd/protoc-gen-go connectrpc.com/connect/cmd/protoc-gen-connect-go
+
+generate: generate-tools
+	PATH=$(BIN):$$PATH $(BIN)/buf generate
+	./scripts/proto-sums.sh > proto/SUMS
--- /dev/null
+++ b/internal/endpoint/wire.go
@@ -0,0 +1,228 @@
+// Package endpoint defines the interface of workers and service runners and
+// the client that a zone holder uses to reach them over HTTP/2 with JSON bodies.
+//
+// Every command carries the holder's epoch. An endpoint refuses a command
+// whose epoch is lower than the highest one that has attached to it.
+package endpoint
+
+// Kind distinguishes workers from service runners.
+type Kind string
+
+// Endpoint kinds.
+const (
+	KindWorker Kind = "worker"
+	KindRunner Kind = "runner"
+)
+
+// Paths of the endpoint interface. All are POST with a JSON body.
+const (
+	PathAttach    = "/v1/attach"
+	PathHeartbeat = "/v1/heartbeat"
+	PathStart     = "/v1/start"
+	PathStop      = "/v1/stop"
+	PathEvents    = "/v1/events"
+	PathAck       = "/v1/ack"
+)
+
+// Resources is a vector of what a task needs or an endpoint offers.
+type Resources struct {
+	MilliCores   int64 `json:"milli_cores,omitempty"`
+	MemoryMB     int64 `json:"memory_mb,omitempty"`
+	Accelerators int64 `json:"accelerators,omitempty"`
+	// Slots counts concurrent requests on a service runner.
+	Slots int64 `json:"slots,omitempty"`
+}
+
+// AttachRequest makes Epoch the only epoch whose commands the endpoint obeys,
+// unless a higher one has attached already.
+type AttachRequest struct {
+	AvailabilityZone string `json:"availability_zone"`
+	Holder           string `json:"holder"`
+	Epoch            uint64 `json:"epoch"`
+	// LeaseMS is the lease length in milliseconds.
+	LeaseMS int64 `json:"lease_ms"`
+}
+
+// AttachResponse is the endpoint's inventory.
+type AttachResponse struct {
+	Endpoint string `json:"endpoint"`
+	// Incarnation changes whenever the endpoint process restarts.
+	Incarnation      string       `json:"incarnation"`
+	Kind             Kind         `json:"kind"`
+	AvailabilityZone string       `json:"availability_zone"`
+	Rack             string       `json:"rack,omitempty"`
+	Capacity         Resources    `json:"capacity"`
+	Tasks            []TaskStatus `json:"tasks"`
+	// LeaseToken must be echoed by the next heartbeat. The lease that a
+	// heartbeat grants is counted from the moment its token was issued, so
+	// that a delayed heartbeat can't extend a lease for longer than its
+	// sender can know.
+	LeaseToken uint64 `json:"lease_token"`
+	// Leaving says that the endpoint accepts no new task.
+	Leaving bool `json:"leaving"`
+}
+
+// TaskState is the state of a task on its endpoint.
+type TaskState string
+
+// Task states. All but TaskRunning are final.
+const (
+	TaskRunning TaskState = "running"
+	TaskDone    TaskState = "done"
+	TaskFailed  TaskState = "failed"
+	// TaskStopped covers a stop command and a lapsed lease.
+	TaskStopped TaskState = "stopped"
+)
+
+// TaskStatus is one task that an endpoint runs, or has finished and still
+// keeps because no acknowledgement has arrived.
+type TaskStatus struct {
+	Task  TaskSpec  `json:"task"`
+	State TaskState `json:"state"`
+	// CheckpointMS is the progress saved by the last checkpoint, in
+	// milliseconds of run time.
+	CheckpointMS int64 `json:"checkpoint_ms,omitempty"`
+}
+
+// TaskSpec is what an endpoint needs to run a task and what a later holder
+// needs to account for it.
+type TaskSpec struct {
+	// ID is unique for one attempt at one task.
+	ID         string    `json:"id"`
+	Job        string    `json:"job,omitempty"`
+	Ticket     string    `json:"ticket,omitempty"`
+	Team       string    `json:"team"`
+	Queue      string    `json:"queue"`
+	Size       Resources `json:"size"`
+	Idempotent bool      `json:"idempotent"`
+	// Index is the position of the task in its job.
+	Index int `json:"index,omitempty"`
+	// Command names the program that the endpoint runs on Input.
+	Command string `json:"command"`
+	Input   []byte `json:"input,omitempty"`
+}
+
+// StartRequest starts tasks. Starting a task whose ID the endpoint knows
+// already has no effect and is not an error. Refused tasks have not run.
+type StartRequest struct {
+	Epoch uint64     `json:"epoch"`
+	Tasks []TaskSpec `json:"tasks"`
+}
+
+// StartResponse names the tasks that were refused and why; all others run.
+type StartResponse struct {
+	Refused []Refusal `json:"refused,omitempty"`
+}
+
+// Refusal is a task that the endpoint did not start.
+type Refusal struct {
+	ID     string `json:"id"`
+	Reason string `json:"reason"`
+}
+
+// HeartbeatRequest renews the lease that all tasks on the endpoint share.
+type HeartbeatRequest struct {
+	Epoch      uint64 `json:"epoch"`
+	LeaseToken uint64 `json:"lease_token"`
+	LeaseMS    int64  `json:"lease_ms"`
+}
+
+// HeartbeatResponse carries the next lease token and the lagging usage.
+type HeartbeatResponse struct {
+	Incarnation string      `json:"incarnation"`
+	LeaseToken  uint64      `json:"lease_token"`
+	Leaving     bool        `json:"leaving"`
+	Usage       []TaskUsage `json:"usage,omitempty"`
+}
+
+// TaskUsage is what a running task used recently; it lags.
+type TaskUsage struct {
+	ID    string    `json:"id"`
+	Usage Resources `json:"usage"`
+	// RanMS is how long the task has been running, in milliseconds.
+	RanMS int64 `json:"ran_ms"`
+}
+
+// StopAction says how to act on a running task.
+type StopAction string
+
+// Stop actions.
+const (
+	ActionStop       StopAction = "stop"
+	ActionCheckpoint StopAction = "checkpoint"
+	ActionThrottle   StopAction = "throttle"
+)
+
+// StopRequest stops, checkpoints and stops, or throttles tasks. A stop of an
+// unknown ID bars that ID from starting later.
+type StopRequest struct {
+	Epoch  uint64     `json:"epoch"`
+	Action StopAction `json:"action"`
+	IDs    []string   `json:"ids"`
+}
+
+// StopResponse reports the state of each named task after the action.
+// A task that never ran is reported as TaskStopped with NeverRan set.
+type StopResponse struct {
+	Tasks []StoppedTask `json:"tasks"`
+}
+
+// StoppedTask is one entry of a StopResponse.
+type StoppedTask struct {
+	ID           string    `json:"id"`
+	State        TaskState `json:"state"`
+	NeverRan     bool      `json:"never_ran,omitempty"`
+	CheckpointMS int64     `json:"checkpoint_ms,omitempty"`
+}
+
+// EventsRequest polls for events with a sequence above After, waiting up to
+// WaitMS milliseconds for the first.
+type EventsRequest struct {
+	Epoch  uint64 `json:"epoch"`
+	After  uint64 `json:"after"`
+	WaitMS int64  `json:"wait_ms"`
+}
+
+// EventsResponse returns events in any order, possibly again after a lost
+// response. They are kept until acknowledged.
+type EventsResponse struct {
+	Incarnation string  `json:"incarnation"`
+	Events      []Event `json:"events"`
+	// Next is the After value of the next poll.
+	Next uint64 `json:"next"`
+}
+
+// Event is a part of an answer or the end of a task.
+type Event struct {
+	Seq   uint64    `json:"seq"`
+	ID    string    `json:"id"`
+	State TaskState `json:"state"`
+	// Part and Parts number the pieces of an answer from 0; a finished task
+	// has exactly Parts of them, which may arrive in any order.
+	Part  int    `json:"part"`
+	Parts int    `json:"parts"`
+	Data  []byte `json:"data,omitempty"`
+	// Reason explains a failure.
+	Reason string `json:"reason,omitempty"`
+	RanMS  int64  `json:"ran_ms,omitempty"`
+}
+
+// AckRequest lets the endpoint forget finished tasks.
+type AckRequest struct {
+	Epoch uint64   `json:"epoch"`
+	IDs   []string `json:"ids"`
+}
+
+// Status codes of the interface beyond the usual ones.
+const (
+	// StatusFenced (409) means that a higher epoch has attached; the body is
+	// a FencedBody.
+	StatusFenced = 409
+	// StatusNotAttached (412) means that this epoch has not attached yet.
+	StatusNotAttached = 412
+)
+
+// FencedBody reports the highest attached epoch.
+type FencedBody struct {
+	Epoch uint64 `json:"epoch"`
+}
--- /dev/null
+++ b/internal/platform/wire.go
@@ -0,0 +1,78 @@
+// Package platform is the client side of the platform's append-only log and
+// of its lagging list of instances, both HTTP with JSON bodies.
+package platform
+
+import "time"
+
+// Paths of the platform's interface.
+const (
+	// PathRecords takes POST AppendRequest and GET ?from=&limit=&wait_ms=.
+	PathRecords = "/v1/records"
+	// PathInstances answers GET with an InstanceList.
+	PathInstances = "/v1/instances"
+)
+
+// AppendRequest appends one record. ID is chosen by the writer so that a lost
+// answer can be resolved by reading back; the log itself may hold the same ID
+// twice when an append was retried.
+type AppendRequest struct {
+	ID   string `json:"id"`
+	Data []byte `json:"data"`
+}
+
+// AppendResponse gives the record's place in the log.
+type AppendResponse struct {
+	Offset uint64 `json:"offset"`
+}
+
+// Record is one entry of the log.
+type Record struct {
+	Offset uint64 `json:"offset"`
+	ID     string `json:"id"`
+	Data   []byte `json:"data"`
+}
+
+// ReadResponse is a page of the log.
+type ReadResponse struct {
+	Records []Record `json:"records"`
+	// First is the lowest offset that retention has kept; offsets begin at 1.
+	First uint64 `json:"first"`
+	// End is the offset that the next append will get.
+	End uint64 `json:"end"`
+}
+
+// Role is what an instance is for.
+type Role string
+
+// Instance roles.
+const (
+	RoleEntry  Role = "entry"
+	RoleWorker Role = "worker"
+	RoleRunner Role = "runner"
+)
+
+// InstanceState is the platform's word on an instance; it lags.
+type InstanceState string
+
+// Instance states.
+const (
+	StateLive    InstanceState = "live"
+	StateLeaving InstanceState = "leaving"
+)
+
+// Instance is one entry of the platform's list.
+type Instance struct {
+	ID               string        `json:"id"`
+	Role             Role          `json:"role"`
+	Address          string        `json:"address"`
+	Region           string        `json:"region"`
+	AvailabilityZone string        `json:"availability_zone"`
+	Rack             string        `json:"rack,omitempty"`
+	State            InstanceState `json:"state"`
+}
+
+// InstanceList is the platform's lagging list.
+type InstanceList struct {
+	Instances []Instance `json:"instances"`
+	AsOf      time.Time  `json:"as_of"`
+}
--- /dev/null
+++ b/internal/record/record.go
@@ -0,0 +1,218 @@
+// Package record defines what bluebellstile keeps in the platform's log and
+// how it is encoded. Records are CBOR with integer keys, so that readers of
+// an older version skip fields that they don't know.
+package record
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+// Kind says which field of an Envelope is set.
+type Kind uint8
+
+// Record kinds. Values are never reused.
+const (
+	KindConfig   Kind = 1
+	KindClaim    Kind = 2
+	KindRoster   Kind = 3
+	KindTransfer Kind = 4
+	KindJobs     Kind = 5
+	KindOutcomes Kind = 6
+	KindSnapshot Kind = 7
+	KindAudit    Kind = 8
+	KindReport   Kind = 9
+)
+
+// Envelope is one log record.
+type Envelope struct {
+	Kind     Kind      `cbor:"1,keyasint"`
+	Config   *Config   `cbor:"2,keyasint,omitempty"`
+	Claim    *Claim    `cbor:"3,keyasint,omitempty"`
+	Roster   *Roster   `cbor:"4,keyasint,omitempty"`
+	Transfer *Transfer `cbor:"5,keyasint,omitempty"`
+	Jobs     *Jobs     `cbor:"6,keyasint,omitempty"`
+	Outcomes *Outcomes `cbor:"7,keyasint,omitempty"`
+	Snapshot *Snapshot `cbor:"8,keyasint,omitempty"`
+	Audit    *Audit    `cbor:"9,keyasint,omitempty"`
+	Report   *Report   `cbor:"10,keyasint,omitempty"`
+}
+
+// Config publishes a configuration. It is in force only if Expected is the
+// version in force where it stands in the log; its own offset is its version.
+type Config struct {
+	Text     string `cbor:"1,keyasint"`
+	Expected uint64 `cbor:"2,keyasint"`
+	// Author names the operator's key, for the audit.
+	Author string `cbor:"3,keyasint,omitempty"`
+	// Base is set when an older version is appended again ahead of
+	// retention; the version stays Base.
+	Base uint64 `cbor:"4,keyasint,omitempty"`
+}
+
+// Claim makes Holder the holder of a zone if Previous is the current epoch
+// where the record stands. The epoch of a valid claim is its own offset.
+type Claim struct {
+	Zone     string `cbor:"1,keyasint"`
+	Holder   string `cbor:"2,keyasint"`
+	Address  string `cbor:"3,keyasint"`
+	Previous uint64 `cbor:"4,keyasint"`
+	// Base is set when the holder renews its claim ahead of retention: the
+	// record counts only if Base is the current epoch, which it keeps.
+	Base uint64 `cbor:"5,keyasint,omitempty"`
+}
+
+// Roster lists endpoints that a holder is about to use for the first time.
+type Roster struct {
+	Zone      string   `cbor:"1,keyasint"`
+	Epoch     uint64   `cbor:"2,keyasint"`
+	Endpoints []string `cbor:"3,keyasint"`
+	// Removed endpoints are certainly gone.
+	Removed []string `cbor:"4,keyasint,omitempty"`
+}
+
+// Transfer moves part of a team's upper limit from one zone to another. It
+// counts only if Epoch is the current epoch of From where it stands and From
+// has Amount to give.
+type Transfer struct {
+	ID     string `cbor:"1,keyasint"`
+	Team   string `cbor:"2,keyasint"`
+	From   string `cbor:"3,keyasint"`
+	To     string `cbor:"4,keyasint"`
+	Amount int64  `cbor:"5,keyasint"`
+	Epoch  uint64 `cbor:"6,keyasint"`
+}
+
+// Jobs is a group commit of accepted durable jobs.
+type Jobs struct {
+	Zone  string `cbor:"1,keyasint"`
+	Epoch uint64 `cbor:"2,keyasint"`
+	Jobs  []Job  `cbor:"3,keyasint"`
+}
+
+// Job is an accepted durable job.
+type Job struct {
+	ID         string   `cbor:"1,keyasint"`
+	Team       string   `cbor:"2,keyasint"`
+	Queue      string   `cbor:"3,keyasint"`
+	Command    string   `cbor:"4,keyasint"`
+	Inputs     [][]byte `cbor:"5,keyasint"`
+	Idempotent bool     `cbor:"6,keyasint,omitempty"`
+	Gang       bool     `cbor:"7,keyasint,omitempty"`
+	MilliCores int64    `cbor:"8,keyasint,omitempty"`
+	MemoryMB   int64    `cbor:"9,keyasint,omitempty"`
+	// Accelerators per task.
+	Accelerators int64 `cbor:"10,keyasint,omitempty"`
+	Slots        int64 `cbor:"11,keyasint,omitempty"`
+	RunTimeMS    int64 `cbor:"12,keyasint,omitempty"`
+	// Ticket is the caller's own id, by which a repeated submission is known.
+	Ticket string `cbor:"13,keyasint,omitempty"`
+	// Cancelled is set when a job is recorded again after its cancellation.
+	Cancelled bool `cbor:"14,keyasint,omitempty"`
+}
+
+// Outcomes is a group commit of finished tasks of durable jobs. A task is
+// acknowledged to its endpoint only after its outcome stands in the log.
+type Outcomes struct {
+	Zone     string    `cbor:"1,keyasint"`
+	Epoch    uint64    `cbor:"2,keyasint"`
+	Outcomes []Outcome `cbor:"3,keyasint"`
+}
+
+// Outcome is what became of one task.
+type Outcome struct {
+	Job   string `cbor:"1,keyasint"`
+	Index int    `cbor:"2,keyasint"`
+	// State is "done", "failed", "cancelled", "not run" or "unknown".
+	State  string `cbor:"3,keyasint"`
+	Output []byte `cbor:"4,keyasint,omitempty"`
+	Reason string `cbor:"5,keyasint,omitempty"`
+}
+
+// Snapshot carries one zone's durable state past the log's retention. It
+// replaces what stands before it for that zone.
+type Snapshot struct {
+	Zone  string `cbor:"1,keyasint"`
+	Epoch uint64 `cbor:"2,keyasint"`
+	// Through is the offset of the last record that the snapshot covers.
+	Through    uint64           `cbor:"3,keyasint"`
+	Roster     []string         `cbor:"4,keyasint,omitempty"`
+	Allotments map[string]int64 `cbor:"5,keyasint,omitempty"`
+	Jobs       []Job            `cbor:"6,keyasint,omitempty"`
+	Outcomes   []Outcome        `cbor:"7,keyasint,omitempty"`
+}
+
+// Audit records an operator's action.
+type Audit struct {
+	Author string `cbor:"1,keyasint"`
+	Action string `cbor:"2,keyasint"`
+	Detail string `cbor:"3,keyasint,omitempty"`
+	// UnixMS is the author's wall clock, for people only.
+	UnixMS int64 `cbor:"4,keyasint,omitempty"`
+}
+
+// Report is a bounded summary of service levels in one zone over one period.
+type Report struct {
+	Zone    string `cbor:"1,keyasint"`
+	Epoch   uint64 `cbor:"2,keyasint"`
+	StartMS int64  `cbor:"3,keyasint"`
+	EndMS   int64  `cbor:"4,keyasint"`
+	// Series is an encoded summary whose format the report package owns.
+	Series []byte `cbor:"5,keyasint"`
+}
+
+// MaxBytes bounds an encoded record.
+const MaxBytes = 1 << 20
+
+// Encode returns the CBOR form of e.
+func Encode(e *Envelope) ([]byte, error) {
+	data, err := cbor.Marshal(e)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode log record")
+	}
+	if len(data) > MaxBytes {
+		return nil, errors.Errorf("log record of %d bytes is over %d; split it", len(data), MaxBytes)
+	}
+	return data, nil
+}
+
+// Decode parses the CBOR form of an envelope. A record that it can't parse
+// or whose kind it doesn't know is an error; readers skip it with an alarm.
+func Decode(data []byte) (*Envelope, error) {
+	if len(data) > MaxBytes {
+		return nil, errors.Errorf("log record of %d bytes is over %d", len(data), MaxBytes)
+	}
+	var e Envelope
+	if err := cbor.Unmarshal(data, &e); err != nil {
+		return nil, errors.Wrap(err, "decode log record")
+	}
+	if !e.complete() {
+		return nil, errors.Errorf("log record of kind %d lacks its body", e.Kind)
+	}
+	return &e, nil
+}
+
+// complete reports whether the body that Kind names is present.
+func (e *Envelope) complete() bool {
+	switch e.Kind {
+	case KindConfig:
+		return e.Config != nil
+	case KindClaim:
+		return e.Claim != nil
+	case KindRoster:
+		return e.Roster != nil
+	case KindTransfer:
+		return e.Transfer != nil
+	case KindJobs:
+		return e.Jobs != nil
+	case KindOutcomes:
+		return e.Outcomes != nil
+	case KindSnapshot:
+		return e.Snapshot != nil
+	case KindAudit:
+		return e.Audit != nil
+	case KindReport:
+		return e.Report != nil
+	}
+	return false
+}
--- /dev/null
+++ b/operator/config.go
@@ -0,0 +1,104 @@
+// Package operator is the library that operators use to write, check and
+// print the configuration of a bluebellstile cell.
+//
+// A program builds a Config from typed values, calls Print and publishes the
+// canonical INI text with the bluebellstile command. Print refuses a Config
+// that Validate rejects, and Parse(Print(c)) equals c.
+package operator
+
+import "time"
+
+// Config is the whole configuration of a cell.
+type Config struct {
+	Zones  []Zone
+	Teams  []Team
+	Keys   []Key
+	Queues []Queue
+}
+
+// Zone is an availability zone of the cell.
+type Zone struct {
+	Name   string
+	Region string
+	// Drain stops new work from being placed in the zone.
+	Drain bool
+}
+
+// Team is the unit of keys, shares and upper limits.
+type Team struct {
+	Name string
+	// Share is the team's weight when the cell is full.
+	Share int64
+	// UpperLimit is the largest number of tasks that the team may have
+	// running over the whole fleet.
+	UpperLimit int64
+}
+
+// Key admits the work of one team. Only the hash of its secret is published.
+type Key struct {
+	// ID is public and names the key in logs; the secret never appears.
+	ID   string
+	Team string
+	// SHA256 is the lower-case hexadecimal SHA-256 of the secret.
+	SHA256 string
+	// Operator marks a key that admits to the administration interface.
+	Operator bool
+	// Withdrawn keys are refused; they stay listed for review.
+	Withdrawn bool
+}
+
+// Class orders queues: urgent work is placed before service work, and both
+// before batch work.
+type Class string
+
+// Queue classes.
+const (
+	ClassUrgent  Class = "urgent"
+	ClassService Class = "service"
+	ClassBatch   Class = "batch"
+)
+
+// Spill says where work of a queue may run when its own zone is full.
+type Spill string
+
+// Spill policies.
+const (
+	SpillStay   Spill = "stay"
+	SpillRegion Spill = "region"
+	SpillAny    Spill = "any"
+)
+
+// Queue is a named policy for work.
+type Queue struct {
+	Name  string
+	Class Class
+	// Priority orders queues of one class; higher goes first.
+	Priority int
+	// Teams may submit; empty means every team.
+	Teams []string
+	// Open queues accept work without a key, charged to OpenTeam.
+	Open     bool
+	OpenTeam string
+	// Idempotent is the default for requests that don't state it.
+	Idempotent bool
+	// Preemptible tasks may be checkpointed and stopped for higher classes.
+	Preemptible bool
+	// Deadline bounds the wait for an answer.
+	Deadline time.Duration
+	// RetryBudget is the largest number of further attempts at a failed
+	// idempotent task.
+	RetryBudget int
+	// MaxWaiting bounds the requests that wait in one zone.
+	MaxWaiting int
+	Spill      Spill
+	// KeyGrace is how long the queue goes on accepting keyed work while a
+	// daemon can't prove that its configuration is fresh. A withdrawn key
+	// may go on working for that long in a zone that is cut off.
+	KeyGrace time.Duration
+	// Runner sends the work to service runners; otherwise workers run it.
+	Runner bool
+	// StartObjective and StartTarget are the service-level objective: the
+	// fraction StartTarget of the work starts within StartObjective.
+	StartObjective time.Duration
+	StartTarget    float64
+}
