Give endpoint sessions their own number

Cause: a Start that the network delays past the lease would run a task after its sender has counted the lease as lapsed and started it elsewhere. Ruled out: a timeout on the sender, which doesn't bound the network. Change: each attach opens a session, a lapsed lease ends it, every command names it. Conclusion: the holder may count a lapse without bounding message delay.

--- a/internal/endpoint/wire.go
+++ b/internal/endpoint/wire.go
@@ -58,6 +58,10 @@
 	// that a delayed heartbeat can't extend a lease for longer than its
 	// sender can know.
 	LeaseToken uint64 `json:"lease_token"`
+	// Session is new for each attach. A lapsed lease ends the session, and
+	// commands of an ended session are refused, so that a delayed command
+	// can't take effect after its sender has counted the lease as lapsed.
+	Session uint64 `json:"session"`
 	// Leaving says that the endpoint accepts no new task.
 	Leaving bool `json:"leaving"`
 }
@@ -105,8 +109,9 @@
 // StartRequest starts tasks. Starting a task whose ID the endpoint knows
 // already has no effect and is not an error. Refused tasks have not run.
 type StartRequest struct {
-	Epoch uint64     `json:"epoch"`
-	Tasks []TaskSpec `json:"tasks"`
+	Session uint64     `json:"session"`
+	Epoch   uint64     `json:"epoch"`
+	Tasks   []TaskSpec `json:"tasks"`
 }
 
 // StartResponse names the tasks that were refused and why; all others run.
@@ -122,6 +127,7 @@
 
 // HeartbeatRequest renews the lease that all tasks on the endpoint share.
 type HeartbeatRequest struct {
+	Session    uint64 `json:"session"`
 	Epoch      uint64 `json:"epoch"`
 	LeaseToken uint64 `json:"lease_token"`
 	LeaseMS    int64  `json:"lease_ms"`
@@ -156,9 +162,10 @@
 // StopRequest stops, checkpoints and stops, or throttles tasks. A stop of an
 // unknown ID bars that ID from starting later.
 type StopRequest struct {
-	Epoch  uint64     `json:"epoch"`
-	Action StopAction `json:"action"`
-	IDs    []string   `json:"ids"`
+	Session uint64     `json:"session"`
+	Epoch   uint64     `json:"epoch"`
+	Action  StopAction `json:"action"`
+	IDs     []string   `json:"ids"`
 }
 
 // StopResponse reports the state of each named task after the action.
@@ -178,9 +185,10 @@
 // EventsRequest polls for events with a sequence above After, waiting up to
 // WaitMS milliseconds for the first.
 type EventsRequest struct {
-	Epoch  uint64 `json:"epoch"`
-	After  uint64 `json:"after"`
-	WaitMS int64  `json:"wait_ms"`
+	Session uint64 `json:"session"`
+	Epoch   uint64 `json:"epoch"`
+	After   uint64 `json:"after"`
+	WaitMS  int64  `json:"wait_ms"`
 }
 
 // EventsResponse returns events in any order, possibly again after a lost
@@ -209,8 +217,9 @@
 
 // AckRequest lets the endpoint forget finished tasks.
 type AckRequest struct {
-	Epoch uint64   `json:"epoch"`
-	IDs   []string `json:"ids"`
+	Session uint64   `json:"session"`
+	Epoch   uint64   `json:"epoch"`
+	IDs     []string `json:"ids"`
 }
 
 // Status codes of the interface beyond the usual ones.
@@ -218,7 +227,8 @@
 	// StatusFenced (409) means that a higher epoch has attached; the body is
 	// a FencedBody.
 	StatusFenced = 409
-	// StatusNotAttached (412) means that this epoch has not attached yet.
+	// StatusNotAttached (412) means that this epoch has not attached yet or
+	// that the session has ended; attach again.
 	StatusNotAttached = 412
 )
 
