--- /dev/null
+++ b/operator/key.go
@@ -0,0 +1,118 @@
+package operator
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/hex"
+	"fmt"
+	"slices"
+)
+
+const (
+	// secretPrefix lets scanners for leaked secrets recognize ours.
+	secretPrefix = "bbst_"
+	// secretBytes is the number of random bytes in a secret.
+	secretBytes = 32
+)
+
+// NewKey makes a key for a team and returns it with its secret. The secret
+// goes to the submitter and is kept nowhere else; the key, which holds only
+// its hash, goes into the configuration.
+func NewKey(id, team string) (Key, string, error) {
+	if !namePattern.MatchString(id) {
+		return Key{}, "", &Error{
+			Kind:    KindBadName,
+			Section: sectionName(sectionKey, id),
+			Rule:    nameRule,
+			Remedy:  "choose another id",
+		}
+	}
+	random := make([]byte, secretBytes)
+	if _, err := rand.Read(random); err != nil {
+		return Key{}, "", err
+	}
+	secret := secretPrefix + base64.RawURLEncoding.EncodeToString(random)
+	return Key{ID: id, Team: team, SHA256: HashSecret(secret)}, secret, nil
+}
+
+// HashSecret returns the hash of a secret as a Key holds it.
+func HashSecret(secret string) string {
+	sum := sha256.Sum256([]byte(secret))
+	return hex.EncodeToString(sum[:])
+}
+
+// GrantKey adds k to the configuration. An ID is never granted twice, so that
+// it means the same key in every log and audit record.
+func (c *Config) GrantKey(k Key) error {
+	if c.findKey(k.ID) != nil {
+		return &Error{
+			Kind:    KindDuplicate,
+			Section: sectionName(sectionKey, k.ID),
+			Rule:    "the id is used already",
+			Remedy:  "grant the key under a new id",
+		}
+	}
+	changed := *c
+	changed.Keys = append(slices.Clone(c.Keys), k)
+	if err := Validate(&changed); err != nil {
+		return err
+	}
+	c.Keys = changed.Keys
+	return nil
+}
+
+// WithdrawKey marks the key as withdrawn. Withdrawing it again is no error.
+func (c *Config) WithdrawKey(id string) error {
+	if c.findKey(id) == nil {
+		return unknownKeyID(id)
+	}
+	c.Keys = slices.Clone(c.Keys)
+	c.findKey(id).Withdrawn = true
+	return nil
+}
+
+// RotateKey grants the key newID with the team and the rights of oldID and
+// returns its secret. Both keys work until WithdrawKey is called for oldID,
+// so that submitters can change over without a gap.
+func (c *Config) RotateKey(oldID, newID string) (string, error) {
+	old := c.findKey(oldID)
+	if old == nil {
+		return "", unknownKeyID(oldID)
+	}
+	if old.Withdrawn {
+		return "", &Error{
+			Kind:    KindConflict,
+			Section: sectionName(sectionKey, oldID),
+			Rule:    "the key is withdrawn and can't be rotated",
+			Remedy:  "grant the team a new key",
+		}
+	}
+	k, secret, err := NewKey(newID, old.Team)
+	if err != nil {
+		return "", err
+	}
+	k.Operator = old.Operator
+	if err := c.GrantKey(k); err != nil {
+		return "", err
+	}
+	return secret, nil
+}
+
+// findKey returns the key with the ID, nil if there is none.
+func (c *Config) findKey(id string) *Key {
+	i := slices.IndexFunc(c.Keys, func(k Key) bool { return k.ID == id })
+	if i < 0 {
+		return nil
+	}
+	return &c.Keys[i]
+}
+
+func unknownKeyID(id string) error {
+	return &Error{
+		Kind:    KindUnknownRef,
+		Section: sectionName(sectionKey, id),
+		Rule:    fmt.Sprintf("there is no key %q", id),
+		Remedy:  "name a key that the configuration lists",
+	}
+}
--- a/operator/validate.go
+++ b/operator/validate.go
@@ -23,6 +23,9 @@
 	hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
 )
 
+// nameRule says what namePattern refuses.
+const nameRule = "the name is not 1 to 63 lower-case letters, digits, '-' or '_', beginning with a letter or digit"
+
 // Validate reports every rule that c breaks, as Errors. Zero fields that
 // stand for a default are taken as that default.
 func Validate(c *Config) error {
@@ -64,9 +67,7 @@
 func (v *validator) checkName(kind, name string, seen map[string]bool) {
 	section := sectionName(kind, name)
 	if !namePattern.MatchString(name) {
-		v.add(KindBadName, section, "",
-			"the name is not 1 to 63 lower-case letters, digits, '-' or '_', beginning with a letter or digit",
-			"rename it")
+		v.add(KindBadName, section, "", nameRule, "rename it")
 	}
 	if seen[name] {
 		v.add(KindDuplicate, section, "", "the name is used twice", "rename or remove one of the two")
