Derive claims, rosters, allotments and jobs from the log

Cause: every daemon needs the same answer to who holds a zone, which configuration is in force, how limits are divided and which durable jobs are open, from a log that drops its oldest records.

Ruled out: judging a claim or configuration whose predecessor was trimmed by the highest number named, since a void record then may pass for a valid one; remembering every id for ever, since state would grow without bound.

Holder records carry the offset that their writer had seen and are void more than SeenWindow offsets behind it, which bounds the ids to remember and tells a writer when an append without an answer is certainly void.

--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -36,29 +36,40 @@
 	Snapshot *Snapshot `cbor:"8,keyasint,omitempty"`
 	Audit    *Audit    `cbor:"9,keyasint,omitempty"`
 	Report   *Report   `cbor:"10,keyasint,omitempty"`
+	// Seen is the offset that the writer had applied when it made the record.
+	// Roster, Transfer, Jobs, Outcomes and Report records count only at
+	// offsets up to Seen+SeenWindow, so that a writer whose append got no
+	// answer knows after that offset that the record is void.
+	Seen uint64 `cbor:"11,keyasint,omitempty"`
 }
 
+// SeenWindow is the number of offsets over which a holder's record may still
+// take effect and over which the ids of such records are remembered.
+const SeenWindow = 1 << 14
+
 // Config publishes a configuration. It is in force only if Expected is the
 // version in force where it stands in the log; its own offset is its version.
+// Inside a Snapshot, Base is the version in force.
 type Config struct {
 	Text     string `cbor:"1,keyasint"`
 	Expected uint64 `cbor:"2,keyasint"`
 	// Author names the operator's key, for the audit.
 	Author string `cbor:"3,keyasint,omitempty"`
-	// Base is set when an older version is appended again ahead of
-	// retention; the version stays Base.
+	// Base is set when the version in force is appended again; the version
+	// stays Base.
 	Base uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Claim makes Holder the holder of a zone if Previous is the current epoch
 // where the record stands. The epoch of a valid claim is its own offset.
+// Inside a Snapshot, Base is the current epoch.
 type Claim struct {
 	Zone     string `cbor:"1,keyasint"`
 	Holder   string `cbor:"2,keyasint"`
 	Address  string `cbor:"3,keyasint"`
 	Previous uint64 `cbor:"4,keyasint"`
-	// Base is set when the holder renews its claim ahead of retention: the
-	// record counts only if Base is the current epoch, which it keeps.
+	// Base is set when the holder renews its claim: the record counts only if
+	// Base is the current epoch, which it keeps.
 	Base uint64 `cbor:"5,keyasint,omitempty"`
 }
 
@@ -109,6 +120,9 @@
 	Ticket string `cbor:"13,keyasint,omitempty"`
 	// Cancelled is set when a job is recorded again after its cancellation.
 	Cancelled bool `cbor:"14,keyasint,omitempty"`
+	// Tasks is the number of tasks of a finished job, whose inputs a snapshot
+	// leaves out.
+	Tasks int `cbor:"15,keyasint,omitempty"`
 }
 
 // Outcomes is a group commit of finished tasks of durable jobs. A task is
@@ -127,19 +141,54 @@
 	State  string `cbor:"3,keyasint"`
 	Output []byte `cbor:"4,keyasint,omitempty"`
 	Reason string `cbor:"5,keyasint,omitempty"`
+	// Truncated says that Output was left out because it passed the bound on
+	// the outputs that the log keeps for one job.
+	Truncated bool `cbor:"6,keyasint,omitempty"`
 }
 
-// Snapshot carries one zone's durable state past the log's retention. It
-// replaces what stands before it for that zone.
+// Snapshot carries state past the log's retention: that of one zone, or, if
+// Zone is empty, the state that all zones share (configuration, claims and
+// allotments). It is what every reader derives from the records up to and
+// including Through, so any daemon may write it, and it changes nothing for a
+// reader that has read those records.
 type Snapshot struct {
 	Zone  string `cbor:"1,keyasint"`
 	Epoch uint64 `cbor:"2,keyasint"`
 	// Through is the offset of the last record that the snapshot covers.
-	Through    uint64           `cbor:"3,keyasint"`
-	Roster     []string         `cbor:"4,keyasint,omitempty"`
-	Allotments map[string]int64 `cbor:"5,keyasint,omitempty"`
-	Jobs       []Job            `cbor:"6,keyasint,omitempty"`
-	Outcomes   []Outcome        `cbor:"7,keyasint,omitempty"`
+	Through uint64   `cbor:"3,keyasint"`
+	Roster  []string `cbor:"4,keyasint,omitempty"`
+	// Key 5 is retired.
+
+	// Jobs are the open jobs in the order in which they were accepted.
+	Jobs     []Job     `cbor:"6,keyasint,omitempty"`
+	Outcomes []Outcome `cbor:"7,keyasint,omitempty"`
+	// Part numbers the records of one snapshot from 0 to Parts-1.
+	Part  int `cbor:"8,keyasint,omitempty"`
+	Parts int `cbor:"9,keyasint,omitempty"`
+	// Finished are the finished jobs that are still kept for reads, in the
+	// order in which they finished.
+	Finished []Job `cbor:"10,keyasint,omitempty"`
+	// Recent are the ids of the holder's records not older than SeenWindow.
+	Recent []RecentID `cbor:"11,keyasint,omitempty"`
+	// Claims is the claim of the zone, or of every zone if Zone is empty.
+	Claims []Claim       `cbor:"12,keyasint,omitempty"`
+	Config *Config       `cbor:"13,keyasint,omitempty"`
+	Teams  []TeamBalance `cbor:"14,keyasint,omitempty"`
+}
+
+// RecentID is the id of a record and where it stands.
+type RecentID struct {
+	ID     string `cbor:"1,keyasint"`
+	Offset uint64 `cbor:"2,keyasint"`
+}
+
+// TeamBalance is how the upper limit of a team is allotted to the zones.
+type TeamBalance struct {
+	Team     string           `cbor:"1,keyasint"`
+	Limit    int64            `cbor:"2,keyasint"`
+	Balances map[string]int64 `cbor:"3,keyasint,omitempty"`
+	// Unplaced is the part that no zone has, because none is configured.
+	Unplaced int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Audit records an operator's action.
