Add the clients of the platform and of endpoints, and stand-ins for all of them

Cause: the daemon and its tests need the log, the list, workers and service runners as real processes with faults, and clients that say truthfully what is known of a lost answer. Ruled out: a lease that an attach grants, since an attach that was delayed in a buffer would let tasks run after their holder is gone; tokens do. Endpoint answers by net.OpError alone, since a dial that ends by its context hides it: whether a connection was had is traced instead. Wire types: StatusTrimmed, TaskSpec.ResumeMS. Conclusion: usable by the daemon; tests of the clients, the log, the list and the command are still to come.

--- /dev/null
+++ b/internal/endpoint/client.go
@@ -0,0 +1,171 @@
+package endpoint
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Bounds and defaults of the client.
+const (
+	// MaxResponseBytes bounds the body of a response.
+	MaxResponseBytes = 64 << 20
+	// MaxPollWait bounds how long a poll for events may be held.
+	MaxPollWait = 30 * time.Second
+
+	defaultTimeout = 2 * time.Second
+	maxErrorBytes  = 512
+)
+
+// Client sends commands to one endpoint. It is safe for concurrent use.
+type Client struct {
+	address string
+	pool    *Pool
+	timeout time.Duration
+}
+
+// Option changes a default of a Client.
+type Option func(*Client)
+
+// WithPool makes the client use p in place of the process's shared pool.
+func WithPool(p *Pool) Option { return func(c *Client) { c.pool = p } }
+
+// WithTimeout bounds each command; a poll for events gets its wait on top.
+func WithTimeout(d time.Duration) Option { return func(c *Client) { c.timeout = d } }
+
+// NewClient returns a client of the endpoint at address, host:port.
+func NewClient(address string, opts ...Option) *Client {
+	c := &Client{address: address, timeout: defaultTimeout}
+	for _, opt := range opts {
+		opt(c)
+	}
+	if c.pool == nil {
+		c.pool = SharedPool()
+	}
+	return c
+}
+
+// Address returns the endpoint's address.
+func (c *Client) Address() string { return c.address }
+
+// Attach makes the request's epoch the only one that the endpoint obeys and
+// returns the endpoint's inventory. It grants no lease: the first heartbeat
+// with the returned token does.
+func (c *Client) Attach(ctx context.Context, req *AttachRequest) (*AttachResponse, error) {
+	return call[AttachResponse](ctx, c, PathAttach, req, 0)
+}
+
+// Heartbeat renews the lease of the endpoint's tasks.
+func (c *Client) Heartbeat(ctx context.Context, req *HeartbeatRequest) (*HeartbeatResponse, error) {
+	return call[HeartbeatResponse](ctx, c, PathHeartbeat, req, 0)
+}
+
+// Start starts tasks. Tasks that the response doesn't name as refused run.
+func (c *Client) Start(ctx context.Context, req *StartRequest) (*StartResponse, error) {
+	return call[StartResponse](ctx, c, PathStart, req, 0)
+}
+
+// Stop stops, checkpoints or throttles tasks.
+func (c *Client) Stop(ctx context.Context, req *StopRequest) (*StopResponse, error) {
+	return call[StopResponse](ctx, c, PathStop, req, 0)
+}
+
+// Events polls for events. Events whose part numbers make no sense are dropped.
+func (c *Client) Events(ctx context.Context, req *EventsRequest) (*EventsResponse, error) {
+	wait := time.Duration(req.WaitMS) * time.Millisecond
+	resp, err := call[EventsResponse](ctx, c, PathEvents, req, min(wait, MaxPollWait))
+	if err != nil {
+		return nil, err
+	}
+	resp.Events = validEvents(resp.Events)
+	return resp, nil
+}
+
+// Ack lets the endpoint forget finished tasks.
+func (c *Client) Ack(ctx context.Context, req *AckRequest) error {
+	_, err := call[struct{}](ctx, c, PathAck, req, 0)
+	return err
+}
+
+// call sends one command and decodes its response.
+func call[T any](ctx context.Context, c *Client, path string, body any, wait time.Duration) (*T, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return nil, c.failure(path, KindRefused, false, errors.Wrap(err, "encode command"))
+	}
+	status, answer, err := c.post(ctx, path, data, wait)
+	if err != nil {
+		return nil, err
+	}
+	if status != http.StatusOK {
+		return nil, c.statusError(path, status, answer)
+	}
+	out, err := decode[T](answer)
+	if err != nil {
+		return nil, c.failure(path, KindMalformed, true, err)
+	}
+	return out, nil
+}
+
+// post makes the HTTP exchange and returns the status and the body.
+func (c *Client) post(ctx context.Context, path string, data []byte, wait time.Duration) (int, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout+wait)
+	defer cancel()
+	var sent atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	})
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.address+path, bytes.NewReader(data))
+	if err != nil {
+		return 0, nil, c.failure(path, KindRefused, false, errors.Wrap(err, "check the endpoint's address"))
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.pool.client.Do(req)
+	if err != nil {
+		return 0, nil, c.failure(path, KindUnreachable, sent.Load(), err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, MaxResponseBytes+1))
+	if err != nil {
+		return 0, nil, c.failure(path, KindUnreachable, true, err)
+	}
+	if len(answer) > MaxResponseBytes {
+		err := errors.Errorf("response is over %d bytes", MaxResponseBytes)
+		return 0, nil, c.failure(path, KindMalformed, true, err)
+	}
+	return resp.StatusCode, answer, nil
+}
+
+// statusError classifies a response by its status.
+func (c *Client) statusError(path string, status int, body []byte) error {
+	text := body[:min(len(body), maxErrorBytes)]
+	cause := errors.Errorf("status %d: %s", status, strings.Join(strings.Fields(string(text)), " "))
+	switch {
+	case status == StatusFenced:
+		fenced, err := decode[FencedBody](body)
+		if err != nil {
+			return c.failure(path, KindMalformed, false, err)
+		}
+		e := c.failure(path, KindFenced, false, cause)
+		e.Epoch = fenced.Epoch
+		return e
+	case status == StatusNotAttached:
+		return c.failure(path, KindNotAttached, false, cause)
+	case status >= http.StatusInternalServerError:
+		return c.failure(path, KindUnreachable, true, cause)
+	}
+	return c.failure(path, KindRefused, false, cause)
+}
+
+// failure builds the error of a command.
+func (c *Client) failure(path string, kind ErrorKind, maybeDelivered bool, cause error) *Error {
+	return &Error{Kind: kind, Op: path, Address: c.address, MaybeDelivered: maybeDelivered, cause: cause}
+}
--- a/internal/endpoint/wire.go
+++ b/internal/endpoint/wire.go
@@ -34,7 +34,9 @@
 }
 
 // AttachRequest makes Epoch the only epoch whose commands the endpoint obeys,
-// unless a higher one has attached already.
+// unless a higher one has attached already. It neither grants nor shortens a
+// lease, since its sender can't know how long it was under way: tasks start
+// only after the first heartbeat with the returned token.
 type AttachRequest struct {
 	AvailabilityZone string `json:"availability_zone"`
 	Holder           string `json:"holder"`
@@ -100,6 +102,9 @@
 	// Command names the program that the endpoint runs on Input.
 	Command string `json:"command"`
 	Input   []byte `json:"input,omitempty"`
+	// ResumeMS is the run time, in milliseconds, that a checkpoint of an
+	// earlier attempt has saved.
+	ResumeMS int64 `json:"resume_ms,omitempty"`
 }
 
 // StartRequest starts tasks. Starting a task whose ID the endpoint knows
--- /dev/null
+++ b/internal/platform/read.go
@@ -0,0 +1,59 @@
+package platform
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Read implements Log. Reading below the first kept offset fails with
+// KindTrimmed, and the Error's First says where to go on.
+func (c *Client) Read(ctx context.Context, from uint64, limit int, wait time.Duration) (*ReadResponse, error) {
+	page, err := retry(ctx, c, opRead, func() (*ReadResponse, error) {
+		return c.readOnce(ctx, from, limit, wait)
+	})
+	if err != nil {
+		return nil, c.failure(opRead, kindOfAttempt(err), err)
+	}
+	return page, nil
+}
+
+// readOnce makes one attempt at a read.
+func (c *Client) readOnce(ctx context.Context, from uint64, limit int, wait time.Duration) (*ReadResponse, error) {
+	query := url.Values{
+		"from":    {strconv.FormatUint(from, 10)},
+		"limit":   {strconv.Itoa(limit)},
+		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
+	}
+	r := request{op: opRead, method: http.MethodGet, url: c.logURL + PathRecords + "?" + query.Encode(), wait: wait}
+	var page ReadResponse
+	if err := c.exchange(ctx, r, &page); err != nil {
+		return nil, err
+	}
+	if from > 0 && page.First > from {
+		cause := errors.Errorf("offset %d is below the first kept offset %d", from, page.First)
+		return nil, &attemptError{kind: KindTrimmed, permanent: true, first: page.First, cause: cause}
+	}
+	c.sawEnd(page.End)
+	return &page, nil
+}
+
+// Instances implements Lister.
+func (c *Client) Instances(ctx context.Context) (*InstanceList, error) {
+	r := request{op: opList, method: http.MethodGet, url: c.listURL + PathInstances}
+	list, err := retry(ctx, c, opList, func() (*InstanceList, error) {
+		var list InstanceList
+		if err := c.exchange(ctx, r, &list); err != nil {
+			return nil, err
+		}
+		return &list, nil
+	})
+	if err != nil {
+		return nil, c.failure(opList, kindOfAttempt(err), err)
+	}
+	return list, nil
+}
--- a/internal/platform/wire.go
+++ b/internal/platform/wire.go
@@ -12,6 +12,10 @@
 	PathInstances = "/v1/instances"
 )
 
+// StatusTrimmed (410) answers a read below the first kept offset; the body is
+// a ReadResponse without records.
+const StatusTrimmed = 410
+
 // AppendRequest appends one record. ID is chosen by the writer so that a lost
 // answer can be resolved by reading back; the log itself may hold the same ID
 // twice when an append was retried.
--- /dev/null
+++ b/internal/standin/cmd/standin/platform.go
@@ -0,0 +1,145 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/pkg/errors"
+	"gopkg.in/tomb.v2"
+
+	"github.com/bluebellstile/bluebellstile/internal/platform"
+	"github.com/bluebellstile/bluebellstile/internal/standin"
+)
+
+// filePollInterval is how often the list's file is checked for a change.
+const filePollInterval = 200 * time.Millisecond
+
+// logCommand runs the log.
+type logCommand struct {
+	addresses
+	opts standin.LogOptions
+}
+
+func (*logCommand) Name() string     { return "log" }
+func (*logCommand) Synopsis() string { return "run the append-only log" }
+func (*logCommand) Usage() string {
+	return "standin log -listen 127.0.0.1:7100 -admin 127.0.0.1:7101 -retention 10000\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (c *logCommand) SetFlags(f *flag.FlagSet) {
+	c.setFlags(f)
+	f.IntVar(&c.opts.MaxRecords, "retention", 0, "records to keep; 0 keeps all")
+	f.IntVar(&c.opts.MaxBytes, "retention-bytes", 0, "bytes of data to keep; 0 keeps all")
+	f.Float64Var(&c.opts.AppendsPerSecond, "rate", 0, "cap of appends per second; 0 for none")
+}
+
+// Execute implements subcommands.Command.
+func (c *logCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	return c.serve(ctx, ready{Kind: "log"}, standin.NewLog(c.opts), nil)
+}
+
+// listCommand runs the list of instances.
+type listCommand struct {
+	addresses
+	file string
+	lag  time.Duration
+}
+
+func (*listCommand) Name() string     { return "list" }
+func (*listCommand) Synopsis() string { return "run the lagging list of instances" }
+func (*listCommand) Usage() string {
+	return "standin list -listen 127.0.0.1:7110 -file instances.json -lag 1s\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (c *listCommand) SetFlags(f *flag.FlagSet) {
+	c.setFlags(f)
+	f.StringVar(&c.file, "file", "", "JSON list of instances, read again when it changes; empty for none")
+	f.DurationVar(&c.lag, "lag", time.Second, "age of the answers")
+}
+
+// Execute implements subcommands.Command.
+func (c *listCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	watched := &instanceFile{path: c.file}
+	instances, err := watched.read()
+	if err != nil {
+		return failure(err)
+	}
+	list := standin.NewList(instances, c.lag)
+	watch, _ := tomb.WithContext(ctx)
+	watch.Go(func() error {
+		watched.follow(watch.Dying(), list)
+		return nil
+	})
+	status := c.serve(ctx, ready{Kind: "list"}, list, nil)
+	watch.Kill(nil)
+	_ = watch.Wait()
+	return status
+}
+
+// instanceFile is a JSON list of instances in a file.
+type instanceFile struct {
+	path string
+	// seen and size identify the content that was read last.
+	seen time.Time
+	size int64
+}
+
+// read returns the file's instances, or none if there is no file.
+func (f *instanceFile) read() ([]platform.Instance, error) {
+	if f.path == "" {
+		return nil, nil
+	}
+	info, err := os.Stat(f.path)
+	if err != nil {
+		return nil, errors.Wrap(err, "check -file")
+	}
+	data, err := os.ReadFile(f.path)
+	if err != nil {
+		return nil, errors.Wrap(err, "check -file")
+	}
+	var instances []platform.Instance
+	if err := json.Unmarshal(data, &instances); err != nil {
+		return nil, errors.Wrapf(err, "%s is not a JSON list of instances", f.path)
+	}
+	f.seen, f.size = info.ModTime(), info.Size()
+	return instances, nil
+}
+
+// changed reports whether the file differs from what was read last.
+func (f *instanceFile) changed() bool {
+	info, err := os.Stat(f.path)
+	return err == nil && (!info.ModTime().Equal(f.seen) || info.Size() != f.size)
+}
+
+// follow keeps the list equal to the file until done is closed. A file that
+// can't be read leaves the list as it is.
+func (f *instanceFile) follow(done <-chan struct{}, list *standin.List) {
+	if f.path == "" {
+		return
+	}
+	ticker := time.NewTicker(filePollInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-done:
+			return
+		case <-ticker.C:
+		}
+		if !f.changed() {
+			continue
+		}
+		instances, err := f.read()
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "standin:", err)
+			continue
+		}
+		list.Set(instances)
+	}
+}
--- /dev/null
+++ b/internal/standin/endpoint_commands.go
@@ -0,0 +1,161 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/bluebellstile/bluebellstile/internal/endpoint"
+	"github.com/bluebellstile/bluebellstile/internal/history"
+)
+
+func (e *Endpoint) start(_ context.Context, req *endpoint.StartRequest) (*endpoint.StartResponse, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	if err := e.enterLocked(req.Epoch, now); err != nil {
+		return nil, err
+	}
+	resp := &endpoint.StartResponse{}
+	for _, spec := range req.Tasks {
+		if reason := e.startOneLocked(spec, now); reason != "" {
+			resp.Refused = append(resp.Refused, endpoint.Refusal{ID: spec.ID, Reason: reason})
+		}
+	}
+	return resp, nil
+}
+
+// startOneLocked starts a task unless its id is known. It returns why the
+// task is refused, or "".
+func (e *Endpoint) startOneLocked(spec endpoint.TaskSpec, now time.Time) string {
+	if spec.ID == "" {
+		return "id is empty"
+	}
+	if _, known := e.tasks[spec.ID]; known {
+		return ""
+	}
+	if ended, known := e.ended.get(spec.ID); known && !ended.barred {
+		return ""
+	}
+	reason := e.admitLocked(spec, now)
+	if reason == "" {
+		e.startLocked(spec, now)
+		return ""
+	}
+	event := e.taskEvent(history.TaskRefused, spec, now)
+	event.Code = reason
+	e.record(event)
+	return reason
+}
+
+func (e *Endpoint) stop(_ context.Context, req *endpoint.StopRequest) (*endpoint.StopResponse, error) {
+	if !validAction(req.Action) {
+		return nil, badRequest(fmt.Sprintf("unknown action %q", req.Action))
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	if err := e.enterLocked(req.Epoch, now); err != nil {
+		return nil, err
+	}
+	resp := &endpoint.StopResponse{Tasks: []endpoint.StoppedTask{}}
+	for _, id := range req.IDs {
+		t, known := e.tasks[id]
+		switch {
+		case known:
+			resp.Tasks = append(resp.Tasks, e.stopOneLocked(t, req.Action, now))
+		case req.Action != endpoint.ActionThrottle:
+			resp.Tasks = append(resp.Tasks, e.stopUnknownLocked(id))
+		}
+	}
+	return resp, nil
+}
+
+// validAction reports whether an endpoint knows the action.
+func validAction(action endpoint.StopAction) bool {
+	switch action {
+	case endpoint.ActionStop, endpoint.ActionCheckpoint, endpoint.ActionThrottle:
+		return true
+	}
+	return false
+}
+
+// stopOneLocked applies an action to a task of the inventory.
+func (e *Endpoint) stopOneLocked(t *task, action endpoint.StopAction, now time.Time) endpoint.StoppedTask {
+	if t.state == endpoint.TaskRunning {
+		switch action {
+		case endpoint.ActionStop:
+			e.endLocked(t, endpoint.TaskStopped, now, "stopped by command")
+		case endpoint.ActionCheckpoint:
+			t.checkpoint = t.done(now)
+			e.endLocked(t, endpoint.TaskStopped, now, "stopped at a checkpoint")
+		case endpoint.ActionThrottle:
+			t.setSpeed(now, throttledSpeed)
+		}
+	}
+	return endpoint.StoppedTask{ID: t.spec.ID, State: t.state, CheckpointMS: t.checkpoint.Milliseconds()}
+}
+
+// stopUnknownLocked bars an id that isn't in the inventory, unless it was
+// acknowledged before.
+func (e *Endpoint) stopUnknownLocked(id string) endpoint.StoppedTask {
+	ended, known := e.ended.get(id)
+	if !known {
+		ended = endedTask{state: endpoint.TaskStopped, barred: true}
+		e.ended.put(id, ended)
+	}
+	return endpoint.StoppedTask{ID: id, State: ended.state, NeverRan: ended.barred}
+}
+
+// poll waits for events above the request's After.
+func (e *Endpoint) poll(ctx context.Context, req *endpoint.EventsRequest) (*endpoint.EventsResponse, error) {
+	wait := min(max(time.Duration(req.WaitMS)*time.Millisecond, 0), endpoint.MaxPollWait)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for waiting := wait > 0; ; {
+		resp, changed, err := e.pollOnce(req)
+		if err != nil || len(resp.Events) > 0 || !waiting {
+			return resp, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			waiting = false
+		case <-ctx.Done():
+			waiting = false
+		case <-e.tomb.Dying():
+			waiting = false
+		}
+	}
+}
+
+// pollOnce returns what a poll gives now, and the channel of the next change.
+func (e *Endpoint) pollOnce(req *endpoint.EventsRequest) (*endpoint.EventsResponse, <-chan struct{}, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if err := e.enterLocked(req.Epoch, time.Now()); err != nil {
+		return nil, nil, err
+	}
+	return e.pollLocked(req.After), e.events.changed, nil
+}
+
+// ack forgets finished tasks. Their ids stay known, so that a late repetition
+// of their start has no effect.
+func (e *Endpoint) ack(_ context.Context, req *endpoint.AckRequest) (*struct{}, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if err := e.enterLocked(req.Epoch, time.Now()); err != nil {
+		return nil, err
+	}
+	for _, id := range req.IDs {
+		t, known := e.tasks[id]
+		if !known || t.state == endpoint.TaskRunning {
+			continue
+		}
+		delete(e.tasks, id)
+		e.events.forget(id)
+		e.ended.put(id, endedTask{state: t.state})
+	}
+	e.events.wake()
+	return &struct{}{}, nil
+}
--- /dev/null
+++ b/internal/standin/endpoint_test.go
@@ -0,0 +1,445 @@
+package standin_test
+
+import (
+	"bytes"
+	"context"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/goleak"
+
+	"github.com/bluebellstile/bluebellstile/internal/endpoint"
+	"github.com/bluebellstile/bluebellstile/internal/history"
+	"github.com/bluebellstile/bluebellstile/internal/standin"
+)
+
+const (
+	testZone    = "bre-1"
+	testLeaseMS = 60_000
+	pollWaitMS  = 10_000
+)
+
+// rig is an endpoint that serves, a client of it and its history.
+type rig struct {
+	t        *testing.T
+	endpoint *standin.Endpoint
+	server   *standin.Server
+	client   *endpoint.Client
+	path     string
+	token    uint64
+}
+
+func newRig(t *testing.T, opts standin.EndpointOptions) *rig {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "history.jsonl")
+	writer, err := history.OpenWriter(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	opts.ID, opts.Kind, opts.AvailabilityZone, opts.History = "w1", endpoint.KindWorker, testZone, writer
+	opts.Capacity = endpoint.Resources{MilliCores: 2000, MemoryMB: 2000}
+	r := &rig{t: t, endpoint: standin.NewEndpoint(opts), path: path}
+	if r.server, err = standin.Serve(r.endpoint, "127.0.0.1:0", ""); err != nil {
+		t.Fatal(err)
+	}
+	pool := endpoint.NewPool()
+	r.client = endpoint.NewClient(r.server.Addr(), endpoint.WithPool(pool))
+	t.Cleanup(func() {
+		pool.Close()
+		if err := r.server.Close(); err != nil {
+			t.Error(err)
+		}
+		if err := r.endpoint.Close(); err != nil {
+			t.Error(err)
+		}
+		if err := writer.Close(); err != nil {
+			t.Error(err)
+		}
+		goleak.VerifyNone(t)
+	})
+	return r
+}
+
+// attach attaches an epoch and returns the inventory.
+func (r *rig) attach(epoch uint64) *endpoint.AttachResponse {
+	r.t.Helper()
+	req := &endpoint.AttachRequest{AvailabilityZone: testZone, Holder: "h", Epoch: epoch, LeaseMS: testLeaseMS}
+	resp, err := r.client.Attach(context.Background(), req)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.token = resp.LeaseToken
+	return resp
+}
+
+// renew sends a heartbeat of epoch 1 with the last token.
+func (r *rig) renew() *endpoint.HeartbeatResponse {
+	r.t.Helper()
+	req := &endpoint.HeartbeatRequest{Epoch: 1, LeaseToken: r.token, LeaseMS: testLeaseMS}
+	resp, err := r.client.Heartbeat(context.Background(), req)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.token = resp.LeaseToken
+	return resp
+}
+
+// start starts tasks and returns the refusals.
+func (r *rig) start(epoch uint64, tasks ...endpoint.TaskSpec) []endpoint.Refusal {
+	r.t.Helper()
+	resp, err := r.client.Start(context.Background(), &endpoint.StartRequest{Epoch: epoch, Tasks: tasks})
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return resp.Refused
+}
+
+// stop applies an action to one task, under epoch 1.
+func (r *rig) stop(action endpoint.StopAction, id string) endpoint.StoppedTask {
+	r.t.Helper()
+	req := &endpoint.StopRequest{Epoch: 1, Action: action, IDs: []string{id}}
+	resp, err := r.client.Stop(context.Background(), req)
+	if err != nil || len(resp.Tasks) != 1 {
+		r.t.Fatalf("stop: %+v, %v", resp, err)
+	}
+	return resp.Tasks[0]
+}
+
+// answer polls until a task's answer is whole and returns its parts in the
+// order of arrival, and the joined output.
+func (r *rig) answer(epoch uint64, id string) ([]endpoint.Event, []byte) {
+	r.t.Helper()
+	var arrived []endpoint.Event
+	parts := make(map[int][]byte)
+	for after := uint64(0); ; {
+		req := &endpoint.EventsRequest{Epoch: epoch, After: after, WaitMS: pollWaitMS}
+		resp, err := r.client.Events(context.Background(), req)
+		if err != nil || len(resp.Events) == 0 {
+			r.t.Fatalf("no answer to %s: %v", id, err)
+		}
+		after = resp.Next
+		for _, event := range resp.Events {
+			if event.ID == id {
+				arrived = append(arrived, event)
+				parts[event.Part] = event.Data
+			}
+		}
+		if len(arrived) > 0 && len(parts) == arrived[0].Parts {
+			break
+		}
+	}
+	var whole []byte
+	for i := range len(parts) {
+		whole = append(whole, parts[i]...)
+	}
+	return arrived, whole
+}
+
+// eventually polls a condition until it holds or the test's patience ends.
+func (r *rig) eventually(holds func() bool) {
+	r.t.Helper()
+	deadline := time.Now().Add(20 * time.Second)
+	for !holds() {
+		if time.Now().After(deadline) {
+			r.t.Fatal("condition never held")
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+// history returns the history's events as "kind task state".
+func (r *rig) history() []string {
+	r.t.Helper()
+	events, err := history.Read(r.path)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	lines := make([]string, 0, len(events))
+	for _, event := range events {
+		lines = append(lines, strings.TrimSpace(strings.Join([]string{string(event.Kind), event.Task, event.State}, " ")))
+	}
+	return lines
+}
+
+func echoTask(id string, input []byte) endpoint.TaskSpec {
+	size := endpoint.Resources{MilliCores: 1000, MemoryMB: 100}
+	return endpoint.TaskSpec{ID: id, Job: "j", Team: "t", Queue: "q", Size: size, Command: "echo", Input: input}
+}
+
+func sleepTask(id, duration string) endpoint.TaskSpec {
+	task := echoTask(id, []byte(duration))
+	task.Command = "sleep"
+	return task
+}
+
+func TestEndpointEpochs(t *testing.T) {
+	r := newRig(t, standin.EndpointOptions{})
+	start := &endpoint.StartRequest{Epoch: 3}
+	if _, err := r.client.Start(context.Background(), start); endpoint.KindOf(err) != endpoint.KindNotAttached {
+		t.Fatalf("start before attach: %v", err)
+	}
+	r.attach(5)
+	_, err := r.client.Start(context.Background(), start)
+	if epoch, ok := endpoint.FencedBy(err); !ok || epoch != 5 {
+		t.Fatalf("start below the epoch: %v", err)
+	}
+	start.Epoch = 6
+	if _, err := r.client.Start(context.Background(), start); endpoint.KindOf(err) != endpoint.KindNotAttached {
+		t.Fatalf("start above the epoch: %v", err)
+	}
+	attach := &endpoint.AttachRequest{AvailabilityZone: testZone, Epoch: 4}
+	if _, err := r.client.Attach(context.Background(), attach); endpoint.KindOf(err) != endpoint.KindFenced {
+		t.Fatalf("attach below the epoch: %v", err)
+	}
+	attach = &endpoint.AttachRequest{AvailabilityZone: "other", Epoch: 9}
+	if _, err := r.client.Attach(context.Background(), attach); endpoint.KindOf(err) != endpoint.KindRefused {
+		t.Fatalf("attach from another zone: %v", err)
+	}
+}
+
+func TestEndpointFencesWaitingPoll(t *testing.T) {
+	r := newRig(t, standin.EndpointOptions{})
+	r.attach(1)
+	failed := make(chan error, 1)
+	go func() {
+		_, err := r.client.Events(context.Background(), &endpoint.EventsRequest{Epoch: 1, WaitMS: pollWaitMS})
+		failed <- err
+	}()
+	r.attach(2)
+	if err := <-failed; endpoint.KindOf(err) != endpoint.KindFenced {
+		t.Fatalf("poll of the old epoch: %v", err)
+	}
+}
+
+func TestEndpointStartNeedsLease(t *testing.T) {
+	r := newRig(t, standin.EndpointOptions{})
+	r.attach(1)
+	if refused := r.start(1, echoTask("a", nil)); len(refused) != 1 {
+		t.Fatalf("started without a lease: %+v", refused)
+	}
+	r.token += uint64(time.Hour)
+	r.renew()
+	if refused := r.start(1, echoTask("a", nil)); len(refused) != 1 {
+		t.Fatal("a token that was never issued granted a lease")
+	}
+	r.renew()
+	if refused := r.start(1, echoTask("a", nil)); len(refused) != 0 {
+		t.Fatalf("refused with a lease: %+v", refused)
+	}
+}
+
+func TestEndpointRunsOnceAndKeepsUntilAcked(t *testing.T) {
+	r := newRig(t, standin.EndpointOptions{PartBytes: 4})
+	r.attach(1)
+	r.renew()
+	input := []byte("forty pieces of linen")
+	for range 2 {
+		if refused := r.start(1, echoTask("a", input)); len(refused) != 0 {
+			t.Fatalf("refused: %+v", refused)
+		}
+	}
+	if _, output := r.answer(1, "a"); !bytes.Equal(output, input) {
+		t.Fatalf("output %q", output)
+	}
+	inventory := r.attach(2)
+	if len(inventory.Tasks) != 1 || inventory.Tasks[0].State != endpoint.TaskDone {
+		t.Fatalf("inventory %+v", inventory.Tasks)
+	}
+	if _, output := r.answer(2, "a"); !bytes.Equal(output, input) {
+		t.Fatalf("output for the next holder %q", output)
+	}
+	if err := r.client.Ack(context.Background(), &endpoint.AckRequest{Epoch: 2, IDs: []string{"a"}}); err != nil {
+		t.Fatal(err)
+	}
+	r.start(2, echoTask("a", input))
+	if inventory := r.attach(3); len(inventory.Tasks) != 0 {
+		t.Fatalf("inventory after ack %+v", inventory.Tasks)
+	}
+	want := []string{"endpoint_up", "task_started a", "task_ended a done"}
+	if diff := cmp.Diff(want, r.history()); diff != "" {
+		t.Fatal(diff)
+	}
+}
+
+func TestEndpointCapacity(t *testing.T) {
+	r := newRig(t, standin.EndpointOptions{})
+	r.attach(1)
+	r.renew()
+	refused := r.start(1, sleepTask("a", "1h"), sleepTask("b", "1h"), sleepTask("c", "1h"))
+	if len(refused) != 1 || refused[0].ID != "c" {
+		t.Fatalf("refused %+v", refused)
+	}
+	r.stop(endpoint.ActionStop, "a")
+	if refused := r.start(1, sleepTask("d", "1h")); len(refused) != 0 {
+		t.Fatalf("refused after a stop: %+v", refused)
+	}
+	if err := r.endpoint.Faults().Set("overcommit", true); err != nil {
+		t.Fatal(err)
+	}
+	if refused := r.start(1, sleepTask("e", "1h")); len(refused) != 0 {
+		t.Fatalf("refused despite the switch: %+v", refused)
+	}
+	negative := sleepTask("f", "1h")
+	negative.Size.MemoryMB = -1
+	if refused := r.start(1, negative); len(refused) != 1 {
+		t.Fatal("a negative size was accepted")
+	}
+}
+
+func TestEndpointStopBarsUnknownID(t *testing.T) {
+	r := newRig(t, standin.EndpointOptions{})
+	r.attach(1)
+	r.renew()
+	stopped := r.stop(endpoint.ActionStop, "late")
+	if !stopped.NeverRan || stopped.State != endpoint.TaskStopped {
+		t.Fatalf("stop of an unknown id: %+v", stopped)
+	}
+	if refused := r.start(1, echoTask("late", nil)); len(refused) != 1 {
+		t.Fatal("a barred id started")
+	}
+	want := []string{"endpoint_up", "task_refused late"}
+	if diff := cmp.Diff(want, r.history()); diff != "" {
+		t.Fatal(diff)
+	}
+}
+
+func TestEndpointCheckpointAndThrottle(t *testing.T) {
+	r := newRig(t, standin.EndpointOptions{})
+	r.attach(1)
+	r.renew()
+	resumed := sleepTask("a", "1h")
+	resumed.ResumeMS = 1_800_000
+	r.start(1, resumed, sleepTask("b", "1h"))
+	if stopped := r.stop(endpoint.ActionThrottle, "b"); stopped.State != endpoint.TaskRunning {
+		t.Fatalf("throttled: %+v", stopped)
+	}
+	usage := r.renew().Usage
+	if len(usage) != 2 || usage[0].Usage.MilliCores != 1000 || usage[1].Usage.MilliCores != 500 {
+		t.Fatalf("usage %+v", usage)
+	}
+	stopped := r.stop(endpoint.ActionCheckpoint, "a")
+	if stopped.State != endpoint.TaskStopped || stopped.CheckpointMS < resumed.ResumeMS {
+		t.Fatalf("checkpoint: %+v", stopped)
+	}
+	nearlyDone := sleepTask("c", "1h")
+	nearlyDone.ResumeMS = time.Hour.Milliseconds()
+	r.start(1, nearlyDone)
+	if events, _ := r.answer(1, "c"); events[0].State != endpoint.TaskDone {
+		t.Fatalf("resumed task: %+v", events)
+	}
+}
+
+// TestEndpointLapse holds the endpoint as a stopped process would be, and
+// expects that a task which finishes meanwhile has no result after the lapse.
+func TestEndpointLapse(t *testing.T) {
+	r := newRig(t, standin.EndpointOptions{})
+	r.attach(1)
+	r.renew()
+	r.start(1, sleepTask("a", "50ms"))
+	faults := r.endpoint.Faults()
+	if err := faults.Set("pause", true); err != nil {
+		t.Fatal(err)
+	}
+	// The lease can't be shortened, so the clock is what moves it to its end.
+	standin.LapseForTest(r.endpoint)
+	if err := faults.Set("pause", false); err != nil {
+		t.Fatal(err)
+	}
+	// Reading the history enters no command, which would notice the lapse too.
+	r.eventually(func() bool { return len(r.history()) == 3 })
+	if events, _ := r.answer(1, "a"); events[0].State != endpoint.TaskStopped || events[0].Reason != "lease lapsed" {
+		t.Fatalf("events %+v", events)
+	}
+	if refused := r.start(1, echoTask("b", nil)); len(refused) != 1 {
+		t.Fatal("started after the lapse")
+	}
+}
+
+func TestEndpointPartsOutOfOrderTwiceAndLate(t *testing.T) {
+	r := newRig(t, standin.EndpointOptions{PartBytes: 1, Seed: 7})
+	faults := r.endpoint.Faults()
+	for name, value := range map[string]any{"shuffle_parts": true, "duplicate_parts": true, "late_parts": "5ms"} {
+		if err := faults.Set(name, value); err != nil {
+			t.Fatal(err)
+		}
+	}
+	r.attach(1)
+	r.renew()
+	input := []byte("0123456789abcdef")
+	r.start(1, echoTask("a", input))
+	arrived, output := r.answer(1, "a")
+	if !bytes.Equal(output, input) {
+		t.Fatalf("output %q", output)
+	}
+	ordered := true
+	for i := 1; i < len(arrived); i++ {
+		ordered = ordered && arrived[i-1].Part <= arrived[i].Part
+	}
+	if ordered || len(arrived) < 2*len(input) {
+		t.Fatalf("%d parts, in order: %v", len(arrived), ordered)
+	}
+}
+
+func TestEndpointLosesAnswerAfterEffect(t *testing.T) {
+	r := newRig(t, standin.EndpointOptions{})
+	r.attach(1)
+	r.renew()
+	if err := r.endpoint.Faults().Set("lose_answers", 1); err != nil {
+		t.Fatal(err)
+	}
+	start := &endpoint.StartRequest{Epoch: 1, Tasks: []endpoint.TaskSpec{sleepTask("a", "1h")}}
+	_, err := r.client.Start(context.Background(), start)
+	if endpoint.KindOf(err) != endpoint.KindUnreachable || !endpoint.MaybeDelivered(err) {
+		t.Fatalf("lost answer: %v", err)
+	}
+	if inventory := r.attach(2); len(inventory.Tasks) != 1 {
+		t.Fatalf("inventory %+v", inventory.Tasks)
+	}
+}
+
+func TestEndpointFailsLeavesAndLies(t *testing.T) {
+	r := newRig(t, standin.EndpointOptions{UsageLag: time.Hour})
+	faults := r.endpoint.Faults()
+	for name, value := range map[string]any{"fail_tasks": true, "capacity_factor": 2.0} {
+		if err := faults.Set(name, value); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if resp := r.attach(1); resp.Capacity.MilliCores != 4000 {
+		t.Fatalf("claimed capacity %+v", resp.Capacity)
+	}
+	r.renew()
+	r.start(1, echoTask("a", nil))
+	if events, _ := r.answer(1, "a"); events[0].State != endpoint.TaskFailed {
+		t.Fatalf("events %+v", events)
+	}
+	r.endpoint.SetLeaving(true)
+	if resp := r.renew(); !resp.Leaving || resp.Usage != nil {
+		t.Fatalf("heartbeat %+v", resp)
+	}
+	if refused := r.start(1, echoTask("b", nil)); len(refused) != 1 {
+		t.Fatal("a leaving endpoint started a task")
+	}
+}
+
+func TestEndpointDies(t *testing.T) {
+	r := newRig(t, standin.EndpointOptions{})
+	r.attach(1)
+	r.renew()
+	r.start(1, sleepTask("a", "1h"))
+	if err := r.endpoint.Faults().Set("die", true); err != nil {
+		t.Fatal(err)
+	}
+	<-r.server.Dead()
+	_, err := r.client.Start(context.Background(), &endpoint.StartRequest{Epoch: 1})
+	if endpoint.KindOf(err) != endpoint.KindUnreachable {
+		t.Fatalf("start at a dead endpoint: %v", err)
+	}
+	want := []string{"endpoint_up", "task_started a", "fault_injected"}
+	if diff := cmp.Diff(want, r.history()); diff != "" {
+		t.Fatal(diff)
+	}
+}
--- /dev/null
+++ b/internal/standin/list.go
@@ -0,0 +1,149 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/bluebellstile/bluebellstile/internal/platform"
+)
+
+const (
+	// maxListBytes bounds the body of a new list.
+	maxListBytes = 16 << 20
+	// maxVersions bounds the past lists that are kept.
+	maxVersions = 256
+)
+
+// List is a list of instances that answers what was true some time ago.
+type List struct {
+	faults *Faults
+	link   *linkFaults
+	lag    *durationSwitch
+	now    func() time.Time
+
+	mu sync.Mutex
+	// versions are the last maxVersions in the order of time.
+	versions []listVersion
+	wrong    []platform.Instance
+	hidden   []string
+}
+
+// listVersion is the list from a moment on.
+type listVersion struct {
+	since     time.Time
+	instances []platform.Instance
+}
+
+// NewList returns a list that has held instances for ever and shows changes
+// after lag.
+func NewList(instances []platform.Instance, lag time.Duration) *List {
+	l := &List{faults: newFaults(), now: time.Now}
+	l.link = newLinkFaults(l.faults)
+	l.lag = l.faults.duration("lag", "answer what was true this long ago", lag)
+	l.versions = []listVersion{{instances: instances}}
+	l.faults.add("wrong", &fault{
+		usage: "instances that are shown in place of, or beside, the true ones; a list of instances",
+		set:   func(raw json.RawMessage) error { return decodeInto(raw, l.setWrong) },
+		get:   func() any { return l.wrongEntries() },
+		clear: func() { l.setWrong(nil) },
+	})
+	l.faults.add("hide", &fault{
+		usage: "ids of instances that are not shown; a list of strings",
+		set:   func(raw json.RawMessage) error { return decodeInto(raw, l.setHidden) },
+		clear: func() { l.setHidden(nil) },
+	})
+	return l
+}
+
+// Faults returns the list's fault switches.
+func (l *List) Faults() *Faults { return l.faults }
+
+// Set replaces the true list.
+func (l *List) Set(instances []platform.Instance) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.versions = append(l.versions, listVersion{since: l.now(), instances: slices.Clone(instances)})
+	if extra := len(l.versions) - maxVersions; extra > 0 {
+		l.versions = slices.Delete(l.versions, 0, extra)
+	}
+}
+
+func (l *List) setWrong(instances []platform.Instance) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.wrong = instances
+}
+
+func (l *List) wrongEntries() []platform.Instance {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.wrong)
+}
+
+func (l *List) setHidden(ids []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.hidden = ids
+}
+
+// Instances returns the lagging list with the wrong entries applied.
+func (l *List) Instances() *platform.InstanceList {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	asOf := l.now().Add(-l.lag.get())
+	shown := make([]platform.Instance, 0, len(l.wrong))
+	for _, instance := range l.versionLocked(asOf).instances {
+		if !l.maskedLocked(instance.ID) {
+			shown = append(shown, instance)
+		}
+	}
+	return &platform.InstanceList{Instances: append(shown, l.wrong...), AsOf: asOf}
+}
+
+// versionLocked returns the version in force at a moment.
+func (l *List) versionLocked(at time.Time) listVersion {
+	current := l.versions[0]
+	for _, version := range l.versions[1:] {
+		if version.since.After(at) {
+			break
+		}
+		current = version
+	}
+	return current
+}
+
+// maskedLocked reports whether a true entry is hidden or replaced.
+func (l *List) maskedLocked(id string) bool {
+	replaced := slices.ContainsFunc(l.wrong, func(i platform.Instance) bool { return i.ID == id })
+	return replaced || slices.Contains(l.hidden, id)
+}
+
+// Handler serves the list's interface.
+func (l *List) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+platform.PathInstances, func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, l.Instances())
+	})
+	return l.link.wrap(mux)
+}
+
+// PathTrueInstances takes PUT of a JSON list of instances on the admin address.
+const PathTrueInstances = "/instances"
+
+// AdminHandler serves PUT of the true list.
+func (l *List) AdminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT "+PathTrueInstances, func(w http.ResponseWriter, r *http.Request) {
+		var instances []platform.Instance
+		if status, err := readJSON(w, r, maxListBytes, &instances); err != nil {
+			http.Error(w, err.Error(), status)
+			return
+		}
+		l.Set(instances)
+		writeJSON(w, http.StatusOK, struct{}{})
+	})
+	return mux
+}
