Give reading INI with line numbers a package of its own

The daemon's settings need the same strict reading as the configuration: repeated sections and keys kept apart, and line numbers for messages, which the INI library doesn't report. Copying the index into the settings reader was ruled out, since the logic would stand twice. Parse also returns no configuration any more when it returns an error.

--- a/operator/parse.go
+++ b/operator/parse.go
@@ -5,6 +5,7 @@
 	"regexp"
 	"strconv"
 
+	"github.com/bluebellstile/bluebellstile/operator/inifile"
 	"github.com/pkg/errors"
 	"gopkg.in/ini.v1"
 )
@@ -19,36 +20,35 @@
 	if len(text) > MaxTextBytes {
 		return nil, Errors{tooLarge(len(text))}
 	}
-	file, err := ini.LoadSources(loadOptions(), []byte(text))
+	file, err := inifile.Load(text)
 	if err != nil {
-		return nil, Errors{syntaxError(text, err)}
+		return nil, Errors{syntaxError(err)}
 	}
-	p := &parser{lines: indexLines(text), seen: map[string]int{}}
-	config := p.parse(file)
+	p := &parser{file: file, seen: map[string]int{}}
+	config := p.parse()
 	if len(p.errs) > 0 {
 		return nil, p.errs
 	}
-	return config, p.validate(config)
+	return p.validate(config)
 }
 
 // syntaxError reports what the INI library can't read.
-func syntaxError(text string, err error) *Error {
+func syntaxError(err error) *Error {
 	out := &Error{
 		Kind:   KindSyntax,
 		Rule:   err.Error(),
 		Remedy: "write [kind \"name\"] headers and key = value lines",
 	}
-	var missing ini.ErrDelimiterNotFound
-	if errors.As(err, &missing) {
-		out.Line = findLine(text, missing.Line)
-		out.Rule = fmt.Sprintf("%.60q is neither a section nor key = value", missing.Line)
+	var syntax *inifile.SyntaxError
+	if errors.As(err, &syntax) {
+		out.Line = syntax.Line
 	}
 	return out
 }
 
 // parser collects the aggregates and faults of one text.
 type parser struct {
-	lines lineIndex
+	file *inifile.File
 	// seen counts the sections of each name.
 	seen   map[string]int
 	config Config
@@ -69,8 +69,8 @@
 	})
 }
 
-func (p *parser) parse(file *ini.File) *Config {
-	for _, section := range file.Sections() {
+func (p *parser) parse() *Config {
+	for _, section := range p.file.Sections() {
 		p.parseSection(section)
 	}
 	if !p.ended {
@@ -86,7 +86,7 @@
 		p.checkOutside(section)
 		return
 	}
-	line := p.lines.section(name, p.seen[name])
+	line := p.file.SectionLine(name, p.seen[name])
 	p.seen[name]++
 	if p.seen[name] > 1 {
 		p.add(KindDuplicateSection, name, "", line, "the section stands twice", "merge the two or rename one")
@@ -107,7 +107,7 @@
 // checkOutside refuses keys before the first section.
 func (p *parser) checkOutside(section *ini.Section) {
 	for _, key := range section.Keys() {
-		p.add(KindUnknownKey, "", key.Name(), p.lines.key("", key.Name()), "the key stands outside every section",
+		p.add(KindUnknownKey, "", key.Name(), p.file.KeyLine("", key.Name()), "the key stands outside every section",
 			"move it below its section header")
 	}
 }
@@ -143,7 +143,7 @@
 		}
 		p.checkRepeated(section, f.name)
 		if err := f.parse(&t, section.Key(f.name).Value()); err != nil {
-			p.add(KindBadValue, section.Name(), f.name, p.lines.key(section.Name(), f.name), err.Error(), "set "+f.name+" ("+f.doc+")")
+			p.add(KindBadValue, section.Name(), f.name, p.file.KeyLine(section.Name(), f.name), err.Error(), "set "+f.name+" ("+f.doc+")")
 			continue
 		}
 		p.checkZero(section, f.name, f.print(&t), defaulted[f.name])
@@ -169,7 +169,7 @@
 	}
 	switch printed {
 	case "", "0", "0s", "-0":
-		p.add(KindRange, section.Name(), key, p.lines.key(section.Name(), key), "the value is zero",
+		p.add(KindRange, section.Name(), key, p.file.KeyLine(section.Name(), key), "the value is zero",
 			"set a value above zero, or remove the line to have the default")
 	}
 }
@@ -178,14 +178,14 @@
 	if !required {
 		return
 	}
-	p.add(KindMissingKey, section.Name(), key, p.lines.section(section.Name(), 0), "the key is missing", "add it")
+	p.add(KindMissingKey, section.Name(), key, p.file.SectionLine(section.Name(), 0), "the key is missing", "add it")
 }
 
 func (p *parser) checkRepeated(section *ini.Section, key string) {
-	if len(section.Key(key).ValueWithShadows()) < 2 {
+	if !inifile.Repeated(section, key) {
 		return
 	}
-	p.add(KindDuplicateKey, section.Name(), key, p.lines.key(section.Name(), key), "the key stands twice", "remove one of the two lines")
+	p.add(KindDuplicateKey, section.Name(), key, p.file.KeyLine(section.Name(), key), "the key stands twice", "remove one of the two lines")
 }
 
 func (p *parser) checkUnknown(section *ini.Section, known map[string]bool) {
@@ -193,7 +193,7 @@
 		if known[key] {
 			continue
 		}
-		p.add(KindUnknownKey, section.Name(), key, p.lines.key(section.Name(), key), "there is no such key",
+		p.add(KindUnknownKey, section.Name(), key, p.file.KeyLine(section.Name(), key), "there is no such key",
 			"correct its spelling or remove the line; the head of 'bluebellstile config print' lists every key")
 	}
 }
@@ -205,20 +205,23 @@
 	p.checkRequired(section, keySections, !section.HasKey(keySections))
 	value := section.Key(keySections).Value()
 	if section.HasKey(keySections) && value != strconv.Itoa(p.count) {
-		p.add(KindTruncated, sectionEnd, keySections, p.lines.key(sectionEnd, keySections),
+		p.add(KindTruncated, sectionEnd, keySections, p.file.KeyLine(sectionEnd, keySections),
 			fmt.Sprintf("%q sections are announced and %d are there", value, p.count),
 			"publish the whole text, or correct the count after editing by hand")
 	}
 }
 
 // validate checks config and adds line numbers to what it finds.
-func (p *parser) validate(config *Config) error {
-	var errs Errors
-	if !errors.As(Validate(config), &errs) {
-		return nil
+func (p *parser) validate(config *Config) (*Config, error) {
+	err := Validate(config)
+	if err == nil {
+		return config, nil
 	}
-	for _, e := range errs {
-		e.Line = p.lines.find(e.Section, e.Key)
+	var errs Errors
+	if errors.As(err, &errs) {
+		for _, e := range errs {
+			e.Line = p.file.Line(e.Section, e.Key)
+		}
 	}
-	return errs
+	return nil, err
 }
--- a/operator/print.go
+++ b/operator/print.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/bluebellstile/bluebellstile/operator/inifile"
 	"github.com/pkg/errors"
 	"gopkg.in/ini.v1"
 )
@@ -28,7 +29,7 @@
 		return "", err
 	}
 	c = c.Canonical()
-	p := &printer{file: ini.Empty(loadOptions())}
+	p := &printer{file: ini.Empty(inifile.Options())}
 	p.file.Section("").Comment = headerComment()
 	printAll(p, sectionZone, c.Zones, zoneFields, func(z *Zone) string { return z.Name })
 	printAll(p, sectionTeam, c.Teams, teamFields, func(t *Team) string { return t.Name })
@@ -135,17 +136,3 @@
 	}
 	return lines
 }
-
-// loadOptions makes the INI library keep what Parse has to refuse: repeated
-// sections and keys.
-func loadOptions() ini.LoadOptions {
-	return ini.LoadOptions{
-		IgnoreContinuation:         true,
-		AllowShadows:               true,
-		AllowDuplicateShadowValues: true,
-		PreserveEmptyShadowValues:  true,
-		AllowNonUniqueSections:     true,
-		KeyValueDelimiters:         "=",
-		ChildSectionDelimiter:      "\x00",
-	}
-}
