Read the daemon's settings from INI by one table of keys

A daemon learns its addresses and availability zone from its settings, and a wrong one must be refused with the place and the remedy before it does harm.

Struct tags with reflection were ruled out because ranges, units and descriptions don't fit into them.

--- /dev/null
+++ b/internal/settings/check.go
@@ -0,0 +1,145 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+)
+
+// Minimum ratios between intervals.
+const (
+	// heartbeatsPerLease keeps a lease alive when single heartbeats are lost.
+	heartbeatsPerLease = 3
+	// heartbeatsPerTakeover keeps one lost heartbeat from causing a takeover.
+	heartbeatsPerTakeover = 2
+)
+
+// Check reports every value of s that its key refuses and every conflict
+// between keys, as Errors. Parse and Load check by themselves; Check is for
+// settings that a program has made.
+func Check(s *Settings) error {
+	var errs Errors
+	scratch := *s
+	for i := range table {
+		if err := table[i].parse(&scratch, table[i].format(s)); err != nil {
+			errs = append(errs, &Error{
+				Kind:    KindBadValue,
+				Section: table[i].Section,
+				Key:     table[i].Name,
+				Rule:    err.Error(),
+				Remedy:  fmt.Sprintf("set a %s: %s", table[i].Type, table[i].Range),
+			})
+		}
+	}
+	if len(errs) > 0 {
+		return errs
+	}
+	if errs := conflicts(s); len(errs) > 0 {
+		return errs
+	}
+	return nil
+}
+
+// conflicts reports values that don't go together.
+func conflicts(s *Settings) Errors {
+	var errs Errors
+	errs = append(errs, overlaps(s)...)
+	errs = append(errs, intervals(s)...)
+	if t := s.TLS; !t.Enabled() && t != (TLS{}) {
+		errs = append(errs, conflict("tls", "cert", "only some of cert, key and ca are set",
+			"set all three, or none to turn TLS off"))
+	}
+	return errs
+}
+
+func conflict(section, key, rule, remedy string) *Error {
+	return &Error{
+		Kind:    KindConflict,
+		Section: section,
+		Key:     key,
+		Rule:    rule,
+		Remedy:  remedy,
+	}
+}
+
+// overlaps reports listen addresses of which two can't be open at once.
+func overlaps(s *Settings) Errors {
+	keys := []string{"api", "peer", "admin"}
+	addresses := []string{s.Listen.API, s.Listen.Peer, s.Listen.Admin}
+	var errs Errors
+	for i := range addresses {
+		for j := range i {
+			if !overlap(addresses[i], addresses[j]) {
+				continue
+			}
+			errs = append(errs, conflict("listen", keys[i],
+				fmt.Sprintf("%s overlaps with %s = %s", addresses[i], keys[j], addresses[j]),
+				"give each its own port"))
+		}
+	}
+	return errs
+}
+
+// overlap reports whether two valid addresses share a port on a common IP
+// number. An unspecified IP number stands for all of them, of both families.
+func overlap(a, b string) bool {
+	x, errX := netip.ParseAddrPort(a)
+	y, errY := netip.ParseAddrPort(b)
+	if errX != nil || errY != nil || x.Port() != y.Port() {
+		return false
+	}
+	return x.Addr().Unmap() == y.Addr().Unmap() || x.Addr().IsUnspecified() || y.Addr().IsUnspecified()
+}
+
+// intervals reports intervals that are too long for each other.
+func intervals(s *Settings) Errors {
+	var errs Errors
+	if s.Zone.Heartbeat*heartbeatsPerLease > s.Zone.Lease {
+		errs = append(errs, tooLong("zone", "heartbeat", s.Zone.Heartbeat, s.Zone.Lease/heartbeatsPerLease, "a third of zone.lease"))
+	}
+	if s.Zone.Heartbeat*heartbeatsPerTakeover > s.Zone.TakeoverAfter {
+		errs = append(errs, tooLong("zone", "heartbeat", s.Zone.Heartbeat, s.Zone.TakeoverAfter/heartbeatsPerTakeover, "half of zone.takeover_after"))
+	}
+	if s.Platform.ReadWait >= s.Freshness.KeyBound {
+		errs = append(errs, conflict("platform", "read_wait",
+			fmt.Sprintf("%s is not shorter than freshness.key_bound, %s", s.Platform.ReadWait, s.Freshness.KeyBound),
+			"shorten read_wait, so that an idle log still proves the configuration fresh"))
+	}
+	return errs
+}
+
+func tooLong(section, key string, value, most time.Duration, what string) *Error {
+	return conflict(section, key,
+		fmt.Sprintf("%s is more than %s", value, what),
+		fmt.Sprintf("set at most %s", most))
+}
+
+// checkFiles reports named files that can't be read.
+func checkFiles(s *Settings, name string) error {
+	files := []struct{ key, path string }{
+		{"cert", s.TLS.Cert},
+		{"key", s.TLS.Key},
+		{"ca", s.TLS.CA},
+	}
+	var errs Errors
+	for _, f := range files {
+		if f.path == "" {
+			continue
+		}
+		if _, err := os.ReadFile(f.path); err != nil {
+			errs = append(errs, &Error{
+				Kind:    KindUnreadable,
+				File:    name,
+				Section: "tls",
+				Key:     f.key,
+				Rule:    err.Error(),
+				Remedy:  "name a file that the daemon may read",
+			})
+		}
+	}
+	if len(errs) > 0 {
+		return errs
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/settings/errors.go
@@ -0,0 +1,80 @@
+package settings
+
+import (
+	"fmt"
+	"strings"
+)
+
+// ErrorKind classifies what is wrong with a settings file.
+type ErrorKind string
+
+// Error kinds.
+const (
+	KindUnreadable       ErrorKind = "unreadable"
+	KindSyntax           ErrorKind = "syntax"
+	KindTruncated        ErrorKind = "truncated"
+	KindUnknownSection   ErrorKind = "unknown section"
+	KindUnknownKey       ErrorKind = "unknown key"
+	KindDuplicateSection ErrorKind = "duplicate section"
+	KindDuplicateKey     ErrorKind = "duplicate key"
+	KindMissingKey       ErrorKind = "missing key"
+	KindBadValue         ErrorKind = "bad value"
+	KindRange            ErrorKind = "out of range"
+	KindConflict         ErrorKind = "conflict"
+)
+
+// Error is one fault of a settings file.
+type Error struct {
+	Kind ErrorKind
+	File string
+	// Line counts from 1; 0 when it isn't known.
+	Line    int
+	Section string
+	Key     string
+	// Rule says what is wrong, Remedy what to do about it.
+	Rule   string
+	Remedy string
+}
+
+// Error returns file, line, key, rule and remedy in one line.
+func (e *Error) Error() string {
+	var b strings.Builder
+	if e.File != "" {
+		b.WriteString(e.File + ":")
+	}
+	if e.Line > 0 {
+		fmt.Fprintf(&b, "%d:", e.Line)
+	}
+	if b.Len() > 0 {
+		b.WriteString(" ")
+	}
+	if e.Section != "" {
+		fmt.Fprintf(&b, "[%s] ", e.Section)
+	}
+	if e.Key != "" {
+		b.WriteString(e.Key + ": ")
+	}
+	b.WriteString(e.Rule + "; " + e.Remedy)
+	return b.String()
+}
+
+// Errors is every fault found.
+type Errors []*Error
+
+// Error returns one line per fault.
+func (e Errors) Error() string {
+	lines := make([]string, len(e))
+	for i, one := range e {
+		lines[i] = one.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Unwrap lets errors.As find single faults.
+func (e Errors) Unwrap() []error {
+	out := make([]error, len(e))
+	for i, one := range e {
+		out[i] = one
+	}
+	return out
+}
--- /dev/null
+++ b/internal/settings/kinds.go
@@ -0,0 +1,235 @@
+package settings
+
+import (
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"net/url"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// namePattern is the form of names, the same as in the configuration.
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9_-]{0,62}$`)
+
+func required(k Key, example string) Key {
+	k.Required = true
+	k.Example = example
+	return k
+}
+
+func reloadable(k Key) Key {
+	k.Reloadable = true
+	return k
+}
+
+// textKey returns a key for a string that check accepts.
+func textKey[S ~string](section, name, doc string, check func(string) error, at func(*Settings) *S) Key {
+	return Key{
+		Section: section,
+		Name:    name,
+		Doc:     doc,
+		format:  func(s *Settings) string { return string(*at(s)) },
+		parse: func(s *Settings, text string) error {
+			if err := check(text); err != nil {
+				return err
+			}
+			*at(s) = S(text)
+			return nil
+		},
+	}
+}
+
+func name(section, key, doc string, at func(*Settings) *string) Key {
+	k := textKey(section, key, doc, checkName, at)
+	k.Type = "name"
+	k.Range = "1 to 63 lower-case letters, digits, '-' or '_'"
+	return k
+}
+
+func checkName(text string) error {
+	if !namePattern.MatchString(text) {
+		return errors.Errorf("%q is not a name", text)
+	}
+	return nil
+}
+
+func address(section, key, fallback, doc string, at func(*Settings) *string) Key {
+	k := textKey(section, key, doc, checkAddress, at)
+	k.Type = "address"
+	k.Default = fallback
+	k.Range = "IP number and port from 1, such as 192.0.2.1:7400 or [2001:db8::1]:7400"
+	return k
+}
+
+func checkAddress(text string) error {
+	a, err := netip.ParseAddrPort(text)
+	if err != nil || a.Port() == 0 {
+		return errors.Errorf("%q is not an IP number with a port", text)
+	}
+	return nil
+}
+
+// peerAddress refuses addresses that no other daemon can connect to.
+func peerAddress(k Key) Key {
+	parse := k.parse
+	k.Range += "; not 0.0.0.0 or ::"
+	k.parse = func(s *Settings, text string) error {
+		a, err := netip.ParseAddrPort(text)
+		if err == nil && a.Addr().IsUnspecified() {
+			return errors.Errorf("%q names no single instance", text)
+		}
+		return parse(s, text)
+	}
+	return k
+}
+
+func link(section, key, doc string, at func(*Settings) *string) Key {
+	k := textKey(section, key, doc, checkURL, at)
+	k.Type = "URL"
+	k.Range = "http or https, with a host and without query"
+	return k
+}
+
+func checkURL(text string) error {
+	u, err := url.Parse(text)
+	if err != nil {
+		return errors.Errorf("%q is not a URL", text)
+	}
+	if u.Scheme != "http" && u.Scheme != "https" {
+		return errors.Errorf("%q is neither http nor https", text)
+	}
+	if u.Host == "" || u.RawQuery != "" || u.Fragment != "" {
+		return errors.Errorf("%q is not a base URL", text)
+	}
+	return nil
+}
+
+func path(section, key, doc string, at func(*Settings) *string) Key {
+	k := textKey(section, key, doc, checkPath, at)
+	k.Type = "file"
+	k.Range = "absolute path, or empty"
+	return k
+}
+
+func checkPath(text string) error {
+	if text != "" && !filepath.IsAbs(text) {
+		return errors.Errorf("%q is not an absolute path", text)
+	}
+	return nil
+}
+
+func choice[S ~string](section, key string, options []string, doc string, at func(*Settings) *S) Key {
+	check := func(text string) error {
+		if !slices.Contains(options, text) {
+			return errors.Errorf("%q is not one of %s", text, strings.Join(options, ", "))
+		}
+		return nil
+	}
+	k := textKey(section, key, doc, check, at)
+	k.Type = "choice"
+	k.Default = options[0]
+	k.Range = strings.Join(options, ", ")
+	return k
+}
+
+// levels are the log levels, from the one that logs most.
+var levels = []slog.Level{slog.LevelDebug, slog.LevelInfo, slog.LevelWarn, slog.LevelError}
+
+func level(section, key, fallback, doc string) Key {
+	return Key{
+		Section: section,
+		Name:    key,
+		Type:    "choice",
+		Default: fallback,
+		Range:   "debug, info, warn, error",
+		Doc:     doc,
+		format:  func(s *Settings) string { return strings.ToLower(s.Log.Level.String()) },
+		parse: func(s *Settings, text string) error {
+			for _, l := range levels {
+				if text == strings.ToLower(l.String()) {
+					s.Log.Level = l
+					return nil
+				}
+			}
+			return errors.Errorf("%q is not one of debug, info, warn, error", text)
+		},
+	}
+}
+
+func duration(section, key string, fallback, lowest, highest time.Duration, doc string, at func(*Settings) *time.Duration) Key {
+	return Key{
+		Section: section,
+		Name:    key,
+		Type:    "duration",
+		Default: formatDuration(fallback),
+		Range:   formatDuration(lowest) + " to " + formatDuration(highest),
+		Doc:     doc,
+		format:  func(s *Settings) string { return formatDuration(*at(s)) },
+		parse: func(s *Settings, text string) error {
+			d, err := time.ParseDuration(text)
+			if err != nil {
+				return errors.Errorf("%q is not a duration with a unit, such as 500ms, 30s or 2h", text)
+			}
+			if d < lowest || d > highest {
+				return outOfRange(text)
+			}
+			*at(s) = d
+			return nil
+		},
+	}
+}
+
+// formatDuration writes a duration without zero units behind the first one.
+func formatDuration(d time.Duration) string {
+	text := d.String()
+	if strings.HasSuffix(text, "m0s") {
+		text = strings.TrimSuffix(text, "0s")
+	}
+	if strings.HasSuffix(text, "h0m") {
+		text = strings.TrimSuffix(text, "0m")
+	}
+	return text
+}
+
+func count(section, key, unit string, fallback, lowest, highest int, doc string, at func(*Settings) *int) Key {
+	return Key{
+		Section: section,
+		Name:    key,
+		Type:    "whole number, " + unit,
+		Default: strconv.Itoa(fallback),
+		Range:   fmt.Sprintf("%d to %d", lowest, highest),
+		Doc:     doc,
+		format:  func(s *Settings) string { return strconv.Itoa(*at(s)) },
+		parse: func(s *Settings, text string) error {
+			n, err := strconv.Atoi(text)
+			if err != nil {
+				return errors.Errorf("%q is not a whole number without a unit", text)
+			}
+			if n < lowest || n > highest {
+				return outOfRange(text)
+			}
+			*at(s) = n
+			return nil
+		},
+	}
+}
+
+// rangeError is a well-formed value outside its range.
+type rangeError struct {
+	text string
+}
+
+func (e *rangeError) Error() string {
+	return fmt.Sprintf("%q is out of range", e.text)
+}
+
+func outOfRange(text string) error {
+	return &rangeError{text: text}
+}
