--- /dev/null
+++ b/internal/holder/allotments.go
@@ -0,0 +1,275 @@
+package holder
+
+import (
+	"context"
+	"time"
+
+	"github.com/bluebellstile/bluebellstile/internal/cell"
+	"github.com/bluebellstile/bluebellstile/internal/endpoint"
+	"github.com/bluebellstile/bluebellstile/internal/journal"
+	"github.com/bluebellstile/bluebellstile/internal/metrics"
+	"github.com/bluebellstile/bluebellstile/internal/placement"
+	"github.com/bluebellstile/bluebellstile/internal/problem"
+	"github.com/bluebellstile/bluebellstile/internal/record"
+	"github.com/bluebellstile/bluebellstile/internal/team"
+)
+
+const (
+	// allotmentInterval is how often teams that wait at their bound are looked
+	// for.
+	allotmentInterval = 200 * time.Millisecond
+	// transferTimeout bounds one request to another zone.
+	transferTimeout = 3 * time.Second
+	// maxTransfersPerRound bounds the teams served in one round, and with it
+	// the appends that transfers cause.
+	maxTransfersPerRound = 8
+)
+
+// noteTeam makes the engine know a team's share and bound.
+func (t *Term) noteTeam(name string) {
+	if t.teams[name] {
+		return
+	}
+	t.teams[name] = true
+	t.setTeam(name)
+}
+
+// refreshBounds gives the engine the current bounds of all teams.
+func (t *Term) refreshBounds() {
+	for name := range t.teams {
+		t.setTeam(name)
+	}
+}
+
+// setTeam gives the engine a team's share and bound.
+func (t *Term) setTeam(name string) {
+	share := int64(1)
+	if cfg, _ := t.deps.Journal.State().Config(); cfg != nil {
+		for _, configured := range cfg.Teams {
+			if configured.Name == name {
+				share = configured.Share
+			}
+		}
+	}
+	t.engine.SetTeam(placement.Team{Name: name, Share: share, Bound: t.bound(name)})
+}
+
+// bound is how many tasks of a team may run on the accounted endpoints:
+//
+//	bound = allotment - reserved for transfers - most that unaccounted endpoints may run
+func (t *Term) bound(name string) int64 {
+	return max(t.ledger.Bound(name)-t.gate.charge(), 0)
+}
+
+// teamLimit is the team's configured upper limit over the fleet.
+func (t *Term) teamLimit(name string) int64 {
+	cfg, _ := t.deps.Journal.State().Config()
+	if cfg == nil {
+		return 0
+	}
+	for _, configured := range cfg.Teams {
+		if configured.Name == name {
+			return configured.UpperLimit
+		}
+	}
+	return 0
+}
+
+// observeBounds takes in records that change allotments.
+func (t *Term) observeBounds(effect cell.Effect) {
+	switch effect.Kind {
+	case record.KindConfig, record.KindSnapshot:
+		t.refreshBounds()
+		t.stopExcess()
+	case record.KindTransfer:
+		if name := effect.Envelope.Transfer.Team; t.teams[name] {
+			t.setTeam(name)
+		}
+	default:
+		return
+	}
+	t.kick()
+}
+
+// stopExcess stops the newest tasks of teams whose limit was lowered below
+// what they run: checkpointed if they may be started again, else stopped.
+func (t *Term) stopExcess() {
+	for name := range t.teams {
+		running := int64(t.engine.RunningTasks(name))
+		excess := running - t.bound(name)
+		if excess <= 0 || !t.gate.passed() {
+			continue
+		}
+		for _, task := range team.Newest(t.runningOf(name), excess) {
+			t.stopOver(t.units[task.ID])
+		}
+	}
+}
+
+// runningOf lists a team's running tasks.
+func (t *Term) runningOf(name string) []team.Task {
+	var tasks []team.Task
+	for _, u := range t.units {
+		if u.spec.Team == name && u.session != nil {
+			tasks = append(tasks, team.Task{ID: u.key, Started: u.enqueued + u.queuedFor()})
+		}
+	}
+	return tasks
+}
+
+// queuedFor is how long the unit waited, as far as it is known.
+func (u *unit) queuedFor() time.Duration {
+	if u.request == nil {
+		return 0
+	}
+	return u.request.queued
+}
+
+// stopOver stops a task over its team's bound.
+func (t *Term) stopOver(u *unit) {
+	action := endpoint.ActionStop
+	if u.spec.Idempotent {
+		action = endpoint.ActionCheckpoint
+	}
+	t.log.Info("stopping a task over its team's lowered limit", "team", u.spec.Team, "task", u.spec.ID)
+	u.session.queueStop(action, u.spec.ID)
+}
+
+// runAllotments asks other zones for allotment that waiting work needs, and
+// ends reservations whose transfers can no longer take effect.
+func (t *Term) runAllotments() error {
+	ticker := time.NewTicker(allotmentInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-t.tomb.Dying():
+			return nil
+		case <-ticker.C:
+		}
+		t.expireReservations()
+		for _, need := range t.shortTeams() {
+			t.acquire(need)
+		}
+	}
+}
+
+// expireReservations ends reservations that the log has passed by.
+func (t *Term) expireReservations() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.ledger.Expire(t.deps.Journal.State().Applied())) > 0 {
+		t.refreshBounds()
+		t.kick()
+	}
+}
+
+// shortage is how many more tasks of a team could run.
+type shortage struct {
+	team   string
+	amount int64
+}
+
+// shortTeams lists teams that wait at their bound.
+func (t *Term) shortTeams() []shortage {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []shortage
+	for name := range t.teams {
+		waiting, running := int64(t.engine.Waiting(name)), int64(t.engine.RunningTasks(name))
+		if need := running + waiting - t.bound(name); waiting > 0 && need > 0 {
+			out = append(out, shortage{team: name, amount: need})
+		}
+		if len(out) == maxTransfersPerRound {
+			break
+		}
+	}
+	return out
+}
+
+// acquire asks the zones that hold allotment of a team, most first.
+func (t *Term) acquire(need shortage) {
+	for _, zone := range t.givers(need.team) {
+		ctx, cancel := context.WithTimeout(t.tomb.Context(context.Background()), transferTimeout)
+		granted, err := t.deps.RequestTransfer(ctx, zone, need.team, need.amount)
+		cancel()
+		if err != nil {
+			metrics.Transfers.Add("failed", 1)
+			t.log.Debug("transfer of allotment failed", "from", zone, "team", need.team, "error", err)
+			continue
+		}
+		if granted > 0 {
+			metrics.Transfers.Add("granted", 1)
+			need.amount -= granted
+		}
+		if need.amount <= 0 || !t.tomb.Alive() {
+			return
+		}
+	}
+}
+
+// givers lists the other zones with allotment of a team, most first.
+func (t *Term) givers(name string) []string {
+	balances := t.deps.Journal.State().Allotments(name)
+	delete(balances, t.settings.AvailabilityZone)
+	return team.ByBalance(balances)
+}
+
+// Give transfers at most amount of a team's unused allotment to another zone
+// and returns how much was given. The own bound is lowered before the record
+// is appended and stays so until the record's effect is known.
+func (t *Term) Give(ctx context.Context, name, to string, amount int64) (int64, *problem.Problem) {
+	id, amount := t.reserve(name, amount)
+	if amount <= 0 {
+		return 0, nil
+	}
+	envelope := &record.Envelope{Kind: record.KindTransfer, Transfer: &record.Transfer{
+		ID:     id,
+		Team:   name,
+		From:   t.settings.AvailabilityZone,
+		To:     to,
+		Amount: amount,
+		Epoch:  t.epoch,
+	}}
+	envelope.Seen = t.deps.Journal.State().Applied()
+	effect, err := t.deps.Journal.AppendID(ctx, id, envelope)
+	if err != nil && !errorsIsNotAppended(err) {
+		return 0, appendProblem(err)
+	}
+	t.resolve(id, name)
+	if err != nil {
+		return 0, appendProblem(err)
+	}
+	if !effect.Valid {
+		return 0, problem.Refuse(problem.Moved, "ask again", "the transfer is void: %s", effect.Reason)
+	}
+	return amount, nil
+}
+
+// errorsIsNotAppended reports whether the record certainly isn't in the log.
+func errorsIsNotAppended(err error) bool { return appendProblem(err).Verdict == problem.NotRun }
+
+// reserve lowers the bound for a transfer of at most half of what is free
+// beyond the team's own waiting work.
+func (t *Term) reserve(name string, amount int64) (id string, reserved int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.noteTeam(name)
+	used := int64(t.engine.RunningTasks(name)) + t.gate.charge()
+	spare := t.ledger.Bound(name) - used - int64(t.engine.Waiting(name))
+	amount = min(amount, (spare+1)/2)
+	id = journal.NewID()
+	if amount <= 0 || !t.ledger.Reserve(id, name, amount, used, t.deps.Journal.State().Applied()) {
+		return "", 0
+	}
+	t.setTeam(name)
+	return id, amount
+}
+
+// resolve ends a reservation whose effect is known.
+func (t *Term) resolve(id, name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.ledger.Resolve(id)
+	t.setTeam(name)
+	t.kick()
+}
--- /dev/null
+++ b/internal/holder/gate.go
@@ -0,0 +1,128 @@
+package holder
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/bluebellstile/bluebellstile/internal/endpoint"
+)
+
+// rosterID names one incarnation of an endpoint and the most tasks that it
+// may run, as "id@incarnation@tasks". It stands in the log before the first
+// task is placed there.
+func rosterID(response *endpoint.AttachResponse) string {
+	return fmt.Sprintf("%s@%s@%d", response.Endpoint, response.Incarnation, capacityOf(response).Slots)
+}
+
+// parseRosterID splits a roster id; an id that can't be read counts as an
+// endpoint of workerSlots tasks.
+func parseRosterID(id string) (endpointID, incarnation string, tasks int64) {
+	fields := strings.Split(id, "@")
+	if len(fields) != 3 {
+		return id, "", workerSlots
+	}
+	tasks, err := strconv.ParseInt(fields[2], 10, 64)
+	if err != nil {
+		tasks = workerSlots
+	}
+	return fields[0], fields[1], tasks
+}
+
+// gate holds back the previous terms' work until it is known what the
+// endpoints of those terms run. The term's lock guards it.
+type gate struct {
+	// pending are the roster ids that have not been accounted for.
+	pending map[string]bool
+	since   time.Time
+	// lost is set when an incarnation ended without giving its inventory, so
+	// that non-idempotent work which is found nowhere may have run there.
+	lost bool
+}
+
+// open begins with the roster of the log at the start of the term.
+func (g *gate) open(roster []string, now time.Time) {
+	g.pending = make(map[string]bool, len(roster))
+	g.since = now
+	for _, id := range roster {
+		g.pending[id] = true
+	}
+}
+
+// passed reports whether every endpoint has been accounted for.
+func (g *gate) passed() bool { return len(g.pending) == 0 }
+
+// charge is the most tasks of one team that may run on endpoints which have
+// not been accounted for.
+func (g *gate) charge() int64 {
+	total := int64(0)
+	for id := range g.pending {
+		_, _, tasks := parseRosterID(id)
+		total += tasks
+	}
+	return total
+}
+
+// account removes the incarnations of an endpoint: the one that has been
+// adopted, and all others as lost. It returns the lost ones.
+func (g *gate) account(endpointID, adopted string) (lost []string) {
+	for id := range g.pending {
+		name, _, _ := parseRosterID(id)
+		if name != endpointID {
+			continue
+		}
+		delete(g.pending, id)
+		if id != adopted {
+			g.lost = true
+			lost = append(lost, id)
+		}
+	}
+	return lost
+}
+
+// expireGate accounts for rostered endpoints that the platform has removed.
+func (t *Term) expireGate() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id := range t.gate.pending {
+		name, _, _ := parseRosterID(id)
+		if !t.deps.Directory.Gone(name, goneBound, t.gate.since) {
+			continue
+		}
+		t.accountLost(t.gate.account(name, ""))
+	}
+}
+
+// accountLost takes lost incarnations off the roster and opens the gate if
+// they were the last ones; the caller holds the term's lock.
+func (t *Term) accountLost(lost []string) {
+	for _, id := range lost {
+		t.log.Warn("endpoint incarnation ended unseen", "roster", id)
+		t.rosters.add(rosterEntry{removed: id})
+	}
+	t.refreshBounds()
+	if t.gate.passed() {
+		t.passGate()
+	}
+}
+
+// passGate decides about the work that was held back.
+func (t *Term) passGate() {
+	for _, u := range t.units {
+		if u.phase == phaseHeld {
+			t.resolveHeld(u)
+		}
+	}
+	t.kick()
+}
+
+// resolveHeld queues held work that was found on no endpoint, unless it is
+// non-idempotent and may have run on one that was lost.
+func (t *Term) resolveHeld(u *unit) {
+	if u.spec.Idempotent || (u.job != nil && !t.gate.lost) {
+		t.enqueue(u)
+		return
+	}
+	t.settle(u, failed(outcomeLost("the zone's holder changed and no endpoint reports the task")))
+}
--- /dev/null
+++ b/internal/holder/request.go
@@ -0,0 +1,347 @@
+package holder
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"time"
+
+	"github.com/bluebellstile/bluebellstile/internal/endpoint"
+	"github.com/bluebellstile/bluebellstile/internal/metrics"
+	"github.com/bluebellstile/bluebellstile/internal/placement"
+	"github.com/bluebellstile/bluebellstile/internal/problem"
+	"github.com/bluebellstile/bluebellstile/internal/ticket"
+	"github.com/bluebellstile/bluebellstile/operator"
+)
+
+// Request is what a front door asks the holder to run.
+type Request struct {
+	Ticket     ticket.Ticket
+	Team       string
+	Queue      operator.Queue
+	KeyID      string
+	Idempotent bool
+	Command    string
+	Input      []byte
+	Size       endpoint.Resources
+}
+
+// digest identifies what the ticket was used for.
+func (r *Request) digest() [sha256.Size]byte {
+	h := sha256.New()
+	for _, part := range []string{r.Team, r.Queue.Name, r.Command} {
+		h.Write([]byte(part))
+		h.Write([]byte{0})
+	}
+	h.Write(r.Input)
+	return [sha256.Size]byte(h.Sum(nil))
+}
+
+// request is the waiting side of a unit. The term's lock guards it until done
+// is closed; result does not change after that.
+type request struct {
+	digest  [sha256.Size]byte
+	known   bool
+	waiters int
+	// delivered is set once the result has been given to a waiter.
+	delivered bool
+	done      chan struct{}
+	result    Result
+	queued    time.Duration
+	ack       func()
+}
+
+// newRequest returns a request whose caller is not known.
+func newRequest() *request { return &request{done: make(chan struct{})} }
+
+const (
+	// expireGrace is how long an expiring request waits for the endpoint's
+	// word on whether it ran.
+	expireGrace = 250 * time.Millisecond
+	// retryHint is given with refusals for lack of room.
+	retryHint = 500 * time.Millisecond
+)
+
+// Run places a request and waits for its outcome, until ctx ends. The same
+// ticket joins the request that has it already.
+func (t *Term) Run(ctx context.Context, r *Request) Result {
+	u, p := t.admit(r)
+	if p != nil {
+		return failed(p)
+	}
+	select {
+	case <-u.request.done:
+	case <-ctx.Done():
+		t.expire(u, ctx.Err())
+	}
+	return t.deliver(u)
+}
+
+// deliver hands the result to one waiter.
+func (t *Term) deliver(u *unit) Result {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	u.request.waiters--
+	if u.phase != phaseFinal {
+		return failed(problem.Doubt(problem.DeadlineRunning, "ask again with the same ticket", "the deadline passed while the work was running"))
+	}
+	u.request.delivered = true
+	result := u.request.result
+	result.Queued = u.request.queued
+	return result
+}
+
+// admit finds or makes the unit of a request and counts the caller as waiting.
+func (t *Term) admit(r *Request) (*unit, *problem.Problem) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r.Ticket.Epoch > t.epoch || !t.tomb.Alive() || t.moving {
+		return nil, problem.Refuse(problem.Moved, "the front door tries the next holder", "this daemon no longer holds the zone").After(retryHint)
+	}
+	key := r.Ticket.String()
+	u := t.units[key]
+	if u != nil && !u.restartable() {
+		return t.join(u, r)
+	}
+	if p := t.refuse(r); p != nil {
+		return nil, p
+	}
+	u = t.newRequestUnit(key, r)
+	t.units[key] = u
+	u.request.waiters++
+	if r.Ticket.Epoch == t.epoch {
+		t.enqueue(u)
+	} else if t.gate.passed() {
+		t.resolveHeld(u)
+	}
+	return u, nil
+}
+
+// restartable reports whether a unit ended without running and without anyone
+// having been told, as when the front door died while it waited.
+func (u *unit) restartable() bool {
+	return u.phase == phaseFinal && !u.request.delivered && u.request.waiters == 0 &&
+		u.request.result.verdict() == problem.NotRun
+}
+
+// join adds a caller to a request that has the same ticket.
+func (t *Term) join(u *unit, r *Request) (*unit, *problem.Problem) {
+	if u.request == nil {
+		return nil, problem.Refuse(problem.TicketConflict, "get a new ticket for another request", "the ticket belongs to a job")
+	}
+	digest := r.digest()
+	if u.request.known && u.request.digest != digest {
+		return nil, problem.Refuse(problem.TicketConflict, "get a new ticket for another request", "the ticket was used for a different request")
+	}
+	u.request.digest, u.request.known = digest, true
+	u.request.waiters++
+	return u, nil
+}
+
+// refuse says why a new request can't be taken.
+func (t *Term) refuse(r *Request) *problem.Problem {
+	if r.Ticket.Epoch == t.epoch && t.registry.expired(r.Ticket.Generation, t.now()) {
+		return problem.Doubt(problem.TicketExpired, "check the effect of the request, then send it with a new ticket", "the ticket is too old for its outcome to be known")
+	}
+	limit := t.deps.MaxWaiting()
+	if r.Queue.MaxWaiting > 0 {
+		limit = min(limit, r.Queue.MaxWaiting)
+	}
+	if t.waiting >= limit && !t.shed(r) {
+		return problem.Refuse(problem.QueueFull, "retry after the hint, with backoff", "%d requests wait in the zone already", t.waiting).After(retryHint)
+	}
+	if !t.gate.passed() {
+		return nil
+	}
+	verdict := t.engine.Check(t.newRequestUnit("check", r).engineWork())
+	if !verdict.Possible {
+		return problem.Refuse(problem.NeverRunnable, "ask for no more than the nearest size that fits", "%s; nearest size %+v", verdict.Reason, verdict.Nearest)
+	}
+	return nil
+}
+
+// shed makes room for an urgent request by refusing the batch request that
+// came last.
+func (t *Term) shed(r *Request) bool {
+	if r.Queue.Class != operator.ClassUrgent {
+		return false
+	}
+	var victim *unit
+	for _, u := range t.units {
+		if u.request == nil || u.phase != phaseWaiting || u.class != placement.ClassBatch {
+			continue
+		}
+		if victim == nil || u.enqueued > victim.enqueued {
+			victim = u
+		}
+	}
+	if victim == nil {
+		return false
+	}
+	t.withdraw(victim)
+	t.settle(victim, failed(problem.Refuse(problem.QueueFull, "retry after the hint, with backoff", "urgent work took its place in a full queue").After(retryHint)))
+	return true
+}
+
+// newRequestUnit makes the unit of a request.
+func (t *Term) newRequestUnit(key string, r *Request) *unit {
+	u := &unit{
+		key:  key,
+		work: key,
+		spec: endpoint.TaskSpec{
+			Ticket:     key,
+			Team:       r.Team,
+			Queue:      r.Queue.Name,
+			Size:       r.Size,
+			Idempotent: r.Idempotent,
+			Command:    r.Command,
+			Input:      r.Input,
+		},
+		keyID:    r.KeyID,
+		enqueued: t.now(),
+		request:  newRequest(),
+	}
+	u.applyQueue(r.Queue)
+	u.request.digest, u.request.known = r.digest(), true
+	return u
+}
+
+// applyQueue takes over the policy of the unit's queue.
+func (u *unit) applyQueue(q operator.Queue) {
+	u.class = classOf(q.Class)
+	u.priority = q.Priority
+	u.preemptible = q.Preemptible
+	if u.spec.Idempotent {
+		u.retryBudget = q.RetryBudget
+	}
+}
+
+// classOf converts a configured class.
+func classOf(c operator.Class) placement.Class {
+	switch c {
+	case operator.ClassUrgent:
+		return placement.ClassUrgent
+	case operator.ClassService:
+		return placement.ClassService
+	}
+	return placement.ClassBatch
+}
+
+// withdraw takes a waiting unit out of the queue.
+func (t *Term) withdraw(u *unit) {
+	t.engine.Withdraw(u.work, u.key)
+	t.waiting--
+	metrics.Waiting.Set(int64(t.waiting))
+	u.phase = phaseHeld
+}
+
+// expire ends a request whose caller waits no longer. What never started is
+// withdrawn; what may have started is stopped, and its end awaited briefly.
+func (t *Term) expire(u *unit, cause error) {
+	t.mu.Lock()
+	if u.phase == phaseFinal || u.request.waiters > 1 {
+		t.mu.Unlock()
+		return
+	}
+	if u.phase == phaseWaiting {
+		t.withdraw(u)
+		t.settle(u, failed(expired(cause)))
+		t.mu.Unlock()
+		return
+	}
+	stoppable := errors.Is(cause, context.DeadlineExceeded) && u.session != nil
+	if stoppable {
+		u.cancelled = true
+		u.session.queueStop(endpoint.ActionStop, u.spec.ID)
+	}
+	t.mu.Unlock()
+	if stoppable {
+		select {
+		case <-u.request.done:
+		case <-time.After(expireGrace):
+		}
+	}
+}
+
+// expired is the truthful refusal of work that waited too long.
+func expired(cause error) *problem.Problem {
+	if errors.Is(cause, context.DeadlineExceeded) {
+		return problem.Refuse(problem.DeadlineQueued, "retry later or with a longer deadline", "the deadline passed before the work could start").After(retryHint)
+	}
+	return problem.Refuse(problem.Cancelled, "send the request again if it is still wanted", "the caller went away before the work started")
+}
+
+// cancelledWaiting is the outcome of work that was cancelled before it ran.
+func cancelledWaiting() *problem.Problem {
+	return problem.Refuse(problem.Cancelled, "send the request again if it is still wanted", "the work was cancelled before it started")
+}
+
+// cancelledRunning is the outcome of work that was cancelled while it ran.
+func cancelledRunning() *problem.Problem {
+	return problem.Doubt(problem.Cancelled, "check the effect of the work before sending it again", "the work was cancelled after it had started")
+}
+
+// CancelRequest cancels the request with the given ticket for its team.
+func (t *Term) CancelRequest(key, team string) *problem.Problem {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	u := t.units[key]
+	if u == nil || u.request == nil || u.spec.Team != team {
+		return problem.Doubt(problem.TicketInvalid, "check the ticket and the key", "no request with this ticket is known here")
+	}
+	t.cancel(u)
+	return nil
+}
+
+// cancel ends a unit that waits and stops one that runs.
+func (t *Term) cancel(u *unit) {
+	switch u.phase {
+	case phaseFinal:
+	case phaseWaiting:
+		t.withdraw(u)
+		t.settle(u, failed(cancelledWaiting()))
+	case phaseHeld:
+		u.cancelled = true
+	default:
+		u.cancelled = true
+		if u.session != nil {
+			u.session.queueStop(endpoint.ActionStop, u.spec.ID)
+		}
+	}
+}
+
+// settle records the result of a unit and tells who waits for it.
+func (t *Term) settle(u *unit, result Result) {
+	if u.phase == phaseFinal {
+		return
+	}
+	if u.phase == phaseWaiting {
+		t.withdraw(u)
+	}
+	u.phase = phaseFinal
+	if u.job != nil {
+		t.settleTask(u, result)
+		return
+	}
+	u.request.result = result
+	t.registry.settled(u.key, t.now())
+	if t.deps.Observer != nil && u.request.known {
+		code := problem.Code("")
+		if result.Problem != nil {
+			code = result.Problem.Code
+		}
+		t.deps.Observer.Answered(u.spec.Team, u.spec.Queue, result.verdict(), code)
+	}
+	close(u.request.done)
+}
+
+// ackTo arranges for the endpoint to forget the attempt: after the outcome of
+// a job's task stands in the log, or when a request's ticket is forgotten.
+func (u *unit) ackTo(s *session, attempt string) {
+	ack := func() { s.queueAck(attempt) }
+	if u.job != nil {
+		u.job.acks[u.spec.Index] = ack
+		return
+	}
+	u.request.ack = ack
+}
--- /dev/null
+++ b/internal/holder/session.go
@@ -0,0 +1,312 @@
+package holder
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/bluebellstile/bluebellstile/internal/endpoint"
+	"github.com/bluebellstile/bluebellstile/internal/platform"
+	"github.com/pkg/errors"
+	"gopkg.in/tomb.v2"
+)
+
+const (
+	// attachBackoffMin and attachBackoffMax bound the pause between attempts
+	// to attach to an endpoint.
+	attachBackoffMin = 50 * time.Millisecond
+	attachBackoffMax = time.Second
+	// silentBeats is after how many missed heartbeats an endpoint gets no new
+	// work.
+	silentBeats = 3
+	// clockDrift is the rate by which two monotonic clocks may differ.
+	clockDrift = 0.01
+	// eventWait is how long a poll for events waits, in milliseconds.
+	eventWait = 1000
+	// callTimeout bounds a command other than a poll.
+	callTimeout = 2 * time.Second
+	// proofInterval is how often a lapsed session looks for proof that this
+	// daemon still holds the zone.
+	proofInterval = 100 * time.Millisecond
+)
+
+// Reasons for which a connected phase of a session ends.
+var (
+	errSessionEnded = errors.New("the endpoint no longer knows the session; attach again")
+	errRestarted    = errors.New("the endpoint has restarted; attach again")
+	errLapsed       = errors.New("the lease has certainly lapsed")
+)
+
+// session is the holder's relation to one endpoint.
+type session struct {
+	term     *Term
+	instance platform.Instance
+	client   EndpointClient
+
+	// Guarded by the term's lock.
+	id       string
+	kind     endpoint.Kind
+	rosterID string
+	usable   bool
+	leaving  bool
+	units    map[string]*unit
+
+	mu          sync.Mutex
+	incarnation string
+	number      uint64
+	token       uint64
+	tokenAt     time.Time
+	starts      []endpoint.TaskSpec
+	stops       map[endpoint.StopAction][]string
+	acks        []string
+	wake        chan struct{}
+}
+
+// newSession returns a session that has not attached yet.
+func newSession(t *Term, instance platform.Instance) *session {
+	return &session{
+		term:     t,
+		instance: instance,
+		client:   t.deps.Dial(instance.Address),
+		id:       instance.ID,
+		units:    make(map[string]*unit),
+		stops:    make(map[endpoint.StopAction][]string),
+		wake:     make(chan struct{}, 1),
+	}
+}
+
+// run keeps the endpoint attached until the term ends or the endpoint is gone.
+func (s *session) run() error {
+	t := s.term
+	backoff := attachBackoffMin
+	for t.tomb.Alive() {
+		response, err := s.attach()
+		if err != nil {
+			if epoch, fenced := endpoint.FencedBy(err); fenced {
+				t.superseded(epoch)
+				return nil
+			}
+			if s.forgetIfGone() {
+				return nil
+			}
+			s.countLapse()
+			t.pause(backoff)
+			backoff = min(2*backoff, attachBackoffMax)
+			continue
+		}
+		backoff = attachBackoffMin
+		err = s.connected(response)
+		t.log.Info("endpoint session ends", "endpoint", s.id, "reason", err)
+		t.setUsable(s, false)
+		if errors.Is(err, errLapsed) {
+			s.countLapse()
+		}
+	}
+	return nil
+}
+
+// attach asks the endpoint for its inventory under the term's epoch.
+func (s *session) attach() (*endpoint.AttachResponse, error) {
+	ctx, cancel := s.context(callTimeout)
+	defer cancel()
+	return s.client.Attach(ctx, &endpoint.AttachRequest{
+		AvailabilityZone: s.term.settings.AvailabilityZone,
+		Holder:           s.term.settings.Holder,
+		Epoch:            s.term.epoch,
+		LeaseMS:          s.term.settings.Lease.Milliseconds(),
+	})
+}
+
+// connected adopts the inventory and runs the session's loops until one fails.
+func (s *session) connected(response *endpoint.AttachResponse) error {
+	s.begin(response)
+	if err := s.beat(); err != nil {
+		return err
+	}
+	s.term.adopt(s, response)
+	loops := new(tomb.Tomb)
+	loops.Go(func() error {
+		loops.Go(func() error { return s.runHeartbeats(loops) })
+		loops.Go(func() error { return s.runEvents(loops) })
+		loops.Go(func() error { return s.runSender(loops) })
+		select {
+		case <-s.term.tomb.Dying():
+			loops.Kill(nil)
+		case <-loops.Dying():
+		}
+		return nil
+	})
+	return loops.Wait()
+}
+
+// begin takes over the numbers of a new session.
+func (s *session) begin(response *endpoint.AttachResponse) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.incarnation = response.Incarnation
+	s.number = response.Session
+	s.token = response.LeaseToken
+	s.tokenAt = time.Now()
+	s.starts = nil
+	s.stops = make(map[endpoint.StopAction][]string)
+}
+
+// runHeartbeats renews the lease until it lapses or the session ends.
+func (s *session) runHeartbeats(loops *tomb.Tomb) error {
+	ticker := time.NewTicker(s.term.settings.Heartbeat)
+	defer ticker.Stop()
+	missed := 0
+	for {
+		select {
+		case <-loops.Dying():
+			return nil
+		case <-ticker.C:
+		}
+		err := s.beat()
+		switch {
+		case err == nil && missed > 0:
+			missed = 0
+			s.term.setUsable(s, true)
+		case err == nil:
+		case errors.Is(err, errSessionEnded) || errors.Is(err, errRestarted) || s.lapsed():
+			return err
+		default:
+			missed++
+		}
+		if missed == silentBeats {
+			s.term.setUsable(s, false)
+		}
+	}
+}
+
+// beat sends one heartbeat.
+func (s *session) beat() error {
+	s.mu.Lock()
+	request := &endpoint.HeartbeatRequest{
+		Session:    s.number,
+		Epoch:      s.term.epoch,
+		LeaseToken: s.token,
+		LeaseMS:    s.term.settings.Lease.Milliseconds(),
+	}
+	s.mu.Unlock()
+	ctx, cancel := s.context(callTimeout)
+	defer cancel()
+	response, err := s.client.Heartbeat(ctx, request)
+	if err != nil {
+		return s.commandError(err)
+	}
+	if response.Incarnation != s.incarnationNow() {
+		return errRestarted
+	}
+	s.mu.Lock()
+	s.token, s.tokenAt = response.LeaseToken, time.Now()
+	s.mu.Unlock()
+	s.term.observeHeartbeat(s, response)
+	return nil
+}
+
+// incarnationNow is the incarnation of the current session.
+func (s *session) incarnationNow() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.incarnation
+}
+
+// lapsed reports whether no lease that this session granted can still run.
+// A lease is counted by the endpoint from when its token was issued, which is
+// no later than the token's arrival here.
+func (s *session) lapsed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.tokenAt.IsZero() {
+		return false
+	}
+	bound := time.Duration(float64(s.term.settings.Lease) * (1 + clockDrift))
+	return time.Since(s.tokenAt) > bound
+}
+
+// countLapse ends the tasks of an endpoint whose lease has lapsed, once the
+// log proves that no other daemon had taken over the zone by then. Without
+// that proof another holder may have renewed the lease.
+func (s *session) countLapse() {
+	if !s.lapsed() {
+		return
+	}
+	lapsedAt := time.Now()
+	for s.term.tomb.Alive() && !s.term.provenSince(lapsedAt) {
+		s.term.pause(proofInterval)
+	}
+	if s.term.tomb.Alive() {
+		s.term.endpointLost(s, "the lease lapsed")
+		s.mu.Lock()
+		s.tokenAt = time.Time{}
+		s.mu.Unlock()
+	}
+}
+
+// forgetIfGone ends the session of an endpoint that the platform has removed.
+func (s *session) forgetIfGone() bool {
+	if !s.term.deps.Directory.Gone(s.id, goneBound, s.term.began) {
+		return false
+	}
+	s.term.endpointLost(s, "the platform removed the instance")
+	s.term.forgetEndpoint(s)
+	return true
+}
+
+// runEvents polls for events until the session ends.
+func (s *session) runEvents(loops *tomb.Tomb) error {
+	after := uint64(0)
+	for loops.Alive() {
+		response, err := s.pollEvents(loops, after)
+		if err != nil {
+			if err = s.commandError(err); errors.Is(err, errSessionEnded) {
+				return err
+			}
+			s.term.pause(attachBackoffMin)
+			continue
+		}
+		if response.Incarnation != s.incarnationNow() {
+			return errRestarted
+		}
+		after = response.Next
+		s.term.observeEvents(s, response.Events)
+	}
+	return nil
+}
+
+// pollEvents makes one long poll.
+func (s *session) pollEvents(loops *tomb.Tomb, after uint64) (*endpoint.EventsResponse, error) {
+	ctx, cancel := context.WithTimeout(loops.Context(context.Background()), callTimeout+eventWait*time.Millisecond)
+	defer cancel()
+	return s.client.Events(ctx, &endpoint.EventsRequest{
+		Session: s.sessionNumber(),
+		Epoch:   s.term.epoch,
+		After:   after,
+		WaitMS:  eventWait,
+	})
+}
+
+// sessionNumber is the number that the endpoint gave the session.
+func (s *session) sessionNumber() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.number
+}
+
+// commandError ends the term or the session if err says so.
+func (s *session) commandError(err error) error {
+	if epoch, fenced := endpoint.FencedBy(err); fenced {
+		s.term.superseded(epoch)
+		return errSessionEnded
+	}
+	if endpoint.KindOf(err) == endpoint.KindNotAttached {
+		return errSessionEnded
+	}
+	return err
+}
+
+// context returns a context that ends with the term.
+func (s *session) context(timeout time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(s.term.tomb.Context(context.Background()), timeout)
+}
--- /dev/null
+++ b/internal/journal/ring.go
@@ -0,0 +1,56 @@
+package journal
+
+import "github.com/bluebellstile/bluebellstile/internal/platform"
+
+// ringBytes bounds the recent records kept for relaying to other daemons.
+const ringBytes = 4 << 20
+
+// ring keeps the latest records, oldest first, within a byte bound.
+type ring struct {
+	limit   int
+	size    int
+	records []platform.Record
+}
+
+// newRing returns a ring that keeps at most limit bytes of record data.
+func newRing(limit int) *ring { return &ring{limit: limit} }
+
+// add appends a record and drops the oldest ones past the bound.
+func (r *ring) add(rec platform.Record) {
+	r.records = append(r.records, rec)
+	r.size += len(rec.Data)
+	drop := 0
+	for r.size > r.limit && drop < len(r.records)-1 {
+		r.size -= len(r.records[drop].Data)
+		drop++
+	}
+	if drop > 0 {
+		r.records = append([]platform.Record(nil), r.records[drop:]...)
+	}
+}
+
+// from returns at most limit records from an offset on; ok is false if the
+// ring no longer reaches back to it.
+func (r *ring) from(offset uint64, limit int) (out []platform.Record, ok bool) {
+	if len(r.records) == 0 || r.records[0].Offset > offset {
+		return nil, false
+	}
+	for _, rec := range r.records {
+		if rec.Offset < offset {
+			continue
+		}
+		out = append(out, rec)
+		if len(out) == limit {
+			break
+		}
+	}
+	return out, true
+}
+
+// Recent returns records from an offset on for relaying; ok is false if they
+// are no longer kept here and must be read from the log.
+func (j *Journal) Recent(from uint64, limit int) (records []platform.Record, ok bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.ring.from(from, limit)
+}
--- /dev/null
+++ b/internal/journal/tail.go
@@ -0,0 +1,120 @@
+package journal
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/bluebellstile/bluebellstile/internal/metrics"
+	"github.com/bluebellstile/bluebellstile/internal/platform"
+	"gopkg.in/tomb.v2"
+)
+
+const (
+	// readLimit bounds the records of one read.
+	readLimit = 512
+	// readWait is how long one read waits for new records. It bounds how old
+	// the proof of freshness gets while nothing is written.
+	readWait = 500 * time.Millisecond
+	// readTimeout bounds one read including the network.
+	readTimeout = 3 * time.Second
+	// minBackoff and maxBackoff bound the pause after a failed read.
+	minBackoff = 50 * time.Millisecond
+	maxBackoff = time.Second
+)
+
+// Page is a run of records from a source and the proof that comes with it.
+type Page struct {
+	Records []platform.Record
+	// End is the offset that the next append would have got at the instant
+	// AsOf. AsOf is zero if the source itself is in doubt.
+	End  uint64
+	AsOf time.Time
+}
+
+// Source supplies log records from an offset.
+type Source interface {
+	// Name labels the source in metrics: "log" or "peer".
+	Name() string
+	// Read returns records from offset from, waiting up to wait for one.
+	Read(ctx context.Context, from uint64, wait time.Duration) (*Page, error)
+}
+
+// LogSource reads from the platform itself.
+type LogSource struct{ Log platform.Log }
+
+// Name implements Source.
+func (LogSource) Name() string { return "log" }
+
+// Read implements Source.
+func (s LogSource) Read(ctx context.Context, from uint64, wait time.Duration) (*Page, error) {
+	asOf := time.Now()
+	page, err := s.Log.Read(ctx, from, readLimit, wait)
+	if err != nil {
+		return nil, err
+	}
+	return &Page{Records: page.Records, End: page.End, AsOf: asOf}, nil
+}
+
+// Chooser picks the sources of the next read in order of preference.
+type Chooser func() []Source
+
+// Run follows the log until t dies.
+func (j *Journal) Run(t *tomb.Tomb, choose Chooser) error {
+	backoff := minBackoff
+	for t.Alive() {
+		if j.readOnce(t, choose()) {
+			backoff = minBackoff
+			continue
+		}
+		select {
+		case <-t.Dying():
+		case <-time.After(backoff/2 + rand.N(backoff)):
+		}
+		backoff = min(2*backoff, maxBackoff)
+	}
+	return nil
+}
+
+// readOnce reads and applies one page from the first source that answers.
+func (j *Journal) readOnce(t *tomb.Tomb, sources []Source) bool {
+	for _, source := range sources {
+		if !t.Alive() {
+			return false
+		}
+		ctx, cancel := context.WithTimeout(t.Context(context.Background()), readTimeout)
+		page, err := source.Read(ctx, max(j.state.Applied()+1, j.floor), readWait)
+		cancel()
+		if err != nil {
+			j.slog.Debug("read of the log failed", "source", source.Name(), "error", err)
+			j.skipTrimmed(err)
+			continue
+		}
+		j.applyPage(source.Name(), page)
+		return true
+	}
+	return false
+}
+
+// skipTrimmed moves on to what retention has kept.
+func (j *Journal) skipTrimmed(err error) {
+	first, trimmed := platform.TrimmedTo(err)
+	if !trimmed {
+		return
+	}
+	j.slog.Warn("the log no longer keeps the next record", "applied", j.state.Applied(), "first", first)
+	j.floor = first
+}
+
+// applyPage applies the records of a page, then its proof.
+func (j *Journal) applyPage(source string, page *Page) {
+	size := 0
+	for _, r := range page.Records {
+		j.apply(r)
+		size += len(r.Data)
+	}
+	metrics.TailBytes.Add(source, int64(size))
+	if !page.AsOf.IsZero() {
+		j.Prove(page.AsOf, page.End)
+	}
+}
--- /dev/null
+++ b/internal/membership/directory.go
@@ -0,0 +1,132 @@
+// Package membership knows which instances exist, from the platform's lagging
+// list, and which daemons are alive, from heartbeats.
+package membership
+
+import (
+	"context"
+	"log/slog"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/bluebellstile/bluebellstile/internal/platform"
+	"gopkg.in/tomb.v2"
+)
+
+const (
+	// listInterval is the time between two reads of the platform's list.
+	listInterval = time.Second
+	// listTimeout bounds one read of the list.
+	listTimeout = 2 * time.Second
+)
+
+// Directory holds the latest list of instances. It is safe for concurrent use.
+type Directory struct {
+	lister platform.Lister
+	slog   *slog.Logger
+
+	mu      sync.Mutex
+	entries map[string]entry
+	read    bool
+}
+
+// entry is an instance and since when the list has lacked it.
+type entry struct {
+	instance    platform.Instance
+	absentSince time.Time
+}
+
+// NewDirectory returns a directory that is empty until Run has read the list.
+func NewDirectory(lister platform.Lister, logger *slog.Logger) *Directory {
+	return &Directory{lister: lister, slog: logger, entries: make(map[string]entry)}
+}
+
+// Run polls the list until t dies.
+func (d *Directory) Run(t *tomb.Tomb) error {
+	ticker := time.NewTicker(listInterval)
+	defer ticker.Stop()
+	for {
+		d.refresh(t.Context(context.Background()))
+		select {
+		case <-t.Dying():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// refresh reads the list once; on failure the last one stays.
+func (d *Directory) refresh(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	list, err := d.lister.Instances(ctx)
+	if err != nil {
+		d.slog.Debug("read of the instance list failed", "error", err)
+		return
+	}
+	d.replace(list.Instances, time.Now())
+}
+
+// replace takes over a list that was read at now.
+func (d *Directory) replace(list []platform.Instance, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.read = true
+	listed := make(map[string]bool, len(list))
+	for _, i := range list {
+		listed[i.ID] = true
+		d.entries[i.ID] = entry{instance: i}
+	}
+	for id, e := range d.entries {
+		if listed[id] || !e.absentSince.IsZero() {
+			continue
+		}
+		e.absentSince = now
+		d.entries[id] = e
+	}
+}
+
+// Ready reports whether the list has been read at least once.
+func (d *Directory) Ready() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.read
+}
+
+// Listed returns the listed instances for which keep holds, in order of id.
+func (d *Directory) Listed(keep func(platform.Instance) bool) []platform.Instance {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []platform.Instance
+	for _, e := range d.entries {
+		if e.absentSince.IsZero() && keep(e.instance) {
+			out = append(out, e.instance)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+// Instance returns the listed instance with the given id.
+func (d *Directory) Instance(id string) (platform.Instance, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e, ok := d.entries[id]
+	return e.instance, ok && e.absentSince.IsZero()
+}
+
+// Gone reports whether successful reads of the list have lacked the instance
+// for at least bound. An instance that was never listed counts as gone once
+// the list has been read for bound; since is when the caller began to ask.
+func (d *Directory) Gone(id string, bound time.Duration, since time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.read {
+		return false
+	}
+	e, known := d.entries[id]
+	if !known {
+		return time.Since(since) >= bound
+	}
+	return !e.absentSince.IsZero() && time.Since(e.absentSince) >= bound
+}
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,62 @@
+// Package metrics publishes the daemon's counters and gauges by expvar. Every
+// metric is declared here with its meaning, so that the operators' page can
+// be tested against the code.
+package metrics
+
+import (
+	"expvar"
+	"sort"
+)
+
+// Description documents one metric.
+type Description struct {
+	Name string
+	Help string
+}
+
+var descriptions []Description
+
+// counter declares an integer metric.
+func counter(name, help string) *expvar.Int {
+	descriptions = append(descriptions, Description{Name: name, Help: help})
+	return expvar.NewInt(name)
+}
+
+// group declares a metric that is split by a label.
+func group(name, help string) *expvar.Map {
+	descriptions = append(descriptions, Description{Name: name, Help: help})
+	return expvar.NewMap(name)
+}
+
+// Metrics of the daemon.
+var (
+	Requests      = group("requests_total", "requests answered, by verdict")
+	Refusals      = group("refusals_total", "refusals and failures, by problem code")
+	Waiting       = counter("requests_waiting", "requests that wait in this zone's queues")
+	TasksStarted  = counter("tasks_started_total", "tasks started on endpoints by this holder")
+	TasksFinished = group("tasks_finished_total", "tasks that ended on endpoints, by state")
+	DeadEvents    = counter("events_dropped_total", "endpoint events for unknown tasks or ended epochs")
+	Fenced        = counter("fenced_total", "commands refused because a higher epoch had attached")
+	Claims        = group("claims_total", "zone claims appended, by result")
+	HolderEpoch   = counter("holder_epoch", "epoch under which this daemon holds its zone; 0 if it does not")
+	Appends       = group("log_appends_total", "log records appended by this daemon, by kind")
+	AppendBytes   = counter("log_append_bytes_total", "bytes of the records appended by this daemon")
+	VoidRecords   = group("log_void_records_total", "log records that count for nothing, by kind")
+	TailBytes     = group("log_tail_bytes_total", "bytes of log records read, by source: log or peer")
+	Applied       = counter("log_applied_offset", "offset of the last log record applied")
+	FreshAgeMS    = counter("config_fresh_age_ms", "milliseconds since the configuration was last proven current")
+	ConfigVersion = counter("config_version", "version of the configuration in force here")
+	PeerBytes     = group("peer_bytes_total", "bytes exchanged with other daemons, by link: zone, region, remote")
+	PeerFailures  = counter("peer_failures_total", "calls to other daemons that failed")
+	Transfers     = group("allotment_transfers_total", "transfers of upper-limit allotment, by result")
+	Endpoints     = group("endpoints", "endpoints of the held zone, by session state")
+	Decisions     = counter("placement_decisions_total", "placement decisions taken")
+	DecisionNS    = counter("placement_ns_total", "nanoseconds spent in placement")
+)
+
+// Descriptions lists all metrics in order of name.
+func Descriptions() []Description {
+	out := append([]Description(nil), descriptions...)
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
--- a/internal/platform/errors.go
+++ b/internal/platform/errors.go
@@ -82,3 +82,20 @@
 
 func (e *attemptError) Error() string { return e.cause.Error() }
 func (e *attemptError) Unwrap() error { return e.cause }
+
+// MayBeAppended reports whether a record whose append failed with err may
+// stand in the log, or may come to stand there.
+func MayBeAppended(err error) bool {
+	kind := KindOf(err)
+	return kind == KindAppendUnknown || kind == ""
+}
+
+// TrimmedTo returns the first kept offset if err says that retention has
+// dropped the one asked for.
+func TrimmedTo(err error) (first uint64, ok bool) {
+	var e *Error
+	if errors.As(err, &e) && e.Kind == KindTrimmed {
+		return e.First, true
+	}
+	return 0, false
+}
--- a/internal/record/void.go
+++ b/internal/record/void.go
@@ -1,6 +1,10 @@
 package record
 
-import "fmt"
+import (
+	"fmt"
+
+	"github.com/pkg/errors"
+)
 
 // VoidKind says by which rule a record in the log has no effect.
 type VoidKind string
@@ -44,3 +48,10 @@
 func (v *Void) Error() string {
 	return string(v.Kind) + ": " + v.Detail
 }
+
+// IsDuplicate reports whether err says that what a record asks for stands in
+// the log already.
+func IsDuplicate(err error) bool {
+	var v *Void
+	return errors.As(err, &v) && v.Kind == VoidDuplicate
+}
--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -55,9 +55,15 @@
 	link   *linkFaults
 	knobs  endpointSwitches
 
-	mu       sync.Mutex
-	rand     *rand.Rand
-	epoch    uint64
+	mu    sync.Mutex
+	rand  *rand.Rand
+	epoch uint64
+	// session is the current one, 0 if none; sessions is the last one given.
+	// It starts at random, so that incarnations share no numbers.
+	session  uint64
+	sessions uint64
+	// leased is set once the current session has been granted the lease.
+	leased   bool
 	leaseEnd time.Time
 	// leaseMoved wakes the watchdog after each heartbeat.
 	leaseMoved chan struct{}
@@ -96,6 +102,7 @@
 		base:        time.Now(),
 		faults:      newFaults(),
 		rand:        rand.New(rand.NewPCG(opts.Seed, 0)),
+		sessions:    rand.Uint64() >> 1,
 		leaseMoved:  make(chan struct{}, 1),
 		tasks:       make(map[string]*task),
 		ended:       newEndedTasks(maxEnded),
--- a/internal/standin/endpoint_commands.go
+++ b/internal/standin/endpoint_commands.go
@@ -13,7 +13,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
-	if err := e.enterLocked(req.Epoch, now); err != nil {
+	if err := e.enterSessionLocked(req.Epoch, req.Session, now); err != nil {
 		return nil, err
 	}
 	resp := &endpoint.StartResponse{}
@@ -55,7 +55,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
-	if err := e.enterLocked(req.Epoch, now); err != nil {
+	if err := e.enterSessionLocked(req.Epoch, req.Session, now); err != nil {
 		return nil, err
 	}
 	resp := &endpoint.StopResponse{Tasks: []endpoint.StoppedTask{}}
@@ -133,7 +133,7 @@
 func (e *Endpoint) pollOnce(req *endpoint.EventsRequest) (*endpoint.EventsResponse, <-chan struct{}, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if err := e.enterLocked(req.Epoch, time.Now()); err != nil {
+	if err := e.enterSessionLocked(req.Epoch, req.Session, time.Now()); err != nil {
 		return nil, nil, err
 	}
 	return e.pollLocked(req.After), e.events.changed, nil
@@ -144,7 +144,7 @@
 func (e *Endpoint) ack(_ context.Context, req *endpoint.AckRequest) (*struct{}, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if err := e.enterLocked(req.Epoch, time.Now()); err != nil {
+	if err := e.enterSessionLocked(req.Epoch, req.Session, time.Now()); err != nil {
 		return nil, err
 	}
 	for _, id := range req.IDs {
--- a/internal/standin/endpoint_http.go
+++ b/internal/standin/endpoint_http.go
@@ -62,8 +62,18 @@
 	})
 }
 
-// enterLocked does what precedes every command: it notices a lapsed lease and
-// checks the command's epoch.
+// enterSessionLocked does what precedes every command but attach.
+func (e *Endpoint) enterSessionLocked(epoch, session uint64, now time.Time) error {
+	if err := e.enterLocked(epoch, now); err != nil {
+		return err
+	}
+	if session == 0 || session != e.session {
+		return &commandError{status: endpoint.StatusNotAttached, text: fmt.Sprintf("session %d has ended", session)}
+	}
+	return nil
+}
+
+// enterLocked notices a lapsed lease and checks the epoch of a command.
 func (e *Endpoint) enterLocked(epoch uint64, now time.Time) error {
 	if e.gone {
 		return &commandError{status: http.StatusServiceUnavailable, text: "endpoint has ended"}
@@ -100,6 +110,8 @@
 		return nil, err
 	}
 	e.epoch = req.Epoch
+	e.sessions++
+	e.session, e.leased = e.sessions, false
 	e.events.wake()
 	resp := &endpoint.AttachResponse{
 		Endpoint:         e.opts.ID,
@@ -110,6 +122,7 @@
 		Capacity:         e.claimedCapacity(),
 		Tasks:            []endpoint.TaskStatus{},
 		LeaseToken:       e.issueToken(now),
+		Session:          e.session,
 		Leaving:          e.leaving,
 	}
 	for _, t := range e.sortedTasksLocked() {
@@ -144,7 +157,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
-	if err := e.enterLocked(req.Epoch, now); err != nil {
+	if err := e.enterSessionLocked(req.Epoch, req.Session, now); err != nil {
 		return nil, err
 	}
 	e.renewLocked(req.LeaseToken, length, now)
--- a/internal/standin/endpoint_lease.go
+++ b/internal/standin/endpoint_lease.go
@@ -35,6 +35,7 @@
 	if end.After(e.leaseEnd) {
 		e.leaseEnd = end
 	}
+	e.leased = e.leased || end.After(now)
 	select {
 	case e.leaseMoved <- struct{}{}:
 	default:
@@ -43,7 +44,8 @@
 
 // expireLocked ends all running tasks if the lease has lapsed by now. They
 // count as ended at the lapse, since nothing of theirs takes effect after it,
-// however late the lapse is noticed.
+// however late the lapse is noticed. A session that had the lease ends with
+// it, so that none of its commands takes effect later.
 func (e *Endpoint) expireLocked(now time.Time) {
 	if now.Before(e.leaseEnd) {
 		return
@@ -51,6 +53,9 @@
 	for _, t := range e.tasks {
 		e.endLocked(t, endpoint.TaskStopped, e.leaseEnd, leaseLapsed)
 	}
+	if e.leased {
+		e.session, e.leased = 0, false
+	}
 }
 
 // watchLease ends tasks when the lease lapses.
--- a/internal/standin/endpoint_test.go
+++ b/internal/standin/endpoint_test.go
@@ -30,6 +30,7 @@
 	client   *endpoint.Client
 	path     string
 	token    uint64
+	session  uint64
 }
 
 func newRig(t *testing.T, opts standin.EndpointOptions) *rig {
@@ -71,14 +72,14 @@
 	if err != nil {
 		r.t.Fatal(err)
 	}
-	r.token = resp.LeaseToken
+	r.token, r.session = resp.LeaseToken, resp.Session
 	return resp
 }
 
 // renew sends a heartbeat of epoch 1 with the last token.
 func (r *rig) renew() *endpoint.HeartbeatResponse {
 	r.t.Helper()
-	req := &endpoint.HeartbeatRequest{Epoch: 1, LeaseToken: r.token, LeaseMS: testLeaseMS}
+	req := &endpoint.HeartbeatRequest{Session: r.session, Epoch: 1, LeaseToken: r.token, LeaseMS: testLeaseMS}
 	resp, err := r.client.Heartbeat(context.Background(), req)
 	if err != nil {
 		r.t.Fatal(err)
@@ -90,7 +91,7 @@
 // start starts tasks and returns the refusals.
 func (r *rig) start(epoch uint64, tasks ...endpoint.TaskSpec) []endpoint.Refusal {
 	r.t.Helper()
-	resp, err := r.client.Start(context.Background(), &endpoint.StartRequest{Epoch: epoch, Tasks: tasks})
+	resp, err := r.client.Start(context.Background(), &endpoint.StartRequest{Session: r.session, Epoch: epoch, Tasks: tasks})
 	if err != nil {
 		r.t.Fatal(err)
 	}
@@ -100,7 +101,7 @@
 // stop applies an action to one task, under epoch 1.
 func (r *rig) stop(action endpoint.StopAction, id string) endpoint.StoppedTask {
 	r.t.Helper()
-	req := &endpoint.StopRequest{Epoch: 1, Action: action, IDs: []string{id}}
+	req := &endpoint.StopRequest{Session: r.session, Epoch: 1, Action: action, IDs: []string{id}}
 	resp, err := r.client.Stop(context.Background(), req)
 	if err != nil || len(resp.Tasks) != 1 {
 		r.t.Fatalf("stop: %+v, %v", resp, err)
@@ -115,7 +116,7 @@
 	var arrived []endpoint.Event
 	parts := make(map[int][]byte)
 	for after := uint64(0); ; {
-		req := &endpoint.EventsRequest{Epoch: epoch, After: after, WaitMS: pollWaitMS}
+		req := &endpoint.EventsRequest{Session: r.session, Epoch: epoch, After: after, WaitMS: pollWaitMS}
 		resp, err := r.client.Events(context.Background(), req)
 		if err != nil || len(resp.Events) == 0 {
 			r.t.Fatalf("no answer to %s: %v", id, err)
@@ -204,8 +205,9 @@
 	r := newRig(t, standin.EndpointOptions{})
 	r.attach(1)
 	failed := make(chan error, 1)
+	poll := &endpoint.EventsRequest{Session: r.session, Epoch: 1, WaitMS: pollWaitMS}
 	go func() {
-		_, err := r.client.Events(context.Background(), &endpoint.EventsRequest{Epoch: 1, WaitMS: pollWaitMS})
+		_, err := r.client.Events(context.Background(), poll)
 		failed <- err
 	}()
 	r.attach(2)
@@ -214,6 +216,25 @@
 	}
 }
 
+func TestEndpointRefusesEndedSessions(t *testing.T) {
+	r := newRig(t, standin.EndpointOptions{})
+	r.attach(1)
+	r.renew()
+	delayed := &endpoint.StartRequest{Session: r.session, Epoch: 1, Tasks: []endpoint.TaskSpec{echoTask("a", nil)}}
+	standin.LapseForTest(r.endpoint)
+	if _, err := r.client.Start(context.Background(), delayed); endpoint.KindOf(err) != endpoint.KindNotAttached {
+		t.Fatalf("start after the lapse: %v", err)
+	}
+	r.attach(1)
+	r.renew()
+	if _, err := r.client.Start(context.Background(), delayed); endpoint.KindOf(err) != endpoint.KindNotAttached {
+		t.Fatalf("start of an ended session: %v", err)
+	}
+	if refused := r.start(1, echoTask("a", nil)); len(refused) != 0 {
+		t.Fatalf("refused: %+v", refused)
+	}
+}
+
 func TestEndpointStartNeedsLease(t *testing.T) {
 	r := newRig(t, standin.EndpointOptions{})
 	r.attach(1)
@@ -251,7 +272,7 @@
 	if _, output := r.answer(2, "a"); !bytes.Equal(output, input) {
 		t.Fatalf("output for the next holder %q", output)
 	}
-	if err := r.client.Ack(context.Background(), &endpoint.AckRequest{Epoch: 2, IDs: []string{"a"}}); err != nil {
+	if err := r.client.Ack(context.Background(), &endpoint.AckRequest{Session: r.session, Epoch: 2, IDs: []string{"a"}}); err != nil {
 		t.Fatal(err)
 	}
 	r.start(2, echoTask("a", input))
@@ -350,6 +371,7 @@
 	}
 	// Reading the history enters no command, which would notice the lapse too.
 	r.eventually(func() bool { return len(r.history()) == 3 })
+	r.attach(1)
 	if events, _ := r.answer(1, "a"); events[0].State != endpoint.TaskStopped || events[0].Reason != "lease lapsed" {
 		t.Fatalf("events %+v", events)
 	}
@@ -390,7 +412,7 @@
 	if err := r.endpoint.Faults().Set("lose_answers", 1); err != nil {
 		t.Fatal(err)
 	}
-	start := &endpoint.StartRequest{Epoch: 1, Tasks: []endpoint.TaskSpec{sleepTask("a", "1h")}}
+	start := &endpoint.StartRequest{Session: r.session, Epoch: 1, Tasks: []endpoint.TaskSpec{sleepTask("a", "1h")}}
 	_, err := r.client.Start(context.Background(), start)
 	if endpoint.KindOf(err) != endpoint.KindUnreachable || !endpoint.MaybeDelivered(err) {
 		t.Fatalf("lost answer: %v", err)
@@ -434,7 +456,7 @@
 		t.Fatal(err)
 	}
 	<-r.server.Dead()
-	_, err := r.client.Start(context.Background(), &endpoint.StartRequest{Epoch: 1})
+	_, err := r.client.Start(context.Background(), &endpoint.StartRequest{Session: r.session, Epoch: 1})
 	if endpoint.KindOf(err) != endpoint.KindUnreachable {
 		t.Fatalf("start at a dead endpoint: %v", err)
 	}
--- /dev/null
+++ b/internal/team/rank.go
@@ -0,0 +1,21 @@
+package team
+
+import (
+	"cmp"
+	"slices"
+)
+
+// ByBalance returns the zones with a positive balance, the largest first, ties
+// in the order of their names.
+func ByBalance(balances map[string]int64) []string {
+	zones := make([]string, 0, len(balances))
+	for zone, balance := range balances {
+		if balance > 0 {
+			zones = append(zones, zone)
+		}
+	}
+	slices.SortFunc(zones, func(a, b string) int {
+		return cmp.Or(cmp.Compare(balances[b], balances[a]), cmp.Compare(a, b))
+	})
+	return zones
+}
