--- /dev/null
+++ b/internal/api/api.go
@@ -0,0 +1,337 @@
+// Package api is the callers' HTTP interface of a daemon.
+package api
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/bluebellstile/bluebellstile/internal/auth"
+	"github.com/bluebellstile/bluebellstile/internal/endpoint"
+	"github.com/bluebellstile/bluebellstile/internal/journal"
+	"github.com/bluebellstile/bluebellstile/internal/metrics"
+	"github.com/bluebellstile/bluebellstile/internal/problem"
+	"github.com/bluebellstile/bluebellstile/internal/router"
+	"github.com/bluebellstile/bluebellstile/internal/ticket"
+	"github.com/uptrace/bunrouter"
+)
+
+// Headers of the interface.
+const (
+	HeaderTicket     = "Bluebellstile-Ticket"
+	HeaderIdempotent = "Bluebellstile-Idempotent"
+	HeaderDeadline   = "Bluebellstile-Deadline"
+	HeaderCommand    = "Bluebellstile-Command"
+	HeaderVerdict    = "Bluebellstile-Verdict"
+	HeaderRequestID  = "Bluebellstile-Request-Id"
+	HeaderQueued     = "Bluebellstile-Queued-Ms"
+)
+
+// problemType is the content type of problem documents.
+const problemType = "application/problem+json"
+
+// Limits of what a caller may send.
+type Limits struct {
+	// MaxBodyBytes bounds a request body.
+	MaxBodyBytes int64
+	// MaxWaiting bounds the requests that are answered at one time.
+	MaxWaiting func() int
+	// RequestTimeout bounds a request without a deadline of its own.
+	RequestTimeout time.Duration
+}
+
+// API serves callers. It is safe for concurrent use.
+type API struct {
+	guard    *auth.Guard
+	router   *router.Router
+	limits   Limits
+	log      *slog.Logger
+	inFlight atomic.Int64
+	leaving  func() bool
+}
+
+// New returns the callers' interface.
+func New(guard *auth.Guard, r *router.Router, limits Limits, leaving func() bool, logger *slog.Logger) *API {
+	return &API{guard: guard, router: r, limits: limits, log: logger, leaving: leaving}
+}
+
+// Handler returns the routes.
+func (a *API) Handler() http.Handler {
+	routes := bunrouter.New(
+		bunrouter.Use(a.identify),
+		bunrouter.WithNotFoundHandler(notFound),
+		bunrouter.WithMethodNotAllowedHandler(methodNotAllowed),
+	)
+	routes.POST("/v1/tickets", a.handle(a.postTicket))
+	routes.POST("/v1/queues/:queue/requests", a.handle(a.postRequest))
+	routes.POST("/v1/queues/:queue/jobs", a.handle(a.postJob))
+	routes.DELETE("/v1/requests/:ticket", a.handle(a.deleteRequest))
+	routes.GET("/v1/jobs", a.handle(a.listJobs))
+	routes.GET("/v1/jobs/:job", a.handle(a.getJob))
+	routes.GET("/v1/jobs/:job/watch", a.handle(a.watchJob))
+	routes.DELETE("/v1/jobs/:job", a.handle(a.deleteJob))
+	return routes
+}
+
+// notFound answers paths that don't exist.
+func notFound(w http.ResponseWriter, r bunrouter.Request) error {
+	writeProblem(w, &problem.Problem{Code: problem.BadRequest, Verdict: problem.NotRun, Detail: "no resource " + r.URL.Path, Remedy: "see the documentation of the callers' interface"}, http.StatusNotFound, "")
+	return nil
+}
+
+// methodNotAllowed answers methods that a path doesn't have.
+func methodNotAllowed(w http.ResponseWriter, r bunrouter.Request) error {
+	writeProblem(w, &problem.Problem{Code: problem.BadRequest, Verdict: problem.NotRun, Detail: r.Method + " is not allowed on " + r.URL.Path, Remedy: "see the documentation of the callers' interface"}, http.StatusMethodNotAllowed, "")
+	return nil
+}
+
+// requestIDKey is the context key of the request's id.
+type requestIDKey struct{}
+
+// identify gives every request an id for the logs.
+func (a *API) identify(next bunrouter.HandlerFunc) bunrouter.HandlerFunc {
+	return func(w http.ResponseWriter, r bunrouter.Request) error {
+		id := journal.NewID()
+		w.Header().Set(HeaderRequestID, id)
+		return next(w, r.WithContext(context.WithValue(r.Context(), requestIDKey{}, id)))
+	}
+}
+
+// handler is a route that may end with a problem.
+type handler func(w http.ResponseWriter, r bunrouter.Request) (ticketText string, p *problem.Problem)
+
+// handle writes the problem of a handler and logs it.
+func (a *API) handle(h handler) bunrouter.HandlerFunc {
+	return func(w http.ResponseWriter, r bunrouter.Request) error {
+		began := time.Now()
+		text, p := a.admitted(w, r, h)
+		id, _ := r.Context().Value(requestIDKey{}).(string)
+		logger := a.log.With("request", id, "path", r.URL.Path, "ticket", text, "took", time.Since(began))
+		if p == nil {
+			metrics.Requests.Add(string(problem.Done), 1)
+			logger.Debug("request answered")
+			return nil
+		}
+		metrics.Requests.Add(string(p.Verdict), 1)
+		metrics.Refusals.Add(string(p.Code), 1)
+		logger.Info("request refused or failed", "code", p.Code, "verdict", p.Verdict, "detail", p.Detail)
+		writeProblem(w, p, p.Status(), text)
+		return nil
+	}
+}
+
+// admitted runs a handler unless too many requests are being answered.
+func (a *API) admitted(w http.ResponseWriter, r bunrouter.Request, h handler) (string, *problem.Problem) {
+	if a.leaving() {
+		w.Header().Set("Connection", "close")
+	}
+	limit := int64(a.limits.MaxWaiting())
+	if a.inFlight.Add(1) > limit {
+		a.inFlight.Add(-1)
+		return "", problem.Refuse(problem.QueueFull, "retry after the hint, with backoff", "%d requests are being answered already", limit).After(time.Second)
+	}
+	defer a.inFlight.Add(-1)
+	return h(w, r)
+}
+
+// document is the body of a problem.
+type document struct {
+	Type         string          `json:"type"`
+	Title        string          `json:"title"`
+	Status       int             `json:"status"`
+	Code         problem.Code    `json:"code"`
+	Detail       string          `json:"detail"`
+	Remedy       string          `json:"remedy"`
+	Verdict      problem.Verdict `json:"verdict"`
+	RetryAfterMS int64           `json:"retry_after_ms,omitempty"`
+	Ticket       string          `json:"ticket,omitempty"`
+}
+
+// writeProblem writes a problem document.
+func writeProblem(w http.ResponseWriter, p *problem.Problem, status int, ticketText string) {
+	h := w.Header()
+	h.Set("Content-Type", problemType)
+	h.Set(HeaderVerdict, string(p.Verdict))
+	if ticketText != "" {
+		h.Set(HeaderTicket, ticketText)
+	}
+	if p.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int((p.RetryAfter+time.Second-1)/time.Second)))
+	}
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(document{
+		Type:         "urn:bluebellstile:problem:" + string(p.Code),
+		Title:        http.StatusText(status),
+		Status:       status,
+		Code:         p.Code,
+		Detail:       p.Detail,
+		Remedy:       p.Remedy,
+		Verdict:      p.Verdict,
+		RetryAfterMS: p.RetryAfter.Milliseconds(),
+		Ticket:       ticketText,
+	})
+}
+
+// writeJSON writes a body.
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+// secret returns the bearer token, or "".
+func secret(r *http.Request) string {
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return ""
+	}
+	return strings.TrimSpace(token)
+}
+
+// readBody reads a whole body within the limit.
+func (a *API) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *problem.Problem) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, a.limits.MaxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, problem.Refuse(problem.BodyTooLarge, "send a smaller body or split it into tasks of a job", "the body is over %d bytes", tooLarge.Limit)
+	case err != nil:
+		return nil, problem.Refuse(problem.TruncatedBody, "send the whole body", "the body ended early: %v", err)
+	}
+	return body, nil
+}
+
+// ticketBody is the body of a new ticket.
+type ticketBody struct {
+	Ticket string `json:"ticket"`
+}
+
+// queueBody names a queue.
+type queueBody struct {
+	Queue string `json:"queue"`
+}
+
+// postTicket makes a ticket for a queue that the caller may use.
+func (a *API) postTicket(w http.ResponseWriter, r bunrouter.Request) (string, *problem.Problem) {
+	body, p := a.readBody(w, r.Request)
+	if p != nil {
+		return "", p
+	}
+	var wanted queueBody
+	if err := json.Unmarshal(body, &wanted); err != nil {
+		return "", problem.Refuse(problem.BadRequest, `send {"queue": "name"}`, "the body is not JSON: %v", err)
+	}
+	if _, p := a.guard.Admit(secret(r.Request), wanted.Queue); p != nil {
+		return "", p
+	}
+	t, p := a.router.NewTicket(r.Context())
+	if p != nil {
+		return "", p
+	}
+	writeJSON(w, http.StatusCreated, ticketBody{Ticket: t.String()})
+	return t.String(), nil
+}
+
+// postRequest runs a request and answers with its whole output.
+func (a *API) postRequest(w http.ResponseWriter, r bunrouter.Request) (string, *problem.Problem) {
+	call, p := a.callOf(w, r)
+	if p != nil {
+		return r.Header.Get(HeaderTicket), p
+	}
+	answer := a.router.Run(r.Context(), call)
+	text := ""
+	if answer.Ticket.Nonce != "" {
+		text = answer.Ticket.String()
+	}
+	if answer.Problem != nil {
+		return text, answer.Problem
+	}
+	h := w.Header()
+	h.Set("Content-Type", "application/octet-stream")
+	h.Set("Content-Length", strconv.Itoa(len(answer.Output)))
+	h.Set(HeaderVerdict, string(problem.Done))
+	h.Set(HeaderTicket, text)
+	h.Set(HeaderQueued, strconv.FormatInt(answer.Queued.Milliseconds(), 10))
+	w.WriteHeader(http.StatusOK)
+	_, _ = w.Write(answer.Output)
+	return text, nil
+}
+
+// callOf checks a request and converts it.
+func (a *API) callOf(w http.ResponseWriter, r bunrouter.Request) (*router.Call, *problem.Problem) {
+	grant, p := a.guard.Admit(secret(r.Request), r.Param("queue"))
+	if p != nil {
+		return nil, p
+	}
+	call := &router.Call{
+		Team:       grant.Team,
+		KeyID:      grant.KeyID,
+		Queue:      grant.Queue,
+		Idempotent: grant.Queue.Idempotent,
+		Command:    r.Header.Get(HeaderCommand),
+		Deadline:   grant.Queue.Deadline,
+		Size:       endpoint.Resources{Slots: 1},
+	}
+	if p := a.readHeaders(call, r.Header); p != nil {
+		return nil, p
+	}
+	call.Input, p = a.readBody(w, r.Request)
+	return call, p
+}
+
+// readHeaders takes over what the caller states in headers.
+func (a *API) readHeaders(call *router.Call, h http.Header) *problem.Problem {
+	if text := h.Get(HeaderIdempotent); text != "" {
+		idempotent, err := strconv.ParseBool(text)
+		if err != nil {
+			return problem.Refuse(problem.BadRequest, "send true or false", "%s is %q", HeaderIdempotent, text)
+		}
+		call.Idempotent = idempotent
+	}
+	if call.Deadline <= 0 {
+		call.Deadline = a.limits.RequestTimeout
+	}
+	if text := h.Get(HeaderDeadline); text != "" {
+		d, err := time.ParseDuration(text)
+		if err != nil || d <= 0 {
+			return problem.Refuse(problem.BadRequest, "send a positive duration such as 1.5s", "%s is %q", HeaderDeadline, text)
+		}
+		call.Deadline = min(d, a.limits.RequestTimeout)
+	}
+	if text := h.Get(HeaderTicket); text != "" {
+		t, err := ticket.Parse(text)
+		if err != nil {
+			return problem.From(err, problem.NotRun)
+		}
+		call.Ticket = &t
+	}
+	if call.Command == "" {
+		return problem.Refuse(problem.BadRequest, "name the command in "+HeaderCommand, "no command is given")
+	}
+	return nil
+}
+
+// deleteRequest cancels the request with a ticket.
+func (a *API) deleteRequest(w http.ResponseWriter, r bunrouter.Request) (string, *problem.Problem) {
+	text := r.Param("ticket")
+	t, err := ticket.Parse(text)
+	if err != nil {
+		return "", problem.From(err, problem.NotRun)
+	}
+	team, _, p := a.guard.Team(secret(r.Request))
+	if p != nil {
+		return text, p
+	}
+	if p := a.router.CancelRequest(r.Context(), t, team); p != nil {
+		return text, p
+	}
+	w.WriteHeader(http.StatusNoContent)
+	return text, nil
+}
--- /dev/null
+++ b/internal/auth/auth.go
@@ -0,0 +1,177 @@
+// Package auth decides from the configuration in force whether a caller may
+// use a queue, and whether the configuration can be trusted to be current.
+package auth
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/bluebellstile/bluebellstile/internal/problem"
+	"github.com/bluebellstile/bluebellstile/operator"
+)
+
+// Configuration supplies the configuration in force and its version.
+type Configuration interface {
+	Config() (*operator.Config, uint64)
+}
+
+// Doubt is how long ago the configuration was last proven current.
+type Doubt func() time.Duration
+
+// Grant is what a caller may do.
+type Grant struct {
+	Team  string
+	KeyID string
+	Queue operator.Queue
+}
+
+// Guard checks keys against the configuration in force. It is safe for
+// concurrent use.
+type Guard struct {
+	config Configuration
+	doubt  Doubt
+	// bound is the doubt beyond which keyed work is refused.
+	bound time.Duration
+
+	mu   sync.Mutex
+	keys keyring
+}
+
+// keyring indexes the keys of one configuration version.
+type keyring struct {
+	version uint64
+	byHash  map[string]operator.Key
+	byID    map[string]operator.Key
+}
+
+// NewGuard returns a guard that refuses keyed work once doubt exceeds bound.
+func NewGuard(config Configuration, doubt Doubt, bound time.Duration) *Guard {
+	return &Guard{config: config, doubt: doubt, bound: bound}
+}
+
+// ring returns the configuration in force and its keys.
+func (g *Guard) ring() (*operator.Config, keyring) {
+	cfg, version := g.config.Config()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.keys.version == version && g.keys.byHash != nil {
+		return cfg, g.keys
+	}
+	g.keys = keyring{version: version, byHash: make(map[string]operator.Key), byID: make(map[string]operator.Key)}
+	if cfg != nil {
+		for _, k := range cfg.Keys {
+			g.keys.byHash[k.SHA256] = k
+			g.keys.byID[k.ID] = k
+		}
+	}
+	return cfg, g.keys
+}
+
+// Admit checks a caller's secret for a queue. An empty secret is admitted to
+// open queues only.
+func (g *Guard) Admit(secret, queueName string) (Grant, *problem.Problem) {
+	cfg, ring := g.ring()
+	if cfg == nil {
+		return Grant{}, problem.Refuse(problem.ConfigNotFresh, "retry when the operators have published a configuration", "no configuration is in force here").After(g.bound)
+	}
+	queue, ok := findQueue(cfg, queueName)
+	if !ok {
+		return Grant{}, problem.Refuse(problem.UnknownQueue, "use a queue of the published configuration", "there is no queue %q", queueName)
+	}
+	if secret == "" && queue.Open {
+		return Grant{Team: queue.OpenTeam, Queue: queue}, nil
+	}
+	if secret == "" {
+		return Grant{}, problem.Refuse(problem.KeyMissing, "send the team's key as a bearer token", "queue %q takes keyed work only", queueName)
+	}
+	key, ok := ring.find(secret)
+	if !ok {
+		return Grant{}, problem.Refuse(problem.KeyRefused, "ask the operators for a key", "the key is not known")
+	}
+	if p := g.check(key, queue); p != nil {
+		return Grant{}, p
+	}
+	return Grant{Team: key.Team, KeyID: key.ID, Queue: queue}, nil
+}
+
+// Recheck checks again, when waiting work is started, that its key still
+// admits it.
+func (g *Guard) Recheck(keyID, team, queueName string) *problem.Problem {
+	cfg, ring := g.ring()
+	key, known := ring.byID[keyID]
+	if cfg == nil || !known || key.Team != team {
+		return problem.Refuse(problem.KeyRefused, "ask the operators for a key", "key %q is not known", keyID)
+	}
+	queue, ok := findQueue(cfg, queueName)
+	if !ok {
+		return problem.Refuse(problem.UnknownQueue, "use a queue of the published configuration", "there is no queue %q", queueName)
+	}
+	return g.check(key, queue)
+}
+
+// check applies the rules for a known key and queue.
+func (g *Guard) check(key operator.Key, queue operator.Queue) *problem.Problem {
+	if key.Withdrawn {
+		return problem.Refuse(problem.KeyRefused, "ask the operators for a new key", "key %q was withdrawn", key.ID)
+	}
+	if len(queue.Teams) > 0 && !slices.Contains(queue.Teams, key.Team) {
+		return problem.Refuse(problem.TeamNotAllowed, "use a queue that lists the team", "queue %q does not admit team %q", queue.Name, key.Team)
+	}
+	if doubt := g.doubt(); doubt > max(g.bound, queue.KeyGrace) {
+		return problem.Refuse(problem.ConfigNotFresh, "retry later or use an open queue", "the configuration has not been proven current for %s", doubt.Round(time.Millisecond)).After(g.bound)
+	}
+	return nil
+}
+
+// Operator checks an operator's secret and returns the key's id. It is not
+// subject to freshness: operators must be able to act on doubt.
+func (g *Guard) Operator(secret string) (string, *problem.Problem) {
+	_, ring := g.ring()
+	key, ok := ring.find(secret)
+	if !ok || key.Withdrawn || !key.Operator {
+		return "", problem.Refuse(problem.KeyRefused, "use an operator's key", "the key does not admit to the administration")
+	}
+	return key.ID, nil
+}
+
+// Empty reports whether no operator key is in force, so that the first
+// configuration can be published with the bootstrap key of the settings.
+func (g *Guard) Empty() bool {
+	cfg, _ := g.config.Config()
+	return cfg == nil
+}
+
+// Team returns the team of a live key.
+func (g *Guard) Team(secret string) (team, keyID string, p *problem.Problem) {
+	_, ring := g.ring()
+	key, ok := ring.find(secret)
+	if !ok || key.Withdrawn {
+		return "", "", problem.Refuse(problem.KeyRefused, "ask the operators for a key", "the key is not known or was withdrawn")
+	}
+	return key.Team, key.ID, nil
+}
+
+// find looks a secret up by its hash and compares in constant time.
+func (r keyring) find(secret string) (operator.Key, bool) {
+	sum := sha256.Sum256([]byte(secret))
+	hash := hex.EncodeToString(sum[:])
+	key, ok := r.byHash[hash]
+	if !ok || subtle.ConstantTimeCompare([]byte(key.SHA256), []byte(hash)) != 1 {
+		return operator.Key{}, false
+	}
+	return key, true
+}
+
+// findQueue returns a configured queue.
+func findQueue(cfg *operator.Config, name string) (operator.Queue, bool) {
+	for _, q := range cfg.Queues {
+		if q.Name == name {
+			return q, true
+		}
+	}
+	return operator.Queue{}, false
+}
--- a/internal/holder/adopt.go
+++ b/internal/holder/adopt.go
@@ -108,7 +108,7 @@
 	}
 	u.spec.ID = status.Task.ID
 	u.session = s
-	u.phase = phaseRunning
+	u.phase, u.ran = phaseRunning, true
 	u.answer = assembly{}
 	s.units[u.key] = u
 	t.noteTeam(u.spec.Team)
@@ -151,14 +151,14 @@
 // others as unknown; the caller holds the term's lock.
 func (t *Term) loseUnits(s *session, reason string) {
 	for _, u := range s.units {
-		started := u.phase == phaseRunning || u.phase == phaseStarting
+		u.ran = true
 		t.engine.Finish(u.key, t.now(), placement.ResultStopped)
 		delete(s.units, u.key)
 		u.session = nil
 		switch {
 		case u.cancelled:
 			t.settle(u, failed(cancelledRunning()))
-		case u.spec.Idempotent || !started:
+		case u.spec.Idempotent:
 			t.requeue(u)
 		default:
 			t.settle(u, failed(outcomeLost(reason)))
--- /dev/null
+++ b/internal/holder/describe.go
@@ -0,0 +1,44 @@
+package holder
+
+import (
+	"sort"
+
+	peerv1 "github.com/bluebellstile/bluebellstile/internal/gen/peer/v1"
+)
+
+// Describe fills in what operators see of the zone.
+func (t *Term) Describe(status *peerv1.ZoneStatusResponse) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	status.Holder = t.settings.Holder
+	for id, s := range t.sessions {
+		status.Endpoints = append(status.Endpoints, &peerv1.EndpointStatus{
+			Id:      id,
+			State:   s.stateName(),
+			Running: int64(len(s.units)),
+		})
+	}
+	sort.Slice(status.Endpoints, func(i, j int) bool { return status.Endpoints[i].Id < status.Endpoints[j].Id })
+	for name := range t.teams {
+		status.Teams = append(status.Teams, &peerv1.TeamStatus{
+			Team:      name,
+			Running:   int64(t.engine.RunningTasks(name)),
+			Waiting:   int64(t.engine.Waiting(name)),
+			Allotment: t.bound(name),
+		})
+	}
+	sort.Slice(status.Teams, func(i, j int) bool { return status.Teams[i].Team < status.Teams[j].Team })
+}
+
+// stateName names the state of a session; the caller holds the term's lock.
+func (s *session) stateName() string {
+	switch {
+	case s.rosterID == "":
+		return "attaching"
+	case s.leaving:
+		return "leaving"
+	case s.usable:
+		return "usable"
+	}
+	return "silent"
+}
--- a/internal/holder/request.go
+++ b/internal/holder/request.go
@@ -24,6 +24,9 @@
 	Command    string
 	Input      []byte
 	Size       endpoint.Resources
+	// NotStartedEpoch is the epoch of a holder that declared that the request
+	// has not started up to and including its own term; 0 if none did.
+	NotStartedEpoch uint64
 }
 
 // digest identifies what the ticket was used for.
@@ -95,21 +98,21 @@
 func (t *Term) admit(r *Request) (*unit, *problem.Problem) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r.Ticket.Epoch > t.epoch || !t.tomb.Alive() || t.moving {
-		return nil, problem.Refuse(problem.Moved, "the front door tries the next holder", "this daemon no longer holds the zone").After(retryHint)
-	}
 	key := r.Ticket.String()
 	u := t.units[key]
 	if u != nil && !u.restartable() {
 		return t.join(u, r)
 	}
+	if r.Ticket.Epoch > t.epoch || !t.tomb.Alive() || t.moving {
+		return nil, problem.Refuse(problem.Moved, "the front door tries the next holder", "this daemon no longer holds the zone").After(retryHint)
+	}
 	if p := t.refuse(r); p != nil {
 		return nil, p
 	}
 	u = t.newRequestUnit(key, r)
 	t.units[key] = u
 	u.request.waiters++
-	if r.Ticket.Epoch == t.epoch {
+	if t.neverStarted(r) {
 		t.enqueue(u)
 	} else if t.gate.passed() {
 		t.resolveHeld(u)
@@ -117,6 +120,22 @@
 	return u, nil
 }
 
+// neverStarted reports whether the request can't have started under an earlier
+// term: its ticket is of this term, or the previous term has declared so.
+func (t *Term) neverStarted(r *Request) bool {
+	return r.Ticket.Epoch == t.epoch || (t.previous != 0 && r.NotStartedEpoch == t.previous)
+}
+
+// Declares returns the epoch that a "moved" refusal of the request declares:
+// it has not started up to and including this term. It is 0 if that is not
+// known.
+func (t *Term) Declares(r *Request) uint64 {
+	if t.neverStarted(r) {
+		return t.epoch
+	}
+	return 0
+}
+
 // restartable reports whether a unit ended without running and without anyone
 // having been told, as when the front door died while it waited.
 func (u *unit) restartable() bool {
@@ -319,6 +338,7 @@
 		t.withdraw(u)
 	}
 	u.phase = phaseFinal
+	result = u.truthful(result)
 	if u.job != nil {
 		t.settleTask(u, result)
 		return
@@ -335,6 +355,17 @@
 	close(u.request.done)
 }
 
+// truthful turns "not run" into "unknown" for a unit that may have run in an
+// earlier attempt.
+func (u *unit) truthful(result Result) Result {
+	if !u.ran || result.verdict() != problem.NotRun {
+		return result
+	}
+	doubt := *result.Problem
+	doubt.Verdict = problem.Unknown
+	return Result{Problem: &doubt}
+}
+
 // ackTo arranges for the endpoint to forget the attempt: after the outcome of
 // a job's task stands in the log, or when a request's ticket is forgotten.
 func (u *unit) ackTo(s *session, attempt string) {
--- a/internal/holder/schedule.go
+++ b/internal/holder/schedule.go
@@ -155,7 +155,7 @@
 			t.undoStart(s, u)
 			continue
 		}
-		u.phase = phaseRunning
+		u.phase, u.ran = phaseRunning, true
 	}
 }
 
@@ -211,6 +211,7 @@
 // finish ends the attempt of a unit whose answer is whole.
 func (t *Term) finish(s *session, u *unit) {
 	metrics.TasksFinished.Add(string(u.answer.state), 1)
+	u.ran = true
 	t.engine.Finish(u.key, t.now(), engineResult(u.answer.state))
 	delete(s.units, u.key)
 	attempt := u.spec.ID
--- a/internal/holder/term.go
+++ b/internal/holder/term.go
@@ -17,6 +17,7 @@
 	"github.com/bluebellstile/bluebellstile/internal/placement"
 	"github.com/bluebellstile/bluebellstile/internal/problem"
 	"github.com/bluebellstile/bluebellstile/internal/team"
+	"github.com/bluebellstile/bluebellstile/internal/zone"
 	"github.com/pkg/errors"
 	"gopkg.in/tomb.v2"
 )
@@ -73,6 +74,7 @@
 	settings Settings
 	deps     Dependencies
 	epoch    uint64
+	previous uint64
 	began    time.Time
 	tomb     *tomb.Tomb
 	log      *slog.Logger
@@ -98,16 +100,17 @@
 // ErrSuperseded ends a term when a higher epoch has been seen.
 var ErrSuperseded = errors.New("another daemon holds the zone under a higher epoch")
 
-// NewTerm prepares a term under the given epoch. It must be created while the
-// claim is the current one in the journal's state.
-func NewTerm(settings Settings, deps Dependencies, engine placement.Engine, epoch uint64) *Term {
+// NewTerm prepares a term under a claim, which must be the current one in the
+// journal's state.
+func NewTerm(settings Settings, deps Dependencies, engine placement.Engine, claim zone.Claim) *Term {
 	t := &Term{
 		settings: settings,
 		deps:     deps,
-		epoch:    epoch,
+		epoch:    claim.Epoch,
+		previous: claim.Previous,
 		began:    time.Now(),
 		tomb:     new(tomb.Tomb),
-		log:      deps.Log.With("zone", settings.AvailabilityZone, "epoch", epoch),
+		log:      deps.Log.With("zone", settings.AvailabilityZone, "epoch", claim.Epoch),
 		wake:     make(chan struct{}, 1),
 		engine:   engine,
 		units:    make(map[string]*unit),
@@ -213,8 +216,7 @@
 
 // releaseUnit tells a unit's waiters to go on at the next holder.
 func (t *Term) releaseUnit(u *unit) {
-	if u.phase == phaseWaiting {
-		t.engine.Withdraw(u.work, u.key)
+	if u.phase == phaseWaiting && !u.ran {
 		t.settle(u, failed(problem.Refuse(problem.Moved, "the front door tries the next holder", "the zone's holder changed before the work started")))
 		return
 	}
--- a/internal/holder/unit.go
+++ b/internal/holder/unit.go
@@ -40,6 +40,8 @@
 	phase    phase
 	attempts int
 	failures int
+	// ran is set once any attempt may have run.
+	ran      bool
 	session  *session
 	answer   assembly
 	enqueued time.Duration
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,334 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/bluebellstile/bluebellstile/internal/endpoint"
+	peerv1 "github.com/bluebellstile/bluebellstile/internal/gen/peer/v1"
+	"github.com/bluebellstile/bluebellstile/internal/gen/peer/v1/peerv1connect"
+	"github.com/bluebellstile/bluebellstile/internal/holder"
+	"github.com/bluebellstile/bluebellstile/internal/journal"
+	"github.com/bluebellstile/bluebellstile/internal/membership"
+	"github.com/bluebellstile/bluebellstile/internal/problem"
+	"github.com/bluebellstile/bluebellstile/internal/record"
+	"github.com/bluebellstile/bluebellstile/internal/ticket"
+	"github.com/bluebellstile/bluebellstile/operator"
+)
+
+const (
+	// maxTail bounds the records of one relayed page.
+	maxTail = 512
+	// maxTailWait bounds how long a relayed read waits.
+	maxTailWait = 2 * time.Second
+	// tailPoll is how often a waiting relayed read looks again.
+	tailPoll = 10 * time.Millisecond
+)
+
+// TermOf returns the term that runs in this daemon, nil if none does.
+type TermOf func() *holder.Term
+
+// Server answers the other daemons.
+type Server struct {
+	peerv1connect.UnimplementedPeerServiceHandler
+	heart   *Heart
+	table   *membership.Table
+	journal *journal.Journal
+	term    TermOf
+	zone    string
+	// jobs reads a job of a team from the state here.
+	jobs JobReader
+}
+
+// JobReader reads a job of a team.
+type JobReader func(id, team string) (*peerv1.JobStatusResponse, *problem.Problem)
+
+// NewServer returns a server for the daemon of the given zone.
+func NewServer(heart *Heart, table *membership.Table, j *journal.Journal, term TermOf, zone string, jobs JobReader) *Server {
+	return &Server{heart: heart, table: table, journal: j, term: term, zone: zone, jobs: jobs}
+}
+
+// Handler returns the path and handler to mount.
+func (s *Server) Handler() (string, http.Handler) {
+	return peerv1connect.NewPeerServiceHandler(s, connect.WithReadMaxBytes(maxMessageBytes))
+}
+
+// Heartbeat implements the service. A request may have been under way for any
+// time, so only what its answer says counts as proof of freshness.
+func (s *Server) Heartbeat(_ context.Context, r *connect.Request[peerv1.HeartbeatRequest]) (*connect.Response[peerv1.HeartbeatResponse], error) {
+	m := r.Msg
+	s.table.Hear(membership.Beat{
+		Instance:         m.Instance,
+		Incarnation:      m.Incarnation,
+		AvailabilityZone: m.AvailabilityZone,
+		Address:          m.Address,
+		Applied:          m.Applied,
+		FreshAgeMS:       -1,
+		AllZonesAgeMS:    -1,
+		Leaving:          m.Leaving,
+		Claims:           m.Claims,
+	}, time.Now())
+	b := s.heart.Beat()
+	return connect.NewResponse(&peerv1.HeartbeatResponse{
+		Instance:         b.Instance,
+		Incarnation:      b.Incarnation,
+		AvailabilityZone: b.AvailabilityZone,
+		Applied:          b.Applied,
+		FreshAgeMs:       b.FreshAgeMS,
+		FreshOffset:      b.FreshOffset,
+		Leaving:          b.Leaving,
+		Claims:           b.Claims,
+		AllZonesAgeMs:    b.AllZonesAgeMS,
+	}), nil
+}
+
+// notHere refuses what only the zone's holder can do.
+func (s *Server) notHere(zone string) *problem.Problem {
+	return problem.Refuse(problem.Moved, "ask the zone's current holder", "this daemon does not hold zone %q", zone)
+}
+
+// held returns the running term if it is that of the zone.
+func (s *Server) held(zone string) *holder.Term {
+	if zone != s.zone {
+		return nil
+	}
+	return s.term()
+}
+
+// Run implements the service.
+func (s *Server) Run(ctx context.Context, r *connect.Request[peerv1.RunRequest]) (*connect.Response[peerv1.RunResponse], error) {
+	term := s.held(r.Msg.AvailabilityZone)
+	if term == nil {
+		return connect.NewResponse(runProblem(s.notHere(r.Msg.AvailabilityZone))), nil
+	}
+	request, err := s.requestOf(r.Msg)
+	if err != nil {
+		return connect.NewResponse(runProblem(problem.From(err, problem.NotRun))), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(r.Msg.DeadlineMs)*time.Millisecond)
+	defer cancel()
+	return connect.NewResponse(RunOn(ctx, term, request)), nil
+}
+
+// RunOn runs a request on a term of this daemon.
+func RunOn(ctx context.Context, term *holder.Term, request *holder.Request) *peerv1.RunResponse {
+	result := term.Run(ctx, request)
+	if result.Problem == nil {
+		return &peerv1.RunResponse{
+			Verdict:  peerv1.Verdict_VERDICT_DONE,
+			Output:   result.Output,
+			QueuedMs: result.Queued.Milliseconds(),
+			Epoch:    term.Epoch(),
+		}
+	}
+	response := runProblem(result.Problem)
+	response.Epoch = term.Epoch()
+	if result.Problem.Code == problem.Moved && result.Problem.Verdict == problem.NotRun {
+		response.NotStartedEpoch = term.Declares(request)
+	}
+	return response
+}
+
+// runProblem is a response without an answer.
+func runProblem(p *problem.Problem) *peerv1.RunResponse {
+	verdict, body := ProblemToWire(p)
+	return &peerv1.RunResponse{Verdict: verdict, Problem: body}
+}
+
+// requestOf converts a request, with the policy of its queue as it is here.
+func (s *Server) requestOf(m *peerv1.RunRequest) (*holder.Request, error) {
+	parsed, err := ticket.Parse(m.Ticket)
+	if err != nil {
+		return nil, err
+	}
+	queue, ok := s.queue(m.Queue)
+	if !ok {
+		return nil, problem.Refuse(problem.UnknownQueue, "retry when the configuration is in force in every zone", "queue %q is not known in zone %q", m.Queue, s.zone)
+	}
+	return &holder.Request{
+		Ticket:          parsed,
+		Team:            m.Team,
+		Queue:           queue,
+		KeyID:           m.KeyId,
+		Idempotent:      m.Idempotent,
+		Command:         m.Command,
+		Input:           m.Input,
+		Size:            SizeFromWire(m.Size),
+		NotStartedEpoch: m.NotStartedEpoch,
+	}, nil
+}
+
+// queue looks a queue up in the configuration in force.
+func (s *Server) queue(name string) (operator.Queue, bool) {
+	cfg, _ := s.journal.State().Config()
+	if cfg == nil {
+		return operator.Queue{}, false
+	}
+	for _, q := range cfg.Queues {
+		if q.Name == name {
+			return q, true
+		}
+	}
+	return operator.Queue{}, false
+}
+
+// SizeFromWire converts a size; nil is the empty size.
+func SizeFromWire(m *peerv1.Size) endpoint.Resources {
+	return endpoint.Resources{
+		MilliCores:   m.GetMilliCores(),
+		MemoryMB:     m.GetMemoryMb(),
+		Accelerators: m.GetAccelerators(),
+		Slots:        m.GetSlots(),
+	}
+}
+
+// SizeToWire converts a size.
+func SizeToWire(r endpoint.Resources) *peerv1.Size {
+	return &peerv1.Size{
+		MilliCores:   r.MilliCores,
+		MemoryMb:     r.MemoryMB,
+		Accelerators: r.Accelerators,
+		Slots:        r.Slots,
+	}
+}
+
+// SubmitJob implements the service.
+func (s *Server) SubmitJob(ctx context.Context, r *connect.Request[peerv1.SubmitJobRequest]) (*connect.Response[peerv1.SubmitJobResponse], error) {
+	term := s.held(r.Msg.AvailabilityZone)
+	if term == nil {
+		return connect.NewResponse(submitProblem(s.notHere(r.Msg.AvailabilityZone))), nil
+	}
+	queue, ok := s.queue(r.Msg.Queue)
+	if !ok {
+		return connect.NewResponse(submitProblem(problem.Refuse(problem.UnknownQueue, "retry when the configuration is in force in every zone", "queue %q is not known in zone %q", r.Msg.Queue, s.zone))), nil
+	}
+	return connect.NewResponse(SubmitOn(ctx, term, r.Msg, queue)), nil
+}
+
+// SubmitOn submits a job to a term of this daemon.
+func SubmitOn(ctx context.Context, term *holder.Term, m *peerv1.SubmitJobRequest, queue operator.Queue) *peerv1.SubmitJobResponse {
+	id, p := term.SubmitJob(ctx, jobOf(m), queue)
+	if p != nil {
+		return submitProblem(p)
+	}
+	return &peerv1.SubmitJobResponse{Verdict: peerv1.Verdict_VERDICT_DONE, Job: id}
+}
+
+// submitProblem is the response to a job that was not accepted.
+func submitProblem(p *problem.Problem) *peerv1.SubmitJobResponse {
+	verdict, body := ProblemToWire(p)
+	return &peerv1.SubmitJobResponse{Verdict: verdict, Problem: body}
+}
+
+// jobOf converts a submission to its record.
+func jobOf(m *peerv1.SubmitJobRequest) record.Job {
+	return record.Job{
+		ID:           holder.JobID(m.Ticket),
+		Ticket:       m.Ticket,
+		Team:         m.Team,
+		Queue:        m.Queue,
+		Command:      m.Command,
+		Inputs:       m.Inputs,
+		Idempotent:   m.Idempotent,
+		Gang:         m.Gang,
+		MilliCores:   m.Size.GetMilliCores(),
+		MemoryMB:     m.Size.GetMemoryMb(),
+		Accelerators: m.Size.GetAccelerators(),
+		Slots:        m.Size.GetSlots(),
+		RunTimeMS:    m.RunTimeMs,
+	}
+}
+
+// Cancel implements the service.
+func (s *Server) Cancel(_ context.Context, r *connect.Request[peerv1.CancelRequest]) (*connect.Response[peerv1.CancelResponse], error) {
+	term := s.held(r.Msg.AvailabilityZone)
+	if term == nil {
+		return connect.NewResponse(cancelResponse(s.notHere(r.Msg.AvailabilityZone))), nil
+	}
+	if r.Msg.Job != "" {
+		return connect.NewResponse(cancelResponse(term.CancelJob(r.Msg.Job, r.Msg.Team))), nil
+	}
+	return connect.NewResponse(cancelResponse(term.CancelRequest(r.Msg.Ticket, r.Msg.Team))), nil
+}
+
+// cancelResponse converts the outcome of a cancellation.
+func cancelResponse(p *problem.Problem) *peerv1.CancelResponse {
+	if p == nil {
+		return &peerv1.CancelResponse{Verdict: peerv1.Verdict_VERDICT_DONE}
+	}
+	verdict, body := ProblemToWire(p)
+	return &peerv1.CancelResponse{Verdict: verdict, Problem: body}
+}
+
+// JobStatus implements the service.
+func (s *Server) JobStatus(_ context.Context, r *connect.Request[peerv1.JobStatusRequest]) (*connect.Response[peerv1.JobStatusResponse], error) {
+	status, p := s.jobs(r.Msg.Job, r.Msg.Team)
+	if p != nil {
+		_, body := ProblemToWire(p)
+		status = &peerv1.JobStatusResponse{Problem: body}
+	}
+	return connect.NewResponse(status), nil
+}
+
+// Transfer implements the service.
+func (s *Server) Transfer(ctx context.Context, r *connect.Request[peerv1.TransferRequest]) (*connect.Response[peerv1.TransferResponse], error) {
+	term := s.held(r.Msg.FromZone)
+	if term == nil {
+		_, body := ProblemToWire(s.notHere(r.Msg.FromZone))
+		return connect.NewResponse(&peerv1.TransferResponse{Problem: body}), nil
+	}
+	granted, p := term.Give(ctx, r.Msg.Team, r.Msg.ToZone, r.Msg.Amount)
+	response := &peerv1.TransferResponse{Granted: granted}
+	if p != nil {
+		_, response.Problem = ProblemToWire(p)
+	}
+	return connect.NewResponse(response), nil
+}
+
+// Tail implements the service.
+func (s *Server) Tail(ctx context.Context, r *connect.Request[peerv1.TailRequest]) (*connect.Response[peerv1.TailResponse], error) {
+	wait := min(time.Duration(r.Msg.WaitMs)*time.Millisecond, maxTailWait)
+	deadline := time.Now().Add(wait)
+	for s.journal.State().Applied() < r.Msg.From && time.Now().Before(deadline) {
+		select {
+		case <-ctx.Done():
+			return nil, connect.NewError(connect.CodeCanceled, ctx.Err())
+		case <-time.After(tailPoll):
+		}
+	}
+	response := &peerv1.TailResponse{FreshAgeMs: -1}
+	if age, end, ok := s.journal.Fresh(); ok {
+		response.FreshAgeMs, response.End = age.Milliseconds()+1, end
+	}
+	if s.journal.State().Applied() < r.Msg.From {
+		return connect.NewResponse(response), nil
+	}
+	records, ok := s.journal.Recent(r.Msg.From, min(int(r.Msg.Limit), maxTail))
+	if !ok {
+		return nil, connect.NewError(connect.CodeOutOfRange, errNotKept)
+	}
+	for _, rec := range records {
+		response.Records = append(response.Records, &peerv1.LogRecord{Offset: rec.Offset, Id: rec.ID, Data: rec.Data})
+	}
+	return connect.NewResponse(response), nil
+}
+
+// ZoneStatus implements the service.
+func (s *Server) ZoneStatus(_ context.Context, r *connect.Request[peerv1.ZoneStatusRequest]) (*connect.Response[peerv1.ZoneStatusResponse], error) {
+	_, version := s.journal.State().Config()
+	response := &peerv1.ZoneStatusResponse{
+		AvailabilityZone: s.zone,
+		ConfigVersion:    version,
+		Applied:          s.journal.State().Applied(),
+	}
+	term := s.held(r.Msg.AvailabilityZone)
+	if term == nil {
+		_, response.Problem = ProblemToWire(s.notHere(r.Msg.AvailabilityZone))
+		return connect.NewResponse(response), nil
+	}
+	response.Epoch = term.Epoch()
+	term.Describe(response)
+	return connect.NewResponse(response), nil
+}
--- a/internal/zone/chain.go
+++ b/internal/zone/chain.go
@@ -12,9 +12,11 @@
 	Zone string
 	// Epoch is the offset of the claim's record. It grows for ever, whatever
 	// retention has dropped, and fences the holder's records and commands.
-	Epoch   uint64
-	Holder  string
-	Address string
+	Epoch uint64
+	// Previous is the epoch that the claim ended; 0 if it is not known.
+	Previous uint64
+	Holder   string
+	Address  string
 }
 
 // Chain is the chain of valid claims on one zone, of which it keeps the last.
@@ -77,10 +79,11 @@
 			claim.Previous, c.current.Epoch)
 	}
 	c.current = Claim{
-		Zone:    c.zone,
-		Epoch:   offset,
-		Holder:  claim.Holder,
-		Address: claim.Address,
+		Zone:     c.zone,
+		Epoch:    offset,
+		Previous: claim.Previous,
+		Holder:   claim.Holder,
+		Address:  claim.Address,
 	}
 	return nil
 }
