Speak to the daemons over HTTP with typed errors and truthful retries

The command line, the load generator and integration tests need one client that never turns a lost answer into a false 'not run'. Every failure becomes an error with a kind and one of the three verdicts: only a connection that was never made and a daemon's own word count as 'not run', while a broken connection, a cut answer or a balancer's page is 'unknown' and keeps the ticket for asking again.

Retrying by HTTP method or status was ruled out: a 503 of a balancer says nothing about the work. Operations that change something are tried again only on 'not run' with a prospect of success, by jittered backoff on top of the daemon's hint and within a budget; a request takes a new ticket then. A publication whose answer is lost is looked up and never repeated.

--- /dev/null
+++ b/internal/client/jobs_test.go
@@ -0,0 +1,95 @@
+package client
+
+import (
+	"encoding/json"
+	"net/http"
+	"reflect"
+	"testing"
+)
+
+const jobsOperation = "POST /v1/queues/costing/jobs"
+
+func TestSubmitJobSendsEveryInput(t *testing.T) {
+	d := newDaemon(t)
+	d.on(jobsOperation, answerProblem(busy), answerJSON(202, jobResponse{Job: "j1"}))
+	request := JobRequest{
+		Command:    "cost",
+		Inputs:     [][]byte{[]byte("a"), {0, 255}},
+		Gang:       true,
+		Idempotent: true,
+		Size:       Size{MilliCores: 500, MemoryMB: 256, Accelerators: 1},
+		RunTimeMS:  1000,
+	}
+	id, err := newClient(t, d.URL).SubmitJob(t.Context(), "costing", request)
+	if err != nil || id != "j1" {
+		t.Fatalf("got %q, %v", id, err)
+	}
+	var sent JobRequest
+	if err := json.Unmarshal([]byte(d.bodies[jobsOperation][1]), &sent); err != nil {
+		t.Fatal(err)
+	}
+	request.Ticket = "t2"
+	if !reflect.DeepEqual(sent, request) {
+		t.Errorf("sent %+v, want %+v", sent, request)
+	}
+}
+
+func TestLostAcceptanceIsUnknownAndNotRepeated(t *testing.T) {
+	d := newDaemon(t)
+	d.on(jobsOperation, breakConnection)
+	_, err := newClient(t, d.URL).SubmitJob(t.Context(), "costing", JobRequest{})
+	if e := findError(t, err, KindBroken, VerdictUnknown); e.Ticket != "t1" {
+		t.Errorf("the error names ticket %q", e.Ticket)
+	}
+	if n := d.count(jobsOperation); n != 1 {
+		t.Errorf("sent %d times", n)
+	}
+}
+
+func TestJobsListsBothForms(t *testing.T) {
+	list := []Job{{ID: "a"}, {ID: "b"}}
+	for _, body := range []any{list, map[string]any{"jobs": list}} {
+		d := newDaemon(t)
+		d.on("GET /v1/jobs", answerJSON(200, body))
+		jobs, err := newClient(t, d.URL).Jobs(t.Context(), "press")
+		if err != nil || len(jobs) != 2 {
+			t.Errorf("got %v, %v", jobs, err)
+		}
+		if team := d.seen["GET /v1/jobs"][0].URL.Query().Get("team"); team != "press" {
+			t.Errorf("asked for team %q", team)
+		}
+	}
+}
+
+// stream answers with states of a job and then breaks the connection.
+func stream(states ...Job) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		for i := range states {
+			_ = json.NewEncoder(w).Encode(states[i])
+		}
+		w.(http.Flusher).Flush()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func TestWatchFollowsBrokenStreamsToTheEnd(t *testing.T) {
+	d := newDaemon(t)
+	running := Job{ID: "j", State: "running", Tasks: []Task{{Index: 0, State: StateDone}, {Index: 1, State: "running"}}}
+	done := Job{ID: "j", State: StateDone, Tasks: []Task{{Index: 0, State: StateDone}, {Index: 1, State: StateDone, Output: []byte("x")}}}
+	d.on("GET /v1/jobs/j/watch", stream(running), breakConnection, stream(running), stream(done))
+	var shown []State
+	last, err := newClient(t, d.URL).Watch(t.Context(), "j", func(j *Job) { shown = append(shown, j.State) })
+	if err != nil || !reflect.DeepEqual(*last, done) {
+		t.Fatalf("got %+v, %v", last, err)
+	}
+	if !reflect.DeepEqual(shown, []State{"running", "running", StateDone}) {
+		t.Errorf("shown %v", shown)
+	}
+}
+
+func TestWatchOfAMissingJobFails(t *testing.T) {
+	d := newDaemon(t)
+	d.on("GET /v1/jobs/j/watch", answerProblem(problem{Status: 404, Verdict: "not run"}))
+	_, err := newClient(t, d.URL).Watch(t.Context(), "j", func(*Job) {})
+	requireError(t, err, KindNotFound, VerdictNotRun)
+}
--- /dev/null
+++ b/internal/client/submit_test.go
@@ -0,0 +1,151 @@
+package client
+
+import (
+	"bytes"
+	"net/http"
+	"testing"
+	"time"
+)
+
+const submitOperation = "POST /v1/queues/labels/requests"
+
+func TestSubmitSendsEverythingAndReturnsTheWholeAnswer(t *testing.T) {
+	d := newDaemon(t)
+	d.on(submitOperation, answerDone("the answer"))
+	no := false
+	a, err := newClient(t, d.URL+"/").Submit(t.Context(), Request{
+		Queue:      "labels",
+		Command:    "check",
+		Input:      []byte{0, 1, 255},
+		Idempotent: &no,
+		Deadline:   1500 * time.Millisecond,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(a.Output) != "the answer" || a.Ticket != "t1" {
+		t.Errorf("got %+v", a)
+	}
+	sent := d.seen[submitOperation][0].Header
+	want := map[string]string{
+		"Authorization":  "Bearer secret",
+		HeaderTicket:     "t1",
+		HeaderIdempotent: "false",
+		HeaderDeadline:   "1.5s",
+		HeaderCommand:    "check",
+	}
+	for name, value := range want {
+		if sent.Get(name) != value {
+			t.Errorf("%s is %q, want %q", name, sent.Get(name), value)
+		}
+	}
+	if body := d.bodies[submitOperation][0]; !bytes.Equal([]byte(body), []byte{0, 1, 255}) {
+		t.Errorf("the body is %q", body)
+	}
+}
+
+func TestSubmitOutcomes(t *testing.T) {
+	tests := map[string]struct {
+		replies []http.HandlerFunc
+		kind    Kind
+		verdict Verdict
+		sent    int
+	}{
+		"busy, then done":      {[]http.HandlerFunc{answerProblem(busy), answerProblem(busy), answerDone("x")}, "", VerdictDone, 3},
+		"busy for ever":        {[]http.HandlerFunc{answerProblem(busy)}, KindRefused, VerdictNotRun, 4},
+		"wrong key":            {[]http.HandlerFunc{answerProblem(problem{Status: 401, Verdict: "not run"})}, KindUnauthorized, VerdictNotRun, 1},
+		"unknown queue":        {[]http.HandlerFunc{answerProblem(problem{Status: 404, Verdict: "not run"})}, KindNotFound, VerdictNotRun, 1},
+		"unknown, with a hint": {[]http.HandlerFunc{answerProblem(problem{Status: 503, Verdict: "unknown", RetryAfterMS: 1})}, KindRefused, VerdictUnknown, 1},
+		"no verdict":           {[]http.HandlerFunc{answerProblem(problem{Status: 503, RetryAfterMS: 1})}, KindRefused, VerdictUnknown, 1},
+		"ran and failed":       {[]http.HandlerFunc{answerProblem(problem{Status: 422, Verdict: "done"})}, KindFailed, VerdictDone, 1},
+		"connection broken":    {[]http.HandlerFunc{breakConnection}, KindBroken, VerdictUnknown, 1},
+		"answer cut":           {[]http.HandlerFunc{cutAnswer}, KindBroken, VerdictUnknown, 1},
+		"balancer's page":      {[]http.HandlerFunc{answerJSON(503, "<html>")}, KindProtocol, VerdictUnknown, 1},
+		"not a daemon":         {[]http.HandlerFunc{answerJSON(200, "hello")}, KindProtocol, VerdictUnknown, 1},
+		"redirect":             {[]http.HandlerFunc{redirect}, KindProtocol, VerdictUnknown, 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := newDaemon(t)
+			d.on(submitOperation, test.replies...)
+			_, err := newClient(t, d.URL).Submit(t.Context(), Request{Queue: "labels"})
+			if sent := d.count(submitOperation); sent != test.sent {
+				t.Errorf("sent %d times, want %d", sent, test.sent)
+			}
+			if test.kind == "" {
+				if err != nil {
+					t.Error(err)
+				}
+				return
+			}
+			if e := findError(t, err, test.kind, test.verdict); e.Ticket == "" {
+				t.Error("the error names no ticket")
+			}
+		})
+	}
+}
+
+func redirect(w http.ResponseWriter, r *http.Request) {
+	http.Redirect(w, r, "/elsewhere", http.StatusTemporaryRedirect)
+}
+
+func TestSubmitTakesANewTicketAfterNotRun(t *testing.T) {
+	d := newDaemon(t)
+	d.on(submitOperation, answerProblem(busy), answerDone("x"))
+	a, err := newClient(t, d.URL).Submit(t.Context(), Request{Queue: "labels"})
+	if err != nil || a.Ticket != "t2" {
+		t.Fatalf("got %+v, %v, want ticket t2", a, err)
+	}
+	if sent := d.seen[submitOperation][0].Header.Get(HeaderTicket); sent != "t1" {
+		t.Errorf("the first ticket was %q", sent)
+	}
+}
+
+func TestSubmitKeepsTheCallersTicket(t *testing.T) {
+	d := newDaemon(t)
+	d.on(submitOperation, answerProblem(busy), answerDone("x"))
+	a, err := newClient(t, d.URL).Submit(t.Context(), Request{Queue: "labels", Ticket: "mine"})
+	if err != nil || a.Ticket != "mine" || d.count("POST /v1/tickets") != 0 {
+		t.Fatalf("got %+v, %v, want ticket mine", a, err)
+	}
+}
+
+func TestLostTicketMeansNotRun(t *testing.T) {
+	tests := map[string]http.HandlerFunc{
+		"connection broken": breakConnection,
+		"not a daemon":      answerJSON(200, "hello"),
+		"balancer's page":   answerJSON(502, "<html>"),
+	}
+	for name, reply := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := newDaemon(t)
+			d.on("POST /v1/tickets", reply)
+			_, err := newClient(t, d.URL).Submit(t.Context(), Request{Queue: "labels"})
+			if e := AsError(err); e == nil || e.Verdict != VerdictNotRun {
+				t.Errorf("got %v, want not run", err)
+			}
+			if d.count(submitOperation) != 0 {
+				t.Error("the request was sent without a ticket")
+			}
+		})
+	}
+}
+
+func TestSubmitGoesToTheNextInstance(t *testing.T) {
+	d := newDaemon(t)
+	d.on(submitOperation, answerDone("x"))
+	dead := unusedURL(t)
+	if _, err := newClient(t, dead, d.URL, d.URL).Submit(t.Context(), Request{Queue: "labels"}); err != nil {
+		t.Error(err)
+	}
+	_, err := newClient(t, dead).Submit(t.Context(), Request{Queue: "labels"})
+	requireError(t, err, KindUnreachable, VerdictNotRun)
+}
+
+func TestCancelRequest(t *testing.T) {
+	d := newDaemon(t)
+	d.on("DELETE /v1/requests/t 1", answerJSON(200, nil))
+	if err := newClient(t, d.URL).CancelRequest(t.Context(), "t 1"); err != nil {
+		t.Error(err)
+	}
+}
