Test the clients, the stand-ins and their command as processes

Ruled out: accepting any number that big.Rat parses in a price list, since a huge exponent is costly and a total could print as a fraction; amounts are plain decimals now. An answer to the switch 'die' that gets lost with the process: the admin address finishes it before the process ends. Parts are never more than the client's bound.

--- /dev/null
+++ b/internal/platform/client_test.go
@@ -0,0 +1,263 @@
+package platform_test
+
+import (
+	"context"
+	"expvar"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/goleak"
+
+	"github.com/bluebellstile/bluebellstile/internal/platform"
+	"github.com/bluebellstile/bluebellstile/internal/standin"
+)
+
+// setUp returns a stand-in log and a client of it that retries quickly.
+func setUp(t *testing.T, opts standin.LogOptions, more ...platform.Option) (*standin.Log, *platform.Client) {
+	t.Helper()
+	log := standin.NewLog(opts)
+	server, err := standin.Serve(log, "127.0.0.1:0", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := newClient(server.URL(), more...)
+	t.Cleanup(func() {
+		client.Close()
+		if err := server.Close(); err != nil {
+			t.Error(err)
+		}
+		goleak.VerifyNone(t)
+	})
+	return log, client
+}
+
+func newClient(url string, more ...platform.Option) *platform.Client {
+	opts := []platform.Option{
+		platform.WithBackoff(time.Millisecond),
+		platform.WithRetryBudget(1000, 1000),
+		platform.WithBreaker(1000, time.Hour),
+	}
+	return platform.NewClient(url, url, append(opts, more...)...)
+}
+
+func set(t *testing.T, faults *standin.Faults, name string, value any) {
+	t.Helper()
+	if err := faults.Set(name, value); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// records returns what the log holds.
+func records(log *standin.Log) []platform.Record {
+	return log.Read(context.Background(), 0, 0, 0).Records
+}
+
+func TestAppendAndRead(t *testing.T) {
+	root := new(expvar.Map).Init()
+	_, client := setUp(t, standin.LogOptions{}, platform.WithMetrics(root))
+	ctx := platform.WithRole(context.Background(), "claim")
+	for i, id := range []string{"a", "b", "c"} {
+		offset, err := client.Append(ctx, id, []byte(id))
+		if err != nil || offset != uint64(i+1) {
+			t.Fatalf("append %s: offset %d, %v", id, offset, err)
+		}
+	}
+	page, err := client.Read(ctx, 2, 1, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(page.Records) != 1 || page.Records[0].ID != "b" || page.First != 1 || page.End != 4 {
+		t.Fatalf("page %+v", page)
+	}
+	if appends := root.Get(platform.MetricAppends).String(); appends != `{"claim": 3}` {
+		t.Fatalf("appends by role: %s", appends)
+	}
+}
+
+func TestReadWaitsForAppend(t *testing.T) {
+	log, client := setUp(t, standin.LogOptions{})
+	pages := make(chan *platform.ReadResponse, 1)
+	go func() {
+		page, err := client.Read(context.Background(), 1, 10, time.Minute)
+		if err != nil {
+			t.Error(err)
+		}
+		pages <- page
+	}()
+	log.Append("a", nil)
+	if page := <-pages; page == nil || len(page.Records) != 1 {
+		t.Fatalf("page %+v", page)
+	}
+}
+
+func TestLostAnswerIsResolvedByReadingBack(t *testing.T) {
+	root := new(expvar.Map).Init()
+	log, client := setUp(t, standin.LogOptions{}, platform.WithMetrics(root))
+	log.Append("other", nil)
+	set(t, log.Faults(), "lose_answers", 1)
+	// The read that precedes the first append loses its answer instead.
+	if _, err := client.Append(context.Background(), "a", nil); err != nil {
+		t.Fatal(err)
+	}
+	set(t, log.Faults(), "lose_answers", 1)
+	offset, err := client.Append(context.Background(), "b", nil)
+	if err != nil || offset != 3 {
+		t.Fatalf("offset %d, %v", offset, err)
+	}
+	if held := records(log); len(held) != 3 {
+		t.Fatalf("log holds %+v", held)
+	}
+	if resolved := root.Get(platform.MetricResolved).String(); resolved != "1" {
+		t.Fatalf("resolved %s", resolved)
+	}
+}
+
+// TestFailureKinds checks what an append that fails says of its effect, and
+// that it is true.
+func TestFailureKinds(t *testing.T) {
+	cases := map[string]struct {
+		opts   standin.LogOptions
+		faults map[string]any
+		id     string
+		bytes  int
+		kind   platform.ErrorKind
+		held   int
+	}{
+		"answers and reads lost": {
+			faults: map[string]any{"lose_answers": -1}, id: "a", kind: platform.KindAppendUnknown, held: 1,
+		},
+		"reads refused": {
+			faults: map[string]any{"refuse_reads": true, "lose_answers": 2}, id: "a", kind: platform.KindAppendUnknown, held: 1,
+		},
+		"appends refused by 5xx": {
+			faults: map[string]any{"refuse_appends": true}, id: "a", kind: platform.KindAppendUnknown,
+		},
+		"over the rate": {
+			opts: standin.LogOptions{AppendsPerSecond: 1e-9}, id: "a", kind: platform.KindUnavailable, held: 1,
+		},
+		"too large": {id: "a", bytes: platform.MaxRecordBytes + 1, kind: platform.KindTooLarge},
+		"no id":     {kind: platform.KindBadRequest},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			log, client := setUp(t, c.opts)
+			if c.opts.AppendsPerSecond > 0 {
+				if _, err := client.Append(context.Background(), "first", nil); err != nil {
+					t.Fatal(err)
+				}
+			}
+			for fault, value := range c.faults {
+				set(t, log.Faults(), fault, value)
+			}
+			_, err := client.Append(context.Background(), c.id, make([]byte, c.bytes))
+			if kind := platform.KindOf(err); kind != c.kind {
+				t.Fatalf("kind %q: %v", kind, err)
+			}
+			if held := records(log); len(held) != c.held {
+				t.Fatalf("log holds %+v", held)
+			}
+		})
+	}
+}
+
+func TestAppendToClosedPortIsCertainlyNotMade(t *testing.T) {
+	server := httptest.NewServer(http.NotFoundHandler())
+	server.Close()
+	client := newClient(server.URL)
+	defer client.Close()
+	if _, err := client.Append(context.Background(), "a", nil); platform.KindOf(err) != platform.KindUnavailable {
+		t.Fatal(err)
+	}
+}
+
+func TestReadBelowRetention(t *testing.T) {
+	log, client := setUp(t, standin.LogOptions{MaxRecords: 2})
+	for range 5 {
+		log.Append("a", nil)
+	}
+	_, err := client.Read(context.Background(), 3, 10, 0)
+	var trimmed *platform.Error
+	if !errors.As(err, &trimmed) || trimmed.Kind != platform.KindTrimmed || trimmed.First != 4 {
+		t.Fatalf("read below retention: %v", err)
+	}
+	page, err := client.Read(context.Background(), 0, 10, 0)
+	if err != nil || page.Records[0].Offset != 4 {
+		t.Fatalf("read from the first kept record: %+v, %v", page, err)
+	}
+}
+
+func TestBreakerFailsFast(t *testing.T) {
+	var calls atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		calls.Add(1)
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer server.Close()
+	client := newClient(server.URL, platform.WithBreaker(2, time.Hour), platform.WithTries(2))
+	defer client.Close()
+	for range 5 {
+		if _, err := client.Read(context.Background(), 1, 1, 0); platform.KindOf(err) != platform.KindUnavailable {
+			t.Fatal(err)
+		}
+	}
+	if n := calls.Load(); n != 2 {
+		t.Fatalf("%d calls", n)
+	}
+	// Appends have a breaker of their own, which two attempts open. From then
+	// on nothing is sent, so that an append certainly has no effect.
+	for _, kind := range []platform.ErrorKind{platform.KindAppendUnknown, platform.KindAppendUnknown, platform.KindUnavailable} {
+		if _, err := client.Append(context.Background(), "a", nil); platform.KindOf(err) != kind {
+			t.Fatal(err)
+		}
+	}
+}
+
+func TestRetryBudget(t *testing.T) {
+	var calls atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		calls.Add(1)
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer server.Close()
+	const burst, reads = 3, 10
+	client := newClient(server.URL, platform.WithRetryBudget(0, burst))
+	defer client.Close()
+	for range reads {
+		if _, err := client.Read(context.Background(), 1, 1, 0); err == nil {
+			t.Fatal("read succeeded")
+		}
+	}
+	if n := calls.Load(); n != reads+burst {
+		t.Fatalf("%d calls", n)
+	}
+}
+
+func TestInstances(t *testing.T) {
+	list := standin.NewList([]platform.Instance{{ID: "w1"}}, time.Hour)
+	server, err := standin.Serve(list, "127.0.0.1:0", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := newClient(server.URL())
+	t.Cleanup(func() {
+		client.Close()
+		if err := server.Close(); err != nil {
+			t.Error(err)
+		}
+		goleak.VerifyNone(t)
+	})
+	list.Set([]platform.Instance{{ID: "w2"}})
+	got, err := client.Instances(context.Background())
+	if err != nil || len(got.Instances) != 1 || got.Instances[0].ID != "w1" {
+		t.Fatalf("lagging list %+v, %v", got, err)
+	}
+	set(t, list.Faults(), "lag", "0s")
+	got, err = client.Instances(context.Background())
+	if err != nil || len(got.Instances) != 1 || got.Instances[0].ID != "w2" {
+		t.Fatalf("list %+v, %v", got, err)
+	}
+}
--- a/internal/standin/commands.go
+++ b/internal/standin/commands.go
@@ -6,8 +6,10 @@
 	"encoding/csv"
 	"maps"
 	"math/big"
+	"regexp"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -84,19 +86,34 @@
 		totalCost.Add(totalCost, cost)
 		out = append(out, []string{row[costPigment], row[costGrams], cost.FloatString(2)})
 	}
-	total := []string{"total", totalGrams.RatString(), totalCost.FloatString(2)}
+	total := []string{"total", formatAmount(totalGrams), totalCost.FloatString(2)}
 	return writeCSV(append(out, total))
 }
 
+// amountDecimals is the most decimals that an amount may have.
+const amountDecimals = 6
+
+// amountPattern bounds what parseAmount takes, so that no input is costly.
+var amountPattern = regexp.MustCompile(`^[0-9]{1,15}(\.[0-9]{1,6})?$`)
+
 // parseAmount parses a decimal number of 0 or more.
 func parseAmount(text string) (*big.Rat, error) {
+	if !amountPattern.MatchString(text) {
+		return nil, errors.Errorf("%q is not a number of 0 or more with up to %d decimals", text, amountDecimals)
+	}
 	amount, ok := new(big.Rat).SetString(text)
-	if !ok || amount.Sign() < 0 {
-		return nil, errors.Errorf("%q is not a number of 0 or more", text)
+	if !ok {
+		return nil, errors.Errorf("%q is not a number", text)
 	}
 	return amount, nil
 }
 
+// formatAmount formats a sum of amounts without needless zeros.
+func formatAmount(amount *big.Rat) string {
+	text := strings.TrimRight(amount.FloatString(amountDecimals), "0")
+	return strings.TrimSuffix(text, ".")
+}
+
 // Columns of the input of "sort".
 const (
 	sortClient = iota
--- a/internal/standin/endpoint_events.go
+++ b/internal/standin/endpoint_events.go
@@ -57,8 +57,9 @@
 }
 
 // cut returns the parts of an output as events; an empty output is one part.
+// Parts are larger than asked for where there would be too many.
 func (e *Endpoint) cut(t *task, output []byte, now time.Time) []endpoint.Event {
-	size := max(int(e.knobs.partBytes.Load()), 1)
+	size := max(int(e.knobs.partBytes.Load()), 1, len(output)/endpoint.MaxParts+1)
 	parts := max((len(output)+size-1)/size, 1)
 	events := make([]endpoint.Event, 0, parts)
 	for i := range parts {
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -122,19 +122,19 @@
 	return err
 }
 
-// closeWhenDying closes the HTTP servers, abruptly after the switch "die".
+// closeWhenDying closes the HTTP servers. After the switch "die" the service
+// breaks off its requests, and only the admin address answers the one that
+// set the switch.
 func (s *Server) closeWhenDying() error {
 	<-s.tomb.Dying()
-	graceful := !errors.Is(s.tomb.Err(), errDied)
 	s.cancel()
-	for _, server := range []*http.Server{s.main, s.admin} {
-		if server == nil {
-			continue
-		}
-		if graceful {
-			shutdown(server)
-		}
-		_ = server.Close()
+	if !errors.Is(s.tomb.Err(), errDied) {
+		shutdown(s.main)
+	}
+	_ = s.main.Close()
+	if s.admin != nil {
+		shutdown(s.admin)
+		_ = s.admin.Close()
 	}
 	return nil
 }
