Check each promise over a history of events

The promises of the system need one judge that doesn't depend on the daemons' own word. Assertions inside each integration test were ruled out: they differ from test to test and can't be seen to fail by themselves. Asking the daemons was ruled out, since a daemon that breaks a promise need not know it.

Event kinds and fields were only added.

The checkers have judged no run of real processes yet.

--- /dev/null
+++ b/internal/history/answer.go
@@ -0,0 +1,57 @@
+package history
+
+import "fmt"
+
+// WholeAnswer checks that every answer belongs to a request that was sent,
+// that it is the only answer to that sending, and that the output of one that
+// is done is the whole right answer to the request's own input.
+func WholeAnswer(events []Event, opts Options) []Violation {
+	sent := map[string]Event{}
+	answered := map[string]Event{}
+	var found []Violation
+	report := func(detail string, evidence ...Event) {
+		found = append(found, Violation{Promise: PromiseAnswer, Detail: detail, Events: evidence})
+	}
+	for _, e := range sorted(events) {
+		switch e.Kind {
+		case RequestSent:
+			sent[e.Request] = e
+		case RequestAnswered:
+			request, known := sent[e.Request]
+			if !known {
+				report(fmt.Sprintf("answer to request %q that was never sent", e.Request), e)
+				continue
+			}
+			if before, twice := answered[e.Request]; twice {
+				report(fmt.Sprintf("request %s was answered twice", e.Request), before, e)
+			}
+			answered[e.Request] = e
+			if e.Ticket != "" && request.Ticket != "" && e.Ticket != request.Ticket {
+				report(fmt.Sprintf("request %s got the answer to ticket %s", e.Request, e.Ticket), request, e)
+			}
+			if detail := wrongOutput(request, e, opts); detail != "" {
+				report(detail, request, e)
+			}
+		case JobFinished:
+			if detail := wrongOutput(e, e, opts); detail != "" {
+				report(detail, e)
+			}
+		}
+	}
+	return found
+}
+
+// wrongOutput describes a done answer whose output isn't the right one.
+func wrongOutput(request, answer Event, opts Options) string {
+	if answer.Verdict != VerdictDone || answer.Job != "" && answer.Kind == RequestAnswered {
+		return ""
+	}
+	want := request.ExpectSum
+	if want == "" && opts.Expect != nil {
+		want = opts.Expect(request.InputSum)
+	}
+	if want == "" || want == answer.OutputSum {
+		return ""
+	}
+	return fmt.Sprintf("request %s: output sum is %q, want %q", answer.Request+answer.Work, answer.OutputSum, want)
+}
--- a/internal/history/event.go
+++ b/internal/history/event.go
@@ -29,9 +29,20 @@
 	LimitSet        Kind = "limit_set"
 	DrainStarted    Kind = "drain_started"
 
-	// Written by whoever injects faults.
+	// Written by operators around a change: a limit is proposed before it is
+	// published, and rejected when the publication was refused.
+	LimitProposed  Kind = "limit_proposed"
+	LimitRejected  Kind = "limit_rejected"
+	ConfigRejected Kind = "config_rejected"
+	// ConfigObserved is the version that a daemon's administration interface
+	// reported; UnixNano is the moment at which it was asked.
+	ConfigObserved Kind = "config_observed"
+
+	// Written by whoever injects faults or starts and stops daemons.
 	FaultInjected Kind = "fault_injected"
 	FaultHealed   Kind = "fault_healed"
+	DaemonUp      Kind = "daemon_up"
+	DaemonDown    Kind = "daemon_down"
 )
 
 // Event is one line of a history, encoded as JSON.
@@ -67,10 +78,21 @@
 	// its request.
 	InputSum  string `json:"input_sum,omitempty"`
 	OutputSum string `json:"output_sum,omitempty"`
+	// ExpectSum is the checksum of the only right answer, if it is known.
+	ExpectSum string `json:"expect_sum,omitempty"`
+	// Request names one sending of a request; its answer carries it too.
+	Request string `json:"request,omitempty"`
+	// Job is the durable job of an event and Tasks the number of its tasks.
+	Job   string `json:"job,omitempty"`
+	Tasks int    `json:"tasks,omitempty"`
+
+	// Daemon is the daemon that was asked, observed, stopped or started.
+	Daemon string `json:"daemon,omitempty"`
 
-	// Configuration.
-	Version uint64 `json:"version,omitempty"`
-	Limit   int64  `json:"limit,omitempty"`
-	Fault   string `json:"fault,omitempty"`
-	Step    string `json:"step,omitempty"`
+	// Configuration. Expected is the version that a publication replaced.
+	Expected uint64 `json:"expected,omitempty"`
+	Version  uint64 `json:"version,omitempty"`
+	Limit    int64  `json:"limit,omitempty"`
+	Fault    string `json:"fault,omitempty"`
+	Step     string `json:"step,omitempty"`
 }
--- /dev/null
+++ b/internal/history/notrun.go
@@ -0,0 +1,54 @@
+package history
+
+import "fmt"
+
+// NotRunIsTrue checks that work whose caller was told "not run" has not been
+// started before the answer, and isn't started after it unless the caller
+// sent it again. It covers jobs whose outcome is "not run" as well.
+func NotRunIsTrue(events []Event, _ Options) []Violation {
+	denied := map[string]Event{}
+	started := map[string]Event{}
+	var found []Violation
+	report := func(answer, start Event) {
+		found = append(found, Violation{
+			Promise: PromiseNotRun,
+			Detail:  fmt.Sprintf("%s was answered %q (%s) but started on %s", start.Work, VerdictNotRun, answer.Code, start.Endpoint),
+			Events:  []Event{answer, start},
+		})
+	}
+	for _, e := range sorted(events) {
+		switch e.Kind {
+		case RequestSent:
+			delete(denied, e.Ticket)
+		case RequestAnswered, JobFinished:
+			id := e.Ticket
+			if e.Kind == JobFinished {
+				id = e.Work
+			}
+			if id == "" || e.Verdict != VerdictNotRun {
+				continue
+			}
+			denied[id] = e
+			if start, ran := started[id]; ran {
+				report(e, start)
+			}
+		case TaskStarted:
+			for _, id := range workIDs(e) {
+				started[id] = e
+				if answer, lied := denied[id]; lied {
+					report(answer, e)
+				}
+			}
+		}
+	}
+	return found
+}
+
+// workIDs returns the distinct ids under which callers know a task.
+func workIDs(e Event) []string {
+	ids := []string{e.Work}
+	if e.Ticket != "" && e.Ticket != e.Work {
+		ids = append(ids, e.Ticket)
+	}
+	return ids
+}
--- /dev/null
+++ b/internal/history/oneplace.go
@@ -0,0 +1,25 @@
+package history
+
+import "fmt"
+
+// OnePlace checks that no two attempts at one work overlap in time, on one
+// endpoint or on two. Spans that only touch don't overlap.
+func OnePlace(events []Event, _ Options) []Violation {
+	byWork := map[string][]span{}
+	var found []Violation
+	for _, s := range runningSpans(events) {
+		work := s.start.Work
+		for _, earlier := range byWork[work] {
+			if s.from < earlier.to && earlier.from < s.to {
+				found = append(found, Violation{
+					Promise: PromiseOnePlace,
+					Detail: fmt.Sprintf("work %s: attempt %s on %s and attempt %s on %s at once",
+						work, earlier.start.Task, earlier.start.Endpoint, s.start.Task, s.start.Endpoint),
+					Events: []Event{earlier.start, s.start},
+				})
+			}
+		}
+		byWork[work] = append(byWork[work], s)
+	}
+	return found
+}
--- /dev/null
+++ b/internal/history/overcommit.go
@@ -0,0 +1,59 @@
+package history
+
+import "fmt"
+
+type resources struct{ cores, memory, accelerators, slots int64 }
+
+func resourcesOf(e Event) resources {
+	return resources{e.MilliCores, e.MemoryMB, e.Accelerators, e.Slots}
+}
+
+func (r resources) plus(o resources, sign int64) resources {
+	return resources{
+		cores:        r.cores + sign*o.cores,
+		memory:       r.memory + sign*o.memory,
+		accelerators: r.accelerators + sign*o.accelerators,
+		slots:        r.slots + sign*o.slots,
+	}
+}
+
+func (r resources) within(limit resources) bool {
+	return r.cores <= limit.cores && r.memory <= limit.memory &&
+		r.accelerators <= limit.accelerators && r.slots <= limit.slots
+}
+
+// endpointLife is one incarnation of an endpoint.
+type endpointLife struct{ endpoint, incarnation string }
+
+// NotOvercommitted checks that the tasks that run on an endpoint never need
+// more than it offered when it came up:
+// sum(size of tasks started and not ended) <= capacity, in each dimension.
+func NotOvercommitted(events []Event, _ Options) []Violation {
+	capacity := map[endpointLife]resources{}
+	for _, e := range events {
+		if e.Kind == EndpointUp {
+			capacity[endpointLife{e.Endpoint, e.Incarnation}] = resourcesOf(e)
+		}
+	}
+	used := map[endpointLife]resources{}
+	var found []Violation
+	for _, c := range changes(spans(events)) {
+		life := endpointLife{c.span.start.Endpoint, c.span.start.Incarnation}
+		size := resourcesOf(c.span.start)
+		if !c.begin {
+			used[life] = used[life].plus(size, -1)
+			continue
+		}
+		used[life] = used[life].plus(size, 1)
+		limit, known := capacity[life]
+		if known && used[life].within(limit) {
+			continue
+		}
+		found = append(found, Violation{
+			Promise: PromiseOvercommit,
+			Detail:  fmt.Sprintf("endpoint %s: %+v in use of %+v (capacity recorded: %t)", life.endpoint, used[life], limit, known),
+			Events:  []Event{c.span.start},
+		})
+	}
+	return found
+}
--- /dev/null
+++ b/internal/history/stop.go
@@ -0,0 +1,105 @@
+package history
+
+import "fmt"
+
+// StopCutsNothing checks that no request in flight while a daemon stops as
+// planned is cut off: answered by a broken connection, by "unknown", by the
+// caller's timeout or by one of the StopCodes. Requests count that were sent
+// before the stop through any daemon, or during it through the stopping one.
+// Requests that overlap another fault don't count.
+func StopCutsNothing(events []Event, opts Options) []Violation {
+	ordered := sorted(events)
+	stops := plannedStops(ordered)
+	faults := faultTimes(ordered)
+	sent := map[string]Event{}
+	var found []Violation
+	for _, e := range ordered {
+		switch e.Kind {
+		case RequestSent:
+			sent[e.Request] = e
+		case RequestAnswered:
+			request, known := sent[e.Request]
+			if !known || !cutOff(e, opts) || overlaps(faults, request.UnixNano, e.UnixNano) {
+				continue
+			}
+			for _, s := range stops {
+				if s.covers(request, e) {
+					found = append(found, Violation{
+						Promise: PromiseStop,
+						Detail:  fmt.Sprintf("request %s through %s was cut off (%s %s) by the planned stop of %s", e.Request, request.Daemon, e.Verdict, e.Code, s.begin.Daemon),
+						Events:  []Event{s.begin, request, e},
+					})
+				}
+			}
+		}
+	}
+	return found
+}
+
+type plannedStop struct {
+	begin Event
+	end   int64
+}
+
+// covers reports whether the request was in flight during the stop.
+func (s plannedStop) covers(request, answer Event) bool {
+	if answer.UnixNano < s.begin.UnixNano || request.UnixNano > s.end {
+		return false
+	}
+	return request.UnixNano <= s.begin.UnixNano || request.Daemon == s.begin.Daemon
+}
+
+// plannedStops returns the times from DrainStarted to DaemonDown.
+func plannedStops(ordered []Event) []plannedStop {
+	var out []plannedStop
+	for _, e := range ordered {
+		switch e.Kind {
+		case DrainStarted:
+			out = append(out, plannedStop{e, forever})
+		case DaemonDown:
+			for i := range out {
+				if out[i].begin.Daemon == e.Daemon && out[i].end == forever {
+					out[i].end = e.UnixNano
+				}
+			}
+		}
+	}
+	return out
+}
+
+func cutOff(answer Event, opts Options) bool {
+	switch answer.Code {
+	case CodeLost, CodeTimeout:
+		return true
+	}
+	return answer.Verdict == VerdictUnknown || opts.StopCodes[answer.Code]
+}
+
+// faultTimes returns the times of injected faults, which the fault and the
+// process that it struck identify.
+func faultTimes(ordered []Event) []pause {
+	var out []pause
+	open := map[[3]string]int{}
+	for _, e := range ordered {
+		id := [3]string{e.Fault, e.Endpoint, e.Daemon}
+		switch e.Kind {
+		case FaultInjected:
+			open[id] = len(out)
+			out = append(out, pause{e.UnixNano, forever})
+		case FaultHealed:
+			if i, known := open[id]; known {
+				out[i].to = e.UnixNano
+			}
+		}
+	}
+	return out
+}
+
+func overlaps(list []pause, from, to int64) bool {
+	for _, p := range list {
+		if p.from <= to && from <= p.to {
+			return true
+		}
+	}
+	return false
+}
