--- a/internal/history/edge_test.go
+++ b/internal/history/edge_test.go
@@ -104,30 +104,30 @@
 		limit(0, LimitSet, 2), started(s, "w1", "a", "a.1"), limit(2*s, LimitProposed, 1), started(3*s, "w1", "b", "b.1"), limit(4*s, LimitSet, 1), ended(9*s, "b.1", "stopped"),
 	}, 0},
 	{"not run, sent again and run", NotRunIsTrue, []Event{
-		sent(0, "r1"), answered(s, "r1", VerdictNotRun, "overloaded"), sent(2*s, "r2"), ticketStarted(3*s),
+		sent(0, "r1"), answered(s, "r1", VerdictNotRun, "overloaded"), sent(2*s, "r2"), ticketStarted(3 * s),
 	}, 0},
 	{"not run while the other attempt runs later", NotRunIsTrue, []Event{
-		sent(0, "r1"), sent(s, "r2"), answered(2*s, "r2", VerdictNotRun, "no_holder"), ticketStarted(3*s),
+		sent(0, "r1"), sent(s, "r2"), answered(2*s, "r2", VerdictNotRun, "no_holder"), ticketStarted(3 * s),
 	}, 1},
 	{"not run although the first attempt ran", NotRunIsTrue, []Event{
 		sent(0, "r1"), ticketStarted(s), sent(2*s, "r2"), answered(3*s, "r2", VerdictNotRun, "overloaded"),
 	}, 1},
 	{"retry marked idempotent doesn't lift at most once", AtMostOnce, []Event{
 		sent(0, "r1"), {UnixNano: at(s), Kind: RequestSent, Request: "r2", Ticket: "t1", Idempotent: true},
-		ticketStarted(2*s), ticketStarted(3*s),
+		ticketStarted(2 * s), ticketStarted(3 * s),
 	}, 1},
 	{"request sent within the bound", KeysHonored, []Event{
-		key(0, KeyGranted), key(s, KeyWithdrawn), sent(s+KeyBound, "r1"), ticketStarted(s+KeyBound), answered(9*s, "r1", VerdictDone, ""),
+		key(0, KeyGranted), key(s, KeyWithdrawn), sent(s+KeyBound, "r1"), ticketStarted(s + KeyBound), answered(9*s, "r1", VerdictDone, ""),
 	}, 0},
 	{"request started past the bound", KeysHonored, []Event{
-		key(0, KeyGranted), key(s, KeyWithdrawn), sent(2*s, "r1"), ticketStarted(s+KeyBound+1),
+		key(0, KeyGranted), key(s, KeyWithdrawn), sent(2*s, "r1"), ticketStarted(s + KeyBound + 1),
 	}, 1},
 	{"accepted job goes on past the bound", KeysHonored, []Event{
 		key(0, KeyGranted), sent(s, "r1"), {UnixNano: at(s), Kind: JobAccepted, Request: "r1", Job: "j", Ticket: "t1"},
 		key(2*s, KeyWithdrawn), started(20*s, "w1", "j/0", "j/0.1"),
 	}, 0},
 	{"key granted again", KeysHonored, []Event{
-		key(0, KeyGranted), key(s, KeyWithdrawn), key(9*s, KeyGranted), sent(10*s, "r1"), ticketStarted(11*s), answered(12*s, "r1", VerdictDone, ""),
+		key(0, KeyGranted), key(s, KeyWithdrawn), key(9*s, KeyGranted), sent(10*s, "r1"), ticketStarted(11 * s), answered(12*s, "r1", VerdictDone, ""),
 	}, 0},
 	{"key that was never granted", KeysHonored, []Event{
 		sent(0, "r1"), answered(s, "r1", VerdictDone, ""),
@@ -153,6 +153,9 @@
 		sent(0, "r1"), {UnixNano: at(s), Kind: DrainStarted, Daemon: "d2"},
 		{UnixNano: at(s), Kind: FaultInjected, Fault: "kill", Endpoint: "w1"}, answered(2*s, "r1", VerdictUnknown, "endpoint_lost"),
 	}, 0},
+	{"connection refused by the stopping daemon", StopCutsNothing, []Event{
+		{UnixNano: at(0), Kind: DrainStarted, Daemon: "d1"}, sent(s, "r1"), answered(2*s, "r1", VerdictUnknown, CodeRefused),
+	}, 0},
 	{"request after the stop", StopCutsNothing, []Event{
 		{UnixNano: at(0), Kind: DrainStarted, Daemon: "d1"}, {UnixNano: at(s), Kind: DaemonDown, Daemon: "d1"},
 		sent(2*s, "r1"), answered(3*s, "r1", VerdictUnknown, CodeLost),
--- a/internal/history/stop.go
+++ b/internal/history/stop.go
@@ -69,6 +69,8 @@
 
 func cutOff(answer Event, opts Options) bool {
 	switch answer.Code {
+	case CodeRefused:
+		return false
 	case CodeLost, CodeTimeout:
 		return true
 	}
