Report the fault matrix by promise, fault and step

A run that never brought a promise into play must not count as proof of it. Counting the absence of violations as a pass was ruled out for that reason: each promise names the evidence that its checker needs, and a row without it is printed as not run. The page on faults is written from the rows.

Before: no matrix.

--- /dev/null
+++ b/internal/harness/matrix/row_test.go
@@ -0,0 +1,62 @@
+package matrix
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/bluebellstile/bluebellstile/internal/history"
+)
+
+func TestJudgeCountsOnlyWhatItCouldCheck(t *testing.T) {
+	events := []history.Event{
+		{UnixNano: 1, Kind: history.EndpointUp, Endpoint: "w", Slots: 1},
+		{UnixNano: 2, Kind: history.TaskStarted, Endpoint: "w", Work: "t", Task: "t.1", Slots: 2},
+	}
+	rows, found := judge(Row{Fault: Kill, Step: Started}, events, history.Options{})
+	got := map[string]Verdict{}
+	for _, r := range rows {
+		got[r.Promise] = r.Verdict
+	}
+	if len(found) != 1 || got[history.PromiseOvercommit] != Failed {
+		t.Errorf("overcommitted endpoint: %d violations, verdict %q", len(found), got[history.PromiseOvercommit])
+	}
+	if got[history.PromiseOnePlace] != Passed || got[history.PromiseLeaving] != NotRun {
+		t.Errorf("verdicts %v, want one place passed and leaving endpoint not run", got)
+	}
+	for _, c := range history.Checkers() {
+		if evidence[c.Promise] == nil {
+			t.Errorf("promise %q has no rule of evidence", c.Promise)
+		}
+	}
+}
+
+func TestPrintEndsWithTheCountLine(t *testing.T) {
+	rows := []Row{
+		{Fault: Kill, Step: Started, Promise: "keys", Verdict: Passed},
+		{Fault: Kill, Step: Queued, Promise: "keys", Verdict: Failed},
+		{Fault: Kill, Step: Sent, Promise: "keys", Verdict: NotRun},
+	}
+	var b strings.Builder
+	if err := Print(&b, rows); err != nil {
+		t.Fatal(err)
+	}
+	if !strings.HasSuffix(b.String(), "\n1 not run\n1 passed, 1 failed\n") {
+		t.Errorf("printed %q", b.String())
+	}
+}
+
+func TestReportShowsFailuresFirst(t *testing.T) {
+	rows := []Row{
+		{Fault: Kill, Step: Started, Promise: history.PromiseKeys, Verdict: Passed},
+		{Fault: Kill, Step: Queued, Promise: history.PromiseKeys, Verdict: Failed, Detail: "evidence"},
+	}
+	var b strings.Builder
+	if err := WriteReport(&b, rows); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"| keys | kill | failed | started | queued | none |", "- kill, queued, keys (seed 0): evidence", "| keys | pause | not run |"} {
+		if !strings.Contains(b.String(), want) {
+			t.Errorf("report lacks %q", want)
+		}
+	}
+}
