--- a/internal/harness/caller.go
+++ b/internal/harness/caller.go
@@ -98,7 +98,7 @@
 	a := c.send(ctx, at, r)
 	c.rec.Add(history.Event{
 		Kind: history.RequestAnswered, Source: c.Name, Request: id, Ticket: r.Ticket,
-		Verdict: a.Verdict, Code: a.Code, OutputSum: Sum(a.Output), Daemon: at.Daemon,
+		Verdict: a.Verdict, Code: a.Code, OutputSum: history.Sum(a.Output), Daemon: at.Daemon,
 	})
 	return a
 }
@@ -107,10 +107,10 @@
 	id := fmt.Sprintf("%s.%d", c.Name, c.count.Add(1))
 	e := history.Event{
 		Kind: history.RequestSent, Source: c.Name, Request: id, Ticket: ticket, Queue: queue,
-		Key: c.KeyID, Idempotent: idempotent, Daemon: at.Daemon, InputSum: Sum(input),
+		Key: c.KeyID, Idempotent: idempotent, Daemon: at.Daemon, InputSum: history.Sum(input),
 	}
 	if want != nil {
-		e.ExpectSum = Sum(want)
+		e.ExpectSum = history.Sum(want)
 	}
 	c.rec.Add(e)
 	return id
--- a/internal/harness/process.go
+++ b/internal/harness/process.go
@@ -33,31 +33,46 @@
 // startProcess starts a program, appends its output to logPath and waits for
 // its ready line.
 func startProcess(name, path string, args []string, logPath string, ready readyFunc) (*Process, string, error) {
+	address := make(chan string, 1)
+	p, err := spawn(name, path, args, logPath, ready, address)
+	if err != nil {
+		return nil, "", err
+	}
+	select {
+	case a := <-address:
+		return p, a, nil
+	case <-p.done:
+		return nil, "", errors.Errorf("%s ended before it was ready; see %s", name, logPath)
+	case <-time.After(readyTimeout):
+		p.Kill()
+		return nil, "", errors.Errorf("%s not ready in %s; see %s", name, readyTimeout, logPath)
+	}
+}
+
+// launch starts a program without waiting for a ready line.
+func launch(name, path string, args []string, logPath string) (*Process, error) {
+	never := func(string) (string, bool) { return "", false }
+	return spawn(name, path, args, logPath, never, make(chan string, 1))
+}
+
+// spawn starts a program and sends what its first ready line says.
+func spawn(name, path string, args []string, logPath string, ready readyFunc, address chan<- string) (*Process, error) {
 	out, err := os.OpenFile(logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
-		return nil, "", errors.Wrap(err, "open process log")
+		return nil, errors.Wrap(err, "open process log")
 	}
 	cmd := exec.Command(path, args...)
 	cmd.Stderr = out
 	stdout, err := cmd.StdoutPipe()
 	if err != nil {
-		return nil, "", errors.Wrap(err, "open stdout")
+		return nil, errors.Wrap(err, "open stdout")
 	}
 	if err := cmd.Start(); err != nil {
-		return nil, "", errors.Wrapf(err, "start %s", name)
+		return nil, errors.Wrapf(err, "start %s", name)
 	}
 	p := &Process{Name: name, cmd: cmd, done: make(chan struct{})}
-	address := make(chan string, 1)
 	go p.follow(stdout, out, ready, address)
-	select {
-	case a := <-address:
-		return p, a, nil
-	case <-p.done:
-		return nil, "", errors.Errorf("%s ended before it was ready; see %s", name, logPath)
-	case <-time.After(readyTimeout):
-		p.Kill()
-		return nil, "", errors.Errorf("%s not ready in %s; see %s", name, readyTimeout, logPath)
-	}
+	return p, nil
 }
 
 // follow copies the output, reports the ready line and reaps the process.
--- a/internal/harness/recorder.go
+++ b/internal/harness/recorder.go
@@ -1,8 +1,6 @@
 package harness
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"slices"
 	"sync"
 	"time"
@@ -32,9 +30,3 @@
 	defer r.mu.Unlock()
 	return slices.Clone(r.events)
 }
-
-// Sum is the checksum by which outputs are compared.
-func Sum(data []byte) string {
-	sum := sha256.Sum256(data)
-	return hex.EncodeToString(sum[:8])
-}
--- a/internal/history/answer.go
+++ b/internal/history/answer.go
@@ -41,11 +41,18 @@
 	return found
 }
 
+// CodeFailed is the code of a done answer to work that ran and failed, and so
+// has no output.
+const CodeFailed = "task_failed"
+
 // wrongOutput describes a done answer whose output isn't the right one.
 func wrongOutput(request, answer Event, opts Options) string {
 	if answer.Verdict != VerdictDone || answer.Job != "" && answer.Kind == RequestAnswered {
 		return ""
 	}
+	if answer.Code == CodeFailed {
+		return ""
+	}
 	want := request.ExpectSum
 	if want == "" && opts.Expect != nil {
 		want = opts.Expect(request.InputSum)
