Bring every fault about at every step

A fault that strikes at a random moment seldom meets the state that it would break. Each step is brought about by its driver: links that hold requests back, tasks that fill a limit, answers in parts, stops and publications under way. Then the fault strikes, holds for longer than a lease and heals, and the run must recover. Only the seed's choices are random. A run without a fault stands in the matrix as well, since every promise must hold there too.

--- a/Makefile
+++ b/Makefile
@@ -35,3 +35,8 @@
 generate: generate-tools
 	PATH=$(BIN):$$PATH $(BIN)/buf generate
 	./scripts/proto-sums.sh > proto/SUMS
+
+# matrix runs every fault at every step with real processes, prints one row a
+# cell and writes docs/FAULTS.md.
+matrix:
+	./scripts/matrix.sh
--- a/internal/harness/caller.go
+++ b/internal/harness/caller.go
@@ -170,8 +170,9 @@
 	return a
 }
 
-// Run sends a request through the entries in turn, with one ticket, until it
-// is done, until it was refused as "not run" attempts times, or ctx ends.
+// Run sends a request through the entries in turn until it is done, at most
+// attempts times or until ctx ends. A request whose outcome is unknown keeps
+// its ticket; one that was refused as "not run" takes a new one.
 func (c *Caller) Run(ctx context.Context, entries []Entry, r Request, attempts int) Answer {
 	last := Answer{Verdict: history.VerdictUnknown, Code: history.CodeTimeout}
 	for i := 0; i < attempts && ctx.Err() == nil; i++ {
@@ -180,25 +181,39 @@
 			ticket, err := c.Ticket(ctx, at, r.Queue)
 			if err != nil {
 				last = Answer{Verdict: history.VerdictNotRun, Code: "no_ticket", Detail: err.Error()}
-				pause(ctx, retryPause)
+				Pause(ctx, retryPause)
 				continue
 			}
 			r.Ticket = ticket
 		}
-		last = c.Send(ctx, at, r)
-		if last.Verdict == history.VerdictDone {
+		last = c.sendWithin(ctx, at, r)
+		switch last.Verdict {
+		case history.VerdictDone:
 			return last
+		case history.VerdictNotRun:
+			r.Ticket = ""
 		}
-		pause(ctx, max(last.RetryAfter, retryPause))
+		Pause(ctx, max(last.RetryAfter, retryPause))
 	}
 	return last
 }
 
+// sendWithin sends a request once and waits no longer than attemptTimeout
+// beyond its deadline.
+func (c *Caller) sendWithin(ctx context.Context, at Entry, r Request) Answer {
+	ctx, cancel := context.WithTimeout(ctx, r.Deadline+attemptTimeout)
+	defer cancel()
+	return c.Send(ctx, at, r)
+}
+
+// attemptTimeout is how long an answer may take beyond the request's deadline.
+const attemptTimeout = 3 * time.Second
+
 // retryPause is the least time between two attempts.
 const retryPause = 100 * time.Millisecond
 
-// pause waits for d or the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
+// Pause waits for d or the end of ctx.
+func Pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
 	case <-time.After(d):
--- a/internal/harness/daemon.go
+++ b/internal/harness/daemon.go
@@ -204,6 +204,9 @@
 // listenPoll is the time between two tries to reach a starting process.
 const listenPoll = 20 * time.Millisecond
 
+// Stopping reports whether the daemon has ended or was asked to.
+func (d *Daemon) Stopping() bool { return !d.process.alive() }
+
 func (d *Daemon) close() {
 	if d.process != nil {
 		d.process.Kill()
--- a/internal/harness/job.go
+++ b/internal/harness/job.go
@@ -104,7 +104,7 @@
 			c.recordOutcomes(job, status, want)
 			return true
 		}
-		pause(ctx, retryPause)
+		Pause(ctx, retryPause)
 	}
 	return false
 }
--- /dev/null
+++ b/internal/harness/matrix/matrix_test.go
@@ -0,0 +1,135 @@
+package matrix
+
+import (
+	"encoding/json"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/bluebellstile/bluebellstile/internal/harness"
+)
+
+// defaultSeed is the seed of runs that name none.
+const defaultSeed = 20261204
+
+// subset are the cells of the ordinary test run.
+var subset = []Row{
+	{Fault: None, Step: Started},
+	{Fault: None, Step: HandingOver},
+	{Fault: Kill, Step: Started},
+	{Fault: PauseFault, Step: Queued},
+	{Fault: LogDown, Step: Publishing},
+	{Fault: AnswerLost, Step: Answering},
+	{Fault: WorkerDeath, Step: Reserved},
+	{Fault: CutZones, Step: Transferring},
+}
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	harness.RemoveBuilt()
+	os.Exit(code)
+}
+
+// TestMatrix runs the subset, or all cells if BLUEBELLSTILE_MATRIX is "all",
+// or those whose "fault/step" it lists, separated by commas.
+func TestMatrix(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	selected := selectCells(os.Getenv("BLUEBELLSTILE_MATRIX"))
+	seed := envInt(t, "BLUEBELLSTILE_SEED", defaultSeed)
+	gate := make(chan struct{}, envInt(t, "BLUEBELLSTILE_PARALLEL", 2))
+	var mu sync.Mutex
+	results := make(map[int][]Row)
+	t.Run("cells", func(t *testing.T) {
+		for i, cell := range selected {
+			cell.Seed = seed
+			cell.Test = "TestMatrix"
+			t.Run(fileName(cell), func(t *testing.T) {
+				t.Parallel()
+				gate <- struct{}{}
+				defer func() { <-gate }()
+				rows := runAndReport(t, cell)
+				mu.Lock()
+				defer mu.Unlock()
+				results[i] = rows
+			})
+		}
+	})
+	report(t, results)
+}
+
+func runAndReport(t *testing.T, cell Row) []Row {
+	rows, found := RunCell(t, cell)
+	for _, v := range found {
+		evidence, err := json.MarshalIndent(v.Events, "", " ")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Errorf("%s: %s\n%s", v.Promise, v.Detail, evidence)
+	}
+	for _, r := range rows {
+		if r.Promise == PromiseRecovery && r.Verdict != Passed {
+			t.Errorf("%s: %s", r.Promise, r.Detail)
+		}
+	}
+	return rows
+}
+
+// selectCells returns the cells that the choice names.
+func selectCells(choice string) []Row {
+	if choice == "" {
+		return subset
+	}
+	wanted := map[string]bool{}
+	for _, name := range strings.Split(choice, ",") {
+		wanted[name] = true
+	}
+	var out []Row
+	for _, f := range Faults {
+		for _, s := range Steps {
+			name := string(f) + "/" + string(s)
+			if choice == "all" || wanted[name] || wanted[string(f)+"/"] || wanted["/"+string(s)] {
+				out = append(out, Row{Fault: f, Step: s})
+			}
+		}
+	}
+	return out
+}
+
+// report prints the rows and writes them where the environment asks for.
+func report(t *testing.T, results map[int][]Row) {
+	var rows []Row
+	for i := range len(results) {
+		rows = append(rows, results[i]...)
+	}
+	if err := Print(os.Stdout, rows); err != nil {
+		t.Error(err)
+	}
+	if path := os.Getenv("BLUEBELLSTILE_FAULTS_PAGE"); path != "" {
+		page, err := os.Create(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := WriteReport(page, rows); err != nil {
+			t.Error(err)
+		}
+		if err := page.Close(); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+func envInt(t *testing.T, name string, fallback int64) int64 {
+	text := os.Getenv(name)
+	if text == "" {
+		return fallback
+	}
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || n < 1 {
+		t.Fatalf("%s=%q is not a positive whole number", name, text)
+	}
+	return n
+}
--- a/internal/harness/matrix/report.go
+++ b/internal/harness/matrix/report.go
@@ -24,13 +24,22 @@
 
 func writeTable(b *strings.Builder, rows []Row) {
 	b.WriteString("## Promise by fault\n\n| promise | fault | verdict | steps passed | steps failed | steps not run | test | seed |\n| --- | --- | --- | --- | --- | --- | --- | --- |\n")
-	for _, c := range history.Checkers() {
+	for _, promise := range promises() {
 		for _, f := range Faults {
-			writeLine(b, c.Promise, f, rows)
+			writeLine(b, promise, f, rows)
 		}
 	}
 }
 
+// promises returns the names in the order of the report.
+func promises() []string {
+	var out []string
+	for _, c := range history.Checkers() {
+		out = append(out, c.Promise)
+	}
+	return append(out, PromiseRecovery)
+}
+
 func writeLine(b *strings.Builder, promise string, fault Fault, rows []Row) {
 	steps := map[Verdict][]string{}
 	test, seed := "", int64(0)
--- a/internal/harness/matrix/row.go
+++ b/internal/harness/matrix/row.go
@@ -14,6 +14,8 @@
 
 // Faults.
 const (
+	// None is the run without a fault, which every promise must pass too.
+	None              Fault = "none"
 	Kill              Fault = "kill"
 	PauseFault        Fault = "pause"
 	CutZones          Fault = "cut zone from zone"
@@ -33,7 +35,7 @@
 
 // Faults lists every fault in the order of the report.
 var Faults = []Fault{
-	Kill, PauseFault, CutZones, CutPlatform, CutOneWay, LogDown, LogSlow, AnswerLost, ListWrong,
+	None, Kill, PauseFault, CutZones, CutPlatform, CutOneWay, LogDown, LogSlow, AnswerLost, ListWrong,
 	WorkerDeath, WorkerFails, OperatorsRacing, CancellationWave, AllTogether, TwiceInSuccession,
 }
 
@@ -85,6 +87,11 @@
 	Detail string `json:"detail,omitempty"`
 }
 
+// fileName is a name for files about a cell.
+func fileName(r Row) string {
+	return strings.ReplaceAll(fmt.Sprintf("%s--%s", r.Fault, r.Step), " ", "-")
+}
+
 func (r Row) String() string {
 	return fmt.Sprintf("%-24s %-22s %-18s %s", r.Fault, r.Step, r.Promise, r.Verdict)
 }
@@ -92,6 +99,7 @@
 // Print writes the rows and the count line.
 func Print(w io.Writer, rows []Row) error {
 	var b strings.Builder
+	b.WriteString("fault matrix:\n")
 	for _, r := range rows {
 		fmt.Fprintln(&b, r)
 	}
--- /dev/null
+++ b/internal/harness/matrix/run.go
@@ -0,0 +1,108 @@
+package matrix
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/bluebellstile/bluebellstile/internal/harness"
+	"github.com/bluebellstile/bluebellstile/internal/history"
+)
+
+const (
+	// cellTimeout bounds one cell of the matrix.
+	cellTimeout = 100 * time.Second
+	// recoveryTimeout bounds the time from the end of the fault until every
+	// daemon serves again and every accepted job has its outcome.
+	recoveryTimeout = 30 * time.Second
+	// warmUp is how long the load runs before the step is brought about.
+	warmUp = 500 * time.Millisecond
+)
+
+// PromiseRecovery is the row on whether a cell serves again once a fault has
+// ended. It is no promise of its own, but no other row counts without it.
+const PromiseRecovery = "recovery"
+
+// RunCell runs one cell and returns its rows and the violations found.
+func RunCell(t testing.TB, cell Row) ([]Row, []history.Violation) {
+	ctx, cancel := context.WithTimeout(context.Background(), cellTimeout)
+	defer cancel()
+	opts := harness.DefaultOptions()
+	opts.Dir = os.Getenv("BLUEBELLSTILE_MATRIX_DIR")
+	if opts.Dir != "" {
+		opts.Dir = filepath.Join(opts.Dir, fileName(cell))
+	}
+	w, err := newWorld(ctx, t, cell.Seed, opts)
+	if err != nil {
+		return withRecovery(notRun(cell, "not reached: "+err.Error()), cell, err), nil
+	}
+	w.startLoad()
+	harness.Pause(ctx, warmUp)
+	if err := w.strikeAt(cell); err != nil {
+		w.endLoad()
+		return withRecovery(notRun(cell, "not reached: "+err.Error()), cell, nil), nil
+	}
+	recovery := w.awaitServing(recoveryTimeout)
+	w.endLoad()
+	w.awaitJobs(harness.Within(ctx, recoveryTimeout))
+	events, err := w.History()
+	if err != nil {
+		return withRecovery(notRun(cell, err.Error()), cell, err), nil
+	}
+	keep(opts.Dir, events)
+	rows, found := judge(cell, events, checkOptions(recovery == nil))
+	return withRecovery(rows, cell, recovery), found
+}
+
+// strikeAt brings the step about, strikes, holds and heals.
+func (w *world) strikeAt(cell Row) error {
+	release, err := steps[cell.Step](w)
+	if err != nil {
+		return err
+	}
+	heal, err := strikes[cell.Fault](w)
+	if err != nil {
+		return err
+	}
+	harness.Pause(w.ctx, hold)
+	if err := heal(); err != nil {
+		return err
+	}
+	return release()
+}
+
+// withRecovery adds the row on recovery.
+func withRecovery(rows []Row, cell Row, err error) []Row {
+	row := cell
+	row.Promise = PromiseRecovery
+	row.Verdict = Passed
+	switch {
+	case err != nil:
+		row.Verdict = Failed
+		row.Detail = err.Error()
+	case len(rows) > 0 && rows[0].Verdict == NotRun && rows[0].Detail != "":
+		row.Verdict = NotRun
+		row.Detail = rows[0].Detail
+	}
+	return append(rows, row)
+}
+
+// keep writes the merged history beside the logs of a cell, if there is a
+// folder for it.
+func keep(dir string, events []history.Event) {
+	if dir == "" {
+		return
+	}
+	file, err := os.Create(filepath.Join(dir, "merged.history"))
+	if err != nil {
+		return
+	}
+	defer func() { _ = file.Close() }()
+	out := json.NewEncoder(file)
+	for _, e := range events {
+		_ = out.Encode(e)
+	}
+}
--- a/internal/harness/process.go
+++ b/internal/harness/process.go
@@ -24,6 +24,8 @@
 
 	mu   sync.Mutex
 	gone bool
+	// stopping is set once the process was asked to stop.
+	stopping bool
 }
 
 // readyFunc finds the address in the line by which a process says that it is
@@ -118,7 +120,19 @@
 func (p *Process) Resume() { p.signal(syscall.SIGCONT) }
 
 // Terminate asks the process to stop.
-func (p *Process) Terminate() { p.signal(syscall.SIGTERM) }
+func (p *Process) Terminate() {
+	p.mu.Lock()
+	p.stopping = true
+	p.mu.Unlock()
+	p.signal(syscall.SIGTERM)
+}
+
+// alive reports whether the process runs and hasn't been asked to stop.
+func (p *Process) alive() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.gone && !p.stopping
+}
 
 // Wait reports whether the process ended within limit.
 func (p *Process) Wait(limit time.Duration) bool {
--- a/internal/harness/standins.go
+++ b/internal/harness/standins.go
@@ -91,6 +91,9 @@
 	history string
 }
 
+// Alive reports whether the process runs and hasn't been asked to stop.
+func (n *standinNode) Alive() bool { return n.process.alive() }
+
 func (c *Cell) startLog() error {
 	c.logNode = &standinNode{name: LogName, args: []string{"log"}}
 	if err := c.logNode.start(c.bins.Standin, c.path("log.out")); err != nil {
