--- /dev/null
+++ b/internal/server/keeper.go
@@ -0,0 +1,156 @@
+package server
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/bluebellstile/bluebellstile/internal/cell"
+	"github.com/bluebellstile/bluebellstile/internal/claimant"
+	"github.com/bluebellstile/bluebellstile/internal/endpoint"
+	"github.com/bluebellstile/bluebellstile/internal/holder"
+	"github.com/bluebellstile/bluebellstile/internal/placement"
+	"github.com/bluebellstile/bluebellstile/internal/record"
+	"github.com/bluebellstile/bluebellstile/internal/zone"
+	"gopkg.in/tomb.v2"
+)
+
+const (
+	// liveWithin is the silence after which a daemon is no successor.
+	liveWithin = time.Second
+	// handOverPoll is how often a hand-over looks whether it has been applied.
+	handOverPoll = 20 * time.Millisecond
+)
+
+// keeper runs a term while the log says that this daemon holds its zone.
+type keeper struct {
+	server *Server
+
+	mu   sync.Mutex
+	term *holder.Term
+	// ended are terms that are being stopped.
+	ended sync.WaitGroup
+}
+
+// newKeeper returns a keeper without a term.
+func newKeeper(s *Server) *keeper { return &keeper{server: s} }
+
+// current returns the running term, nil if there is none.
+func (k *keeper) current() *holder.Term {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.term
+}
+
+// observe follows the claims on the zone in log order and passes every effect
+// to the running term.
+func (k *keeper) observe(effect cell.Effect) {
+	if effect.Kind == record.KindClaim && effect.Zone == k.server.self.AvailabilityZone && effect.Valid {
+		k.follow()
+	}
+	if effect.Installed || effect.Restarted {
+		k.follow()
+	}
+	if term := k.current(); term != nil {
+		term.Observe(effect)
+	}
+}
+
+// follow starts or ends the term that the current claim asks for.
+func (k *keeper) follow() {
+	claim, held := k.server.journal.State().Epoch(k.server.self.AvailabilityZone)
+	mine := held && claim.Holder == k.server.self.Holder()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.term != nil && (!mine || k.term.Epoch() != claim.Epoch) {
+		k.end(holder.ErrSuperseded)
+	}
+	if mine && k.term == nil && !k.server.leaving.Load() {
+		k.term = k.newTerm(claim)
+		k.term.Start()
+	}
+}
+
+// end stops the running term in the background; the caller holds the lock.
+func (k *keeper) end(reason error) {
+	term := k.term
+	k.term = nil
+	k.ended.Go(func() { term.Stop(reason) })
+}
+
+// newTerm makes a term under a claim.
+func (k *keeper) newTerm(claim zone.Claim) *holder.Term {
+	s := k.server
+	return holder.NewTerm(holder.Settings{
+		AvailabilityZone: s.self.AvailabilityZone,
+		Holder:           s.self.Holder(),
+		Lease:            s.settings.Zone.Lease,
+		Heartbeat:        s.settings.Zone.Heartbeat,
+	}, holder.Dependencies{
+		Journal:   s.journal,
+		Directory: s.directory,
+		Dial:      func(address string) holder.EndpointClient { return endpoint.NewClient(address) },
+		Authorize: s.guard.Recheck,
+		RequestTransfer: func(ctx context.Context, from, team string, amount int64) (int64, error) {
+			return s.router.RequestTransfer(ctx, from, team, amount)
+		},
+		MaxWaiting: s.waitingLimit,
+		Log:        s.log,
+	}, placement.New(), claim)
+}
+
+// run drops a term that has ended by itself, as when an endpoint showed a
+// higher epoch.
+func (k *keeper) run(t *tomb.Tomb) error {
+	ticker := time.NewTicker(handOverPoll)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-t.Dying():
+			return nil
+		case <-ticker.C:
+		}
+		k.mu.Lock()
+		if k.term != nil {
+			select {
+			case <-k.term.Dying():
+				k.end(holder.ErrSuperseded)
+			default:
+			}
+		}
+		k.mu.Unlock()
+	}
+}
+
+// handOver claims the zone for another daemon of it, so that there is no gap,
+// and waits until the log shows that. Without a successor the zone stays
+// with this daemon until it ends.
+func (k *keeper) handOver(ctx context.Context) {
+	term := k.current()
+	if term == nil {
+		return
+	}
+	s := k.server
+	for _, m := range s.table.Live(s.self.AvailabilityZone, liveWithin) {
+		if m.Instance == s.self.Instance || m.Address == "" {
+			continue
+		}
+		term.Quiesce(ctx)
+		successor := m.Instance + "/" + m.Incarnation
+		effect, err := s.journal.Append(ctx, claimant.Envelope(s.self.AvailabilityZone, successor, m.Address, term.Epoch()))
+		s.log.Info("zone handed over", "to", successor, "epoch", effect.Offset, "valid", effect.Valid, "error", err)
+		if err == nil {
+			return
+		}
+	}
+}
+
+// stop ends the running term, if any, and waits for all terms to end.
+func (k *keeper) stop() {
+	k.mu.Lock()
+	if k.term != nil {
+		k.end(holder.ErrSuperseded)
+	}
+	k.mu.Unlock()
+	k.ended.Wait()
+}
--- /dev/null
+++ b/internal/server/server.go
@@ -0,0 +1,251 @@
+// Package server composes a daemon from its parts and runs it.
+package server
+
+import (
+	"context"
+	"crypto/tls"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/bluebellstile/bluebellstile/internal/admin"
+	"github.com/bluebellstile/bluebellstile/internal/api"
+	"github.com/bluebellstile/bluebellstile/internal/auth"
+	"github.com/bluebellstile/bluebellstile/internal/cell"
+	"github.com/bluebellstile/bluebellstile/internal/claimant"
+	"github.com/bluebellstile/bluebellstile/internal/journal"
+	"github.com/bluebellstile/bluebellstile/internal/membership"
+	"github.com/bluebellstile/bluebellstile/internal/peer"
+	"github.com/bluebellstile/bluebellstile/internal/platform"
+	"github.com/bluebellstile/bluebellstile/internal/router"
+	"github.com/bluebellstile/bluebellstile/internal/settings"
+	"github.com/pkg/errors"
+	"gopkg.in/tomb.v2"
+)
+
+const (
+	// headerTimeout bounds the reading of a request's headers.
+	headerTimeout = 5 * time.Second
+	// idleTimeout closes callers' connections that are not used.
+	idleTimeout = 2 * time.Minute
+	// bodyTimeout bounds the reading of a request's body.
+	bodyTimeout = 30 * time.Second
+	// relayStale is the age of freshness at which a daemon reads the log
+	// itself instead of through another.
+	relayStale = 2 * time.Second
+)
+
+// Server is a daemon. Create it with New, then Start it and Stop it once.
+type Server struct {
+	settings *settings.Settings
+	level    *slog.LevelVar
+	log      *slog.Logger
+	self     peer.Identity
+	tomb     *tomb.Tomb
+
+	platform   *platform.Client
+	journal    *journal.Journal
+	directory  *membership.Directory
+	table      *membership.Table
+	clients    *peer.Clients
+	heart      *peer.Heart
+	relay      *peer.Relay
+	router     *router.Router
+	guard      *auth.Guard
+	keeper     *keeper
+	claimant   *claimant.Claimant
+	maxWaiting atomic.Int64
+	leaving    atomic.Bool
+
+	api   *listener
+	peer  *listener
+	admin *listener
+}
+
+// New composes a daemon. Its listeners are bound, so that their addresses are
+// known, but nothing runs before Start.
+func New(s *settings.Settings, level *slog.LevelVar, logger *slog.Logger) (*Server, error) {
+	tlsServer, tlsClient, err := peerTLS(s.TLS)
+	if err != nil {
+		return nil, err
+	}
+	srv := &Server{settings: s, level: level, tomb: new(tomb.Tomb)}
+	srv.maxWaiting.Store(int64(s.Limits.MaxWaiting))
+	if err := srv.bind(); err != nil {
+		return nil, err
+	}
+	srv.self = peer.Identity{
+		Instance:         s.Instance.ID,
+		Incarnation:      journal.NewID(),
+		AvailabilityZone: s.Instance.Zone,
+		Region:           s.Instance.Region,
+		Address:          srv.peer.address(),
+	}
+	srv.log = logger.With("instance", srv.self.Instance, "incarnation", srv.self.Incarnation)
+	srv.compose(tlsClient)
+	srv.serve(tlsServer)
+	return srv, nil
+}
+
+// bind opens the listeners.
+func (s *Server) bind() error {
+	for _, l := range []struct {
+		to      **listener
+		address string
+	}{{&s.api, s.settings.Listen.API}, {&s.peer, s.settings.Listen.Peer}, {&s.admin, s.settings.Listen.Admin}} {
+		bound, err := net.Listen("tcp", l.address)
+		if err != nil {
+			s.closeListeners()
+			return errors.Wrapf(err, "listen on %s; choose a free address in [listen]", l.address)
+		}
+		*l.to = &listener{net: bound}
+	}
+	return nil
+}
+
+// closeListeners closes the listeners that are open.
+func (s *Server) closeListeners() {
+	for _, l := range []*listener{s.api, s.peer, s.admin} {
+		if l != nil {
+			_ = l.net.Close()
+		}
+	}
+}
+
+// compose makes the parts and connects them.
+func (s *Server) compose(tlsClient *tls.Config) {
+	s.platform = platform.NewClient(s.settings.Platform.LogURL, s.settings.Platform.ListURL)
+	s.directory = membership.NewDirectory(s.platform, s.log)
+	s.table = membership.NewTable()
+	s.journal = journal.New(s.platform, cell.New(), s.log)
+	s.clients = peer.NewClients(tlsClient, s.linkOf)
+	s.heart = peer.NewHeart(s.self, s.journal, s.table, s.directory, s.clients, s.standing)
+	s.relay = peer.NewRelay(s.self, s.platform, s.clients, s.table, s.directory, relayStale, s.journal.Fresh)
+	s.guard = auth.NewGuard(s.journal.State(), s.doubt, s.settings.Freshness.KeyBound)
+	s.keeper = newKeeper(s)
+	s.router = router.New(s.self, s.journal.State(), s.table, s.clients, s.heart, s.keeper.current, s.log)
+	s.claimant = claimant.New(s.self, s.settings.Zone.TakeoverAfter, s.journal, s.table, s.standing, s.log)
+	s.journal.Observe(s.keeper.observe)
+}
+
+// serve makes the HTTP servers.
+func (s *Server) serve(tlsServer *tls.Config) {
+	limits := api.Limits{
+		MaxBodyBytes:   int64(s.settings.Limits.MaxBodyBytes),
+		MaxWaiting:     s.waitingLimit,
+		RequestTimeout: s.settings.Limits.RequestTimeout,
+	}
+	callers := api.New(s.guard, s.router, limits, s.leaving.Load, s.log)
+	s.api.http = &http.Server{
+		Handler:           callers.Handler(),
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       bodyTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    s.settings.Limits.MaxHeaderBytes,
+	}
+	mux := http.NewServeMux()
+	mux.Handle(peer.NewServer(s.heart, s.table, s.journal, s.keeper.current, s.self.AvailabilityZone, s.router.LocalJob).Handler())
+	s.peer.http = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, Protocols: peerProtocols(tlsServer), TLSConfig: tlsServer}
+	operators := admin.New(admin.Dependencies{
+		Self:      s.self,
+		Journal:   s.journal,
+		Guard:     s.guard,
+		Directory: s.directory,
+		Clients:   s.clients,
+		Ready:     s.notReady,
+		Level:     s.level,
+		Log:       s.log,
+	})
+	s.admin.http = &http.Server{Handler: operators.Handler(), ReadHeaderTimeout: headerTimeout}
+}
+
+// peerProtocols is HTTP/2, without TLS if there is no configuration for it.
+func peerProtocols(tlsServer *tls.Config) *http.Protocols {
+	p := new(http.Protocols)
+	p.SetHTTP1(true)
+	p.SetHTTP2(tlsServer != nil)
+	p.SetUnencryptedHTTP2(tlsServer == nil)
+	return p
+}
+
+// Start runs the daemon's parts.
+func (s *Server) Start() {
+	for _, run := range []func() error{
+		func() error { return s.directory.Run(s.tomb) },
+		func() error { return s.journal.Run(s.tomb, s.relay.Choose) },
+		func() error { return s.heart.Run(s.tomb) },
+		func() error { return s.claimant.Run(s.tomb) },
+		func() error { return s.keeper.run(s.tomb) },
+		func() error { return s.runGauges(s.tomb) },
+		s.api.serve, s.peer.serve, s.admin.serve,
+	} {
+		s.tomb.Go(run)
+	}
+	s.log.Info("daemon started", "zone", s.self.AvailabilityZone, "api", s.api.address(), "peer", s.peer.address(), "admin", s.admin.address())
+}
+
+// Addresses are where the daemon listens.
+func (s *Server) Addresses() (apiAddress, peerAddress, adminAddress string) {
+	return s.api.address(), s.peer.address(), s.admin.address()
+}
+
+// Dying is closed when the daemon fails or is stopped.
+func (s *Server) Dying() <-chan struct{} { return s.tomb.Dying() }
+
+// Stop shuts the daemon down gracefully: it takes no new callers, hands the
+// zone over, finishes what is in flight within the drain timeout and ends.
+func (s *Server) Stop(ctx context.Context) error {
+	s.leaving.Store(true)
+	s.log.Info("daemon stops", "drain_timeout", s.settings.Limits.DrainTimeout)
+	ctx, cancel := context.WithTimeout(ctx, s.settings.Limits.DrainTimeout)
+	defer cancel()
+	s.keeper.handOver(ctx)
+	err := s.api.http.Shutdown(ctx)
+	s.keeper.stop()
+	if shutdownErr := s.peer.http.Shutdown(ctx); err == nil {
+		err = shutdownErr
+	}
+	s.tomb.Kill(nil)
+	_ = s.admin.http.Close()
+	_ = s.peer.http.Close()
+	_ = s.api.http.Close()
+	if waitErr := s.tomb.Wait(); err == nil {
+		err = waitErr
+	}
+	s.clients.Close()
+	return errors.Wrap(err, "graceful shutdown")
+}
+
+// Reload takes over the settings that can change at run time.
+func (s *Server) Reload(next *settings.Settings) {
+	merged, restart := s.settings.Reload(next)
+	s.settings = merged
+	s.level.Set(merged.Log.Level)
+	s.maxWaiting.Store(int64(merged.Limits.MaxWaiting))
+	s.log.Info("settings reloaded", "need_restart", restart)
+}
+
+// listener is one bound address and its HTTP server.
+type listener struct {
+	net  net.Listener
+	http *http.Server
+}
+
+// address is where the listener is bound.
+func (l *listener) address() string { return l.net.Addr().String() }
+
+// serve answers connections until the server is shut down.
+func (l *listener) serve() error {
+	var err error
+	if l.http.TLSConfig != nil {
+		err = l.http.ServeTLS(l.net, "", "")
+	} else {
+		err = l.http.Serve(l.net)
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
