End calls of a superseded holder at once and stop in two stages

Cause: with the holder stopped by SIGSTOP a request took 4.1 s, because the front door waited for its connection check before it asked the new holder; a stopping daemon closed its listener before the balancer could notice. Ruled out: shorter connection checks, which cost messages on every link. Change: a claim read from the log cancels calls of the holder before it; shutdown reports not ready for a second before the listener closes.

--- a/cmd/bluebellstiled/main.go
+++ b/cmd/bluebellstiled/main.go
@@ -61,13 +61,21 @@
 
 // newLogger returns a logger to standard error.
 func newLogger(format settings.LogFormat, level *slog.LevelVar) *slog.Logger {
-	options := &slog.HandlerOptions{Level: level}
+	options := &slog.HandlerOptions{Level: level, ReplaceAttr: plainErrors}
 	if format == settings.LogJSON {
 		return slog.New(slog.NewJSONHandler(os.Stderr, options))
 	}
 	return slog.New(slog.NewTextHandler(os.Stderr, options))
 }
 
+// plainErrors logs the message of an error without its stack.
+func plainErrors(_ []string, a slog.Attr) slog.Attr {
+	if err, ok := a.Value.Any().(error); ok {
+		a.Value = slog.StringValue(err.Error())
+	}
+	return a
+}
+
 // addresses is the line by which the daemon says where it listens.
 type addresses struct {
 	API   string `json:"api"`
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -33,8 +33,8 @@
 	Clients   *peer.Clients
 	// Ready says why the daemon should get no requests, or "".
 	Ready func() string
-	Level  *slog.LevelVar
-	Log    *slog.Logger
+	Level *slog.LevelVar
+	Log   *slog.Logger
 }
 
 // Admin serves operators. It is safe for concurrent use.
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -4,7 +4,7 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
+	"github.com/pkg/errors"
 	"io"
 	"log/slog"
 	"net/http"
--- a/internal/api/jobs.go
+++ b/internal/api/jobs.go
@@ -199,20 +199,15 @@
 	if p != nil {
 		return "", p
 	}
-	control := http.NewResponseController(w)
 	w.Header().Set("Content-Type", "application/x-ndjson")
 	w.WriteHeader(http.StatusOK)
 	var sent *peerv1.JobStatusResponse
 	for {
-		if sent == nil || !proto.Equal(sent, status) {
-			if json.NewEncoder(w).Encode(statusBody(status)) != nil || control.Flush() != nil {
-				return "", nil
-			}
-			sent = status
-		}
-		if status.State != "running" || a.leaving() {
+		written := proto.Equal(sent, status) || writeLine(w, status)
+		if !written || status.State != "running" || a.leaving() {
 			return "", nil
 		}
+		sent = status
 		select {
 		case <-r.Context().Done():
 			return "", nil
@@ -224,6 +219,15 @@
 	}
 }
 
+// writeLine writes a job's state as one JSON line; it reports false if the
+// caller has gone.
+func writeLine(w http.ResponseWriter, status *peerv1.JobStatusResponse) bool {
+	if json.NewEncoder(w).Encode(statusBody(status)) != nil {
+		return false
+	}
+	return http.NewResponseController(w).Flush() == nil
+}
+
 // deleteJob cancels a job of the caller's team.
 func (a *API) deleteJob(w http.ResponseWriter, r bunrouter.Request) (string, *problem.Problem) {
 	team, _, p := a.guard.Team(secret(r.Request))
--- a/internal/holder/batcher.go
+++ b/internal/holder/batcher.go
@@ -85,10 +85,3 @@
 	defer b.mu.Unlock()
 	b.waiting = append(again, b.waiting...)
 }
-
-// len counts the queued entries.
-func (b *batcher[E]) len() int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return len(b.waiting)
-}
--- a/internal/holder/commit.go
+++ b/internal/holder/commit.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"errors"
+	"github.com/pkg/errors"
 	"time"
 
 	"github.com/bluebellstile/bluebellstile/internal/cell"
--- a/internal/holder/gate.go
+++ b/internal/holder/gate.go
@@ -18,16 +18,16 @@
 
 // parseRosterID splits a roster id; an id that can't be read counts as an
 // endpoint of workerSlots tasks.
-func parseRosterID(id string) (endpointID, incarnation string, tasks int64) {
+func parseRosterID(id string) (endpointID string, tasks int64) {
 	fields := strings.Split(id, "@")
 	if len(fields) != 3 {
-		return id, "", workerSlots
+		return id, workerSlots
 	}
 	tasks, err := strconv.ParseInt(fields[2], 10, 64)
 	if err != nil {
 		tasks = workerSlots
 	}
-	return fields[0], fields[1], tasks
+	return fields[0], tasks
 }
 
 // gate holds back the previous terms' work until it is known what the
@@ -58,7 +58,7 @@
 func (g *gate) charge() int64 {
 	total := int64(0)
 	for id := range g.pending {
-		_, _, tasks := parseRosterID(id)
+		_, tasks := parseRosterID(id)
 		total += tasks
 	}
 	return total
@@ -68,7 +68,7 @@
 // adopted, and all others as lost. It returns the lost ones.
 func (g *gate) account(endpointID, adopted string) (lost []string) {
 	for id := range g.pending {
-		name, _, _ := parseRosterID(id)
+		name, _ := parseRosterID(id)
 		if name != endpointID {
 			continue
 		}
@@ -86,7 +86,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id := range t.gate.pending {
-		name, _, _ := parseRosterID(id)
+		name, _ := parseRosterID(id)
 		if !t.deps.Directory.Gone(name, goneBound, t.gate.since) {
 			continue
 		}
--- a/internal/holder/request.go
+++ b/internal/holder/request.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
-	"errors"
+	"github.com/pkg/errors"
 	"time"
 
 	"github.com/bluebellstile/bluebellstile/internal/endpoint"
--- a/internal/holder/sender.go
+++ b/internal/holder/sender.go
@@ -102,7 +102,7 @@
 	if len(batch) == 0 {
 		return nil
 	}
-	ctx, cancel := s.context(callTimeout)
+	ctx, cancel := s.context()
 	defer cancel()
 	response, err := s.client.Start(ctx, &endpoint.StartRequest{Session: s.sessionNumber(), Epoch: s.term.epoch, Tasks: batch})
 	if err != nil {
@@ -124,7 +124,7 @@
 		if len(ids) == 0 {
 			continue
 		}
-		ctx, cancel := s.context(callTimeout)
+		ctx, cancel := s.context()
 		response, err := s.client.Stop(ctx, &endpoint.StopRequest{Session: s.sessionNumber(), Epoch: s.term.epoch, Action: action, IDs: ids})
 		cancel()
 		if err != nil {
@@ -146,7 +146,7 @@
 	if len(ids) == 0 {
 		return nil
 	}
-	ctx, cancel := s.context(callTimeout)
+	ctx, cancel := s.context()
 	defer cancel()
 	if err := s.client.Ack(ctx, &endpoint.AckRequest{Session: s.sessionNumber(), Epoch: s.term.epoch, IDs: ids}); err != nil {
 		return s.commandError(err)
--- a/internal/holder/session.go
+++ b/internal/holder/session.go
@@ -96,7 +96,9 @@
 		}
 		backoff = attachBackoffMin
 		err = s.connected(response)
-		t.log.Info("endpoint session ends", "endpoint", s.id, "reason", err)
+		if err != nil {
+			t.log.Info("endpoint session ends", "endpoint", s.id, "reason", err)
+		}
 		t.setUsable(s, false)
 		if errors.Is(err, errLapsed) {
 			s.countLapse()
@@ -107,7 +109,7 @@
 
 // attach asks the endpoint for its inventory under the term's epoch.
 func (s *session) attach() (*endpoint.AttachResponse, error) {
-	ctx, cancel := s.context(callTimeout)
+	ctx, cancel := s.context()
 	defer cancel()
 	return s.client.Attach(ctx, &endpoint.AttachRequest{
 		AvailabilityZone: s.term.settings.AvailabilityZone,
@@ -189,7 +191,7 @@
 		LeaseMS:    s.term.settings.Lease.Milliseconds(),
 	}
 	s.mu.Unlock()
-	ctx, cancel := s.context(callTimeout)
+	ctx, cancel := s.context()
 	defer cancel()
 	response, err := s.client.Heartbeat(ctx, request)
 	if err != nil {
@@ -306,7 +308,7 @@
 	return err
 }
 
-// context returns a context that ends with the term.
-func (s *session) context(timeout time.Duration) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(s.term.tomb.Context(context.Background()), timeout)
+// context returns the context of one command, which ends with the term.
+func (s *session) context() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(s.term.tomb.Context(context.Background()), callTimeout)
 }
--- a/internal/router/jobs.go
+++ b/internal/router/jobs.go
@@ -40,7 +40,7 @@
 		if p.Code != problem.Moved && p.Code != problem.LogOutcomeUnknown && p.Code != problem.NoHolder {
 			return "", last
 		}
-		if !pause(ctx, retryPause) {
+		if !pause(ctx) {
 			return "", last
 		}
 	}
@@ -173,7 +173,7 @@
 	defer cancel()
 	for {
 		p := r.cancelOnce(ctx, m)
-		if p == nil || (p.Code != problem.Moved && p.Code != problem.NoHolder) || !pause(ctx, retryPause) {
+		if p == nil || (p.Code != problem.Moved && p.Code != problem.NoHolder) || !pause(ctx) {
 			return p
 		}
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"connectrpc.com/connect"
-	peerv1 "github.com/bluebellstile/bluebellstile/internal/gen/peer/v1"
 	"github.com/bluebellstile/bluebellstile/internal/cell"
 	"github.com/bluebellstile/bluebellstile/internal/endpoint"
+	peerv1 "github.com/bluebellstile/bluebellstile/internal/gen/peer/v1"
 	"github.com/bluebellstile/bluebellstile/internal/holder"
 	"github.com/bluebellstile/bluebellstile/internal/membership"
 	"github.com/bluebellstile/bluebellstile/internal/metrics"
@@ -43,6 +43,7 @@
 	heart   *peer.Heart
 	term    peer.TermOf
 	log     *slog.Logger
+	claims  claimWatch
 }
 
 // New returns a router for the daemon self.
@@ -90,7 +91,7 @@
 		if t, ok := r.tryMint(ctx, zone); ok {
 			return t, nil
 		}
-		if !pause(ctx, retryPause) {
+		if !pause(ctx) {
 			return ticket.Ticket{}, noHolder(zone)
 		}
 	}
@@ -204,7 +205,7 @@
 				request.NotStartedEpoch, sent = a.response.NotStartedEpoch, false
 			}
 		}
-		if time.Now().After(until) || !pause(ctx, retryPause) {
+		if time.Now().After(until) || !pause(ctx) {
 			return Answer{Ticket: t, Problem: r.outOfTime(t, sent)}
 		}
 	}
@@ -255,6 +256,7 @@
 	request.DeadlineMs = max(time.Until(until).Milliseconds(), 1)
 	ctx, cancel := context.WithDeadline(ctx, until.Add(answerGrace))
 	defer cancel()
+	defer context.AfterFunc(r.claims.until(claim), cancel)()
 	response, err := r.clients.To(claim.Address).Run(ctx, connect.NewRequest(request))
 	if err != nil {
 		metrics.PeerFailures.Add(1)
@@ -272,9 +274,9 @@
 	return r.term()
 }
 
-// pause waits for d; it reports false if ctx ends first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
+// pause waits between two attempts; it reports false if ctx ends first.
+func pause(ctx context.Context) bool {
+	timer := time.NewTimer(retryPause)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -35,6 +35,9 @@
 	// relayStale is the age of freshness at which a daemon reads the log
 	// itself instead of through another.
 	relayStale = 2 * time.Second
+	// lameDuck is how long a stopping daemon that reports itself not ready
+	// still takes callers, for the balancer to notice.
+	lameDuck = time.Second
 )
 
 // Server is a daemon. Create it with New, then Start it and Stop it once.
@@ -128,6 +131,7 @@
 	s.router = router.New(s.self, s.journal.State(), s.table, s.clients, s.heart, s.keeper.current, s.log)
 	s.claimant = claimant.New(s.self, s.settings.Zone.TakeoverAfter, s.journal, s.table, s.standing, s.log)
 	s.journal.Observe(s.keeper.observe)
+	s.journal.Observe(s.router.Observe)
 }
 
 // serve makes the HTTP servers.
@@ -202,6 +206,7 @@
 	ctx, cancel := context.WithTimeout(ctx, s.settings.Limits.DrainTimeout)
 	defer cancel()
 	s.keeper.handOver(ctx)
+	waitFor(ctx, lameDuck)
 	err := s.api.http.Shutdown(ctx)
 	s.keeper.stop()
 	if shutdownErr := s.peer.http.Shutdown(ctx); err == nil {
@@ -218,6 +223,14 @@
 	return errors.Wrap(err, "graceful shutdown")
 }
 
+// waitFor waits for d or the end of ctx.
+func waitFor(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
 // Reload takes over the settings that can change at run time.
 func (s *Server) Reload(next *settings.Settings) {
 	merged, restart := s.settings.Reload(next)
--- a/internal/server/standing.go
+++ b/internal/server/standing.go
@@ -63,16 +63,16 @@
 
 // linkOf labels the link to another daemon for the byte counters.
 func (s *Server) linkOf(address string) string {
-	for _, i := range s.directory.Listed(func(i platform.Instance) bool { return i.Address == address }) {
-		switch {
-		case i.AvailabilityZone == s.self.AvailabilityZone:
-			return "zone"
-		case i.Region == s.self.Region:
-			return "region"
-		}
-		return "remote"
+	found := s.directory.Listed(func(i platform.Instance) bool { return i.Address == address })
+	switch {
+	case len(found) == 0:
+		return "unlisted"
+	case found[0].AvailabilityZone == s.self.AvailabilityZone:
+		return "zone"
+	case found[0].Region == s.self.Region:
+		return "region"
 	}
-	return "unlisted"
+	return "remote"
 }
 
 // runGauges sets the gauges that change with time alone.
