Reach a holder by the address that the list gives

Cause: a claim carries the address that its holder knows of itself; the list is the platform's word and what the links of a zone are described by. Ruled out: dropping the address from claims, since the list may lack a holder. Change: the list's address first, the claim's when the list has none.

--- a/internal/admin/zones.go
+++ b/internal/admin/zones.go
@@ -128,7 +128,7 @@
 	var wait sync.WaitGroup
 	for i, claim := range claims {
 		wait.Go(func() {
-			instance := platform.Instance{Address: claim.Address, AvailabilityZone: claim.Zone}
+			instance := platform.Instance{Address: a.deps.Directory.Resolve(claim.Holder, claim.Address), AvailabilityZone: claim.Zone}
 			out[i] = statusOf(claim.Zone, a.ask(ctx, instance))
 		})
 	}
--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -6,6 +6,7 @@
 	"context"
 	"log/slog"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 
@@ -130,3 +131,14 @@
 	}
 	return !e.absentSince.IsZero() && time.Since(e.absentSince) >= bound
 }
+
+// Resolve returns the address that the list gives for an instance, or fallback
+// if the list lacks it. holder may be the name under which the instance claims
+// its zone, "id/incarnation".
+func (d *Directory) Resolve(holder, fallback string) string {
+	id, _, _ := strings.Cut(holder, "/")
+	if i, ok := d.Instance(id); ok {
+		return i.Address
+	}
+	return fallback
+}
--- a/internal/peer/heart.go
+++ b/internal/peer/heart.go
@@ -100,7 +100,7 @@
 	}
 	for _, claim := range h.journal.State().Claims() {
 		if claim.Zone != h.self.AvailabilityZone {
-			h.send(t, claim.Address)
+			h.send(t, h.directory.Resolve(claim.Holder, claim.Address))
 		}
 	}
 	h.noteAllZones()
--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -93,7 +93,7 @@
 	sources = append(sources, direct)
 	for _, m := range r.table.Live("", relayWithin) {
 		if m.Instance != r.self.Instance && m.Address != "" {
-			sources = append(sources, peerSource{clients: r.clients, address: m.Address})
+			sources = append(sources, peerSource{clients: r.clients, address: r.directory.Resolve(m.Instance, m.Address)})
 		}
 	}
 	return sources
--- a/internal/router/jobs.go
+++ b/internal/router/jobs.go
@@ -63,7 +63,7 @@
 	if !ok {
 		return "", noHolder(m.AvailabilityZone), false
 	}
-	response, err := r.clients.To(claim.Address).SubmitJob(ctx, connect.NewRequest(m))
+	response, err := r.clients.To(r.address(claim)).SubmitJob(ctx, connect.NewRequest(m))
 	if err != nil {
 		metrics.PeerFailures.Add(1)
 		return "", noHolder(m.AvailabilityZone), !peer.NeverSent(err)
@@ -87,7 +87,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
 	defer cancel()
-	response, err := r.clients.To(claim.Address).JobStatus(ctx, connect.NewRequest(&peerv1.JobStatusRequest{Job: id, Team: team, AvailabilityZone: zone}))
+	response, err := r.clients.To(r.address(claim)).JobStatus(ctx, connect.NewRequest(&peerv1.JobStatusRequest{Job: id, Team: team, AvailabilityZone: zone}))
 	if err != nil {
 		return nil, problem.Doubt(problem.NoHolder, "retry after the hint", "the job's zone %q can't be reached", zone).After(heardWithin)
 	}
@@ -185,7 +185,7 @@
 	if !ok {
 		return noHolder(m.AvailabilityZone)
 	}
-	response, err := r.clients.To(claim.Address).Cancel(ctx, connect.NewRequest(m))
+	response, err := r.clients.To(r.address(claim)).Cancel(ctx, connect.NewRequest(m))
 	if err != nil {
 		return problem.Doubt(problem.NoHolder, "cancel it again", "the holder of zone %q did not answer", m.AvailabilityZone)
 	}
@@ -212,7 +212,7 @@
 	if !ok {
 		return 0, noHolder(from)
 	}
-	response, err := r.clients.To(claim.Address).Transfer(ctx, connect.NewRequest(&peerv1.TransferRequest{
+	response, err := r.clients.To(r.address(claim)).Transfer(ctx, connect.NewRequest(&peerv1.TransferRequest{
 		Team:     team,
 		FromZone: from,
 		ToZone:   r.self.AvailabilityZone,
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -17,6 +17,7 @@
 	"github.com/bluebellstile/bluebellstile/internal/peer"
 	"github.com/bluebellstile/bluebellstile/internal/problem"
 	"github.com/bluebellstile/bluebellstile/internal/ticket"
+	"github.com/bluebellstile/bluebellstile/internal/zone"
 	"github.com/bluebellstile/bluebellstile/operator"
 )
 
@@ -36,19 +37,20 @@
 
 // Router routes requests. It is safe for concurrent use.
 type Router struct {
-	self    peer.Identity
-	state   *cell.State
-	table   *membership.Table
-	clients *peer.Clients
-	heart   *peer.Heart
-	term    peer.TermOf
-	log     *slog.Logger
-	claims  claimWatch
+	self      peer.Identity
+	state     *cell.State
+	directory *membership.Directory
+	table     *membership.Table
+	clients   *peer.Clients
+	heart     *peer.Heart
+	term      peer.TermOf
+	log       *slog.Logger
+	claims    claimWatch
 }
 
 // New returns a router for the daemon self.
-func New(self peer.Identity, state *cell.State, table *membership.Table, clients *peer.Clients, heart *peer.Heart, term peer.TermOf, logger *slog.Logger) *Router {
-	return &Router{self: self, state: state, table: table, clients: clients, heart: heart, term: term, log: logger}
+func New(self peer.Identity, state *cell.State, directory *membership.Directory, table *membership.Table, clients *peer.Clients, heart *peer.Heart, term peer.TermOf, logger *slog.Logger) *Router {
+	return &Router{self: self, state: state, directory: directory, table: table, clients: clients, heart: heart, term: term, log: logger}
 }
 
 // Call is a synchronous request that has been admitted.
@@ -111,7 +113,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	if err := r.heart.Exchange(ctx, claim.Address); err != nil {
+	if err := r.heart.Exchange(ctx, r.address(claim)); err != nil {
 		return ticket.Ticket{}, false
 	}
 	_, generation, ok := r.table.Holder(zone, claim.Epoch)
@@ -257,7 +259,7 @@
 	ctx, cancel := context.WithDeadline(ctx, until.Add(answerGrace))
 	defer cancel()
 	defer context.AfterFunc(r.claims.until(claim), cancel)()
-	response, err := r.clients.To(claim.Address).Run(ctx, connect.NewRequest(request))
+	response, err := r.clients.To(r.address(claim)).Run(ctx, connect.NewRequest(request))
 	if err != nil {
 		metrics.PeerFailures.Add(1)
 		r.log.Debug("call of a holder failed", "zone", request.AvailabilityZone, "address", claim.Address, "error", err)
@@ -266,6 +268,11 @@
 	return attempt{response: response.Msg, sent: true}
 }
 
+// address is where a zone's holder is reached.
+func (r *Router) address(claim zone.Claim) string {
+	return r.directory.Resolve(claim.Holder, claim.Address)
+}
+
 // localTerm returns the term that runs in this daemon for a zone, or nil.
 func (r *Router) localTerm(zone string) *holder.Term {
 	if zone != r.self.AvailabilityZone {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -128,7 +128,7 @@
 	s.relay = peer.NewRelay(s.self, s.platform, s.clients, s.table, s.directory, relayStale, s.journal.Fresh)
 	s.guard = auth.NewGuard(s.journal.State(), s.doubt, s.settings.Freshness.KeyBound)
 	s.keeper = newKeeper(s)
-	s.router = router.New(s.self, s.journal.State(), s.table, s.clients, s.heart, s.keeper.current, s.log)
+	s.router = router.New(s.self, s.journal.State(), s.directory, s.table, s.clients, s.heart, s.keeper.current, s.log)
 	s.claimant = claimant.New(s.self, s.settings.Zone.TakeoverAfter, s.journal, s.table, s.standing, s.log)
 	s.journal.Observe(s.keeper.observe)
 	s.journal.Observe(s.router.Observe)
