Give operators and callers a command line

Callers and operators need one program whose results people read, whose JSON and exit codes scripts rely on, and which never claims more than it knows. Commands for files (config print, check, diff, key new, settings check and sample) work without a daemon; submit, run, status, watch, cancel, load, config publish, history and revert, key grant, rotate and withdraw, zones and report use the daemons' HTTP interfaces. The generator behind load is open loop: latency counts from the moment a request was due, so that a slow daemon can't hide its delay by slowing the sender.

Secrets are read from a file or the environment, because a flag shows them to everybody on the machine. Exit code 3 is kept for work that certainly did not run; a command that only reads never ends with it. Key commands apply their change anew when another operator's change came first, up to five times, and a publication is followed into every zone. Nested commands by one flat name (config-publish) were ruled out for their help text.

The completion script is checked by bash itself.

--- /dev/null
+++ b/cmd/bluebellstile/config_files.go
@@ -0,0 +1,212 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"strings"
+
+	"github.com/bluebellstile/bluebellstile/internal/client"
+	"github.com/bluebellstile/bluebellstile/operator"
+)
+
+// newConfigFamily returns the commands on the configuration.
+func newConfigFamily(env *environment) *family {
+	return &family{
+		env:      env,
+		name:     "config",
+		synopsis: "print, check, compare and publish the configuration",
+		members: []*command{
+			newConfigPrint(env),
+			newConfigCheck(env),
+			newConfigDiff(env),
+			newConfigPublish(env),
+			newConfigHistory(env),
+			newConfigRevert(env),
+		},
+	}
+}
+
+// loadConfig reads a configuration from a file, "-" for stdin.
+func loadConfig(env *environment, name string) (*operator.Config, error) {
+	data, err := env.readInput(name)
+	if err != nil {
+		return nil, err
+	}
+	return operator.Parse(string(data))
+}
+
+// inForce returns the configuration in force and its version. Before the
+// first publication both are empty.
+func inForce(ctx context.Context, c *client.Client) (*operator.Config, uint64, error) {
+	v, err := c.Config(ctx)
+	if err != nil {
+		return nil, 0, readError(err)
+	}
+	if v.Text == "" {
+		return &operator.Config{}, v.Version, nil
+	}
+	config, err := operator.Parse(v.Text)
+	return config, v.Version, err
+}
+
+func newConfigPrint(env *environment) *command {
+	conn := connection{env: env}
+	c := &command{
+		env:       env,
+		path:      "config print",
+		synopsis:  "print a configuration in canonical form",
+		arguments: "[FILE]",
+		details:   "Without FILE it prints the configuration that is in force.",
+		examples: []string{
+			"bluebellstile config print cell.ini",
+			"bluebellstile config print -admin http://192.0.2.1:7402 > in-force.ini",
+		},
+		flags: conn.adminFlags,
+	}
+	c.run = func(ctx context.Context, args []string) error {
+		config, err := chooseConfig(ctx, env, &conn, args)
+		if err != nil {
+			return err
+		}
+		text, err := operator.Print(config)
+		if err != nil {
+			return err
+		}
+		return env.print(text)
+	}
+	return c
+}
+
+// chooseConfig loads the file that args name, or what is in force.
+func chooseConfig(ctx context.Context, env *environment, conn *connection, args []string) (*operator.Config, error) {
+	if len(args) > 0 {
+		name, err := oneArgument(args, "FILE")
+		if err != nil {
+			return nil, err
+		}
+		return loadConfig(env, name)
+	}
+	opened, err := conn.open()
+	if err != nil {
+		return nil, err
+	}
+	config, _, err := inForce(ctx, opened)
+	return config, err
+}
+
+// configSummary is the result of a check.
+type configSummary struct {
+	Zones    int      `json:"zones"`
+	Teams    int      `json:"teams"`
+	Keys     int      `json:"keys"`
+	Queues   int      `json:"queues"`
+	Warnings []string `json:"warnings"`
+}
+
+func newConfigCheck(env *environment) *command {
+	c := &command{
+		env:       env,
+		path:      "config check",
+		synopsis:  "check a configuration file",
+		arguments: "FILE",
+		details:   "Every fault is listed with its line, rule and remedy.",
+		examples:  []string{"bluebellstile config check cell.ini", "go run ./cell | bluebellstile config check -"},
+	}
+	c.flags = c.jsonFlag
+	c.run = func(_ context.Context, args []string) error {
+		name, err := oneArgument(args, "FILE")
+		if err != nil {
+			return err
+		}
+		config, err := loadConfig(env, name)
+		if err != nil {
+			return err
+		}
+		return c.printSummary(name, config)
+	}
+	return c
+}
+
+func (c *command) printSummary(name string, config *operator.Config) error {
+	s := configSummary{
+		Zones:    len(config.Zones),
+		Teams:    len(config.Teams),
+		Keys:     len(config.Keys),
+		Queues:   len(config.Queues),
+		Warnings: operator.Warnings(config),
+	}
+	if c.json {
+		return c.env.printJSON(s)
+	}
+	warn(c.env, s.Warnings)
+	return c.env.print(name + ": ok, " + strings.Join([]string{
+		plural(s.Zones, "zone"), plural(s.Teams, "team"), plural(s.Keys, "key"), plural(s.Queues, "queue"),
+	}, ", ") + "\n")
+}
+
+func warn(env *environment, warnings []string) {
+	for _, w := range warnings {
+		env.note("warning: %s", w)
+	}
+}
+
+func newConfigDiff(env *environment) *command {
+	conn := connection{env: env}
+	var status bool
+	c := &command{
+		env:       env,
+		path:      "config diff",
+		synopsis:  "compare two configurations by meaning",
+		arguments: "[OLD] NEW",
+		details:   "Without OLD, NEW is compared with the configuration that is in force.",
+		examples: []string{
+			"bluebellstile config diff old.ini new.ini",
+			"bluebellstile config diff -exit-code cell.ini || echo 'there is something to publish'",
+		},
+	}
+	c.flags = func(f *flag.FlagSet) {
+		conn.adminFlags(f)
+		c.jsonFlag(f)
+		f.BoolVar(&status, "exit-code", false, "end with exit code 8 if the two differ")
+	}
+	c.run = func(ctx context.Context, args []string) error {
+		changes, err := compareArguments(ctx, env, &conn, args)
+		if err != nil {
+			return err
+		}
+		if err := c.printChanges(changes); err != nil {
+			return err
+		}
+		if status && len(changes) > 0 {
+			return &codeError{code: exitDiffers}
+		}
+		return nil
+	}
+	return c
+}
+
+func compareArguments(ctx context.Context, env *environment, conn *connection, args []string) ([]operator.Change, error) {
+	if len(args) != 1 && len(args) != 2 {
+		return nil, usageError("one or two files are needed, %d arguments were given", len(args))
+	}
+	next, err := loadConfig(env, args[len(args)-1])
+	if err != nil {
+		return nil, err
+	}
+	old, err := chooseConfig(ctx, env, conn, args[:len(args)-1])
+	if err != nil {
+		return nil, err
+	}
+	return operator.Diff(old, next), nil
+}
+
+func (c *command) printChanges(changes []operator.Change) error {
+	if c.json {
+		return c.env.printJSON(append([]operator.Change{}, changes...))
+	}
+	var b strings.Builder
+	for _, change := range changes {
+		b.WriteString(change.String() + "\n")
+	}
+	return c.env.print(b.String())
+}
--- /dev/null
+++ b/cmd/bluebellstile/help_test.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"os/exec"
+	"strings"
+	"testing"
+)
+
+// allCommands returns every command, those of families included.
+func allCommands(env *environment) []*command {
+	var out []*command
+	for _, g := range commands(env) {
+		switch c := g.command.(type) {
+		case *command:
+			out = append(out, c)
+		case *family:
+			out = append(out, c.members...)
+		}
+	}
+	return out
+}
+
+func TestEveryCommandHasHelpWithAnExample(t *testing.T) {
+	for _, c := range allCommands(systemEnvironment()) {
+		got := runCLI(t, nil, "", append([]string{"help"}, strings.Fields(c.path)...)...).requireCode(t, exitDone)
+		got.requireText(t, "Usage: bluebellstile "+c.path, "Examples:\n")
+		if !strings.Contains(got.stdout, c.Synopsis()[1:]) {
+			t.Errorf("%s: the help lacks the synopsis:\n%s", c.path, got.stdout)
+		}
+	}
+}
+
+func TestUsageMistakes(t *testing.T) {
+	for _, args := range [][]string{{}, {"launch"}, {"config"}, {"config", "frobnicate"}, {"-loud", "submit"}} {
+		runCLI(t, nil, "", args...).requireCode(t, exitUsage)
+	}
+}
+
+func TestHelpOnFamilies(t *testing.T) {
+	runCLI(t, nil, "", "help").requireCode(t, exitDone).requireText(t, "submit", "config", "settings", "completion")
+	runCLI(t, nil, "", "help", "config").requireCode(t, exitDone).requireText(t, "publish", "revert")
+}
+
+// TestCompletion asks bash itself what it would offer.
+func TestCompletion(t *testing.T) {
+	bash, err := exec.LookPath("bash")
+	if err != nil {
+		t.Fatalf("completion can't be tested without bash: %v", err)
+	}
+	script := runCLI(t, nil, "", "completion", "bash").requireCode(t, exitDone).stdout
+	tests := map[string]struct {
+		words string
+		want  string
+	}{
+		"command": {"bluebellstile sub", "submit"},
+		"family":  {"bluebellstile config pub", "publish"},
+		"flag":    {"bluebellstile submit -dead", "-deadline"},
+		"member":  {"bluebellstile config publish -exp", "-expected"},
+		"files":   {"bluebellstile config publish cell", ""},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			ask := script + "\nCOMP_WORDS=(" + test.words + "); COMP_CWORD=$((${#COMP_WORDS[@]}-1)); _bluebellstile; echo \"${COMPREPLY[*]}\""
+			out, err := exec.Command(bash, "-c", ask).Output()
+			if got := strings.TrimSpace(string(out)); err != nil || got != test.want {
+				t.Errorf("offered %q, %v; want %q", got, err, test.want)
+			}
+		})
+	}
+	runCLI(t, nil, "", "completion", "tcsh").requireCode(t, exitUsage)
+}
--- /dev/null
+++ b/cmd/bluebellstile/jobs.go
@@ -0,0 +1,173 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"strconv"
+
+	"github.com/bluebellstile/bluebellstile/internal/client"
+)
+
+func newStatus(env *environment) *command {
+	conn := connection{env: env}
+	var team string
+	c := &command{
+		env:       env,
+		path:      "status",
+		synopsis:  "show a job and its tasks, or list jobs",
+		arguments: "[JOB]",
+		examples: []string{
+			"bluebellstile status JOB",
+			"bluebellstile status -team press -json",
+		},
+	}
+	c.flags = func(f *flag.FlagSet) {
+		conn.callerFlags(f)
+		c.jsonFlag(f)
+		f.StringVar(&team, "team", "", "list only jobs of this team")
+	}
+	c.run = func(ctx context.Context, args []string) error {
+		opened, err := conn.open()
+		if err != nil {
+			return err
+		}
+		if len(args) == 0 {
+			return c.listJobs(ctx, opened, team)
+		}
+		id, err := oneArgument(args, "JOB")
+		if err != nil {
+			return err
+		}
+		job, err := opened.Job(ctx, id)
+		if err != nil {
+			return readError(err)
+		}
+		return c.printJob(job)
+	}
+	return c
+}
+
+func (c *command) listJobs(ctx context.Context, opened *client.Client, team string) error {
+	jobs, err := opened.Jobs(ctx, team)
+	if err != nil {
+		return readError(err)
+	}
+	if c.json {
+		return c.env.printJSON(append([]client.Job{}, jobs...))
+	}
+	rows := make([][]string, len(jobs))
+	for i, j := range jobs {
+		rows[i] = []string{j.ID, j.Team, j.Queue, string(j.State), strconv.Itoa(len(j.Tasks))}
+	}
+	return c.env.printTable([]string{"JOB", "TEAM", "QUEUE", "STATE", "TASKS"}, rows)
+}
+
+func (c *command) printJob(job *client.Job) error {
+	if c.json {
+		return c.env.printJSON(job)
+	}
+	rows := make([][]string, len(job.Tasks))
+	for i, t := range job.Tasks {
+		result := preview(t.Output)
+		if t.Reason != "" {
+			result = t.Reason
+		}
+		rows[i] = []string{strconv.Itoa(t.Index), string(t.State), dash(t.Endpoint), dash(result)}
+	}
+	return c.env.printTable([]string{"TASK", "STATE", "ENDPOINT", "RESULT"}, rows)
+}
+
+func newWatch(env *environment) *command {
+	conn := connection{env: env}
+	var out string
+	c := &command{
+		env:       env,
+		path:      "watch",
+		synopsis:  "follow a job to its end",
+		arguments: "JOB",
+		details:   "Ends with the same exit codes as run.",
+		examples:  []string{"bluebellstile watch -out answers JOB"},
+	}
+	c.flags = func(f *flag.FlagSet) {
+		conn.callerFlags(f)
+		c.jsonFlag(f)
+		f.StringVar(&out, "out", "", "write the output of each task to DIR/INDEX")
+	}
+	c.run = func(ctx context.Context, args []string) error {
+		id, err := oneArgument(args, "JOB")
+		if err != nil {
+			return err
+		}
+		opened, err := conn.open()
+		if err != nil {
+			return err
+		}
+		return c.follow(ctx, opened, id, out)
+	}
+	return c
+}
+
+func newCancel(env *environment) *command {
+	conn := connection{env: env}
+	var ticket string
+	c := &command{
+		env:       env,
+		path:      "cancel",
+		synopsis:  "cancel jobs, or a request that somebody waits for",
+		arguments: "[JOB...]",
+		details:   "Tasks that have finished stay so; look at them with status.",
+		examples: []string{
+			"bluebellstile cancel JOB",
+			"bluebellstile cancel -ticket TICKET",
+		},
+	}
+	c.flags = func(f *flag.FlagSet) {
+		conn.callerFlags(f)
+		c.jsonFlag(f)
+		f.StringVar(&ticket, "ticket", "", "cancel the request with this ticket")
+	}
+	c.run = func(ctx context.Context, args []string) error {
+		if (ticket == "") == (len(args) == 0) {
+			return usageError("name jobs or a -ticket, and not both")
+		}
+		opened, err := conn.open()
+		if err != nil {
+			return err
+		}
+		if ticket != "" {
+			return c.cancelAll(args, func(string) error { return opened.CancelRequest(ctx, ticket) }, ticket)
+		}
+		return c.cancelAll(args, func(id string) error { return opened.CancelJob(ctx, id) }, "")
+	}
+	return c
+}
+
+// cancelAll cancels every job, or the one request with a ticket, and goes on
+// after failures. It returns the last failure.
+func (c *command) cancelAll(ids []string, cancel func(string) error, ticket string) error {
+	if ticket != "" {
+		ids = []string{ticket}
+	}
+	cancelled := []string{}
+	var last error
+	for _, id := range ids {
+		if err := cancel(id); err != nil {
+			c.env.note("%s: %v", id, err)
+			last = err
+			continue
+		}
+		cancelled = append(cancelled, id)
+	}
+	if last != nil {
+		return last
+	}
+	if c.json {
+		return c.env.printJSON(map[string][]string{"cancelled": cancelled})
+	}
+	for _, id := range cancelled {
+		if err := c.env.print(id + " cancelled\n"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/bluebellstile/operators_test.go
@@ -0,0 +1,156 @@
+package main
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/bluebellstile/bluebellstile/operator"
+)
+
+// sampleConfig returns the text of a valid configuration.
+func sampleConfig(t *testing.T, limit int64) string {
+	t.Helper()
+	text, err := operator.Print(&operator.Config{
+		Zones: []operator.Zone{{Name: "a", Region: "r"}, {Name: "b", Region: "r"}},
+		Teams: []operator.Team{{Name: "press", Share: 1, UpperLimit: limit}},
+		Keys: []operator.Key{
+			{ID: "admin", SHA256: operator.HashSecret("secret"), Operator: true},
+			{ID: "press-1", Team: "press", SHA256: operator.HashSecret("press")},
+		},
+		Queues: []operator.Queue{{Name: "labels"}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+// writeFile writes a file into a new directory.
+func writeFile(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "cell.ini")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestConfigFiles(t *testing.T) {
+	old, next := writeFile(t, sampleConfig(t, 40)), writeFile(t, sampleConfig(t, 60))
+	bad := writeFile(t, strings.Replace(sampleConfig(t, 40), "upper_limit = 40", "upper_limit = -1", 1))
+
+	if got := runCLI(t, nil, "", "config", "print", old).requireCode(t, exitDone); got.stdout != sampleConfig(t, 40) {
+		t.Errorf("printed %s", got.stdout)
+	}
+	runCLI(t, nil, sampleConfig(t, 1), "config", "check", "-").requireCode(t, exitDone).requireText(t, "ok, 2 zones, 1 team, 2 keys, 1 queue")
+	runCLI(t, nil, "", "config", "check", bad).requireCode(t, exitInvalid).requireText(t, `line `, `team "press": upper_limit`)
+	runCLI(t, nil, "", "config", "check", bad+".missing").requireCode(t, exitError)
+	runCLI(t, nil, "", "config", "check").requireCode(t, exitUsage)
+
+	got := runCLI(t, nil, "", "config", "diff", old, next).requireCode(t, exitDone)
+	if got.stdout != "team press: upper limit 40 to 60\n" {
+		t.Errorf("printed %q", got.stdout)
+	}
+	runCLI(t, nil, "", "config", "diff", "-exit-code", old, next).requireCode(t, exitDiffers)
+	runCLI(t, nil, "", "config", "diff", "-exit-code", old, old).requireCode(t, exitDone)
+	runCLI(t, nil, "", "config", "diff", old, bad).requireCode(t, exitInvalid)
+}
+
+func TestPublishFollowsTheVersionIntoEveryZone(t *testing.T) {
+	d := newFakeDaemon(t)
+	d.lag = 2
+	got := runCLI(t, d, "", "config", "publish", writeFile(t, sampleConfig(t, 40))).requireCode(t, exitDone)
+	got.requireText(t, "team press: added (share 1, upper limit 40)", "version 1")
+	if strings.Count(got.stdout, "in force") != 2 {
+		t.Errorf("printed %s", got.stdout)
+	}
+	runCLI(t, d, "", "config", "publish", writeFile(t, sampleConfig(t, 60))).requireCode(t, exitDone).
+		requireText(t, "team press: upper limit 40 to 60", "version 2")
+	runCLI(t, d, "", "config", "diff", "-exit-code", writeFile(t, sampleConfig(t, 60))).requireCode(t, exitDone)
+	if printed := runCLI(t, d, "", "config", "print").requireCode(t, exitDone); printed.stdout != sampleConfig(t, 60) {
+		t.Errorf("in force is %s", printed.stdout)
+	}
+	runCLI(t, d, "", "config", "revert", "1").requireCode(t, exitDone)
+	if len(d.texts) != 3 || d.texts[2] != sampleConfig(t, 40) {
+		t.Errorf("the versions are %q", d.texts)
+	}
+	runCLI(t, d, "", "config", "history").requireCode(t, exitDone).requireText(t, "operations", "1970-01-01T00:00:01Z")
+	runCLI(t, d, "", "config", "revert", "one").requireCode(t, exitUsage)
+}
+
+func TestPublishRefusals(t *testing.T) {
+	d := newFakeDaemon(t)
+	d.texts = []string{sampleConfig(t, 40)}
+	file := writeFile(t, sampleConfig(t, 60))
+	runCLI(t, d, "", "config", "publish", "-expected", "0", file).requireCode(t, exitConflict)
+	runCLI(t, d, "", "config", "publish", "-expected", "-2", file).requireCode(t, exitUsage)
+	runCLI(t, d, "", "config", "publish", "-dry-run", file).requireCode(t, exitDone).requireText(t, "nothing was published")
+	runCLI(t, d, "", "config", "publish", writeFile(t, "[zone]")).requireCode(t, exitInvalid)
+	if len(d.texts) != 1 {
+		t.Fatalf("published %d versions", len(d.texts)-1)
+	}
+	d.lag = 1000
+	runCLI(t, d, "", "config", "publish", "-wait", "1ms", file).requireCode(t, exitUnknown).requireText(t, "accepted", "1 zone", "pending")
+	runCLI(t, d, "", "config", "publish", "-wait", "0", file).requireCode(t, exitDone)
+}
+
+func TestKeysChangeInOneCommand(t *testing.T) {
+	d := newFakeDaemon(t)
+	runCLI(t, d, "", "key", "withdraw", "press-1").requireCode(t, exitError).requireText(t, "no configuration is in force")
+	d.texts = []string{sampleConfig(t, 40)}
+	d.beaten = 2
+	got := runCLI(t, d, "", "key", "grant", "-json", "-id", "press-2", "-team", "press").requireCode(t, exitDone)
+	var made madeKey
+	if err := json.Unmarshal([]byte(got.stdout), &made); err != nil {
+		t.Fatal(err)
+	}
+	latest := d.texts[len(d.texts)-1]
+	if made.SHA256 != operator.HashSecret(made.Secret) || !strings.Contains(latest, made.SHA256) || strings.Contains(latest, made.Secret) {
+		t.Errorf("made %+v, published %s", made, latest)
+	}
+	runCLI(t, d, "", "key", "rotate", "press-2", "press-3").requireCode(t, exitDone).requireText(t, `[key "press-3"]`, "bbst_")
+	runCLI(t, d, "", "key", "withdraw", "press-2").requireCode(t, exitDone)
+	config, err := operator.Parse(d.texts[len(d.texts)-1])
+	if err != nil {
+		t.Fatal(err)
+	}
+	withdrawn := map[string]bool{}
+	for _, k := range config.Keys {
+		withdrawn[k.ID] = k.Withdrawn
+	}
+	if len(withdrawn) != 4 || !withdrawn["press-2"] || withdrawn["press-1"] || withdrawn["press-3"] {
+		t.Errorf("withdrawn: %v", withdrawn)
+	}
+	runCLI(t, d, "", "key", "withdraw", "ghost").requireCode(t, exitInvalid)
+	d.beaten = 1000
+	runCLI(t, d, "", "key", "withdraw", "press-1").requireCode(t, exitConflict)
+}
+
+func TestKeyNewTouchesNothing(t *testing.T) {
+	got := runCLI(t, nil, "", "key", "new", "-id", "x", "-operator").requireCode(t, exitDone)
+	got.requireText(t, `[key "x"]`, "operator  = true", "bbst_")
+	runCLI(t, nil, "", "key", "new", "-id", "x").requireCode(t, exitUsage)
+	runCLI(t, nil, "", "key", "new", "-id", "X", "-team", "t").requireCode(t, exitInvalid)
+}
+
+func TestZonesAndReport(t *testing.T) {
+	d := newFakeDaemon(t)
+	runCLI(t, d, "", "zones").requireCode(t, exitDone).requireText(t, "HOLDER", "entry-1")
+	runCLI(t, d, "", "report").requireCode(t, exitDone).requireText(t, `"rows": 1`)
+	path := filepath.Join(t.TempDir(), "burn.html")
+	runCLI(t, d, "", "report", "-html", path).requireCode(t, exitDone)
+	if data, err := os.ReadFile(path); err != nil || string(data) != "<html></html>" {
+		t.Errorf("wrote %q, %v", data, err)
+	}
+}
+
+func TestSettingsFiles(t *testing.T) {
+	sample := runCLI(t, nil, "", "settings", "sample").requireCode(t, exitDone).stdout
+	runCLI(t, nil, "", "settings", "check", writeFile(t, sample)).requireCode(t, exitDone).requireText(t, "ok")
+	bad := writeFile(t, strings.Replace(sample, "lease = 30s", "lease = 30", 1))
+	runCLI(t, nil, "", "settings", "check", bad).requireCode(t, exitInvalid).requireText(t, "cell.ini:", "[zone] lease")
+	runCLI(t, nil, "", "settings", "check", bad+".missing").requireCode(t, exitInvalid)
+}
--- /dev/null
+++ b/cmd/bluebellstile/report.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"os"
+
+	"github.com/pkg/errors"
+
+	"github.com/bluebellstile/bluebellstile/internal/client"
+)
+
+func newReport(env *environment) *command {
+	conn := connection{env: env}
+	var html string
+	c := &command{
+		env:      env,
+		path:     "report",
+		synopsis: "show the service-level burn of teams and queues",
+		details:  "Prints the report as JSON; with -html, writes it as a page that needs no other file.",
+		examples: []string{"bluebellstile report", "bluebellstile report -html burn.html"},
+	}
+	c.flags = func(f *flag.FlagSet) {
+		conn.adminFlags(f)
+		c.jsonFlag(f)
+		f.StringVar(&html, "html", "", "write the report to this file as HTML")
+	}
+	c.run = func(ctx context.Context, args []string) error {
+		if err := noArguments(args); err != nil {
+			return err
+		}
+		opened, err := conn.open()
+		if err != nil {
+			return err
+		}
+		return c.printReport(ctx, opened, html)
+	}
+	return c
+}
+
+func (c *command) printReport(ctx context.Context, opened *client.Client, html string) error {
+	data, err := opened.Report(ctx, html != "")
+	if err != nil {
+		return readError(err)
+	}
+	if html != "" {
+		return errors.WithStack(os.WriteFile(html, data, outputMode))
+	}
+	var indented bytes.Buffer
+	if err := json.Indent(&indented, bytes.TrimSpace(data), "", "  "); err != nil {
+		return errors.Wrap(err, "the report is not JSON")
+	}
+	return c.env.print(indented.String() + "\n")
+}
--- a/operator/key.go
+++ b/operator/key.go
@@ -73,15 +73,15 @@
 }
 
 // RotateKey grants the key newID with the team and the rights of oldID and
-// returns its secret. Both keys work until WithdrawKey is called for oldID,
-// so that submitters can change over without a gap.
-func (c *Config) RotateKey(oldID, newID string) (string, error) {
+// returns it with its secret. Both keys work until WithdrawKey is called for
+// oldID, so that submitters can change over without a gap.
+func (c *Config) RotateKey(oldID, newID string) (Key, string, error) {
 	old := c.findKey(oldID)
 	if old == nil {
-		return "", unknownKeyID(oldID)
+		return Key{}, "", unknownKeyID(oldID)
 	}
 	if old.Withdrawn {
-		return "", &Error{
+		return Key{}, "", &Error{
 			Kind:    KindConflict,
 			Section: sectionName(sectionKey, oldID),
 			Rule:    "the key is withdrawn and can't be rotated",
@@ -90,13 +90,13 @@
 	}
 	k, secret, err := NewKey(newID, old.Team)
 	if err != nil {
-		return "", err
+		return Key{}, "", err
 	}
 	k.Operator = old.Operator
 	if err := c.GrantKey(k); err != nil {
-		return "", err
+		return Key{}, "", err
 	}
-	return secret, nil
+	return k, secret, nil
 }
 
 // findKey returns the key with the ID, nil if there is none.
--- a/operator/key_test.go
+++ b/operator/key_test.go
@@ -25,7 +25,7 @@
 
 func TestRotationOverlaps(t *testing.T) {
 	c := sampleConfig()
-	secret, err := c.RotateKey("press-1", "press-2")
+	granted, secret, err := c.RotateKey("press-1", "press-2")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -33,7 +33,7 @@
 		t.Fatal("the secret is published")
 	}
 	old, next := c.findKey("press-1"), c.findKey("press-2")
-	if old.Withdrawn || next.Withdrawn || next.Team != "press" || next.SHA256 != HashSecret(secret) {
+	if old.Withdrawn || next.Withdrawn || *next != granted || next.Team != "press" || next.SHA256 != HashSecret(secret) {
 		t.Fatalf("both keys must be live: %+v %+v", old, next)
 	}
 	if err := c.WithdrawKey("press-1"); err != nil {
@@ -49,7 +49,7 @@
 
 func TestRotationKeepsOperatorRights(t *testing.T) {
 	c := sampleConfig()
-	if _, err := c.RotateKey("admin", "admin-2"); err != nil {
+	if _, _, err := c.RotateKey("admin", "admin-2"); err != nil {
 		t.Fatal(err)
 	}
 	if !c.findKey("admin-2").Operator {
@@ -65,8 +65,8 @@
 		"grant a used id":      {func(c *Config) error { return c.GrantKey(c.Keys[0]) }, KindDuplicate},
 		"grant to no team":     {func(c *Config) error { return c.GrantKey(Key{ID: "x", Team: "ghost", SHA256: HashSecret("x")}) }, KindUnknownRef},
 		"withdraw unknown":     {func(c *Config) error { return c.WithdrawKey("ghost") }, KindUnknownRef},
-		"rotate unknown":       {func(c *Config) error { _, err := c.RotateKey("ghost", "x"); return err }, KindUnknownRef},
-		"rotate to a used id":  {func(c *Config) error { _, err := c.RotateKey("press-1", "admin"); return err }, KindDuplicate},
+		"rotate unknown":       {func(c *Config) error { _, _, err := c.RotateKey("ghost", "x"); return err }, KindUnknownRef},
+		"rotate to a used id":  {func(c *Config) error { _, _, err := c.RotateKey("press-1", "admin"); return err }, KindDuplicate},
 		"rotate withdrawn key": {rotateWithdrawn, KindConflict},
 	}
 	for name, test := range tests {
@@ -88,6 +88,6 @@
 	if err := c.WithdrawKey("press-1"); err != nil {
 		return err
 	}
-	_, err := c.RotateKey("press-1", "press-2")
+	_, _, err := c.RotateKey("press-1", "press-2")
 	return err
 }
