--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -85,7 +85,9 @@
 	if err != nil {
 		return nil, err
 	}
+	received := len(resp.Events)
 	resp.Events = validEvents(resp.Events)
+	c.pool.metrics.Add(MetricInvalidEvents, int64(received-len(resp.Events)))
 	return resp, nil
 }
 
@@ -128,12 +130,15 @@
 		return 0, nil, c.failure(path, KindRefused, false, errors.Wrap(err, "check the endpoint's address"))
 	}
 	req.Header.Set("Content-Type", "application/json")
+	c.pool.commands.Add(path, 1)
+	c.pool.metrics.Add(MetricBytesSent, int64(len(data)))
 	resp, err := c.pool.client.Do(req)
 	if err != nil {
 		return 0, nil, c.failure(path, KindUnreachable, sent.Load(), err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	answer, err := io.ReadAll(io.LimitReader(resp.Body, MaxResponseBytes+1))
+	c.pool.metrics.Add(MetricBytesReceived, int64(len(answer)))
 	if err != nil {
 		return 0, nil, c.failure(path, KindUnreachable, true, err)
 	}
@@ -165,7 +170,8 @@
 	return c.failure(path, KindRefused, false, cause)
 }
 
-// failure builds the error of a command.
+// failure builds the error of a command and counts it.
 func (c *Client) failure(path string, kind ErrorKind, maybeDelivered bool, cause error) *Error {
+	c.pool.failures.Add(string(kind), 1)
 	return &Error{Kind: kind, Op: path, Address: c.address, MaybeDelivered: maybeDelivered, cause: cause}
 }
--- a/internal/endpoint/client_test.go
+++ b/internal/endpoint/client_test.go
@@ -77,6 +77,9 @@
 	}
 	server.CloseClientConnections()
 	server.Close()
+	fresh := endpoint.NewPool()
+	defer fresh.Close()
+	client = endpoint.NewClient(client.Address(), endpoint.WithPool(fresh))
 	err = client.Ack(context.Background(), &endpoint.AckRequest{})
 	if endpoint.KindOf(err) != endpoint.KindUnreachable || endpoint.MaybeDelivered(err) {
 		t.Fatalf("closed port: %v", err)
--- a/internal/endpoint/pool.go
+++ b/internal/endpoint/pool.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"expvar"
 	"net/http"
 	"sync"
 	"time"
@@ -19,14 +20,35 @@
 	maxHeaderBytes = 64 << 10
 )
 
+// Metric names within a pool's expvar map.
+const (
+	// MetricCommands counts commands sent, by path.
+	MetricCommands = "commands"
+	// MetricFailures counts commands that failed, by kind.
+	MetricFailures = "failures"
+	// MetricBytesSent counts bytes of request bodies.
+	MetricBytesSent = "bytes_sent"
+	// MetricBytesReceived counts bytes of response bodies.
+	MetricBytesReceived = "bytes_received"
+	// MetricInvalidEvents counts events dropped for senseless part numbers.
+	MetricInvalidEvents = "events_invalid"
+)
+
 // Pool holds the HTTP/2 connections to all endpoints of a process.
 type Pool struct {
 	transport *http.Transport
 	client    *http.Client
+
+	metrics  *expvar.Map
+	commands *expvar.Map
+	failures *expvar.Map
 }
 
 // NewPool returns an empty pool.
-func NewPool() *Pool {
+func NewPool() *Pool { return newPool(pingAfter, pingTimeout) }
+
+// newPool returns a pool that probes a connection after a time of silence.
+func newPool(pingAfter, pingTimeout time.Duration) *Pool {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	transport := &http.Transport{
@@ -38,9 +60,24 @@
 		DisableCompression:     true,
 		HTTP2:                  &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 	}
-	return &Pool{transport: transport, client: &http.Client{Transport: transport}}
+	p := &Pool{
+		transport: transport,
+		client:    &http.Client{Transport: transport},
+		metrics:   new(expvar.Map).Init(),
+		commands:  new(expvar.Map).Init(),
+		failures:  new(expvar.Map).Init(),
+	}
+	p.metrics.Set(MetricCommands, p.commands)
+	p.metrics.Set(MetricFailures, p.failures)
+	for _, name := range []string{MetricBytesSent, MetricBytesReceived, MetricInvalidEvents} {
+		p.metrics.Add(name, 0)
+	}
+	return p
 }
 
+// Metrics returns the pool's metrics, which the caller publishes.
+func (p *Pool) Metrics() *expvar.Map { return p.metrics }
+
 // Close closes idle connections.
 func (p *Pool) Close() { p.transport.CloseIdleConnections() }
 
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/bluebellstile/bluebellstile/internal/platform"
 	"github.com/bluebellstile/bluebellstile/internal/standin"
+	"github.com/bluebellstile/bluebellstile/internal/testrelay"
 )
 
 // setUp returns a stand-in log and a client of it that retries quickly.
@@ -116,6 +117,43 @@
 	}
 }
 
+// TestLostAnswerOnLink loses all answers on the link until the record has
+// been appended.
+func TestLostAnswerOnLink(t *testing.T) {
+	log := standin.NewLog(standin.LogOptions{})
+	server, err := standin.Serve(log, "127.0.0.1:0", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	relay, err := testrelay.New(server.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := newClient("http://"+relay.Addr(), platform.WithTries(1000), platform.WithTimeout(time.Minute))
+	t.Cleanup(func() {
+		client.Close()
+		if err := errors.WithMessage(relay.Close(), "relay"); err != nil {
+			t.Error(err)
+		}
+		if err := server.Close(); err != nil {
+			t.Error(err)
+		}
+		goleak.VerifyNone(t)
+	})
+	if _, err := client.Read(context.Background(), 0, 1, 0); err != nil {
+		t.Fatal(err)
+	}
+	relay.Set(testrelay.Fault{DropFromTarget: true})
+	go func() {
+		log.Read(context.Background(), 1, 1, time.Minute)
+		relay.Heal()
+	}()
+	offset, err := client.Append(context.Background(), "a", nil)
+	if err != nil || offset != 1 || len(records(log)) != 1 {
+		t.Fatalf("offset %d, %v; log holds %+v", offset, err, records(log))
+	}
+}
+
 // TestFailureKinds checks what an append that fails says of its effect, and
 // that it is true.
 func TestFailureKinds(t *testing.T) {
--- a/internal/standin/cmd/standin/endpoint.go
+++ b/internal/standin/cmd/standin/endpoint.go
@@ -48,6 +48,7 @@
 	f.IntVar(&c.opts.PartBytes, "part-bytes", standin.DefaultPartBytes, "size of the parts of an output")
 	f.DurationVar(&c.opts.ServiceTime, "service-time", 0, "time added to the run time of each task")
 	f.DurationVar(&c.opts.UsageLag, "usage-lag", 0, "age of the reported usage")
+	f.IntVar(&c.opts.MaxConnections, "max-connections", standin.DefaultMaxConnections, "connections served at a time; more wait")
 	f.Uint64Var(&c.opts.Seed, "seed", 1, "seed of the order of shuffled parts")
 	f.DurationVar(&c.drain, "drain", 0, "time for tasks to end and be acknowledged after SIGTERM")
 }
--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -19,6 +19,8 @@
 const (
 	// DefaultPartBytes is the size of the parts that outputs are cut into.
 	DefaultPartBytes = 16 << 10
+	// DefaultMaxConnections bounds the connections that an endpoint serves.
+	DefaultMaxConnections = 60
 	// maxEnded bounds the ids of acknowledged and barred tasks that are kept.
 	maxEnded = 1 << 16
 )
@@ -38,6 +40,9 @@
 	ServiceTime time.Duration
 	// UsageLag is how far reported usage lies back.
 	UsageLag time.Duration
+	// MaxConnections bounds the connections; more wait. 0 means
+	// DefaultMaxConnections.
+	MaxConnections int
 	// Seed makes the order of shuffled parts repeatable.
 	Seed uint64
 }
@@ -96,6 +101,9 @@
 	if opts.PartBytes <= 0 {
 		opts.PartBytes = DefaultPartBytes
 	}
+	if opts.MaxConnections <= 0 {
+		opts.MaxConnections = DefaultMaxConnections
+	}
 	e := &Endpoint{
 		opts:        opts,
 		incarnation: newIncarnation(),
@@ -149,6 +157,9 @@
 // Faults returns the endpoint's fault switches.
 func (e *Endpoint) Faults() *Faults { return e.faults }
 
+// MaxConnections returns how many connections are served at a time.
+func (e *Endpoint) MaxConnections() int { return e.opts.MaxConnections }
+
 // Incarnation returns the id of this run of the endpoint.
 func (e *Endpoint) Incarnation() string { return e.incarnation }
 
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/net/netutil"
 	"gopkg.in/tomb.v2"
 )
 
@@ -27,6 +28,11 @@
 	AdminHandler() http.Handler
 }
 
+// Limited is a Service that bounds the connections that it serves at a time.
+type Limited interface {
+	MaxConnections() int
+}
+
 // Server offers a stand-in on one address and its fault switches on another.
 type Server struct {
 	tomb    tomb.Tomb
@@ -45,6 +51,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
+	if limited, ok := service.(Limited); ok {
+		listener = netutil.LimitListener(listener, limited.MaxConnections())
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{address: listener.Addr().String(), cancel: cancel}
 	s.main = newHTTPServer(ctx, service.Handler())
