Refuse answers that no log or endpoint can have given

Cause: a page whose offsets step back would be followed for ever by the lookup of a lost append, and an inventory with negative sizes would corrupt a team's accounts. Ruled out: treating a log answer without an offset as an append at 0; it is an answer that says nothing of the effect.

--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -60,7 +60,14 @@
 // returns the endpoint's inventory. It grants no lease: the first heartbeat
 // with the returned token does.
 func (c *Client) Attach(ctx context.Context, req *AttachRequest) (*AttachResponse, error) {
-	return call[AttachResponse](ctx, c, PathAttach, req, 0)
+	resp, err := call[AttachResponse](ctx, c, PathAttach, req, 0)
+	if err != nil {
+		return nil, err
+	}
+	if err := resp.check(); err != nil {
+		return nil, c.failure(PathAttach, KindMalformed, true, err)
+	}
+	return resp, nil
 }
 
 // Heartbeat renews the lease of the endpoint's tasks.
--- a/internal/endpoint/client_test.go
+++ b/internal/endpoint/client_test.go
@@ -67,6 +67,23 @@
 	}
 }
 
+func TestAttachRefusesMalformedInventory(t *testing.T) {
+	for _, body := range []string{
+		`{}`,
+		`{"endpoint":"w1","incarnation":"i","capacity":{"slots":-1}}`,
+		`{"endpoint":"w1","incarnation":"i","tasks":[{"task":{"id":"a","size":{"memory_mb":-5}}}]}`,
+		`{"endpoint":"w1","incarnation":"i","tasks":[{"task":{}}]}`,
+	} {
+		t.Run(body, func(t *testing.T) {
+			client, _ := newClient(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(body)) })
+			_, err := client.Attach(context.Background(), &endpoint.AttachRequest{Epoch: 1})
+			if endpoint.KindOf(err) != endpoint.KindMalformed {
+				t.Fatalf("error %v", err)
+			}
+		})
+	}
+}
+
 func TestUnreachable(t *testing.T) {
 	client, server := newClient(t, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
--- a/internal/endpoint/decode.go
+++ b/internal/endpoint/decode.go
@@ -18,6 +18,27 @@
 	return out, nil
 }
 
+// check reports an inventory that accounts can't be built on.
+func (r *AttachResponse) check() error {
+	if r.Incarnation == "" || r.Endpoint == "" {
+		return errors.New("inventory lacks the endpoint's id or incarnation")
+	}
+	if !r.Capacity.valid() {
+		return errors.Errorf("capacity %+v is negative", r.Capacity)
+	}
+	for _, status := range r.Tasks {
+		if status.Task.ID == "" || !status.Task.Size.valid() {
+			return errors.Errorf("task %q of size %+v is malformed", status.Task.ID, status.Task.Size)
+		}
+	}
+	return nil
+}
+
+// valid reports whether no part of r is negative.
+func (r Resources) valid() bool {
+	return r.MilliCores >= 0 && r.MemoryMB >= 0 && r.Accelerators >= 0 && r.Slots >= 0
+}
+
 // validEvents returns the events whose part numbers fit, in place.
 func validEvents(events []Event) []Event {
 	valid := events[:0]
--- a/internal/platform/append.go
+++ b/internal/platform/append.go
@@ -79,6 +79,9 @@
 	r := request{op: opAppend, method: http.MethodPost, url: a.client.logURL + PathRecords, body: a.body}
 	var resp AppendResponse
 	err := a.client.exchange(ctx, r, &resp)
+	if err == nil && resp.Offset == 0 {
+		err = &attemptError{kind: KindUnavailable, certainty: mayHaveEffect, cause: errors.New("answer lacks the offset")}
+	}
 	if err == nil {
 		a.client.sawEnd(resp.Offset + 1)
 		return resp.Offset, nil
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -212,6 +212,24 @@
 	}
 }
 
+// TestMalformedAnswers expects that answers which no log can give are errors.
+func TestMalformedAnswers(t *testing.T) {
+	for _, body := range []string{`{}`, `[]`, `{"first":2,"end":1}`, `{"first":1,"end":3,"records":[{"offset":2},{"offset":1}]}`} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write([]byte(body))
+		}))
+		client := newClient(server.URL)
+		if page, err := client.Read(context.Background(), 1, 1, 0); platform.KindOf(err) != platform.KindUnavailable {
+			t.Errorf("read answered %s: %+v, %v", body, page, err)
+		}
+		if _, err := client.Append(context.Background(), "a", nil); platform.KindOf(err) != platform.KindAppendUnknown {
+			t.Errorf("append answered %s: %v", body, err)
+		}
+		client.Close()
+		server.Close()
+	}
+}
+
 func TestReadBelowRetention(t *testing.T) {
 	log, client := setUp(t, standin.LogOptions{MaxRecords: 2})
 	for range 5 {
--- a/internal/platform/read.go
+++ b/internal/platform/read.go
@@ -34,6 +34,9 @@
 	if err := c.exchange(ctx, r, &page); err != nil {
 		return nil, err
 	}
+	if err := page.check(from); err != nil {
+		return nil, &attemptError{kind: KindUnavailable, cause: err}
+	}
 	if from > 0 && page.First > from {
 		cause := errors.Errorf("offset %d is below the first kept offset %d", from, page.First)
 		return nil, &attemptError{kind: KindTrimmed, permanent: true, first: page.First, cause: cause}
@@ -42,6 +45,22 @@
 	return &page, nil
 }
 
+// check reports a page that no log can have sent in answer to a read at from:
+// its records must lie between from and the end, in ascending order.
+func (p *ReadResponse) check(from uint64) error {
+	if p.First == 0 || p.End < p.First {
+		return errors.Errorf("page from %d to %d is malformed", p.First, p.End)
+	}
+	next := max(from, p.First)
+	for _, record := range p.Records {
+		if record.Offset < next || record.Offset >= p.End {
+			return errors.Errorf("record at offset %d is out of place in a page from %d to %d", record.Offset, next, p.End)
+		}
+		next = record.Offset + 1
+	}
+	return nil
+}
+
 // Instances implements Lister.
 func (c *Client) Instances(ctx context.Context) (*InstanceList, error) {
 	r := request{op: opList, method: http.MethodGet, url: c.listURL + PathInstances}
