--- a/internal/cell/install.go
+++ b/internal/cell/install.go
@@ -75,7 +75,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, ok := s.zones[name]; !ok {
-		s.zones[name] = newZoneShard(name, false)
+		s.zones[name] = newZoneShard(name, false, s.bounds.span)
 	}
 }
 
--- /dev/null
+++ b/internal/cell/mutants_test.go
@@ -0,0 +1,102 @@
+package cell
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/bluebellstile/bluebellstile/internal/record"
+)
+
+const (
+	// mutantSeeds is the number of schedules in one of which a mutant has to
+	// be caught.
+	mutantSeeds = 80
+	// scheduleLength is the number of choices of a schedule.
+	scheduleLength = 2000
+)
+
+// TestMutantsAreCaught checks that the model test fails for each unsafe
+// variant of a rule, and for none of the same schedules without it.
+func TestMutantsAreCaught(t *testing.T) {
+	mutants := map[string]mutation{
+		"a claim needs no current predecessor": func(s *State, _ uint64, id string, env *record.Envelope) string {
+			if env.Kind == record.KindClaim && env.Claim.Base == 0 {
+				claim, _ := s.Epoch(env.Claim.Zone)
+				env.Claim.Previous = claim.Epoch
+			}
+			return id
+		},
+		"a configuration overwrites": func(s *State, _ uint64, id string, env *record.Envelope) string {
+			if env.Kind == record.KindConfig {
+				_, env.Config.Expected = s.Config()
+			}
+			return id
+		},
+		"a roster record of an old epoch counts": func(s *State, _ uint64, id string, env *record.Envelope) string {
+			if env.Kind == record.KindRoster {
+				claim, _ := s.Epoch(env.Roster.Zone)
+				env.Roster.Epoch = claim.Epoch
+			}
+			return id
+		},
+		"a transfer of an old epoch counts": func(s *State, _ uint64, id string, env *record.Envelope) string {
+			if env.Kind == record.KindTransfer {
+				claim, _ := s.Epoch(env.Transfer.From)
+				env.Transfer.Epoch = claim.Epoch
+			}
+			return id
+		},
+		"a retried record counts twice": func(_ *State, offset uint64, _ string, env *record.Envelope) string {
+			if env.Kind == record.KindTransfer {
+				env.Transfer.ID = fmt.Sprint(offset)
+			}
+			return fmt.Sprint(offset)
+		},
+		"a late record counts": func(_ *State, offset uint64, id string, env *record.Envelope) string {
+			env.Seen = offset - 1
+			return id
+		},
+		"a snapshot holds where it stands": func(_ *State, offset uint64, id string, env *record.Envelope) string {
+			if env.Kind == record.KindSnapshot {
+				env.Snapshot.Through = offset - 1
+			}
+			return id
+		},
+		"a snapshot forgets recent ids": func(_ *State, _ uint64, id string, env *record.Envelope) string {
+			if env.Kind == record.KindSnapshot {
+				env.Snapshot.Recent = nil
+			}
+			return id
+		},
+		"a snapshot forgets who else is claimed": func(_ *State, _ uint64, id string, env *record.Envelope) string {
+			if env.Kind == record.KindSnapshot && env.Snapshot.Zone == "" {
+				env.Snapshot.Claims = nil
+			}
+			return id
+		},
+	}
+	for name, mutate := range mutants {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(mutantSeeds) {
+				if err := newWorld(randomSchedule(seed, scheduleLength), mutate).run(); err != nil {
+					t.Logf("caught with seed %d: %.100s", seed, err.Error())
+					return
+				}
+			}
+			t.Errorf("the mutant isn't caught by %d schedules", mutantSeeds)
+		})
+	}
+}
+
+func TestModelPassesMutantSchedules(t *testing.T) {
+	steps := 0
+	for seed := range uint64(mutantSeeds) {
+		w := newWorld(randomSchedule(seed, scheduleLength), nil)
+		if err := w.run(); err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		steps += w.steps
+	}
+	t.Logf("%d steps", steps)
+}
--- /dev/null
+++ b/internal/cell/oracle_test.go
@@ -0,0 +1,187 @@
+package cell
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/bluebellstile/bluebellstile/internal/record"
+	"github.com/bluebellstile/bluebellstile/operator"
+)
+
+// oracle states the rules in their plainest form, with memory that is never
+// bounded, for comparison with a State that has read the log from offset 1.
+type oracle struct {
+	span     uint64
+	ids      map[string]bool
+	version  uint64
+	limits   map[string]int64
+	zones    map[string]bool
+	epochs   map[string]uint64
+	holders  map[string]string
+	rosters  map[string]map[string]bool
+	outcomes map[string]map[int]string
+	tickets  map[string]bool
+	tasks    map[string]int
+}
+
+func newOracle(span uint64) *oracle {
+	return &oracle{
+		span: span, ids: map[string]bool{}, limits: map[string]int64{}, zones: map[string]bool{},
+		epochs: map[string]uint64{}, holders: map[string]string{}, rosters: map[string]map[string]bool{},
+		outcomes: map[string]map[int]string{}, tickets: map[string]bool{}, tasks: map[string]int{},
+	}
+}
+
+// judge returns whether the record counts. balance is that of a transfer's
+// giver where the record stands.
+func (o *oracle) judge(offset uint64, id string, env *record.Envelope, balance int64) bool {
+	switch env.Kind {
+	case record.KindConfig:
+		return o.judgeConfig(offset, env.Config)
+	case record.KindClaim:
+		return o.judgeClaim(offset, env.Claim)
+	case record.KindSnapshot, record.KindAudit:
+		return true
+	}
+	if offset-env.Seen > o.span || !o.fresh(id) {
+		return false
+	}
+	zoneName, epoch := zoneOf(env), epochOf(env)
+	if env.Kind == record.KindTransfer {
+		epoch = env.Transfer.Epoch
+		if !o.fresh("t" + env.Transfer.ID) {
+			return false
+		}
+	}
+	if epoch == 0 || epoch != o.epochs[zoneName] {
+		return false
+	}
+	o.applyHolder(env)
+	t := env.Transfer
+	return t == nil || (o.zones[t.To] && t.From != t.To && t.Amount > 0 && balance >= t.Amount)
+}
+
+func (o *oracle) fresh(id string) bool {
+	seen := o.ids[id]
+	o.ids[id] = true
+	return !seen
+}
+
+func (o *oracle) judgeConfig(offset uint64, c *record.Config) bool {
+	parsed, err := operator.Parse(c.Text)
+	if err != nil || c.Expected != o.version {
+		return false
+	}
+	o.version = offset
+	o.limits = map[string]int64{}
+	for _, t := range parsed.Teams {
+		o.limits[t.Name] = t.UpperLimit
+	}
+	o.zones = map[string]bool{}
+	for _, z := range parsed.Zones {
+		o.zones[z.Name] = true
+	}
+	return true
+}
+
+func (o *oracle) judgeClaim(offset uint64, c *record.Claim) bool {
+	if c.Base != 0 {
+		return c.Holder != "" && c.Base == o.epochs[c.Zone] && c.Holder == o.holders[c.Zone]
+	}
+	if c.Holder == "" || c.Previous != o.epochs[c.Zone] {
+		return false
+	}
+	o.epochs[c.Zone] = offset
+	o.holders[c.Zone] = c.Holder
+	return true
+}
+
+func (o *oracle) applyHolder(env *record.Envelope) {
+	switch env.Kind {
+	case record.KindRoster:
+		o.applyRoster(env.Roster)
+	case record.KindJobs:
+		for _, j := range env.Jobs.Jobs {
+			o.accept(env.Jobs.Zone, j)
+		}
+	case record.KindOutcomes:
+		for _, out := range env.Outcomes.Outcomes {
+			o.finish(env.Outcomes.Zone, out)
+		}
+	}
+}
+
+func (o *oracle) applyRoster(r *record.Roster) {
+	if o.rosters[r.Zone] == nil {
+		o.rosters[r.Zone] = map[string]bool{}
+	}
+	for _, id := range r.Removed {
+		delete(o.rosters[r.Zone], id)
+	}
+	for _, id := range r.Endpoints {
+		o.rosters[r.Zone][id] = true
+	}
+}
+
+func (o *oracle) accept(zoneName string, j record.Job) {
+	key, ticket := zoneName+"/"+j.ID, zoneName+"/"+j.Team+"/"+j.Ticket
+	if o.tasks[key] > 0 || o.tickets[ticket] {
+		return
+	}
+	o.tickets[ticket] = true
+	o.tasks[key] = len(j.Inputs)
+	o.outcomes[key] = map[int]string{}
+}
+
+func (o *oracle) finish(zoneName string, out record.Outcome) {
+	key := zoneName + "/" + out.Job
+	if out.Index >= o.tasks[key] || o.outcomes[key][out.Index] != "" {
+		return
+	}
+	o.outcomes[key][out.Index] = out.State
+}
+
+// compare returns where a State that has read everything differs.
+func (o *oracle) compare(s *State) error {
+	if _, version := s.Config(); version != o.version {
+		return fmt.Errorf("version %d in force, want %d", version, o.version)
+	}
+	for name, epoch := range o.epochs {
+		if claim, _ := s.Epoch(name); claim.Epoch != epoch || claim.Holder != o.holders[name] {
+			return fmt.Errorf("zone %s: claim %+v, want epoch %d by %s", name, claim, epoch, o.holders[name])
+		}
+		if got, want := s.Roster(name), slices.Sorted(maps.Keys(o.rosters[name])); !slices.Equal(got, want) {
+			return fmt.Errorf("zone %s: roster %v, want %v", name, got, want)
+		}
+	}
+	for team, limit := range o.limits {
+		sum := int64(0)
+		for name, balance := range s.Allotments(team) {
+			if balance < 0 {
+				return fmt.Errorf("balance %d of %s in %s", balance, team, name)
+			}
+			sum += balance
+		}
+		if _, unplaced := s.shared.book.Limit(team); sum+unplaced != limit {
+			return fmt.Errorf("balances of %s add up to %d, want %d", team, sum, limit)
+		}
+	}
+	return o.compareJobs(s)
+}
+
+func (o *oracle) compareJobs(s *State) error {
+	for key, tasks := range o.tasks {
+		zoneName, id := key[:1], key[2:]
+		j, ok := s.zones[zoneName].jobs.Job(id)
+		if !ok || j.Tasks != tasks || j.Left != tasks-len(o.outcomes[key]) {
+			return fmt.Errorf("job %s: %+v, want %d tasks, outcomes %v", key, j, tasks, o.outcomes[key])
+		}
+		for index, state := range o.outcomes[key] {
+			if got, _ := j.Outcome(index); got.State != state {
+				return fmt.Errorf("job %s task %d: %q, want %q", key, index, got.State, state)
+			}
+		}
+	}
+	return nil
+}
--- a/internal/cell/shared.go
+++ b/internal/cell/shared.go
@@ -28,13 +28,13 @@
 	parts    assembler
 }
 
-func newSharedShard(known bool) *sharedShard {
+func newSharedShard(known bool, span uint64) *sharedShard {
 	return &sharedShard{
 		known:    known,
 		register: &config.Register{},
 		chains:   map[string]*zone.Chain{},
 		book:     team.NewBook(),
-		recent:   newWindow(nil),
+		recent:   newWindow(span, nil),
 	}
 }
 
@@ -155,7 +155,7 @@
 	defer s.mu.Unlock()
 	s.register = register
 	s.book = book
-	s.recent = newWindow(snap.Recent)
+	s.recent = newWindow(s.recent.span, snap.Recent)
 	s.chains = map[string]*zone.Chain{}
 	for i := range snap.Claims {
 		s.chains[snap.Claims[i].Zone] = zone.RestoreChain(&snap.Claims[i])
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -45,6 +45,7 @@
 // State is what a daemon knows from the log. Apply must not be called
 // concurrently with itself; everything else may be.
 type State struct {
+	bounds  bounds
 	applied atomic.Uint64
 	skipped atomic.Uint64
 
@@ -60,9 +61,21 @@
 	waiting bool
 }
 
+// bounds are the bounds that all readers of one log have to share, and that on
+// the memory of one of them.
+type bounds struct {
+	// span is record.SeenWindow.
+	span         uint64
+	backlogBytes int
+}
+
 // New returns the state before the first record.
 func New() *State {
-	s := &State{}
+	return newState(bounds{span: record.SeenWindow, backlogBytes: backlogBytes})
+}
+
+func newState(b bounds) *State {
+	s := &State{bounds: b}
 	s.restart(1)
 	return s
 }
@@ -71,9 +84,9 @@
 func (s *State) restart(from uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.shared = newSharedShard(from == 1)
+	s.shared = newSharedShard(from == 1, s.bounds.span)
 	s.zones = map[string]*zoneShard{}
-	s.backlog = backlog{from: from, limit: backlogBytes}
+	s.backlog = backlog{from: from, limit: s.bounds.backlogBytes}
 	s.waiting = from != 1
 }
 
@@ -240,7 +253,7 @@
 	defer s.mu.Unlock()
 	z, ok := s.zones[name]
 	if !ok {
-		z = newZoneShard(name, s.shared.known)
+		z = newZoneShard(name, s.shared.known, s.bounds.span)
 		s.zones[name] = z
 	}
 	return z
--- a/internal/cell/window.go
+++ b/internal/cell/window.go
@@ -4,16 +4,17 @@
 	"github.com/bluebellstile/bluebellstile/internal/record"
 )
 
-// window remembers the ids of holders' records over record.SeenWindow offsets.
+// window remembers the ids of holders' records over span offsets.
 // A record that stands further behind its Seen offset is void as late, so that
 // an id that was forgotten can't take effect again.
 type window struct {
+	span  uint64
 	ids   map[string]struct{}
 	queue []record.RecentID
 }
 
-func newWindow(recent []record.RecentID) *window {
-	w := &window{ids: make(map[string]struct{}, len(recent)), queue: recent}
+func newWindow(span uint64, recent []record.RecentID) *window {
+	w := &window{span: span, ids: make(map[string]struct{}, len(recent)), queue: recent}
 	for _, r := range recent {
 		w.ids[r.ID] = struct{}{}
 	}
@@ -27,7 +28,7 @@
 	if seen >= offset {
 		return record.NewVoid(record.VoidInvalid, "the record at offset %d says that its writer had read offset %d; set Seen to the applied offset", offset, seen)
 	}
-	if offset-seen > record.SeenWindow {
+	if offset-seen > w.span {
 		return record.NewVoid(record.VoidLate, "the record at offset %d was made at offset %d; make it anew", offset, seen)
 	}
 	duplicate := ""
@@ -55,11 +56,11 @@
 	return true
 }
 
-// expire forgets the ids of records that stand more than record.SeenWindow
+// expire forgets the ids of records that stand more than span offsets
 // before offset.
 func (w *window) expire(offset uint64) {
 	n := 0
-	for n < len(w.queue) && w.queue[n].Offset+record.SeenWindow < offset {
+	for n < len(w.queue) && w.queue[n].Offset+w.span < offset {
 		delete(w.ids, w.queue[n].ID)
 		n++
 	}
--- a/internal/cell/zoneshard.go
+++ b/internal/cell/zoneshard.go
@@ -24,14 +24,14 @@
 	parts   assembler
 }
 
-func newZoneShard(name string, known bool) *zoneShard {
+func newZoneShard(name string, known bool, span uint64) *zoneShard {
 	return &zoneShard{
 		name:   name,
 		known:  known,
 		chain:  zone.NewChain(name),
 		roster: zone.NewRoster(nil),
 		jobs:   job.NewStore(name),
-		recent: newWindow(nil),
+		recent: newWindow(span, nil),
 	}
 }
 
@@ -120,7 +120,7 @@
 	z.chain = zone.RestoreChain(&snap.Claims[0])
 	z.roster = zone.NewRoster(snap.Roster)
 	z.jobs = job.Restore(z.name, snap.Jobs, snap.Finished, snap.Outcomes)
-	z.recent = newWindow(snap.Recent)
+	z.recent = newWindow(z.recent.span, snap.Recent)
 	z.through = snap.Through
 	z.known = true
 	return nil
