--- a/cmd/bluebellstile/commander.go
+++ b/cmd/bluebellstile/commander.go
@@ -88,6 +88,7 @@
 		{groupOperators, newConfigFamily(env)},
 		{groupOperators, newKeyFamily(env)},
 		{groupOperators, newZones(env)},
+		{groupFiles, newDev(env)},
 		{groupOperators, newReport(env)},
 		{groupFiles, newSettingsFamily(env)},
 	}
--- /dev/null
+++ b/cmd/bluebellstile/dev.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"log/slog"
+	"os"
+	"strings"
+
+	"github.com/bluebellstile/bluebellstile/internal/dev"
+)
+
+// devOptions are the flags of the dev command.
+type devOptions struct {
+	zones   string
+	cell    dev.Options
+	verbose bool
+}
+
+func newDev(env *environment) *command {
+	o := &devOptions{}
+	c := &command{
+		env:      env,
+		path:     "dev",
+		synopsis: "run a whole cell in this process, on stand-ins for the platform",
+		details:  "Runs until it is interrupted. Nothing is kept.",
+		examples: []string{"bluebellstile dev", "bluebellstile dev -zones a,b,c -daemons 2 -port 7600"},
+	}
+	c.flags = func(f *flag.FlagSet) {
+		f.StringVar(&o.zones, "zones", "quimper-1,brest-1", "names of the availability zones, separated by commas")
+		f.IntVar(&o.cell.Daemons, "daemons", 2, "daemons in each zone")
+		f.IntVar(&o.cell.Workers, "workers", 2, "workers in each zone")
+		f.IntVar(&o.cell.Runners, "runners", 2, "service runners in each zone")
+		f.IntVar(&o.cell.Port, "port", 7400, "first daemon's port for callers; each daemon uses three of ten ports")
+		f.BoolVar(&o.verbose, "verbose", false, "log what the daemons do")
+		c.jsonFlag(f)
+	}
+	c.run = func(ctx context.Context, _ []string) error { return c.runDev(ctx, o) }
+	return c
+}
+
+// devBody tells scripts where the cell listens.
+type devBody struct {
+	API   []string `json:"api"`
+	Admin []string `json:"admin"`
+}
+
+// runDev runs the cell until ctx ends.
+func (c *command) runDev(ctx context.Context, o *devOptions) error {
+	o.cell.Zones = strings.Split(o.zones, ",")
+	o.cell.Level = new(slog.LevelVar)
+	o.cell.Level.Set(slog.LevelWarn)
+	if o.verbose {
+		o.cell.Level.Set(slog.LevelInfo)
+	}
+	o.cell.Log = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: o.cell.Level}))
+	cell, err := dev.Start(o.cell)
+	if err != nil {
+		return err
+	}
+	defer cell.Stop(context.WithoutCancel(ctx))
+	if c.json {
+		if err := c.env.printJSON(devBody{API: cell.APIs, Admin: cell.Admins}); err != nil {
+			return err
+		}
+	} else {
+		c.env.note("callers:   %s", strings.Join(cell.APIs, ","))
+		c.env.note("operators: %s", strings.Join(cell.Admins, ","))
+		c.env.note("Publish a configuration, for example: go run ./operator/example/demo > cell.ini")
+	}
+	<-ctx.Done()
+	return nil
+}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -126,12 +126,16 @@
 }
 
 // author returns the id of the operator's key. Before there is any
-// configuration, a key of the one that is being published admits to it.
+// configuration there is nothing to protect from being read, and a key of the
+// one that is being published admits to that.
 func (a *Admin) author(r *http.Request, body []byte) (string, *problem.Problem) {
 	secret, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if !a.deps.Guard.Empty() {
 		return a.deps.Guard.Operator(secret)
 	}
+	if r.Method == http.MethodGet {
+		return "", nil
+	}
 	var first publishBody
 	if json.Unmarshal(body, &first) != nil || first.Text == "" {
 		return "", problem.Refuse(problem.KeyRefused, "publish a configuration that has the operator's key", "no configuration is in force yet")
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -44,6 +44,8 @@
 	waiters   map[string]chan cell.Effect
 	fresh     freshness
 	ring      *ring
+	// first and end bound what the log keeps.
+	first, end uint64
 }
 
 // New returns a journal over log that fills state.
--- a/internal/journal/ring.go
+++ b/internal/journal/ring.go
@@ -1,15 +1,21 @@
 package journal
 
-import "github.com/bluebellstile/bluebellstile/internal/platform"
+import (
+	"sort"
+
+	"github.com/bluebellstile/bluebellstile/internal/platform"
+)
 
 // ringBytes bounds the recent records kept for relaying to other daemons.
 const ringBytes = 4 << 20
 
 // ring keeps the latest records, oldest first, within a byte bound.
 type ring struct {
-	limit   int
-	size    int
+	limit int
+	size  int
+	// records from start on are kept.
 	records []platform.Record
+	start   int
 }
 
 // newRing returns a ring that keeps at most limit bytes of record data.
@@ -19,32 +25,26 @@
 func (r *ring) add(rec platform.Record) {
 	r.records = append(r.records, rec)
 	r.size += len(rec.Data)
-	drop := 0
-	for r.size > r.limit && drop < len(r.records)-1 {
-		r.size -= len(r.records[drop].Data)
-		drop++
+	for r.size > r.limit && r.start < len(r.records)-1 {
+		r.size -= len(r.records[r.start].Data)
+		r.records[r.start] = platform.Record{}
+		r.start++
 	}
-	if drop > 0 {
-		r.records = append([]platform.Record(nil), r.records[drop:]...)
+	if 2*r.start > len(r.records) {
+		r.records = append([]platform.Record(nil), r.records[r.start:]...)
+		r.start = 0
 	}
 }
 
 // from returns at most limit records from an offset on; ok is false if the
 // ring no longer reaches back to it.
 func (r *ring) from(offset uint64, limit int) (out []platform.Record, ok bool) {
-	if len(r.records) == 0 || r.records[0].Offset > offset {
+	kept := r.records[r.start:]
+	if len(kept) == 0 || kept[0].Offset > offset {
 		return nil, false
 	}
-	for _, rec := range r.records {
-		if rec.Offset < offset {
-			continue
-		}
-		out = append(out, rec)
-		if len(out) == limit {
-			break
-		}
-	}
-	return out, true
+	at := sort.Search(len(kept), func(i int) bool { return kept[i].Offset >= offset })
+	return append(out, kept[at:min(at+limit, len(kept))]...), true
 }
 
 // Recent returns records from an offset on for relaying; ok is false if they
--- a/internal/journal/tail.go
+++ b/internal/journal/tail.go
@@ -30,6 +30,9 @@
 	// AsOf. AsOf is zero if the source itself is in doubt.
 	End  uint64
 	AsOf time.Time
+	// First is the lowest offset that the log keeps; 0 if the source does not
+	// know.
+	First uint64
 }
 
 // Source supplies log records from an offset.
@@ -53,7 +56,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Page{Records: page.Records, End: page.End, AsOf: asOf}, nil
+	return &Page{Records: page.Records, End: page.End, AsOf: asOf, First: page.First}, nil
 }
 
 // Chooser picks the sources of the next read in order of preference.
@@ -96,6 +99,22 @@
 	return false
 }
 
+// noteKept records what the log keeps.
+func (j *Journal) noteKept(first, end uint64) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.first = max(j.first, first)
+	j.end = max(j.end, end)
+}
+
+// Kept returns the range of offsets that the log was last known to keep. It
+// may lag behind, but never runs ahead.
+func (j *Journal) Kept() (first, end uint64) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.first, j.end
+}
+
 // skipTrimmed moves on to what retention has kept.
 func (j *Journal) skipTrimmed(err error) {
 	first, trimmed := platform.TrimmedTo(err)
@@ -114,6 +133,7 @@
 		size += len(r.Data)
 	}
 	metrics.TailBytes.Add(source, int64(size))
+	j.noteKept(page.First, page.End)
 	if !page.AsOf.IsZero() {
 		j.Prove(page.AsOf, page.End)
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -183,6 +183,7 @@
 		func() error { return s.claimant.Run(s.tomb) },
 		func() error { return s.keeper.run(s.tomb) },
 		func() error { return s.runGauges(s.tomb) },
+		func() error { return s.runSnapshots(s.tomb) },
 		s.api.serve, s.peer.serve, s.admin.serve,
 	} {
 		s.tomb.Go(run)
