Bring the command line into line with the daemon's interfaces

Run against real processes, the command line showed what scripted servers couldn't. Before any configuration no key can read one, so that the first publication failed; the version, which needs no key, is asked for first now. A failed task has the verdict 'unknown' with the code task_failed, and ended with exit code 4 in place of 5. A job sent as not idempotent left the field out and so took its queue's default, which may be idempotent; the field is sent whenever the caller states it. Zones list their endpoints and teams.

The daemon itself waits for the zones and asks every daemon of each, while the command line could ask holders alone and would have called a zone 'in force' too early, so its own wait is gone; -everywhere turns a zone that isn't known to be in force into exit code 4.

--- a/cmd/bluebellstile/command.go
+++ b/cmd/bluebellstile/command.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bluebellstile/bluebellstile/internal/client"
+	"github.com/bluebellstile/bluebellstile/internal/problem"
 )
 
 // command is one command. Its options are set up by flags and read by run.
@@ -82,11 +83,12 @@
 	ExitCode int            `json:"exit_code"`
 	Message  string         `json:"message"`
 	Kind     client.Kind    `json:"kind,omitempty"`
-	Code     string         `json:"code,omitempty"`
+	Code     problem.Code   `json:"code,omitempty"`
 	Verdict  client.Verdict `json:"verdict,omitempty"`
 	Remedy   string         `json:"remedy,omitempty"`
 	Ticket   string         `json:"ticket,omitempty"`
-	Version  uint64         `json:"version,omitempty"`
+	// RequestID finds the request in the daemon's logs.
+	RequestID string `json:"request_id,omitempty"`
 }
 
 func (c *command) report(err error, code int) {
@@ -102,6 +104,9 @@
 	if e != nil && e.Ticket != "" {
 		c.env.note("ticket: %s", e.Ticket)
 	}
+	if e != nil && e.RequestID != "" {
+		c.env.note("request id: %s", e.RequestID)
+	}
 	if c.json {
 		_ = c.env.printJSON(map[string]failure{"error": describeFailure(err, e, code)})
 	}
@@ -117,7 +122,7 @@
 	out.Verdict = e.Verdict
 	out.Remedy = e.Remedy
 	out.Ticket = e.Ticket
-	out.Version = e.Version
+	out.RequestID = e.RequestID
 	return out
 }
 
--- a/cmd/bluebellstile/config_files.go
+++ b/cmd/bluebellstile/config_files.go
@@ -36,14 +36,18 @@
 }
 
 // inForce returns the configuration in force and its version. Before the
-// first publication both are empty.
+// first publication both are empty; no key could read it then.
 func inForce(ctx context.Context, c *client.Client) (*operator.Config, uint64, error) {
-	v, err := c.Config(ctx)
+	version, err := c.Version(ctx)
 	if err != nil {
 		return nil, 0, readError(err)
 	}
-	if v.Text == "" {
-		return &operator.Config{}, v.Version, nil
+	if version == 0 {
+		return &operator.Config{}, 0, nil
+	}
+	v, err := c.Config(ctx)
+	if err != nil {
+		return nil, 0, readError(err)
 	}
 	config, err := operator.Parse(v.Text)
 	return config, v.Version, err
--- a/cmd/bluebellstile/exit.go
+++ b/cmd/bluebellstile/exit.go
@@ -84,11 +84,11 @@
 	if e.Kind == client.KindConflict && e.Verdict != client.VerdictUnknown {
 		return exitConflict
 	}
-	switch e.Verdict {
-	case client.VerdictNotRun:
-		return exitNotRun
-	case client.VerdictDone:
+	switch {
+	case e.Kind == client.KindFailed:
 		return exitFailed
+	case e.Verdict == client.VerdictNotRun:
+		return exitNotRun
 	}
 	return exitUnknown
 }
--- a/cmd/bluebellstile/format.go
+++ b/cmd/bluebellstile/format.go
@@ -45,14 +45,6 @@
 	return (time.Duration(us) * time.Microsecond).String()
 }
 
-// clock writes a moment in milliseconds since 1970, "-" for none.
-func clock(unixMS int64) string {
-	if unixMS == 0 {
-		return "-"
-	}
-	return time.UnixMilli(unixMS).UTC().Format(time.RFC3339)
-}
-
 // dash returns "-" for an empty cell.
 func dash(text string) string {
 	if text == "" {
--- a/cmd/bluebellstile/history.go
+++ b/cmd/bluebellstile/history.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"flag"
+	"fmt"
 	"strconv"
 
 	"github.com/bluebellstile/bluebellstile/internal/client"
+	"github.com/bluebellstile/bluebellstile/operator"
 )
 
 func newConfigHistory(env *environment) *command {
@@ -42,10 +44,33 @@
 		return c.env.printJSON(append([]client.HistoryEntry{}, entries...))
 	}
 	rows := make([][]string, len(entries))
+	before := ""
 	for i, e := range entries {
-		rows[i] = []string{versionText(e.Version), clock(e.UnixMS), dash(e.Author), versionText(e.Base)}
+		rows[i] = []string{versionText(e.Version), dash(e.Author), changeSummary(before, e.Text)}
+		before = e.Text
 	}
-	return c.env.printTable([]string{"VERSION", "TIME", "AUTHOR", "TEXT OF"}, rows)
+	return c.env.printTable([]string{"VERSION", "AUTHOR", "CHANGES"}, rows)
+}
+
+// changeSummary names the first change between two texts and counts the
+// others.
+func changeSummary(before, after string) string {
+	next, err := operator.Parse(after)
+	if err != nil {
+		return "(the text can't be read)"
+	}
+	old, err := operator.Parse(before)
+	if err != nil {
+		return "(the version before is not known)"
+	}
+	changes := operator.Diff(old, next)
+	switch len(changes) {
+	case 0:
+		return "none"
+	case 1:
+		return changes[0].String()
+	}
+	return fmt.Sprintf("%s, and %d more", changes[0], len(changes)-1)
 }
 
 func newConfigRevert(env *environment) *command {
@@ -59,10 +84,9 @@
 		examples:  []string{"bluebellstile config revert 117"},
 	}
 	c.flags = func(f *flag.FlagSet) {
-		o.conn.adminFlags(f)
+		o.flags(f)
+		o.expectedFlag(f)
 		c.jsonFlag(f)
-		f.Int64Var(&o.expected, "expected", notExpected, "version that is replaced (default: the one in force now)")
-		f.DurationVar(&o.wait, "wait", defaultSpreadWait, "longest wait until it is in force in every zone; 0 not to wait")
 	}
 	c.run = func(ctx context.Context, args []string) error { return c.revert(ctx, o, args) }
 	return c
@@ -91,5 +115,5 @@
 	if err != nil {
 		return err
 	}
-	return c.finishPublication(ctx, opened, published, o.wait)
+	return c.finishPublication(published, o.everywhere)
 }
--- a/cmd/bluebellstile/key.go
+++ b/cmd/bluebellstile/key.go
@@ -4,7 +4,6 @@
 	"context"
 	"flag"
 	"fmt"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -107,18 +106,6 @@
 	return c.env.print(text)
 }
 
-// editOptions are the flags of commands that change the configuration in
-// force.
-type editOptions struct {
-	conn connection
-	wait time.Duration
-}
-
-func (o *editOptions) flags(f *flag.FlagSet) {
-	o.conn.adminFlags(f)
-	f.DurationVar(&o.wait, "wait", defaultSpreadWait, "longest wait until it is in force in every zone; 0 not to wait")
-}
-
 // editAttempts bounds how often an edit is made anew after another operator's
 // change came first.
 const editAttempts = 5
@@ -155,7 +142,7 @@
 }
 
 func newKeyGrant(env *environment) *command {
-	o, edit := &keyOptions{}, &editOptions{conn: connection{env: env}}
+	o, edit := &keyOptions{}, &publishOptions{conn: connection{env: env}}
 	c := &command{
 		env:      env,
 		path:     "key grant",
@@ -189,7 +176,7 @@
 
 // grant publishes a change that brings a key and prints the key. It is
 // printed too when the outcome is unknown, since it may be in force.
-func (c *command) grant(ctx context.Context, edit *editOptions, change func(*operator.Config) (operator.Key, string, error)) error {
+func (c *command) grant(ctx context.Context, edit *publishOptions, change func(*operator.Config) (operator.Key, string, error)) error {
 	opened, err := edit.conn.open()
 	if err != nil {
 		return err
@@ -209,9 +196,8 @@
 	if err != nil {
 		return err
 	}
-	c.awaitSpread(ctx, opened, published, edit.wait)
 	for _, z := range published.Zones {
 		c.env.note("version %d, zone %s: %s", published.Version, z.Zone, z.State)
 	}
-	return spreadError(published, edit.wait)
+	return spreadError(published, edit.everywhere)
 }
--- a/cmd/bluebellstile/key_change.go
+++ b/cmd/bluebellstile/key_change.go
@@ -8,7 +8,7 @@
 )
 
 func newKeyRotate(env *environment) *command {
-	edit := &editOptions{conn: connection{env: env}}
+	edit := &publishOptions{conn: connection{env: env}}
 	c := &command{
 		env:       env,
 		path:      "key rotate",
@@ -33,7 +33,7 @@
 }
 
 func newKeyWithdraw(env *environment) *command {
-	edit := &editOptions{conn: connection{env: env}}
+	edit := &publishOptions{conn: connection{env: env}}
 	c := &command{
 		env:       env,
 		path:      "key withdraw",
@@ -60,7 +60,7 @@
 		if err != nil {
 			return err
 		}
-		return c.finishPublication(ctx, opened, published, edit.wait)
+		return c.finishPublication(published, edit.everywhere)
 	}
 	return c
 }
--- a/cmd/bluebellstile/load.go
+++ b/cmd/bluebellstile/load.go
@@ -38,7 +38,7 @@
 			"due and holds the time for its ticket. Ends with exit code 0 whatever the verdicts are.",
 		examples: []string{
 			"bluebellstile load -queue colour-match -command match -rate 500 -duration 30s ink.json",
-			"bluebellstile load -queue shade-preview -rate 2000 -json ink.json > result.json",
+			"bluebellstile load -queue shade-preview -command preview -rate 2000 -json ink.json > result.json",
 		},
 	}
 	c.flags = func(f *flag.FlagSet) {
@@ -52,7 +52,7 @@
 
 func (o *loadOptions) flags(f *flag.FlagSet) {
 	f.StringVar(&o.request.Queue, "queue", "", "queue of the requests (needed)")
-	f.StringVar(&o.request.Command, "command", "", "program that the endpoint runs on the input")
+	f.StringVar(&o.request.Command, "command", "", "program that the endpoint runs on the input (needed)")
 	f.Var(&o.idempotent, "idempotent", idempotentUsage)
 	f.DurationVar(&o.request.Deadline, "deadline", 0, "longest wait for an answer (default: the queue's)")
 	f.Float64Var(&o.run.Rate, "rate", defaultRate, "requests that fall due in a second")
@@ -61,8 +61,8 @@
 }
 
 func (c *command) makeLoad(ctx context.Context, o *loadOptions, args []string) error {
-	if o.request.Queue == "" {
-		return usageError("-queue is needed")
+	if o.request.Queue == "" || o.request.Command == "" {
+		return usageError("-queue and -command are needed")
 	}
 	input, err := c.onlyInput(args)
 	if err != nil {
--- a/cmd/bluebellstile/publish.go
+++ b/cmd/bluebellstile/publish.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"flag"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -11,19 +10,26 @@
 	"github.com/bluebellstile/bluebellstile/operator"
 )
 
-// defaultSpreadWait is how long a publication is followed; an accepted
-// configuration is in force everywhere within 8 seconds.
-const defaultSpreadWait = 8 * time.Second
-
 // notExpected marks an -expected that wasn't given.
 const notExpected = -1
 
 // publishOptions are the flags of config publish.
 type publishOptions struct {
-	conn     connection
-	expected int64
-	dryRun   bool
-	wait     time.Duration
+	conn       connection
+	expected   int64
+	dryRun     bool
+	everywhere bool
+}
+
+// flags adds the flags that every publication has.
+func (o *publishOptions) flags(f *flag.FlagSet) {
+	o.conn.adminFlags(f)
+	f.BoolVar(&o.everywhere, "everywhere", false, "end with exit code 4 unless it is known in force in every zone")
+}
+
+// expectedFlag adds the flag for the version that is replaced.
+func (o *publishOptions) expectedFlag(f *flag.FlagSet) {
+	f.Int64Var(&o.expected, "expected", notExpected, "version that is replaced (default: the one in force now)")
 }
 
 func newConfigPublish(env *environment) *command {
@@ -33,20 +39,19 @@
 		path:      "config publish",
 		synopsis:  "put a configuration in force in place of an expected version",
 		arguments: "FILE",
-		details: "Prints the changes, then per zone whether the new version is in force, pending or unknown.\n" +
-			"Exit codes: 0 accepted and, with -wait, in force in every zone; 3 not published; 4 unknown, or not known in\n" +
-			"force everywhere; 6 another change came first; 7 the file is refused.",
+		details: "Prints the changes, waits up to 8 s for the zones and prints for each whether the new version is in force,\n" +
+			"pending or unknown. Exit codes: 0 accepted; 3 not published; 4 unknown, or with -everywhere not known in force\n" +
+			"in every zone; 6 another change came first; 7 the file is refused.",
 		examples: []string{
 			"bluebellstile config publish -dry-run cell.ini",
 			"bluebellstile config publish -expected 118 cell.ini",
 		},
 	}
 	c.flags = func(f *flag.FlagSet) {
-		o.conn.adminFlags(f)
+		o.flags(f)
+		o.expectedFlag(f)
 		c.jsonFlag(f)
-		f.Int64Var(&o.expected, "expected", notExpected, "version that is replaced (default: the one in force now)")
 		f.BoolVar(&o.dryRun, "dry-run", false, "check everything and publish nothing")
-		f.DurationVar(&o.wait, "wait", defaultSpreadWait, "longest wait until it is in force in every zone; 0 not to wait")
 	}
 	c.run = func(ctx context.Context, args []string) error { return c.publishFile(ctx, o, args) }
 	return c
@@ -76,8 +81,9 @@
 	if err != nil {
 		return err
 	}
-	request := client.PublishRequest{Text: text, Expected: expected, DryRun: o.dryRun}
-	published, err := opened.Publish(ctx, request)
+	stop := noteWaiting(c.env, "the zones")
+	published, err := opened.Publish(ctx, client.PublishRequest{Text: text, Expected: expected, DryRun: o.dryRun})
+	stop()
 	if err != nil {
 		return err
 	}
@@ -85,7 +91,7 @@
 		c.env.note("dry run: version %d would be replaced, nothing was published", expected)
 		return c.printPublished(published)
 	}
-	return c.finishPublication(ctx, opened, published, o.wait)
+	return c.finishPublication(published, o.everywhere)
 }
 
 // announce notes warnings and changes, and returns the version to replace.
@@ -108,20 +114,19 @@
 	return uint64(wanted), nil
 }
 
-// finishPublication waits for the spread and prints it.
-func (c *command) finishPublication(ctx context.Context, opened *client.Client, p *client.Published, wait time.Duration) error {
-	c.awaitSpread(ctx, opened, p, wait)
+// finishPublication prints where an accepted version is in force.
+func (c *command) finishPublication(p *client.Published, everywhere bool) error {
 	if err := c.printPublished(p); err != nil {
 		return err
 	}
-	return spreadError(p, wait)
+	return spreadError(p, everywhere)
 }
 
-// spreadError is an accepted version that isn't known in force everywhere
-// after the wait.
-func spreadError(p *client.Published, wait time.Duration) error {
+// spreadError is an accepted version that should be in force everywhere and
+// isn't known to be.
+func spreadError(p *client.Published, everywhere bool) error {
 	left := behind(p.Zones)
-	if wait <= 0 || (left == 0 && len(p.Zones) > 0) {
+	if !everywhere || (left == 0 && len(p.Zones) > 0) {
 		return nil
 	}
 	where := plural(left, "zone")
@@ -132,31 +137,6 @@
 		"version %d is accepted and not known in force in %s; see 'bluebellstile zones'", p.Version, where)}
 }
 
-// spreadPeriod is the time between two looks at the zones.
-const spreadPeriod = 250 * time.Millisecond
-
-// awaitSpread updates the zones of p until all have the version in force or
-// the wait is over.
-func (c *command) awaitSpread(ctx context.Context, opened *client.Client, p *client.Published, wait time.Duration) {
-	ctx, cancel := context.WithTimeout(ctx, wait)
-	defer cancel()
-	ticker := time.NewTicker(spreadPeriod)
-	defer ticker.Stop()
-	for ctx.Err() == nil && (behind(p.Zones) > 0 || len(p.Zones) == 0) {
-		zones, err := opened.Zones(ctx)
-		if err == nil {
-			p.Zones = updateSpread(p.Zones, zones, p.Version)
-			if behind(p.Zones) == 0 {
-				return
-			}
-		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-		}
-	}
-}
-
 // behind counts zones that aren't known to have the version in force.
 func behind(zones []client.ZoneSpread) int {
 	n := 0
@@ -168,31 +148,6 @@
 	return n
 }
 
-// updateSpread takes over what daemons now know. A zone once seen with the
-// version keeps it, since an accepted configuration never reverts.
-func updateSpread(spread []client.ZoneSpread, zones []client.ZoneStatus, version uint64) []client.ZoneSpread {
-	known := map[string]client.Spread{}
-	for _, z := range zones {
-		switch {
-		case z.ConfigVersion >= version:
-			known[z.Zone] = client.SpreadInForce
-		case z.ConfigVersion > 0:
-			known[z.Zone] = client.SpreadPending
-		}
-	}
-	if len(spread) == 0 {
-		for _, z := range zones {
-			spread = append(spread, client.ZoneSpread{Zone: z.Zone, State: client.SpreadUnknown})
-		}
-	}
-	for i := range spread {
-		if state, ok := known[spread[i].Zone]; ok && spread[i].State != client.SpreadInForce {
-			spread[i].State = state
-		}
-	}
-	return spread
-}
-
 func (c *command) printPublished(p *client.Published) error {
 	if c.json {
 		return c.env.printJSON(p)
--- a/cmd/bluebellstile/run.go
+++ b/cmd/bluebellstile/run.go
@@ -21,14 +21,15 @@
 
 // runOptions are the flags of run.
 type runOptions struct {
-	conn    connection
-	queue   string
-	job     client.JobRequest
-	cores   float64
-	runTime time.Duration
-	lines   bool
-	detach  bool
-	out     string
+	conn       connection
+	queue      string
+	job        client.JobRequest
+	idempotent optionalBool
+	cores      float64
+	runTime    time.Duration
+	lines      bool
+	detach     bool
+	out        string
 }
 
 func newRun(env *environment) *command {
@@ -63,7 +64,7 @@
 	f.StringVar(&o.job.Command, "command", "", "program that endpoints run on each input (needed)")
 	f.StringVar(&o.job.Ticket, "ticket", "", "submit a job again whose acceptance is unknown")
 	f.BoolVar(&o.job.Gang, "gang", false, "start all tasks at once or none")
-	f.BoolVar(&o.job.Idempotent, "idempotent", false, "tasks may be run again after a failure")
+	f.Var(&o.idempotent, "idempotent", idempotentUsage)
 	f.Float64Var(&o.cores, "cores", 1, "cores that each task needs")
 	f.Int64Var(&o.job.Size.MemoryMB, "memory-mb", 256, "memory that each task needs, in MB")
 	f.Int64Var(&o.job.Size.Accelerators, "accelerators", 0, "accelerators that each task needs")
@@ -105,6 +106,7 @@
 	if !(milli >= 0 && milli <= math.MaxInt32) || o.job.Size.MemoryMB < 0 || o.job.Size.Accelerators < 0 {
 		return usageError("sizes must not be negative or absurd")
 	}
+	o.job.Idempotent = o.idempotent.value
 	o.job.Size.MilliCores = int64(milli)
 	o.job.RunTimeMS = o.runTime.Milliseconds()
 	inputs, err := readInputs(env, args, o.lines)
--- a/cmd/bluebellstile/submit.go
+++ b/cmd/bluebellstile/submit.go
@@ -68,15 +68,15 @@
 			"After 4, run it again with the -ticket that was printed; it never runs twice.",
 		examples: []string{
 			"bluebellstile submit -queue colour-match -command match -key-file armor.key ink.json",
-			"bluebellstile submit -queue label-check -idempotent=false -deadline 10s < label.json",
-			"bluebellstile submit -queue label-check -ticket TICKET < label.json",
+			"bluebellstile submit -queue label-check -command check -idempotent=false -deadline 10s < label.json",
+			"bluebellstile submit -queue label-check -command check -ticket TICKET < label.json",
 		},
 	}
 	c.flags = func(f *flag.FlagSet) {
 		o.conn.callerFlags(f)
 		c.jsonFlag(f)
 		f.StringVar(&o.request.Queue, "queue", "", "queue of the request (needed)")
-		f.StringVar(&o.request.Command, "command", "", "program that the endpoint runs on the input")
+		f.StringVar(&o.request.Command, "command", "", "program that the endpoint runs on the input (needed)")
 		f.Var(&o.idempotent, "idempotent", idempotentUsage)
 		f.DurationVar(&o.request.Deadline, "deadline", 0, "longest wait for the answer (default: the queue's)")
 		f.StringVar(&o.request.Ticket, "ticket", "", "ask again for the outcome of an earlier sending")
@@ -87,8 +87,8 @@
 }
 
 func (c *command) submit(ctx context.Context, o *submitOptions, args []string) error {
-	if o.request.Queue == "" {
-		return usageError("-queue is needed")
+	if o.request.Queue == "" || o.request.Command == "" {
+		return usageError("-queue and -command are needed")
 	}
 	input, err := c.onlyInput(args)
 	if err != nil {
--- a/cmd/bluebellstile/zones.go
+++ b/cmd/bluebellstile/zones.go
@@ -43,11 +43,21 @@
 	}
 	rows := make([][]string, len(zones))
 	for i, z := range zones {
+		running, waiting := workOf(z.Teams)
 		rows[i] = []string{
-			z.Zone, dash(z.Region), dash(z.State), dash(z.Holder), versionText(z.Epoch), versionText(z.ConfigVersion),
-			strconv.Itoa(z.Endpoints), strconv.Itoa(z.Running), strconv.Itoa(z.Waiting),
+			z.Zone, dash(z.Holder), versionText(z.Epoch), versionText(z.ConfigVersion), strconv.Itoa(len(z.Endpoints)),
+			strconv.FormatInt(running, 10), strconv.FormatInt(waiting, 10), dash(z.Problem),
 		}
 	}
-	header := []string{"ZONE", "REGION", "STATE", "HOLDER", "EPOCH", "CONFIG", "ENDPOINTS", "RUNNING", "WAITING"}
+	header := []string{"ZONE", "HOLDER", "EPOCH", "CONFIG", "ENDPOINTS", "RUNNING", "WAITING", "PROBLEM"}
 	return c.env.printTable(header, rows)
 }
+
+// workOf adds up what the teams of a zone have running and waiting.
+func workOf(teams []client.TeamStatus) (running, waiting int64) {
+	for _, t := range teams {
+		running += t.Running
+		waiting += t.Waiting
+	}
+	return running, waiting
+}
--- a/internal/client/admin.go
+++ b/internal/client/admin.go
@@ -8,6 +8,7 @@
 
 // Paths of the administration interface.
 const (
+	pathVersion = "/admin/v1/version"
 	pathConfig  = "/admin/v1/config"
 	pathHistory = "/admin/v1/config/history"
 	pathRevert  = "/admin/v1/config/revert"
@@ -15,6 +16,20 @@
 	pathReport  = "/admin/v1/report"
 )
 
+// Version reads the version of the configuration that is in force, 0 before
+// the first one. It needs no key.
+func (c *Client) Version(ctx context.Context) (uint64, error) {
+	a, err := c.read(ctx, pathVersion)
+	if err != nil {
+		return 0, err
+	}
+	var v versionResponse
+	if failure := decode(a, &v); failure != nil {
+		return 0, failure
+	}
+	return v.Version, nil
+}
+
 // Config reads the configuration that is in force.
 func (c *Client) Config(ctx context.Context) (*ConfigVersion, error) {
 	a, err := c.read(ctx, pathConfig)
@@ -83,7 +98,6 @@
 		Detail:  fmt.Sprintf("the answer was lost and version %d with another text is in force", now.Version),
 		Remedy:  "see 'bluebellstile config history' whether this text was in force in between, rebase it on that version and publish again",
 		Verdict: VerdictUnknown,
-		Version: now.Version,
 		cause:   lost,
 	}
 }
@@ -94,11 +108,7 @@
 	if err != nil {
 		return nil, err
 	}
-	entries, err := decodeList[HistoryEntry](a.body, "versions")
-	if err != nil {
-		return nil, protocolError(a, err.Error())
-	}
-	return entries, nil
+	return decodeList[HistoryEntry](a)
 }
 
 // Zones lists the availability zones.
@@ -107,11 +117,7 @@
 	if err != nil {
 		return nil, err
 	}
-	zones, err := decodeList[ZoneStatus](a.body, "zones")
-	if err != nil {
-		return nil, protocolError(a, err.Error())
-	}
-	return zones, nil
+	return decodeList[ZoneStatus](a)
 }
 
 // Report returns the report on service-level burn as JSON, or as an HTML page.
--- a/internal/client/error.go
+++ b/internal/client/error.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/bluebellstile/bluebellstile/internal/problem"
 )
 
 // Kind classifies errors.
@@ -23,9 +25,10 @@
 	KindUnauthorized Kind = "unauthorized"
 	// KindNotFound means that the job, queue or version doesn't exist.
 	KindNotFound Kind = "not found"
-	// KindConflict means that another change came first.
+	// KindConflict means that another change of the configuration came first.
 	KindConflict Kind = "conflict"
-	// KindFailed means that the work ran and failed.
+	// KindFailed means that the work ran and failed. Its verdict may be
+	// unknown, since what a failed task has done is not known.
 	KindFailed Kind = "failed"
 	// KindUnreachable means that no connection could be made.
 	KindUnreachable Kind = "unreachable"
@@ -37,13 +40,13 @@
 )
 
 // Verdict says what became of the work.
-type Verdict string
+type Verdict = problem.Verdict
 
 // Verdicts. VerdictUnknown means that the work may have run.
 const (
-	VerdictDone    Verdict = "done"
-	VerdictNotRun  Verdict = "not run"
-	VerdictUnknown Verdict = "unknown"
+	VerdictDone    = problem.Done
+	VerdictNotRun  = problem.NotRun
+	VerdictUnknown = problem.Unknown
 )
 
 // Error is the failure of one operation.
@@ -52,7 +55,7 @@
 	// Status is the HTTP status, 0 if there was no answer.
 	Status int
 	// Code is the daemon's stable code of the refusal.
-	Code    string
+	Code    problem.Code
 	Detail  string
 	Remedy  string
 	Verdict Verdict
@@ -60,8 +63,8 @@
 	RetryAfter time.Duration
 	// Ticket names the request whose outcome is meant.
 	Ticket string
-	// Version is the version of the configuration that won a conflict.
-	Version uint64
+	// RequestID finds the request in the daemon's logs.
+	RequestID string
 
 	cause error
 }
@@ -70,7 +73,7 @@
 func (e *Error) Error() string {
 	text := string(e.Verdict) + ": " + e.Detail
 	if e.Code != "" {
-		text += " (" + e.Code + ")"
+		text += " (" + string(e.Code) + ")"
 	}
 	if e.Remedy != "" {
 		text += "; " + e.Remedy
@@ -136,7 +139,7 @@
 
 // answerError turns an answer that isn't a success into an error.
 func answerError(a *answer) *Error {
-	var p problem
+	var p document
 	mediaType, _, err := mime.ParseMediaType(a.header.Get("Content-Type"))
 	if err != nil || mediaType != problemType || json.Unmarshal(a.body, &p) != nil {
 		return protocolError(a, "no problem document came with it")
@@ -152,7 +155,7 @@
 		detail = p.Title
 	}
 	return &Error{
-		Kind:       problemKind(a.status, verdict),
+		Kind:       problemKind(a.status, p.Code, verdict),
 		Status:     a.status,
 		Code:       p.Code,
 		Detail:     detail,
@@ -160,19 +163,19 @@
 		Verdict:    verdict,
 		RetryAfter: time.Duration(p.RetryAfterMS) * time.Millisecond,
 		Ticket:     p.Ticket,
-		Version:    p.Version,
+		RequestID:  a.header.Get(HeaderRequestID),
 	}
 }
 
-func problemKind(status int, verdict Verdict) Kind {
+func problemKind(status int, code problem.Code, verdict Verdict) Kind {
 	switch {
-	case verdict == VerdictDone:
+	case code == problem.TaskFailed, verdict == VerdictDone:
 		return KindFailed
 	case status == http.StatusUnauthorized, status == http.StatusForbidden:
 		return KindUnauthorized
 	case status == http.StatusNotFound:
 		return KindNotFound
-	case status == http.StatusConflict:
+	case code == problem.VersionConflict:
 		return KindConflict
 	}
 	return KindRefused
--- a/internal/client/jobs.go
+++ b/internal/client/jobs.go
@@ -74,11 +74,7 @@
 	if err != nil {
 		return nil, err
 	}
-	jobs, err := decodeList[Job](a.body, "jobs")
-	if err != nil {
-		return nil, protocolError(a, err.Error())
-	}
-	return jobs, nil
+	return decodeList[Job](a)
 }
 
 // CancelJob cancels a job. Tasks that have finished stay so.
--- a/internal/client/wire.go
+++ b/internal/client/wire.go
@@ -1,6 +1,6 @@
 package client
 
-import "encoding/json"
+import "github.com/bluebellstile/bluebellstile/internal/problem"
 
 // Headers of the callers' interface.
 const (
@@ -9,24 +9,22 @@
 	HeaderDeadline   = "Bluebellstile-Deadline"
 	HeaderCommand    = "Bluebellstile-Command"
 	HeaderVerdict    = "Bluebellstile-Verdict"
+	HeaderRequestID  = "Bluebellstile-Request-Id"
 )
 
 // problemType is the media type of a problem document.
 const problemType = "application/problem+json"
 
-// problem is the body of every refusal.
-type problem struct {
-	Type         string `json:"type"`
-	Title        string `json:"title"`
-	Status       int    `json:"status"`
-	Code         string `json:"code"`
-	Detail       string `json:"detail"`
-	Remedy       string `json:"remedy"`
-	Verdict      string `json:"verdict"`
-	RetryAfterMS int64  `json:"retry_after_ms"`
-	Ticket       string `json:"ticket"`
-	// Version is the version of the configuration that won a race.
-	Version uint64 `json:"version"`
+// document is the body of every refusal.
+type document struct {
+	Title        string       `json:"title"`
+	Status       int          `json:"status"`
+	Code         problem.Code `json:"code"`
+	Detail       string       `json:"detail"`
+	Remedy       string       `json:"remedy"`
+	Verdict      string       `json:"verdict"`
+	RetryAfterMS int64        `json:"retry_after_ms"`
+	Ticket       string       `json:"ticket"`
 }
 
 type ticketRequest struct {
@@ -52,9 +50,10 @@
 	Command string   `json:"command"`
 	Inputs  [][]byte `json:"inputs"`
 	// Gang jobs start all their tasks at once or none.
-	Gang       bool `json:"gang,omitempty"`
-	Idempotent bool `json:"idempotent,omitempty"`
-	Size       Size `json:"size"`
+	Gang bool `json:"gang,omitempty"`
+	// Idempotent is nil for the queue's default.
+	Idempotent *bool `json:"idempotent,omitempty"`
+	Size       Size  `json:"size"`
 	// RunTimeMS is the expected run time of a task in milliseconds.
 	RunTimeMS int64 `json:"run_time_ms,omitempty"`
 }
@@ -150,47 +149,60 @@
 
 // Published is the answer to a publication.
 type Published struct {
-	Version uint64       `json:"version"`
-	Zones   []ZoneSpread `json:"zones"`
+	Version uint64 `json:"version"`
+	DryRun  bool   `json:"dry_run,omitempty"`
+	// Changes lists what differs from the version before, by meaning.
+	Changes []string `json:"changes"`
+	// Zones has every zone of the new configuration; it is empty when the
+	// answer was lost and the version found in force afterwards.
+	Zones []ZoneSpread `json:"zones,omitempty"`
 }
 
-// HistoryEntry is one earlier version of the configuration.
+// HistoryEntry is one version of the configuration.
 type HistoryEntry struct {
 	Version uint64 `json:"version"`
-	// Base is the version whose text was published again by a revert.
-	Base   uint64 `json:"base,omitempty"`
-	Author string `json:"author"`
-	// UnixMS is the author's clock.
-	UnixMS int64  `json:"unix_ms,omitempty"`
-	Text   string `json:"text,omitempty"`
+	Author  string `json:"author,omitempty"`
+	Text    string `json:"text"`
 }
 
-// ZoneStatus is what a daemon knows of one availability zone.
+// ZoneStatus is what the holder of an availability zone reports.
 type ZoneStatus struct {
 	Zone   string `json:"zone"`
-	Region string `json:"region"`
-	Holder string `json:"holder"`
-	Epoch  uint64 `json:"epoch"`
-	State  string `json:"state"`
-	// ConfigVersion is the version in force in the zone, 0 if unknown.
-	ConfigVersion uint64 `json:"config_version"`
-	Endpoints     int    `json:"endpoints"`
-	Running       int    `json:"running"`
-	Waiting       int    `json:"waiting"`
-}
-
-// decodeList decodes a JSON array, or an object that holds one under key.
-func decodeList[T any](data []byte, key string) ([]T, error) {
+	Holder string `json:"holder,omitempty"`
+	Epoch  uint64 `json:"epoch,omitempty"`
+	// ConfigVersion is the version in force at the holder, 0 if unknown.
+	ConfigVersion uint64           `json:"config_version"`
+	Endpoints     []EndpointStatus `json:"endpoints"`
+	Teams         []TeamStatus     `json:"teams"`
+	// Problem says why the zone can't be seen, if so.
+	Problem string `json:"problem,omitempty"`
+}
+
+// EndpointStatus is the state of one endpoint of a zone.
+type EndpointStatus struct {
+	ID      string `json:"id"`
+	State   string `json:"state"`
+	Running int64  `json:"running"`
+}
+
+// TeamStatus is what a team has in a zone.
+type TeamStatus struct {
+	Team    string `json:"team"`
+	Running int64  `json:"running"`
+	Waiting int64  `json:"waiting"`
+	// Allotment is the part of the team's upper limit that the zone may use.
+	Allotment int64 `json:"allotment"`
+}
+
+type versionResponse struct {
+	Version uint64 `json:"version"`
+}
+
+// decodeList decodes a JSON array, in which null stands for an empty one.
+func decodeList[T any](a *answer) ([]T, error) {
 	var list []T
-	if err := json.Unmarshal(data, &list); err == nil {
-		return list, nil
-	}
-	object := map[string]json.RawMessage{}
-	if err := json.Unmarshal(data, &object); err != nil {
-		return nil, err
-	}
-	if err := json.Unmarshal(object[key], &list); err != nil {
-		return nil, err
+	if failure := decode(a, &list); failure != nil {
+		return nil, failure
 	}
 	return list, nil
 }
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -48,8 +48,8 @@
 // Outcome classifies what became of a request.
 type Outcome string
 
-// Outcomes. The first three are the verdicts; a failed request is one that
-// ran, with "done" as its verdict, and failed.
+// Outcomes. The first three are the verdicts; a failed request is one that is
+// known to have run and failed.
 const (
 	OutcomeDone    Outcome = "done"
 	OutcomeNotRun  Outcome = "not run"
@@ -178,15 +178,15 @@
 	if e == nil {
 		return OutcomeUnknown, err.Error()
 	}
-	code := e.Code
+	code := string(e.Code)
 	if code == "" {
 		code = string(e.Kind)
 	}
-	switch e.Verdict {
-	case client.VerdictNotRun:
-		return OutcomeNotRun, code
-	case client.VerdictDone:
+	switch {
+	case e.Kind == client.KindFailed:
 		return OutcomeFailed, code
+	case e.Verdict == client.VerdictNotRun:
+		return OutcomeNotRun, code
 	}
 	return OutcomeUnknown, code
 }
