--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/bluebellstile/bluebellstile/internal/platform"
 	"github.com/bluebellstile/bluebellstile/internal/standin"
+	"github.com/bluebellstile/bluebellstile/internal/testrelay"
 )
 
 // setUp returns a stand-in log and a client of it that retries quickly.
@@ -116,6 +117,43 @@
 	}
 }
 
+// TestLostAnswerOnLink loses all answers on the link until the record has
+// been appended.
+func TestLostAnswerOnLink(t *testing.T) {
+	log := standin.NewLog(standin.LogOptions{})
+	server, err := standin.Serve(log, "127.0.0.1:0", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	relay, err := testrelay.New(server.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := newClient("http://"+relay.Addr(), platform.WithTries(1000), platform.WithTimeout(time.Minute))
+	t.Cleanup(func() {
+		client.Close()
+		if err := errors.WithMessage(relay.Close(), "relay"); err != nil {
+			t.Error(err)
+		}
+		if err := server.Close(); err != nil {
+			t.Error(err)
+		}
+		goleak.VerifyNone(t)
+	})
+	if _, err := client.Read(context.Background(), 0, 1, 0); err != nil {
+		t.Fatal(err)
+	}
+	relay.Set(testrelay.Fault{DropFromTarget: true})
+	go func() {
+		log.Read(context.Background(), 1, 1, time.Minute)
+		relay.Heal()
+	}()
+	offset, err := client.Append(context.Background(), "a", nil)
+	if err != nil || offset != 1 || len(records(log)) != 1 {
+		t.Fatalf("offset %d, %v; log holds %+v", offset, err, records(log))
+	}
+}
+
 // TestFailureKinds checks what an append that fails says of its effect, and
 // that it is true.
 func TestFailureKinds(t *testing.T) {
@@ -174,6 +212,24 @@
 	}
 }
 
+// TestMalformedAnswers expects that answers which no log can give are errors.
+func TestMalformedAnswers(t *testing.T) {
+	for _, body := range []string{`{}`, `[]`, `{"first":2,"end":1}`, `{"first":1,"end":3,"records":[{"offset":2},{"offset":1}]}`} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write([]byte(body))
+		}))
+		client := newClient(server.URL)
+		if page, err := client.Read(context.Background(), 1, 1, 0); platform.KindOf(err) != platform.KindUnavailable {
+			t.Errorf("read answered %s: %+v, %v", body, page, err)
+		}
+		if _, err := client.Append(context.Background(), "a", nil); platform.KindOf(err) != platform.KindAppendUnknown {
+			t.Errorf("append answered %s: %v", body, err)
+		}
+		client.Close()
+		server.Close()
+	}
+}
+
 func TestReadBelowRetention(t *testing.T) {
 	log, client := setUp(t, standin.LogOptions{MaxRecords: 2})
 	for range 5 {
