Refuse to let a withdrawn key work again unless that is asked for

A key that was withdrawn in an emergency is still live in the program that prints the configuration and in every earlier version, so that the next publication or a revert would silently grant it again. Both are refused now, naming the key, unless -grant-again is given. Leaving it to the review of the diff was ruled out, since pipelines publish without one. Refusing it in the daemon was ruled out, since granting a key again can be meant.

--- a/cmd/bluebellstile/history.go
+++ b/cmd/bluebellstile/history.go
@@ -80,12 +80,12 @@
 		path:      "config revert",
 		synopsis:  "publish the text of an earlier version as a new version",
 		arguments: "VERSION",
-		details:   "Keys that were withdrawn since then are live again if they were live in VERSION; withdraw them anew.",
+		details:   "Keys that were withdrawn since VERSION stay a reason to refuse it, unless -grant-again is given.",
 		examples:  []string{"bluebellstile config revert 117"},
 	}
 	c.flags = func(f *flag.FlagSet) {
 		o.flags(f)
-		o.expectedFlag(f)
+		o.replaceFlags(f)
 		c.jsonFlag(f)
 	}
 	c.run = func(ctx context.Context, args []string) error { return c.revert(ctx, o, args) }
@@ -105,11 +105,13 @@
 	if err != nil {
 		return err
 	}
-	expected := uint64(max(o.expected, 0))
-	if o.expected == notExpected {
-		if _, expected, err = inForce(ctx, opened); err != nil {
-			return err
-		}
+	next, err := versionConfig(ctx, opened, version)
+	if err != nil {
+		return err
+	}
+	expected, err := c.announce(ctx, opened, next, o)
+	if err != nil {
+		return err
 	}
 	published, err := opened.Revert(ctx, version, expected)
 	if err != nil {
@@ -117,3 +119,17 @@
 	}
 	return c.finishPublication(published, o.everywhere)
 }
+
+// versionConfig returns the configuration of a version in the history.
+func versionConfig(ctx context.Context, opened *client.Client, version uint64) (*operator.Config, error) {
+	entries, err := opened.History(ctx)
+	if err != nil {
+		return nil, readError(err)
+	}
+	for _, e := range entries {
+		if e.Version == version {
+			return operator.Parse(e.Text)
+		}
+	}
+	return nil, usageError("version %d is not known any more; 'bluebellstile config history' lists those that are", version)
+}
--- a/cmd/bluebellstile/operators_test.go
+++ b/cmd/bluebellstile/operators_test.go
@@ -128,6 +128,21 @@
 	runCLI(t, d, "", "key", "withdraw", "press-1").requireCode(t, exitConflict)
 }
 
+func TestWithdrawnKeysDontWorkAgainSilently(t *testing.T) {
+	d := newFakeDaemon(t)
+	d.texts = []string{sampleConfig(t, 40)}
+	old := writeFile(t, sampleConfig(t, 60))
+	runCLI(t, d, "", "key", "withdraw", "press-1").requireCode(t, exitDone)
+	runCLI(t, d, "", "config", "publish", old).requireCode(t, exitInvalid).requireText(t, `key "press-1" is withdrawn`)
+	runCLI(t, d, "", "config", "revert", "1").requireCode(t, exitInvalid)
+	if len(d.texts) != 2 {
+		t.Fatalf("%d versions", len(d.texts))
+	}
+	runCLI(t, d, "", "config", "publish", "-grant-again", old).requireCode(t, exitDone).requireText(t, "key press-1: granted again")
+	runCLI(t, d, "", "config", "revert", "-grant-again", "1").requireCode(t, exitDone)
+	runCLI(t, d, "", "config", "revert", "99").requireCode(t, exitUsage)
+}
+
 func TestKeyNewTouchesNothing(t *testing.T) {
 	got := runCLI(t, nil, "", "key", "new", "-id", "x", "-operator").requireCode(t, exitDone)
 	got.requireText(t, `[key "x"]`, "operator  = true", "bbst_")
--- a/cmd/bluebellstile/publish.go
+++ b/cmd/bluebellstile/publish.go
@@ -19,6 +19,7 @@
 	expected   int64
 	dryRun     bool
 	everywhere bool
+	grantAgain bool
 }
 
 // flags adds the flags that every publication has.
@@ -27,8 +28,9 @@
 	f.BoolVar(&o.everywhere, "everywhere", false, "end with exit code 4 unless it is known in force in every zone")
 }
 
-// expectedFlag adds the flag for the version that is replaced.
-func (o *publishOptions) expectedFlag(f *flag.FlagSet) {
+// replaceFlags adds the flags of publications that replace the whole text.
+func (o *publishOptions) replaceFlags(f *flag.FlagSet) {
+	f.BoolVar(&o.grantAgain, "grant-again", false, "let withdrawn keys that the text has as live work again")
 	f.Int64Var(&o.expected, "expected", notExpected, "version that is replaced (default: the one in force now)")
 }
 
@@ -49,7 +51,7 @@
 	}
 	c.flags = func(f *flag.FlagSet) {
 		o.flags(f)
-		o.expectedFlag(f)
+		o.replaceFlags(f)
 		c.jsonFlag(f)
 		f.BoolVar(&o.dryRun, "dry-run", false, "check everything and publish nothing")
 	}
@@ -73,7 +75,7 @@
 	if err != nil {
 		return err
 	}
-	expected, err := c.announce(ctx, opened, next, o.expected)
+	expected, err := c.announce(ctx, opened, next, o)
 	if err != nil {
 		return err
 	}
@@ -94,8 +96,9 @@
 	return c.finishPublication(published, o.everywhere)
 }
 
-// announce notes warnings and changes, and returns the version to replace.
-func (c *command) announce(ctx context.Context, opened *client.Client, next *operator.Config, wanted int64) (uint64, error) {
+// announce notes warnings and changes, refuses those that nobody may want,
+// and returns the version to replace.
+func (c *command) announce(ctx context.Context, opened *client.Client, next *operator.Config, o *publishOptions) (uint64, error) {
 	current, version, err := inForce(ctx, opened)
 	if err != nil {
 		return 0, err
@@ -108,10 +111,26 @@
 	if len(changes) == 0 {
 		c.env.note("nothing differs from version %d", version)
 	}
-	if wanted == notExpected {
+	if err := checkGrants(changes, o.grantAgain); err != nil {
+		return 0, err
+	}
+	if o.expected == notExpected {
 		return version, nil
 	}
-	return uint64(wanted), nil
+	return uint64(o.expected), nil
+}
+
+// checkGrants refuses changes that let a withdrawn key work again, which a
+// text from before an emergency's withdrawal would do silently.
+func checkGrants(changes []operator.Change, allowed bool) error {
+	for _, change := range changes {
+		if allowed || !change.GrantsAgain() {
+			continue
+		}
+		return &codeError{code: exitInvalid, cause: errors.Errorf(
+			"key %q is withdrawn and would work again; mark it as withdrawn in the text, or give -grant-again", change.Name)}
+	}
+	return nil
 }
 
 // finishPublication prints where an accepted version is in force.
--- a/operator/diff.go
+++ b/operator/diff.go
@@ -47,6 +47,11 @@
 	return subject + label(c.Key) + " " + shown(c.Key, c.Old) + " to " + shown(c.Key, c.New)
 }
 
+// GrantsAgain reports whether the change lets a withdrawn key work again.
+func (c Change) GrantsAgain() bool {
+	return c.Action == ActionChange && c.Kind == sectionKey && c.Key == "withdrawn" && c.New == "false"
+}
+
 func withdrawal(withdrawn string) string {
 	if withdrawn == "true" {
 		return "withdrawn"
--- a/operator/diff_test.go
+++ b/operator/diff_test.go
@@ -59,6 +59,17 @@
 	})
 }
 
+func TestGrantsAgain(t *testing.T) {
+	live, withdrawn := sampleConfig(), sampleConfig()
+	withdrawn.Keys[0].Withdrawn = true
+	if again := Diff(withdrawn, live); len(again) != 1 || !again[0].GrantsAgain() {
+		t.Errorf("got %v, want a key that works again", again)
+	}
+	if forth := Diff(live, withdrawn); len(forth) != 1 || forth[0].GrantsAgain() {
+		t.Errorf("got %v, want a withdrawal", forth)
+	}
+}
+
 func TestDiffShortensHashes(t *testing.T) {
 	next := sampleConfig()
 	next.Keys[0].SHA256 = strings.Repeat("ab", 32)
