--- a/cmd/bluebellstile/help_test.go
+++ b/cmd/bluebellstile/help_test.go
@@ -1,7 +1,10 @@
 package main
 
 import (
+	"os"
 	"os/exec"
+	"regexp"
+	"strconv"
 	"strings"
 	"testing"
 )
@@ -41,6 +44,23 @@
 	runCLI(t, nil, "", "help", "config").requireCode(t, exitDone).requireText(t, "publish", "revert")
 }
 
+func TestExitCodesAreDocumented(t *testing.T) {
+	page, err := os.ReadFile("../../docs/OPERATING.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	rows := regexp.MustCompile(`(?m)^\| (\d) \| \S`).FindAllStringSubmatch(string(page), -1)
+	codes := []int{exitDone, exitError, exitUsage, exitNotRun, exitUnknown, exitFailed, exitConflict, exitInvalid, exitDiffers}
+	if len(rows) != len(codes) {
+		t.Fatalf("%d codes are documented, there are %d", len(rows), len(codes))
+	}
+	for i, code := range codes {
+		if rows[i][1] != strconv.Itoa(code) {
+			t.Errorf("row %d documents code %s, want %d", i, rows[i][1], code)
+		}
+	}
+}
+
 // TestCompletion asks bash itself what it would offer.
 func TestCompletion(t *testing.T) {
 	bash, err := exec.LookPath("bash")
