--- a/cmd/bluebellstile/history.go
+++ b/cmd/bluebellstile/history.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"flag"
+	"fmt"
 	"strconv"
 
 	"github.com/bluebellstile/bluebellstile/internal/client"
+	"github.com/bluebellstile/bluebellstile/operator"
 )
 
 func newConfigHistory(env *environment) *command {
@@ -42,10 +44,33 @@
 		return c.env.printJSON(append([]client.HistoryEntry{}, entries...))
 	}
 	rows := make([][]string, len(entries))
+	before := ""
 	for i, e := range entries {
-		rows[i] = []string{versionText(e.Version), clock(e.UnixMS), dash(e.Author), versionText(e.Base)}
+		rows[i] = []string{versionText(e.Version), dash(e.Author), changeSummary(before, e.Text)}
+		before = e.Text
 	}
-	return c.env.printTable([]string{"VERSION", "TIME", "AUTHOR", "TEXT OF"}, rows)
+	return c.env.printTable([]string{"VERSION", "AUTHOR", "CHANGES"}, rows)
+}
+
+// changeSummary names the first change between two texts and counts the
+// others.
+func changeSummary(before, after string) string {
+	next, err := operator.Parse(after)
+	if err != nil {
+		return "(the text can't be read)"
+	}
+	old, err := operator.Parse(before)
+	if err != nil {
+		return "(the version before is not known)"
+	}
+	changes := operator.Diff(old, next)
+	switch len(changes) {
+	case 0:
+		return "none"
+	case 1:
+		return changes[0].String()
+	}
+	return fmt.Sprintf("%s, and %d more", changes[0], len(changes)-1)
 }
 
 func newConfigRevert(env *environment) *command {
@@ -55,14 +80,13 @@
 		path:      "config revert",
 		synopsis:  "publish the text of an earlier version as a new version",
 		arguments: "VERSION",
-		details:   "Keys that were withdrawn since then are live again if they were live in VERSION; withdraw them anew.",
+		details:   "Keys that were withdrawn since VERSION stay a reason to refuse it, unless -grant-again is given.",
 		examples:  []string{"bluebellstile config revert 117"},
 	}
 	c.flags = func(f *flag.FlagSet) {
-		o.conn.adminFlags(f)
+		o.flags(f)
+		o.replaceFlags(f)
 		c.jsonFlag(f)
-		f.Int64Var(&o.expected, "expected", notExpected, "version that is replaced (default: the one in force now)")
-		f.DurationVar(&o.wait, "wait", defaultSpreadWait, "longest wait until it is in force in every zone; 0 not to wait")
 	}
 	c.run = func(ctx context.Context, args []string) error { return c.revert(ctx, o, args) }
 	return c
@@ -81,15 +105,31 @@
 	if err != nil {
 		return err
 	}
-	expected := uint64(max(o.expected, 0))
-	if o.expected == notExpected {
-		if _, expected, err = inForce(ctx, opened); err != nil {
-			return err
-		}
+	next, err := versionConfig(ctx, opened, version)
+	if err != nil {
+		return err
+	}
+	expected, err := c.announce(ctx, opened, next, o)
+	if err != nil {
+		return err
 	}
 	published, err := opened.Revert(ctx, version, expected)
 	if err != nil {
 		return err
 	}
-	return c.finishPublication(ctx, opened, published, o.wait)
+	return c.finishPublication(published, o.everywhere)
+}
+
+// versionConfig returns the configuration of a version in the history.
+func versionConfig(ctx context.Context, opened *client.Client, version uint64) (*operator.Config, error) {
+	entries, err := opened.History(ctx)
+	if err != nil {
+		return nil, readError(err)
+	}
+	for _, e := range entries {
+		if e.Version == version {
+			return operator.Parse(e.Text)
+		}
+	}
+	return nil, usageError("version %d is not known any more; 'bluebellstile config history' lists those that are", version)
 }
