Write in the history that an endpoint is down when it dies by switch

Cause: the checkers end an endpoint's tasks at endpoint_down, so that after the switch 'die' its tasks seemed to run for ever: a false alarm. Ruled out: leaving it to whoever sets the switch, who can't know the moment. Change: the endpoint stops its tasks, then records the fault, then that it is down. The test expects the further event. Conclusion: a run with 'die' can be checked.

--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -215,8 +215,9 @@
 	return e.tomb.Wait()
 }
 
-// Kill ends the endpoint as a crash does: tasks vanish without an event. The
-// history names the fault, so that a checker knows that they run no more.
+// Kill ends the endpoint as a crash does: tasks vanish without an event of
+// their own. The history names the fault and then says that the endpoint is
+// down, so that a checker knows that they run no more.
 func (e *Endpoint) Kill() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -228,6 +229,7 @@
 		t.cancel()
 	}
 	e.record(history.Event{Kind: history.FaultInjected, Fault: "die"})
+	e.record(history.Event{Kind: history.EndpointDown})
 	e.tomb.Kill(nil)
 }
 
--- a/internal/standin/endpoint_test.go
+++ b/internal/standin/endpoint_test.go
@@ -461,7 +461,7 @@
 	if endpoint.KindOf(err) != endpoint.KindUnreachable {
 		t.Fatalf("start at a dead endpoint: %v", err)
 	}
-	want := []string{"endpoint_up", "task_started a", "fault_injected"}
+	want := []string{"endpoint_up", "task_started a", "fault_injected", "endpoint_down"}
 	if diff := cmp.Diff(want, r.history()); diff != "" {
 		t.Fatal(diff)
 	}
