Don't let impatient callers open the log's circuit breaker; shrink large pages

Cause: a call whose context had ended, or ended long before an attempt's own timeout, counted as a failure of the log and could make it seem down; a page over the client's bound failed the read for good. Ruled out: ignoring all ends of a caller's context, since then a log that swallows requests would never open the breaker. Change: such attempts count only once they have lasted half of the timeout; a page that is too large is asked for again with an eighth of the limit; the error of a call that ran out of time names its last failure. Figures: go test -race -count=5 ./internal/platform passes; on the former code TestImpatientCallersDontOpenBreaker and TestReadShrinksPage fail. Conclusion: the breaker speaks of the log, not of its callers.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -156,13 +156,13 @@
 // retry calls attempt until it succeeds, fails for good, or the tries, the
 // retry budget or ctx run out.
 func retry[T any](ctx context.Context, c *Client, op string, attempt func() (T, error)) (T, error) {
-	first := true
-	return backoff.Retry(ctx, func() (T, error) {
-		if !first {
+	var last error
+	value, err := backoff.Retry(ctx, func() (T, error) {
+		if last != nil {
 			c.metrics.retries.Add(op, 1)
 		}
-		first = false
 		value, err := attempt()
+		last = err
 		if err == nil {
 			return value, nil
 		}
@@ -175,6 +175,10 @@
 		}
 		return value, err
 	}, backoff.WithBackOff(c.newBackoff()), backoff.WithMaxTries(c.tries), backoff.WithMaxElapsedTime(0))
+	if err != nil && ctx.Err() != nil && last != nil {
+		err = errors.WithMessage(last, ctx.Err().Error())
+	}
+	return value, err
 }
 
 // newBackoff returns the jittered delays of one call.
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -272,6 +272,40 @@
 	}
 }
 
+// TestImpatientCallersDontOpenBreaker lets callers give up on a slow log long
+// before an attempt's timeout.
+func TestImpatientCallersDontOpenBreaker(t *testing.T) {
+	log, client := setUp(t, standin.LogOptions{}, platform.WithBreaker(1, time.Hour), platform.WithTimeout(time.Hour))
+	set(t, log.Faults(), "latency", "1h")
+	for range 3 {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Millisecond)
+		if _, err := client.Read(ctx, 1, 1, 0); !errors.Is(err, context.DeadlineExceeded) {
+			t.Fatal(err)
+		}
+		cancel()
+	}
+	if state := client.BreakerState("read"); state != platform.BreakerClosed {
+		t.Fatalf("breaker is %s", state)
+	}
+}
+
+// TestReadShrinksPage serves pages that are too large unless the limit is low.
+func TestReadShrinksPage(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("limit") != "1" {
+			_, _ = w.Write(make([]byte, platform.MaxResponseBytes+1))
+			return
+		}
+		_, _ = w.Write([]byte(`{"first":1,"end":3,"records":[{"offset":1}]}`))
+	}))
+	defer server.Close()
+	client := newClient(server.URL)
+	defer client.Close()
+	if page, err := client.Read(context.Background(), 1, 100, 0); err != nil || len(page.Records) != 1 {
+		t.Fatalf("page %+v, %v", page, err)
+	}
+}
+
 func TestRetryBudget(t *testing.T) {
 	var calls atomic.Int64
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/platform/exchange.go
+++ b/internal/platform/exchange.go
@@ -17,8 +17,12 @@
 // maxErrorBytes bounds how much of an error's body goes into its message.
 const maxErrorBytes = 512
 
-// errBreakerOpen makes a call fail fast.
-var errBreakerOpen = errors.New("circuit breaker is open after repeated failures")
+var (
+	// errBreakerOpen makes a call fail fast.
+	errBreakerOpen = errors.New("circuit breaker is open after repeated failures")
+	// errResponseTooLarge means that a response exceeds MaxResponseBytes.
+	errResponseTooLarge = errors.Errorf("response is over %d bytes", MaxResponseBytes)
+)
 
 // request is one HTTP exchange with the platform.
 type request struct {
@@ -33,22 +37,28 @@
 // exchange makes one attempt, decodes the body into out and keeps the
 // operation's breaker. Its error is an *attemptError.
 func (c *Client) exchange(ctx context.Context, r request, out any) error {
+	if err := ctx.Err(); err != nil {
+		return &attemptError{kind: KindUnavailable, certainty: noEffect, permanent: true, cause: err}
+	}
 	b := c.breakers[r.op]
 	if !b.allow() {
 		return &attemptError{kind: KindUnavailable, certainty: noEffect, permanent: true, cause: errBreakerOpen}
 	}
+	started := time.Now()
 	err := c.roundTrip(ctx, r, out)
-	b.record(outcomeOf(ctx, err))
+	patient := time.Since(started) >= c.timeout/2+r.wait
+	b.record(outcomeOf(err, ctx.Err() != nil && !patient))
 	return err
 }
 
-// outcomeOf says what an attempt tells about the platform's health.
-func outcomeOf(ctx context.Context, err error) outcome {
+// outcomeOf says what an attempt tells about the platform's health, which is
+// nothing if its caller gave up early.
+func outcomeOf(err error, gaveUp bool) outcome {
 	var attempt *attemptError
 	switch {
 	case err == nil:
 		return succeeded
-	case errors.Is(ctx.Err(), context.Canceled):
+	case gaveUp:
 		return abandoned
 	case errors.As(err, &attempt) && attempt.kind != KindUnavailable:
 		return succeeded
@@ -89,8 +99,7 @@
 // decodeBody parses a successful response.
 func decodeBody(body []byte, out any) error {
 	if len(body) > MaxResponseBytes {
-		cause := errors.Errorf("response is over %d bytes", MaxResponseBytes)
-		return &attemptError{kind: KindUnavailable, certainty: mayHaveEffect, permanent: true, cause: cause}
+		return &attemptError{kind: KindUnavailable, certainty: mayHaveEffect, permanent: true, cause: errResponseTooLarge}
 	}
 	if err := json.Unmarshal(body, out); err != nil {
 		return &attemptError{kind: KindUnavailable, certainty: mayHaveEffect, cause: errors.Wrap(err, "decode response")}
--- a/internal/platform/read.go
+++ b/internal/platform/read.go
@@ -22,7 +22,11 @@
 	return page, nil
 }
 
-// readOnce makes one attempt at a read.
+// pageShrink divides the limit of a read whose page was too large.
+const pageShrink = 8
+
+// readOnce makes one attempt at a read, with a lower limit each time that the
+// page exceeds MaxResponseBytes.
 func (c *Client) readOnce(ctx context.Context, from uint64, limit int, wait time.Duration) (*ReadResponse, error) {
 	query := url.Values{
 		"from":    {strconv.FormatUint(from, 10)},
@@ -31,7 +35,11 @@
 	}
 	r := request{op: opRead, method: http.MethodGet, url: c.logURL + PathRecords + "?" + query.Encode(), wait: wait}
 	var page ReadResponse
-	if err := c.exchange(ctx, r, &page); err != nil {
+	err := c.exchange(ctx, r, &page)
+	if errors.Is(err, errResponseTooLarge) && limit > 1 {
+		return c.readOnce(ctx, from, max(limit/pageShrink, 1), wait)
+	}
+	if err != nil {
 		return nil, err
 	}
 	if err := page.check(from); err != nil {
