--- a/internal/cell/model_test.go
+++ b/internal/cell/model_test.go
@@ -35,6 +35,65 @@
 	data []byte
 }
 
+// journal is a log whose appends may be lost, late or doubled.
+type journal struct {
+	choices
+	log      []logged
+	inFlight []logged
+	serial   int
+}
+
+// send appends a record that s has made: now, later, twice or not at all. It
+// returns the record's id.
+func (j *journal) send(s *State, env *record.Envelope) string {
+	data, err := s.Encode(env)
+	if err != nil {
+		panic(err)
+	}
+	j.serial++
+	l := logged{id: fmt.Sprint("i", j.serial), data: data}
+	switch j.next(8) {
+	case 0:
+		return l.id
+	case 1:
+		j.inFlight = append(j.inFlight, l)
+		return l.id
+	case 2:
+		j.inFlight = append(j.inFlight, l)
+	}
+	j.log = append(j.log, l)
+	return l.id
+}
+
+// deliver makes a late append stand.
+func (j *journal) deliver() {
+	if len(j.inFlight) == 0 {
+		return
+	}
+	i := len(j.inFlight) - 1 - j.next(min(4, len(j.inFlight)))
+	l := j.inFlight[i]
+	j.inFlight = append(j.inFlight[:i:i], j.inFlight[i+1:]...)
+	j.log = append(j.log, l)
+}
+
+// apply applies the record at offset.
+func (j *journal) apply(s *State, offset uint64, mutate mutation) Effect {
+	l := j.log[offset-1]
+	if mutate == nil {
+		return s.Apply(offset, l.id, l.data)
+	}
+	env, err := record.Decode(l.data)
+	if err != nil {
+		return s.Apply(offset, l.id, l.data)
+	}
+	id := mutate(s, offset, l.id, env)
+	data, err := record.Encode(env)
+	if err != nil {
+		panic(err)
+	}
+	return s.Apply(offset, id, data)
+}
+
 // daemon follows the log at its own pace and writes by what it has read.
 type daemon struct {
 	state *State
@@ -44,24 +103,21 @@
 // world is a log with readers from offset 1, from behind the trim and with
 // gaps, whose appends are lost, duplicated and reordered.
 type world struct {
-	choices
+	journal
 	mutate    mutation
 	span      uint64
-	log       []logged
-	inFlight  []logged
 	daemons   []*daemon
 	reference *State
 	oracle    *oracle
 	// digests holds the reference's digest of each shard at each offset.
 	digests []map[string]string
-	serial  int
 	steps   int
 }
 
 var worldZones = []string{"a", "b", "c"}
 
 func newWorld(schedule []uint32, mutate mutation) *world {
-	w := &world{choices: schedule, mutate: mutate, span: 40, digests: []map[string]string{nil}}
+	w := &world{journal: journal{choices: schedule}, mutate: mutate, span: 40, digests: []map[string]string{nil}}
 	w.reference = newState(w.bounds(1 << 20))
 	w.oracle = newOracle(w.span)
 	for i := range 4 {
@@ -96,11 +152,11 @@
 	claim, _ := d.state.Epoch(name)
 	switch w.next(24) {
 	case 0:
-		return w.send(d, w.config(d))
+		w.send(d.state, w.config(d))
 	case 2:
-		return w.send(d, claimOf(name, d.name, claim.Epoch))
+		w.send(d.state, claimOf(name, d.name, claim.Epoch))
 	case 4:
-		return w.send(d, &record.Envelope{Kind: record.KindClaim, Claim: &record.Claim{Zone: name, Holder: claim.Holder, Address: claim.Address, Base: claim.Epoch}})
+		w.send(d.state, &record.Envelope{Kind: record.KindClaim, Claim: &record.Claim{Zone: name, Holder: claim.Holder, Address: claim.Address, Base: claim.Epoch}})
 	case 5, 6:
 		r := &record.Roster{Zone: name, Epoch: claim.Epoch}
 		if id := fmt.Sprint("e", w.next(4)); w.next(3) > 0 {
@@ -108,21 +164,23 @@
 		} else {
 			r.Removed = []string{id}
 		}
-		return w.send(d, &record.Envelope{Kind: record.KindRoster, Roster: r})
+		w.send(d.state, &record.Envelope{Kind: record.KindRoster, Roster: r})
 	case 7:
-		return w.send(d, &record.Envelope{Kind: record.KindJobs, Jobs: &record.Jobs{Zone: name, Epoch: claim.Epoch, Jobs: w.jobs()}})
+		w.send(d.state, &record.Envelope{Kind: record.KindJobs, Jobs: &record.Jobs{Zone: name, Epoch: claim.Epoch, Jobs: w.jobs()}})
 	case 8:
-		return w.send(d, &record.Envelope{Kind: record.KindOutcomes, Outcomes: &record.Outcomes{Zone: name, Epoch: claim.Epoch, Outcomes: w.outcomes()}})
+		w.send(d.state, &record.Envelope{Kind: record.KindOutcomes, Outcomes: &record.Outcomes{Zone: name, Epoch: claim.Epoch, Outcomes: w.outcomes()}})
 	case 1, 3, 9, 10:
-		return w.send(d, w.transfer(d, name, claim.Epoch))
+		w.send(d.state, w.transfer(d, name, claim.Epoch))
 	case 11, 12:
 		return w.snapshot(d, name)
 	case 13, 14, 15, 16, 17:
-		return w.deliver()
+		w.deliver()
 	case 18:
 		return w.restart(d)
+	default:
+		return w.follow(d, 1+w.next(12))
 	}
-	return w.follow(d, 1+w.next(12))
+	return w.judge()
 }
 
 func (w *world) config(d *daemon) *record.Envelope {
@@ -173,48 +231,20 @@
 		parts = d.state.SnapshotShared()
 	}
 	for _, part := range parts {
-		if err := w.send(d, &record.Envelope{Kind: record.KindSnapshot, Snapshot: part}); err != nil {
+		w.send(d.state, &record.Envelope{Kind: record.KindSnapshot, Snapshot: part})
+		if err := w.judge(); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// send appends a record, which may be lost, come late or stand twice.
-func (w *world) send(d *daemon, env *record.Envelope) error {
-	data, err := d.state.Encode(env)
-	if err != nil {
-		return err
-	}
-	w.serial++
-	l := logged{id: fmt.Sprint("i", w.serial), data: data}
-	switch w.next(8) {
-	case 0:
-		return nil
-	case 1:
-		w.inFlight = append(w.inFlight, l)
-		return nil
-	case 2:
-		w.inFlight = append(w.inFlight, l)
-	}
-	return w.stand(l)
-}
-
-// deliver makes a delayed append stand.
-func (w *world) deliver() error {
-	if len(w.inFlight) == 0 {
+// judge compares the effect of the last record, if it is new, with the oracle.
+func (w *world) judge() error {
+	if len(w.log) < len(w.digests) {
 		return nil
 	}
-	i := len(w.inFlight) - 1 - w.next(min(4, len(w.inFlight)))
-	l := w.inFlight[i]
-	w.inFlight = append(w.inFlight[:i:i], w.inFlight[i+1:]...)
-	return w.stand(l)
-}
-
-// stand adds a record to the log and compares its effect with the oracle.
-func (w *world) stand(l logged) error {
-	w.log = append(w.log, l)
-	offset := uint64(len(w.log))
+	l, offset := w.log[len(w.log)-1], uint64(len(w.log))
 	env, err := record.Decode(l.data)
 	if err != nil {
 		return err
@@ -233,20 +263,7 @@
 }
 
 func (w *world) apply(s *State, offset uint64) Effect {
-	l := w.log[offset-1]
-	if w.mutate == nil {
-		return s.Apply(offset, l.id, l.data)
-	}
-	env, err := record.Decode(l.data)
-	if err != nil {
-		return s.Apply(offset, l.id, l.data)
-	}
-	id := w.mutate(s, offset, l.id, env)
-	data, err := record.Encode(env)
-	if err != nil {
-		panic(err)
-	}
-	return s.Apply(offset, id, data)
+	return w.journal.apply(s, offset, w.mutate)
 }
 
 // follow applies some records and compares the daemon with the reference at
--- a/internal/cell/mutants_test.go
+++ b/internal/cell/mutants_test.go
@@ -19,61 +19,15 @@
 // variant of a rule, and for none of the same schedules without it.
 func TestMutantsAreCaught(t *testing.T) {
 	mutants := map[string]mutation{
-		"a claim needs no current predecessor": func(s *State, _ uint64, id string, env *record.Envelope) string {
-			if env.Kind == record.KindClaim && env.Claim.Base == 0 {
-				claim, _ := s.Epoch(env.Claim.Zone)
-				env.Claim.Previous = claim.Epoch
-			}
-			return id
-		},
-		"a configuration overwrites": func(s *State, _ uint64, id string, env *record.Envelope) string {
-			if env.Kind == record.KindConfig {
-				_, env.Config.Expected = s.Config()
-			}
-			return id
-		},
-		"a roster record of an old epoch counts": func(s *State, _ uint64, id string, env *record.Envelope) string {
-			if env.Kind == record.KindRoster {
-				claim, _ := s.Epoch(env.Roster.Zone)
-				env.Roster.Epoch = claim.Epoch
-			}
-			return id
-		},
-		"a transfer of an old epoch counts": func(s *State, _ uint64, id string, env *record.Envelope) string {
-			if env.Kind == record.KindTransfer {
-				claim, _ := s.Epoch(env.Transfer.From)
-				env.Transfer.Epoch = claim.Epoch
-			}
-			return id
-		},
-		"a retried record counts twice": func(_ *State, offset uint64, _ string, env *record.Envelope) string {
-			if env.Kind == record.KindTransfer {
-				env.Transfer.ID = fmt.Sprint(offset)
-			}
-			return fmt.Sprint(offset)
-		},
-		"a late record counts": func(_ *State, offset uint64, id string, env *record.Envelope) string {
-			env.Seen = offset - 1
-			return id
-		},
-		"a snapshot holds where it stands": func(_ *State, offset uint64, id string, env *record.Envelope) string {
-			if env.Kind == record.KindSnapshot {
-				env.Snapshot.Through = offset - 1
-			}
-			return id
-		},
-		"a snapshot forgets recent ids": func(_ *State, _ uint64, id string, env *record.Envelope) string {
-			if env.Kind == record.KindSnapshot {
-				env.Snapshot.Recent = nil
-			}
-			return id
-		},
-		"a snapshot forgets who else is claimed": func(_ *State, _ uint64, id string, env *record.Envelope) string {
-			if env.Kind == record.KindSnapshot && env.Snapshot.Zone == "" {
-				env.Snapshot.Claims = nil
-			}
-			return id
-		},
+		"a claim needs no current predecessor":   claimNeedsNoPredecessor,
+		"a configuration overwrites":             configurationOverwrites,
+		"a roster record of an old epoch counts": oldRosterCounts,
+		"a transfer of an old epoch counts":      oldTransferCounts,
+		"a retried record counts twice":          retryCountsTwice,
+		"a late record counts":                   lateRecordCounts,
+		"a snapshot holds where it stands":       snapshotHoldsWhereItStands,
+		"a snapshot forgets recent ids":          snapshotForgetsIDs,
+		"a snapshot forgets who else is claimed": snapshotForgetsClaims,
 	}
 	for name, mutate := range mutants {
 		t.Run(name, func(t *testing.T) {
@@ -106,3 +60,67 @@
 		})
 	}
 }
+
+func claimNeedsNoPredecessor(s *State, _ uint64, id string, env *record.Envelope) string {
+	if env.Kind == record.KindClaim && env.Claim.Base == 0 {
+		claim, _ := s.Epoch(env.Claim.Zone)
+		env.Claim.Previous = claim.Epoch
+	}
+	return id
+}
+
+func configurationOverwrites(s *State, _ uint64, id string, env *record.Envelope) string {
+	if env.Kind == record.KindConfig {
+		_, env.Config.Expected = s.Config()
+	}
+	return id
+}
+
+func oldRosterCounts(s *State, _ uint64, id string, env *record.Envelope) string {
+	if env.Kind == record.KindRoster {
+		claim, _ := s.Epoch(env.Roster.Zone)
+		env.Roster.Epoch = claim.Epoch
+	}
+	return id
+}
+
+func oldTransferCounts(s *State, _ uint64, id string, env *record.Envelope) string {
+	if env.Kind == record.KindTransfer {
+		claim, _ := s.Epoch(env.Transfer.From)
+		env.Transfer.Epoch = claim.Epoch
+	}
+	return id
+}
+
+func retryCountsTwice(_ *State, offset uint64, _ string, env *record.Envelope) string {
+	if env.Kind == record.KindTransfer {
+		env.Transfer.ID = fmt.Sprint(offset)
+	}
+	return fmt.Sprint(offset)
+}
+
+func lateRecordCounts(_ *State, offset uint64, id string, env *record.Envelope) string {
+	env.Seen = offset - 1
+	return id
+}
+
+func snapshotHoldsWhereItStands(_ *State, offset uint64, id string, env *record.Envelope) string {
+	if env.Kind == record.KindSnapshot {
+		env.Snapshot.Through = offset - 1
+	}
+	return id
+}
+
+func snapshotForgetsIDs(_ *State, _ uint64, id string, env *record.Envelope) string {
+	if env.Kind == record.KindSnapshot {
+		env.Snapshot.Recent = nil
+	}
+	return id
+}
+
+func snapshotForgetsClaims(_ *State, _ uint64, id string, env *record.Envelope) string {
+	if env.Kind == record.KindSnapshot && env.Snapshot.Zone == "" {
+		env.Snapshot.Claims = nil
+	}
+	return id
+}
