--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -8,15 +8,16 @@
 	"time"
 
 	"connectrpc.com/connect"
-	peerv1 "github.com/bluebellstile/bluebellstile/internal/gen/peer/v1"
 	"github.com/bluebellstile/bluebellstile/internal/cell"
 	"github.com/bluebellstile/bluebellstile/internal/endpoint"
+	peerv1 "github.com/bluebellstile/bluebellstile/internal/gen/peer/v1"
 	"github.com/bluebellstile/bluebellstile/internal/holder"
 	"github.com/bluebellstile/bluebellstile/internal/membership"
 	"github.com/bluebellstile/bluebellstile/internal/metrics"
 	"github.com/bluebellstile/bluebellstile/internal/peer"
 	"github.com/bluebellstile/bluebellstile/internal/problem"
 	"github.com/bluebellstile/bluebellstile/internal/ticket"
+	"github.com/bluebellstile/bluebellstile/internal/zone"
 	"github.com/bluebellstile/bluebellstile/operator"
 )
 
@@ -36,18 +37,20 @@
 
 // Router routes requests. It is safe for concurrent use.
 type Router struct {
-	self    peer.Identity
-	state   *cell.State
-	table   *membership.Table
-	clients *peer.Clients
-	heart   *peer.Heart
-	term    peer.TermOf
-	log     *slog.Logger
+	self      peer.Identity
+	state     *cell.State
+	directory *membership.Directory
+	table     *membership.Table
+	clients   *peer.Clients
+	heart     *peer.Heart
+	term      peer.TermOf
+	log       *slog.Logger
+	claims    claimWatch
 }
 
 // New returns a router for the daemon self.
-func New(self peer.Identity, state *cell.State, table *membership.Table, clients *peer.Clients, heart *peer.Heart, term peer.TermOf, logger *slog.Logger) *Router {
-	return &Router{self: self, state: state, table: table, clients: clients, heart: heart, term: term, log: logger}
+func New(self peer.Identity, state *cell.State, directory *membership.Directory, table *membership.Table, clients *peer.Clients, heart *peer.Heart, term peer.TermOf, logger *slog.Logger) *Router {
+	return &Router{self: self, state: state, directory: directory, table: table, clients: clients, heart: heart, term: term, log: logger}
 }
 
 // Call is a synchronous request that has been admitted.
@@ -90,7 +93,7 @@
 		if t, ok := r.tryMint(ctx, zone); ok {
 			return t, nil
 		}
-		if !pause(ctx, retryPause) {
+		if !pause(ctx) {
 			return ticket.Ticket{}, noHolder(zone)
 		}
 	}
@@ -110,7 +113,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	if err := r.heart.Exchange(ctx, claim.Address); err != nil {
+	if err := r.heart.Exchange(ctx, r.address(claim)); err != nil {
 		return ticket.Ticket{}, false
 	}
 	_, generation, ok := r.table.Holder(zone, claim.Epoch)
@@ -204,7 +207,7 @@
 				request.NotStartedEpoch, sent = a.response.NotStartedEpoch, false
 			}
 		}
-		if time.Now().After(until) || !pause(ctx, retryPause) {
+		if time.Now().After(until) || !pause(ctx) {
 			return Answer{Ticket: t, Problem: r.outOfTime(t, sent)}
 		}
 	}
@@ -255,7 +258,8 @@
 	request.DeadlineMs = max(time.Until(until).Milliseconds(), 1)
 	ctx, cancel := context.WithDeadline(ctx, until.Add(answerGrace))
 	defer cancel()
-	response, err := r.clients.To(claim.Address).Run(ctx, connect.NewRequest(request))
+	defer context.AfterFunc(r.claims.until(claim), cancel)()
+	response, err := r.clients.To(r.address(claim)).Run(ctx, connect.NewRequest(request))
 	if err != nil {
 		metrics.PeerFailures.Add(1)
 		r.log.Debug("call of a holder failed", "zone", request.AvailabilityZone, "address", claim.Address, "error", err)
@@ -264,6 +268,11 @@
 	return attempt{response: response.Msg, sent: true}
 }
 
+// address is where a zone's holder is reached.
+func (r *Router) address(claim zone.Claim) string {
+	return r.directory.Resolve(claim.Holder, claim.Address)
+}
+
 // localTerm returns the term that runs in this daemon for a zone, or nil.
 func (r *Router) localTerm(zone string) *holder.Term {
 	if zone != r.self.AvailabilityZone {
@@ -272,9 +281,9 @@
 	return r.term()
 }
 
-// pause waits for d; it reports false if ctx ends first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
+// pause waits between two attempts; it reports false if ctx ends first.
+func pause(ctx context.Context) bool {
+	timer := time.NewTimer(retryPause)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
