Use an endpoint again that left and came back

Cause: the mark 'leaving' of an old incarnation was never taken back, so a runner that was drained and restarted under its id got no work any more (found by the fault matrix, none/draining). Ruled out: the session itself, which did attach again. Change: what the endpoint says and what the list says are kept apart and each follows its source; daemons say whether they can prove their configuration. Conclusion: the matrix cell none/draining is the test for it.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -89,12 +89,14 @@
 type versionBody struct {
 	Version uint64 `json:"version"`
 	Applied uint64 `json:"applied"`
+	// Stale says that the daemon can't prove the version to be the latest.
+	Stale bool `json:"stale"`
 }
 
 // version tells the configuration version in force here; it needs no key.
 func (a *Admin) version(w http.ResponseWriter, _ bunrouter.Request) error {
 	_, version := a.deps.Journal.State().Config()
-	writeJSON(w, http.StatusOK, versionBody{Version: version, Applied: a.deps.Journal.State().Applied()})
+	writeJSON(w, http.StatusOK, versionBody{Version: version, Applied: a.deps.Journal.State().Applied(), Stale: a.deps.Guard.Stale()})
 	return nil
 }
 
--- a/internal/admin/config.go
+++ b/internal/admin/config.go
@@ -26,6 +26,8 @@
 type configBody struct {
 	Version uint64 `json:"version"`
 	Text    string `json:"text"`
+	// Stale says that the daemon can't prove the version to be the latest.
+	Stale bool `json:"stale"`
 }
 
 // publishBody is a configuration to publish.
@@ -60,7 +62,7 @@
 // getConfig answers the configuration in force here.
 func (a *Admin) getConfig(context.Context, string, []byte) (any, *problem.Problem) {
 	text, version := a.deps.Journal.State().ConfigText()
-	return configBody{Version: version, Text: text}, nil
+	return configBody{Version: version, Text: text, Stale: a.deps.Guard.Stale()}, nil
 }
 
 // postConfig publishes a configuration.
--- a/internal/auth/auth.go
+++ b/internal/auth/auth.go
@@ -138,6 +138,10 @@
 	return key.ID, nil
 }
 
+// Stale reports whether the configuration has not been proven current within
+// the bound.
+func (g *Guard) Stale() bool { return g.doubt() > g.bound }
+
 // Empty reports whether no operator key is in force, so that the first
 // configuration can be published with the bootstrap key of the settings.
 func (g *Guard) Empty() bool {
--- a/internal/holder/adopt.go
+++ b/internal/holder/adopt.go
@@ -28,7 +28,7 @@
 	defer t.mu.Unlock()
 	previous := s.rosterID
 	s.kind = response.Kind
-	s.leaving = s.leaving || response.Leaving
+	s.leaving = response.Leaving
 	s.usable = true
 	s.rosterID = ""
 	current := rosterID(response)
--- a/internal/holder/describe.go
+++ b/internal/holder/describe.go
@@ -35,7 +35,7 @@
 	switch {
 	case s.rosterID == "":
 		return "attaching"
-	case s.leaving:
+	case s.leaving || s.listed:
 		return "leaving"
 	case s.usable:
 		return "usable"
--- a/internal/holder/session.go
+++ b/internal/holder/session.go
@@ -48,7 +48,9 @@
 	kind     endpoint.Kind
 	rosterID string
 	usable   bool
-	leaving  bool
+	// leaving is what the endpoint itself said last, listed what the list says.
+	leaving bool
+	listed  bool
 	units    map[string]*unit
 
 	mu          sync.Mutex
--- a/internal/holder/sessions.go
+++ b/internal/holder/sessions.go
@@ -49,8 +49,8 @@
 			t.sessions[instance.ID] = s
 			t.tomb.Go(s.run)
 		}
-		if instance.State == platform.StateLeaving && !s.leaving {
-			s.leaving = true
+		if leaving := instance.State == platform.StateLeaving; leaving != s.listed {
+			s.listed = leaving
 			t.applyUsable(s)
 		}
 	}
@@ -70,7 +70,7 @@
 	if s.rosterID == "" {
 		return
 	}
-	t.engine.SetAvailable(s.id, s.usable && !s.leaving)
+	t.engine.SetAvailable(s.id, s.usable && !s.leaving && !s.listed)
 	t.kick()
 }
 
@@ -78,8 +78,8 @@
 func (t *Term) observeHeartbeat(s *session, response *endpoint.HeartbeatResponse) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if response.Leaving && !s.leaving {
-		s.leaving = true
+	if response.Leaving != s.leaving {
+		s.leaving = response.Leaving
 		t.applyUsable(s)
 	}
 	for _, usage := range response.Usage {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -38,6 +38,9 @@
 	// lameDuck is how long a stopping daemon that reports itself not ready
 	// still takes callers, for the balancer to notice.
 	lameDuck = time.Second
+	// peerGrace is how long a stopping daemon waits for its answers to other
+	// daemons to go out.
+	peerGrace = 500 * time.Millisecond
 )
 
 // Server is a daemon. Create it with New, then Start it and Stop it once.
@@ -210,10 +213,8 @@
 	waitFor(ctx, lameDuck)
 	err := s.api.http.Shutdown(ctx)
 	s.keeper.stop()
-	if shutdownErr := s.peer.http.Shutdown(ctx); err == nil {
-		err = shutdownErr
-	}
 	s.tomb.Kill(nil)
+	s.closePeers(ctx)
 	_ = s.admin.http.Close()
 	_ = s.peer.http.Close()
 	_ = s.api.http.Close()
@@ -224,6 +225,14 @@
 	return errors.Wrap(err, "graceful shutdown")
 }
 
+// closePeers lets answers to other daemons go out, then closes their
+// connections, which they keep open for as long as they can.
+func (s *Server) closePeers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, peerGrace)
+	defer cancel()
+	_ = s.peer.http.Shutdown(ctx)
+}
+
 // waitFor waits for d or the end of ctx.
 func waitFor(ctx context.Context, d time.Duration) {
 	select {
