--- a/internal/holder/session.go
+++ b/internal/holder/session.go
@@ -51,7 +51,7 @@
 	// leaving is what the endpoint itself said last, listed what the list says.
 	leaving bool
 	listed  bool
-	units    map[string]*unit
+	units   map[string]*unit
 
 	mu          sync.Mutex
 	incarnation string
