--- a/internal/standin/stress_test.go
+++ b/internal/standin/stress_test.go
@@ -7,6 +7,8 @@
 	"sync"
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/bluebellstile/bluebellstile/internal/endpoint"
 	"github.com/bluebellstile/bluebellstile/internal/history"
 	"github.com/bluebellstile/bluebellstile/internal/standin"
@@ -99,3 +101,22 @@
 		_, _ = h.client.Start(ctx, &endpoint.StartRequest{Session: h.session, Epoch: h.epoch, Tasks: []endpoint.TaskSpec{task}})
 	}
 }
+
+func TestEndpointDies(t *testing.T) {
+	r := newRig(t, standin.EndpointOptions{})
+	r.attach(1)
+	r.renew()
+	r.start(1, sleepTask("a", "1h"))
+	if err := r.endpoint.Faults().Set("die", true); err != nil {
+		t.Fatal(err)
+	}
+	<-r.server.Dead()
+	_, err := r.client.Start(context.Background(), &endpoint.StartRequest{Session: r.session, Epoch: 1})
+	if endpoint.KindOf(err) != endpoint.KindUnreachable {
+		t.Fatalf("start at a dead endpoint: %v", err)
+	}
+	want := []string{"endpoint_up", "task_started a", "fault_injected", "endpoint_down"}
+	if diff := cmp.Diff(want, r.history()); diff != "" {
+		t.Fatal(diff)
+	}
+}
