--- a/internal/cell/model_test.go
+++ b/internal/cell/model_test.go
@@ -43,9 +43,8 @@
 	serial   int
 }
 
-// send appends a record that s has made: now, later, twice or not at all. It
-// returns the record's id.
-func (j *journal) send(s *State, env *record.Envelope) string {
+// send appends a record that s has made: now, later, twice or not at all.
+func (j *journal) send(s *State, env *record.Envelope) {
 	data, err := s.Encode(env)
 	if err != nil {
 		panic(err)
@@ -54,15 +53,14 @@
 	l := logged{id: fmt.Sprint("i", j.serial), data: data}
 	switch j.next(8) {
 	case 0:
-		return l.id
+		return
 	case 1:
 		j.inFlight = append(j.inFlight, l)
-		return l.id
+		return
 	case 2:
 		j.inFlight = append(j.inFlight, l)
 	}
 	j.log = append(j.log, l)
-	return l.id
 }
 
 // deliver makes a late append stand.
