Check that a reset connection leaves the outcome unknown

A trial of twelve mutants of the command line's packages left one alive: taking every network error for one of dialling, which would turn a request whose connection was reset into a false 'not run'. The tests broke connections only in a way that shows as an early end of the stream. One more resets the connection, which shows as a network error of the read.

--- a/internal/client/client_test.go
+++ b/internal/client/client_test.go
@@ -103,6 +103,17 @@
 	panic(http.ErrAbortHandler)
 }
 
+// resetConnection ends the connection with a reset, which the client sees as a
+// network error of the read.
+func resetConnection(w http.ResponseWriter, _ *http.Request) {
+	connection, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	_ = connection.(*net.TCPConn).SetLinger(0)
+	_ = connection.Close()
+}
+
 // cutAnswer announces more bytes than it sends.
 func cutAnswer(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set(HeaderVerdict, "done")
--- a/internal/client/submit_test.go
+++ b/internal/client/submit_test.go
@@ -60,6 +60,7 @@
 		"ran and failed":       {[]http.HandlerFunc{answerProblem(document{Status: 422, Verdict: "done"})}, KindFailed, VerdictDone, 1},
 		"task failed":          {[]http.HandlerFunc{answerProblem(document{Status: 502, Code: "task_failed", Verdict: "unknown"})}, KindFailed, VerdictUnknown, 1},
 		"connection broken":    {[]http.HandlerFunc{breakConnection}, KindBroken, VerdictUnknown, 1},
+		"connection reset":     {[]http.HandlerFunc{resetConnection}, KindBroken, VerdictUnknown, 1},
 		"answer cut":           {[]http.HandlerFunc{cutAnswer}, KindBroken, VerdictUnknown, 1},
 		"balancer's page":      {[]http.HandlerFunc{answerJSON(503, "<html>")}, KindProtocol, VerdictUnknown, 1},
 		"not a daemon":         {[]http.HandlerFunc{answerJSON(200, "hello")}, KindProtocol, VerdictUnknown, 1},
