Let the old holder declare what it has not started

Ruled out: starts under way at the hand-over, which Quiesce waits for. Change: the call goes on for 0.3 s after another claim was read.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -31,6 +31,9 @@
 	retryPause = 50 * time.Millisecond
 	// answerGrace is how much longer the front door waits than the holder.
 	answerGrace = time.Second
+	// movedGrace is how long a call goes on after another claim was read, for
+	// the old holder to declare what it has not started.
+	movedGrace = 300 * time.Millisecond
 	// probeTimeout bounds a heartbeat that asks for the ticket generation.
 	probeTimeout = time.Second
 )
@@ -258,7 +261,7 @@
 	request.DeadlineMs = max(time.Until(until).Milliseconds(), 1)
 	ctx, cancel := context.WithDeadline(ctx, until.Add(answerGrace))
 	defer cancel()
-	defer context.AfterFunc(r.claims.until(claim), cancel)()
+	defer context.AfterFunc(r.claims.until(claim), func() { time.AfterFunc(movedGrace, cancel) })()
 	response, err := r.clients.To(r.address(claim)).Run(ctx, connect.NewRequest(request))
 	if err != nil {
 		metrics.PeerFailures.Add(1)
