Measure what a daemon spends for control as slopes over the size

Nothing measured a daemon process so far: the benchmarks of placement and of the log's state run in one process and know no connections.

Package capacity starts real daemons on stand-ins that live in the measuring process, so that only the daemons' processor time counts. It reads it and the resident memory from /proc, the bytes from metered listeners of the stand-ins and from the daemons' own metrics, and draws least-squares lines with their residuals. The harness of the integration tests was ruled out for this: its relays and debug logs are part of what would be measured.

make bench-capacity prints the series, the fits and budget, computed, ratio.

--- a/Makefile
+++ b/Makefile
@@ -40,3 +40,7 @@
 # cell and writes docs/FAULTS.md.
 matrix:
 	./scripts/matrix.sh
+
+# bench-capacity measures the slopes of docs/CAPACITY.md, about ten minutes.
+bench-capacity: build
+	./scripts/bench-capacity.sh
--- /dev/null
+++ b/internal/capacity/cmd/capacity/main.go
@@ -0,0 +1,77 @@
+// Command capacity measures the slopes of docs/CAPACITY.md and prints them with
+// what they amount to at the size to design for.
+package main
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/bluebellstile/bluebellstile/internal/capacity"
+)
+
+func main() {
+	daemon := flag.String("daemon", "bin/bluebellstiled", "program of the daemon")
+	only := flag.String("only", "", "measurements to run, with commas; empty for all")
+	window := flag.Duration("window", 6*time.Second, "time for which each size is measured")
+	results := flag.String("results", "", "JSON file in which results are merged; empty for none")
+	flag.Parse()
+	b := &capacity.Bench{
+		Command: []string{*daemon, "-config"},
+		Window:  *window,
+		Say:     func(format string, args ...any) { fmt.Fprintf(os.Stderr, format+"\n", args...) },
+	}
+	if err := run(b, names(*only), *results); err != nil {
+		fmt.Fprintln(os.Stderr, "capacity:", err)
+		os.Exit(1)
+	}
+}
+
+// names splits a list; an empty one stands for all measurements.
+func names(list string) []string {
+	if list == "" {
+		return capacity.Measurements()
+	}
+	if list == "none" {
+		return nil
+	}
+	return strings.Split(list, ",")
+}
+
+// run measures, merges the results with those of the file and prints all.
+func run(b *capacity.Bench, which []string, file string) error {
+	all := capacity.Results{}
+	if file != "" {
+		if data, err := os.ReadFile(file); err == nil {
+			if err := json.Unmarshal(data, &all); err != nil {
+				return err
+			}
+		}
+	}
+	for _, name := range which {
+		series, err := b.Measure(name)
+		if err != nil {
+			return err
+		}
+		all.Merge(series)
+		if err := save(all, file); err != nil {
+			return err
+		}
+	}
+	return all.Print(os.Stdout)
+}
+
+// save writes the results.
+func save(all capacity.Results, file string) error {
+	if file == "" {
+		return nil
+	}
+	data, err := json.MarshalIndent(all, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(file, append(data, '\n'), 0o644)
+}
--- /dev/null
+++ b/internal/capacity/fit.go
@@ -0,0 +1,100 @@
+// Package capacity measures what a daemon spends for control on this machine,
+// as a slope over the size of the cell, and works out from the slopes what the
+// size to design for would take.
+//
+// Daemons run as real processes. The platform and the endpoints are stand-ins
+// in the measuring process, so that their processor time is not counted.
+package capacity
+
+import "math"
+
+// Point is one measured size.
+type Point struct {
+	X      float64            `json:"x"`
+	Values map[string]float64 `json:"values"`
+}
+
+// Series is what was measured over growing sizes.
+type Series struct {
+	Name string `json:"name"`
+	// X says what the sizes count.
+	X      string  `json:"x"`
+	Points []Point `json:"points"`
+}
+
+// Fit is a straight line through a series by least squares.
+type Fit struct {
+	Intercept float64
+	Slope     float64
+	// Residual is the largest distance of a point from the line, as a share
+	// of the largest value.
+	Residual float64
+	// R2 is the share of the variance that the line explains.
+	R2 float64
+}
+
+// minFitPoints is the fewest sizes from which a slope is drawn.
+const minFitPoints = 3
+
+// Fit draws the line through one value of the series; ok is false if there are
+// too few sizes.
+func (s *Series) Fit(value string) (f Fit, ok bool) {
+	var xs, ys []float64
+	for _, p := range s.Points {
+		if y, found := p.Values[value]; found {
+			xs, ys = append(xs, p.X), append(ys, y)
+		}
+	}
+	if len(xs) < minFitPoints {
+		return Fit{}, false
+	}
+	return line(xs, ys)
+}
+
+// line is the least-squares line; ok is false if all xs are equal.
+func line(xs, ys []float64) (f Fit, ok bool) {
+	mx, my := mean(xs), mean(ys)
+	var sxx, sxy, syy float64
+	for i := range xs {
+		sxx += (xs[i] - mx) * (xs[i] - mx)
+		sxy += (xs[i] - mx) * (ys[i] - my)
+		syy += (ys[i] - my) * (ys[i] - my)
+	}
+	if sxx == 0 {
+		return Fit{}, false
+	}
+	f.Slope = sxy / sxx
+	f.Intercept = my - f.Slope*mx
+	f.Residual, f.R2 = f.quality(xs, ys, syy)
+	return f, true
+}
+
+// quality is the largest relative residual and the explained variance.
+func (f Fit) quality(xs, ys []float64, syy float64) (residual, r2 float64) {
+	var worst, largest, sse float64
+	for i := range xs {
+		d := ys[i] - f.At(xs[i])
+		sse += d * d
+		worst = math.Max(worst, math.Abs(d))
+		largest = math.Max(largest, math.Abs(ys[i]))
+	}
+	if largest > 0 {
+		residual = worst / largest
+	}
+	if syy > 0 {
+		r2 = 1 - sse/syy
+	}
+	return residual, r2
+}
+
+// At is the value of the line at x.
+func (f Fit) At(x float64) float64 { return f.Intercept + f.Slope*x }
+
+// mean is the arithmetic mean.
+func mean(v []float64) float64 {
+	sum := 0.0
+	for _, x := range v {
+		sum += x
+	}
+	return sum / float64(len(v))
+}
--- /dev/null
+++ b/internal/capacity/fit_test.go
@@ -0,0 +1,49 @@
+package capacity
+
+import (
+	"math"
+	"testing"
+)
+
+func TestFitDrawsTheLine(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		ys        []float64
+		slope, at float64
+		straight  bool
+	}{
+		{"exact", []float64{3, 5, 9, 17}, 2, 1, true},
+		{"flat", []float64{4, 4, 4, 4}, 0, 4, true},
+		// The normal equations give sxx = 28.75 and sxy = 46.5.
+		{"noisy", []float64{0, 3, 3, 12}, 46.5 / 28.75, 4.5 - 3.75*46.5/28.75, false},
+	} {
+		s := Series{}
+		for i, x := range []float64{1, 2, 4, 8} {
+			s.Points = append(s.Points, Point{X: x, Values: map[string]float64{"y": test.ys[i]}})
+		}
+		f, ok := s.Fit("y")
+		if !ok || math.Abs(f.Slope-test.slope) > 1e-9 || math.Abs(f.Intercept-test.at) > 1e-9 {
+			t.Errorf("%s: slope %v, intercept %v, %v; want %v, %v", test.name, f.Slope, f.Intercept, ok, test.slope, test.at)
+		}
+		if straight := f.Residual < 1e-9; straight != test.straight {
+			t.Errorf("%s: residual %v", test.name, f.Residual)
+		}
+	}
+}
+
+func TestFitNeedsDifferentSizes(t *testing.T) {
+	same := Series{Points: []Point{
+		{X: 1, Values: map[string]float64{"y": 1}}, {X: 1, Values: map[string]float64{"y": 2}}, {X: 1, Values: map[string]float64{"y": 3}},
+	}}
+	if _, ok := same.Fit("y"); ok {
+		t.Error("a line through one size")
+	}
+	same.Points = same.Points[:2]
+	same.Points[1].X = 2
+	if _, ok := same.Fit("y"); ok {
+		t.Error("a line through two points")
+	}
+	if _, ok := same.Fit("z"); ok {
+		t.Error("a line of a value that was not measured")
+	}
+}
--- /dev/null
+++ b/internal/capacity/measure_zone.go
@@ -0,0 +1,213 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+)
+
+// Bench runs the measurements.
+type Bench struct {
+	// Command runs a daemon; the path of its settings follows it.
+	Command []string
+	// Window is how long each size is measured.
+	Window time.Duration
+	// Say reports progress.
+	Say func(format string, args ...any)
+}
+
+// settle is how long a cell runs before it is measured.
+const settle = 2 * time.Second
+
+// run starts a cell, lets it settle, measures it and ends it.
+func (b *Bench) run(o cellOptions, measure func(*testCell) error) error {
+	o.command = b.Command
+	if o.config == nil {
+		o.config = configFor(o.zones, plenty, 0)
+	}
+	c, err := startCell(o)
+	if err != nil {
+		return err
+	}
+	defer c.close()
+	time.Sleep(settle)
+	return measure(c)
+}
+
+// Endpoints measures an idle holder over the endpoints of its zone, half of
+// them workers and half runners.
+func (b *Bench) Endpoints() ([]Series, error) {
+	s := Series{Name: "holder-endpoints", X: "endpoints of the zone"}
+	for _, n := range []int{16, 32, 64, 128, 256} {
+		err := b.run(cellOptions{zones: oneZone(1, n/2, n-n/2)}, func(c *testCell) error {
+			values, err := c.window(b.Window, nil, c.daemons[0])
+			if err == nil {
+				s.add(b, float64(n), values[0])
+			}
+			return err
+		})
+		if err != nil {
+			return nil, err
+		}
+	}
+	return []Series{s}, nil
+}
+
+// List measures a daemon without endpoints over the length of the platform's
+// list.
+func (b *Bench) List() ([]Series, error) {
+	s := Series{Name: "directory", X: "instances in the platform's list"}
+	for _, n := range []int{0, 1000, 2500, 5000} {
+		err := b.run(cellOptions{zones: oneZone(1, 0, 0), listed: n}, func(c *testCell) error {
+			values, err := c.window(b.Window, nil, c.daemons[0])
+			if err == nil {
+				s.add(b, float64(n), values[0])
+			}
+			return err
+		})
+		if err != nil {
+			return nil, err
+		}
+	}
+	return []Series{s}, nil
+}
+
+// Starts measures a holder and another daemon that is the front door over the
+// rate of requests, for short tasks and for tasks that occupy their runners.
+func (b *Bench) Starts() ([]Series, error) {
+	var out []Series
+	for _, kind := range []struct{ name, command, input string }{
+		{"idle", "echo", "sixteen bytes in"},
+		{"busy", "sleep", "250ms"},
+	} {
+		holder := Series{Name: "holder-starts-" + kind.name, X: "task starts a second"}
+		door := Series{Name: "front-door-" + kind.name, X: "requests a second"}
+		err := b.run(cellOptions{zones: oneZone(2, 0, 32)}, func(c *testCell) error {
+			for _, rate := range []float64{50, 100, 200, 400} {
+				if err := b.starts(c, rate, kind.command, kind.input, &holder, &door); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, holder, door)
+	}
+	return out, nil
+}
+
+// starts measures one rate.
+func (b *Bench) starts(c *testCell, rate float64, command, input string, holder, door *Series) error {
+	front := c.frontDoor()
+	calls := newCaller(front)
+	defer calls.close()
+	failed, p99 := 0.0, 0.0
+	values, err := c.window(b.Window, func() {
+		result, err := calls.make(rate, b.Window, func(ctx context.Context) error { return calls.request(ctx, command, input) })
+		if err == nil {
+			failed = float64(result.Due - result.Count("done"))
+			p99 = float64(result.Rows[0].Latency.P99) / 1000
+		}
+	}, c.holder("zone-a"), front)
+	if err != nil {
+		return err
+	}
+	values[0]["not_done"], values[0]["p99_ms"] = failed, p99
+	holder.add(b, rate, values[0])
+	door.add(b, rate, values[1])
+	return nil
+}
+
+// Retained measures a holder's memory over the requests that it has answered
+// and still remembers.
+func (b *Bench) Retained() ([]Series, error) {
+	s := Series{Name: "holder-retained", X: "answered requests remembered"}
+	err := b.run(cellOptions{zones: oneZone(2, 0, 64)}, func(c *testCell) error {
+		holder, front := c.holder("zone-a"), c.frontDoor()
+		calls := newCaller(front)
+		defer calls.close()
+		total := 0.0
+		for _, more := range []int{0, 2000, 4000, 8000, 8000} {
+			if more > 0 {
+				result, err := calls.make(1000, time.Duration(more)*time.Millisecond, func(ctx context.Context) error {
+					return calls.request(ctx, "echo", "sixteen bytes in")
+				})
+				if err != nil {
+					return err
+				}
+				total += float64(result.Count("done"))
+			}
+			values, err := c.window(time.Second, nil, holder)
+			if err != nil {
+				return err
+			}
+			s.add(b, total, values[0])
+		}
+		return nil
+	})
+	return []Series{s}, err
+}
+
+// Waiting measures the memory and idle processor time of a front door and a
+// holder over the requests that wait.
+func (b *Bench) Waiting() ([]Series, error) {
+	holder := Series{Name: "holder-waiting", X: "waiting requests"}
+	door := Series{Name: "front-door-waiting", X: "waiting requests"}
+	for _, n := range []int{1000, 2000, 5000, 10000} {
+		err := b.run(cellOptions{zones: oneZone(2, 0, 1)}, func(c *testCell) error {
+			return b.waiting(c, n, &holder, &door)
+		})
+		if err != nil {
+			return nil, err
+		}
+	}
+	return []Series{holder, door}, nil
+}
+
+// waiting measures one number of waiting requests.
+func (b *Bench) waiting(c *testCell, n int, holder, door *Series) error {
+	held, front := c.holder("zone-a"), c.frontDoor()
+	calls := newCaller(front)
+	ctx, cancel := context.WithCancel(context.Background())
+	var pending sync.WaitGroup
+	defer func() {
+		cancel()
+		pending.Wait()
+		calls.close()
+	}()
+	for range n + runnerSlots {
+		pending.Go(func() { _ = calls.request(ctx, "sleep", "10m") })
+		time.Sleep(200 * time.Microsecond)
+	}
+	err := eventually("all requests wait", startTimeout, func() bool {
+		v, err := held.vars()
+		return err == nil && v["requests_waiting"] >= float64(n)
+	})
+	if err != nil {
+		return err
+	}
+	values, err := c.window(b.Window/2, nil, held, front)
+	if err != nil {
+		return err
+	}
+	holder.add(b, float64(n), values[0])
+	door.add(b, float64(n), values[1])
+	return nil
+}
+
+// add appends a point and reports it.
+func (s *Series) add(b *Bench, x float64, values map[string]float64) {
+	s.Points = append(s.Points, Point{X: x, Values: values})
+	b.Say("%s: %g %s: %v", s.Name, x, s.X, brief(values))
+}
+
+// brief is processor time and memory, or all values where there are none.
+func brief(values map[string]float64) string {
+	if cpu, ok := values[valueCPU]; ok {
+		return fmt.Sprintf("cpu %.2f%%, rss %.1f MB", cpu, values[valueRSS])
+	}
+	return fmt.Sprint(values)
+}
--- /dev/null
+++ b/internal/capacity/results.go
@@ -0,0 +1,120 @@
+package capacity
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"sort"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+)
+
+// Results are the series that were measured.
+type Results struct {
+	Series []Series `json:"series"`
+}
+
+// measurements are the measurements by name.
+var measurements = map[string]func(*Bench) ([]Series, error){
+	"endpoints": (*Bench).Endpoints,
+	"list":      (*Bench).List,
+	"starts":    (*Bench).Starts,
+	"retained":  (*Bench).Retained,
+	"waiting":   (*Bench).Waiting,
+	"peers":     (*Bench).Peers,
+	"tail":      (*Bench).Tail,
+	"config":    (*Bench).Config,
+	"jobs":      (*Bench).Jobs,
+	"failover":  (*Bench).Failover,
+	"allotment": (*Bench).Allotment,
+	"state":     (*Bench).State,
+}
+
+// Measurements are the names of all measurements.
+func Measurements() []string { return slices.Sorted(maps.Keys(measurements)) }
+
+// Measure runs one measurement.
+func (b *Bench) Measure(name string) ([]Series, error) {
+	measure, ok := measurements[name]
+	if !ok {
+		return nil, errors.Errorf("no measurement %q; choose from %v", name, Measurements())
+	}
+	series, err := measure(b)
+	return series, errors.Wrap(err, name)
+}
+
+// Merge puts in series, in place of those of the same name.
+func (r *Results) Merge(series []Series) {
+	for _, s := range series {
+		at := slices.IndexFunc(r.Series, func(old Series) bool { return old.Name == s.Name })
+		if at >= 0 {
+			r.Series[at] = s
+			continue
+		}
+		r.Series = append(r.Series, s)
+	}
+	sort.Slice(r.Series, func(i, j int) bool { return r.Series[i].Name < r.Series[j].Name })
+}
+
+// series finds a series by name.
+func (r *Results) series(name string) *Series {
+	for i := range r.Series {
+		if r.Series[i].Name == name {
+			return &r.Series[i]
+		}
+	}
+	return nil
+}
+
+// Print writes every series with its fits, then the table of budgets.
+func (r *Results) Print(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for i := range r.Series {
+		r.Series[i].print(t)
+	}
+	r.printBudgets(t)
+	return errors.Wrap(t.Flush(), "print")
+}
+
+// print writes the points and fits of a series, a value a line.
+func (s *Series) print(w io.Writer) {
+	_, _ = fmt.Fprintf(w, "\n== %s over %s\n", s.Name, s.X)
+	_, _ = fmt.Fprint(w, "value")
+	for _, p := range s.Points {
+		_, _ = fmt.Fprintf(w, "\t%g", p.X)
+	}
+	_, _ = fmt.Fprint(w, "\tintercept\tslope\tresidual\tR2\n")
+	for _, name := range s.values() {
+		_, _ = fmt.Fprint(w, name)
+		for _, p := range s.Points {
+			_, _ = fmt.Fprintf(w, "\t%.4g", p.Values[name])
+		}
+		if f, ok := s.Fit(name); ok {
+			_, _ = fmt.Fprintf(w, "\t%.4g\t%.4g\t%.1f%%\t%.3f", f.Intercept, f.Slope, f.Residual*percent, f.R2)
+		}
+		_, _ = fmt.Fprintln(w)
+	}
+}
+
+// values are the names of the values that are not zero everywhere.
+func (s *Series) values() []string {
+	names := make(map[string]bool)
+	for _, p := range s.Points {
+		for name, v := range p.Values {
+			if v != 0 {
+				names[name] = true
+			}
+		}
+	}
+	return slices.Sorted(maps.Keys(names))
+}
+
+// printBudgets writes the budgets against what the slopes amount to.
+func (r *Results) printBudgets(w io.Writer) {
+	_, _ = fmt.Fprint(w, "\n== size to design for\nrole\tvalue\tbudget\tcomputed\tratio\tunit\n")
+	for _, row := range r.Budgets() {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%.4g\t%.4g\t%.2f\t%s\n", row.Role, row.Value, row.Budget, row.Computed, row.Computed/row.Budget, row.Unit)
+	}
+}
