Sum up what a holder spends from its causes

The meters of a cell count all daemons together, so that means over daemons took the list's and the log's bytes once for each daemon. They are divided now. The table adds slopes times sizes to the intercept of an empty daemon, since adding up whole lines would count that intercept for each cause.

--- a/internal/capacity/measure_peers.go
+++ b/internal/capacity/measure_peers.go
@@ -177,16 +177,17 @@
 	sort.Float64s(delays)
 	idle, busy := average(before), average(during)
 	text, _ := operator.Print(c.options.config)
-	s.add(b, float64(len(c.daemons)), map[string]float64{
+	daemons := float64(len(c.daemons))
+	s.add(b, daemons, map[string]float64{
 		"config_bytes":           float64(len(text)),
 		"p50_ms":                 delays[len(delays)/2],
 		"max_ms":                 delays[len(delays)-1],
 		valueCPU:                 busy[valueCPU],
 		valueRSS:                 busy[valueRSS],
 		"cpu_ms_per_change":      (busy[valueCPU] - idle[valueCPU]) / percent * 1000 / publications * (publications * publishPause).Seconds(),
-		"log_bytes_per_change":   (c.logBytes() - logBefore - idle[valueLog]*(publications*publishPause).Seconds()) / publications,
+		"log_bytes_per_change":   (c.logBytes() - logBefore - daemons*idle[valueLog]*(publications*publishPause).Seconds()) / publications,
 		"regions":                float64(len(c.logMeters)),
-		"log_bytes_region_idle":  idle[valueLog] / float64(len(c.logMeters)),
+		"log_bytes_region_idle":  daemons * idle[valueLog] / float64(len(c.logMeters)),
 		"peer_bytes_idle_daemon": idle[valuePeer],
 	})
 	return nil
--- a/internal/capacity/results_test.go
+++ b/internal/capacity/results_test.go
@@ -17,22 +17,28 @@
 	var r Results
 	r.Merge([]Series{{Name: "directory"}})
 	r.Merge([]Series{s})
-	rows := r.Budgets()
-	if len(r.Series) != 1 || len(rows) != 2 {
-		t.Fatalf("series %v, rows %v", r.Series, rows)
+	got := map[string]Row{}
+	for _, row := range r.Budgets() {
+		got[row.Role+" "+row.Value] = row
+	}
+	const base, directory, sum = 2, 2, 3
+	if len(got) != base+directory+sum {
+		t.Errorf("rows of series that were not measured: %v", got)
 	}
 	const instances = designWorkers + designDaemons
-	for i, want := range []Row{
-		{Value: valueCPU, Budget: budgetCPUPercent, Computed: 1 + instances/1000.0},
-		{Value: valueList, Budget: budgetBytes, Computed: 100 * instances},
+	for name, want := range map[string]float64{
+		"daemon without any load cpu_percent":                    1,
+		"directory: platform's whole list cpu_percent":           instances / 1000.0,
+		"directory: platform's whole list bytes_s":               100 * instances,
+		"sum: a holder that is a front door as well cpu_percent": 1 + instances/1000.0,
+		"sum: a holder that is a front door as well bytes_s":     100 * instances,
 	} {
-		got := rows[i]
-		if got.Value != want.Value || got.Budget != want.Budget || got.Computed < want.Computed*0.999 || got.Computed > want.Computed*1.001 {
-			t.Errorf("got %+v, want %+v", got, want)
+		if c := got[name].Computed; c < want*0.999 || c > want*1.001 {
+			t.Errorf("%s is %v, want %v", name, c, want)
 		}
 	}
 	var out bytes.Buffer
-	if err := r.Print(&out); err != nil || !strings.Contains(out.String(), "directory, whole platform list") {
+	if err := r.Print(&out); err != nil || !strings.Contains(out.String(), "directory: platform's whole list") {
 		t.Errorf("printed %q, %v", out.String(), err)
 	}
 }
--- a/internal/capacity/sample.go
+++ b/internal/capacity/sample.go
@@ -132,7 +132,10 @@
 	return total
 }
 
-// average is the mean of each value over several daemons.
+// cellWide are the values that the meters count for all daemons together.
+var cellWide = []string{valueEndpoint, valueCommands, valueLog, valueList}
+
+// average is the mean of each value over all daemons of a cell.
 func average(of []map[string]float64) map[string]float64 {
 	out := make(map[string]float64)
 	for _, values := range of {
@@ -140,6 +143,9 @@
 			out[name] += v / float64(len(of))
 		}
 	}
+	for _, name := range cellWide {
+		out[name] /= float64(len(of))
+	}
 	return out
 }
 
