Keep the daemons' ports apart from outgoing connections

At 32 daemons the measurement of a configuration did not get ready: one daemon could not listen, since a connection had been given its port between the choice and the start. The ports now come from below the kernel's range, and the error names the daemons that lag and the zones without a holder.

--- a/internal/capacity/cell.go
+++ b/internal/capacity/cell.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -183,15 +184,33 @@
 	return p.region
 }
 
+const (
+	// lowestPort and portRange lie below the ports that the kernel gives to
+	// outgoing connections, so that none takes a daemon's port before the
+	// daemon listens.
+	lowestPort = 20000
+	portRange  = 10000
+)
+
+// nextPort counts the ports that were tried.
+var nextPort = rand.IntN(portRange)
+
 // chooseAddresses picks loopback ports that were free just now.
 func chooseAddresses(to ...*string) error {
+	tries := 0
 	for _, address := range to {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return errors.Wrap(err, "find a free port")
+		for *address == "" {
+			if tries++; tries > portRange {
+				return errors.Errorf("no free ports from %d on", lowestPort)
+			}
+			nextPort = (nextPort + 1) % portRange
+			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", lowestPort+nextPort))
+			if err != nil {
+				continue
+			}
+			*address = l.Addr().String()
+			_ = l.Close()
 		}
-		defer func() { _ = l.Close() }()
-		*address = l.Addr().String()
 	}
 	return nil
 }
--- a/internal/capacity/ready.go
+++ b/internal/capacity/ready.go
@@ -27,25 +27,34 @@
 // awaitReady waits until every daemon has the configuration in force and every
 // endpoint has been polled for events.
 func (c *testCell) awaitReady() error {
-	return eventually("the cell is ready", startTimeout, func() bool {
-		for _, p := range c.daemons {
-			if _, ok := p.inForceAt(c.version); !ok {
-				return false
-			}
-		}
+	err := eventually("the cell is ready", startTimeout, func() bool {
 		polled, _, _ := c.endpointMeter.firsts(endpoint.PathEvents)
-		return polled == len(c.endpoints) && c.held()
+		return len(c.behind()) == 0 && polled == len(c.endpoints) && len(c.unheld()) == 0
 	})
+	return errors.Wrapf(err, "without the configuration: %v, without a holder: %v", c.behind(), c.unheld())
+}
+
+// behind lists the daemons that lack the configuration that was published
+// last.
+func (c *testCell) behind() []string {
+	var out []string
+	for _, p := range c.daemons {
+		if _, ok := p.inForceAt(c.version); !ok {
+			out = append(out, p.id)
+		}
+	}
+	return out
 }
 
-// held reports whether every zone has a holder.
-func (c *testCell) held() bool {
+// unheld lists the zones without a holder.
+func (c *testCell) unheld() []string {
+	var out []string
 	for _, z := range c.options.zones {
 		if c.holder(z.name) == nil {
-			return false
+			out = append(out, z.name)
 		}
 	}
-	return true
+	return out
 }
 
 // holder is the daemon that holds a zone, or nil.
