Give each role's cost at the size to design for

The waiting requests first failed at 2,000: the queue's own default bound of 1,000 had refused the rest, so the load's queue sets its bound now.

--- a/internal/capacity/budget.go
+++ b/internal/capacity/budget.go
@@ -33,10 +33,11 @@
 	return []part{
 		{"zone holder: sessions of idle endpoints", "holder-endpoints", designWorkersAZone, []string{valueEndpoint}, 1},
 		{"zone holder: starts at the peak", "holder-starts-idle", designStartsAZone, []string{valueEndpoint, valuePeer}, 1},
+		{"zone holder: answered requests remembered", "holder-retained", designStartsAZone * retainedSeconds, nil, 1},
 		{"front door: a zone's requests over its daemons", "front-door-idle", designStartsAZone / designDaemonsAZone, []string{valuePeer}, 1},
 		{"directory: platform's whole list", "directory", designWorkers + designDaemons, []string{valueList}, 1},
-		{"membership: daemons of the zone", "peers-zone", designDaemonsAZone, []string{valuePeer}, 2},
-		{"membership: holders of other zones", "peers-zones", designZones, []string{valuePeer}, 2},
+		{"membership: daemons of the zone", "peers-zone", designDaemonsAZone - 1, []string{valuePeer}, 2},
+		{"membership: holders of other zones", "peers-zones", designZones - 1, []string{valuePeer}, 2},
 		{"log tail by relay at the appends' budget", "tail-relay", budgetAppends, []string{valuePeer, valueLog}, 1},
 	}
 }
@@ -52,13 +53,37 @@
 		c, m, n := b.part(p)
 		cpu, mb, bytes = cpu+c, mb+m, bytes+n
 	}
+	bytes += b.config()
 	b.add("sum: a holder that is a front door as well", valueCPU, budgetCPUPercent, cpu, unitCPU)
 	b.add("sum: a holder that is a front door as well", valueRSS, budgetMB, mb, unitMB)
 	b.add("sum: a holder that is a front door as well", "bytes_s", budgetBytes, bytes, unitBytes)
+	b.appends()
 	b.times()
 	return b.rows
 }
 
+// config adds the bytes of configuration that each reader of the log takes in
+// over a day, and returns their mean.
+func (b *book) config() float64 {
+	f, ok := b.fit("config-direct", "log_bytes_per_change")
+	if !ok {
+		return 0
+	}
+	mean := f.Slope * designConfigADay / secondsADay
+	b.add("configuration: whole text in each change", "bytes_s", budgetBytes, mean, unitBytes)
+	return mean
+}
+
+// appends adds the log appends of jobs over all zones.
+func (b *book) appends() {
+	f, ok := b.fit("holder-jobs", valueAppends)
+	if !ok {
+		return
+	}
+	b.add("log appends of jobs, mean of a day", valueAppends, budgetAppends, f.Slope*designJobsADay/secondsADay, "appends/s")
+	b.add("log appends of jobs, all starts of the peak", valueAppends, budgetAppends, f.Slope*designJobsAtPeak, "appends/s")
+}
+
 // times adds the rows of delays.
 func (b *book) times() {
 	for _, way := range []string{"config-relay", "config-direct"} {
@@ -100,7 +125,7 @@
 	if !ok {
 		return 0, 0, 0
 	}
-	cpu = f.Slope * p.size
+	cpu = max(f.Slope, 0) * p.size
 	b.add(p.role, valueCPU, budgetCPUPercent, cpu, unitCPU)
 	if f, ok = b.fit(p.series, valueRSS); ok {
 		mb = max(f.Slope, 0) * p.size
@@ -111,7 +136,9 @@
 			bytes += max(f.Slope, 0) * p.size * p.ends
 		}
 	}
-	b.add(p.role, "bytes_s", budgetBytes, bytes, unitBytes)
+	if len(p.bytes) > 0 {
+		b.add(p.role, "bytes_s", budgetBytes, bytes, unitBytes)
+	}
 	return cpu, mb, bytes
 }
 
--- a/internal/capacity/config.go
+++ b/internal/capacity/config.go
@@ -29,6 +29,7 @@
 			{
 				Name: requestQueue, Class: operator.ClassUrgent, Teams: []string{benchTeam}, Runner: true,
 				Idempotent: true, Deadline: requestDeadline, Spill: operator.SpillStay,
+				MaxWaiting: maxInFlight,
 			},
 			{Name: jobQueue, Class: operator.ClassBatch, Teams: []string{benchTeam}, Idempotent: true},
 		},
--- a/internal/capacity/design.go
+++ b/internal/capacity/design.go
@@ -6,15 +6,11 @@
 const (
 	designWorkers       = 4900
 	designZones         = 19
-	designRegions       = 5
 	designTeams         = 220
 	designDaemonsAZone  = 4
-	designRunning       = 64000
 	designJobsADay      = 36000
 	designStartsASecond = 2800
 	designConfigADay    = 9400
-	designRestartsADay  = 1600
-	designFailuresADay  = 80
 )
 
 // Budgets.
@@ -33,5 +29,15 @@
 // designStartsAZone is the mean share of a zone in the peak of starts.
 const designStartsAZone = designStartsASecond / float64(designZones)
 
+// retainedSeconds is how long a holder remembers an answered request.
+const retainedSeconds = 180
+
+// designJobsAtPeak is the rate of jobs if every start of the peak were a task
+// of a job.
+const designJobsAtPeak = designStartsASecond / float64(tasksPerJob)
+
+// secondsADay converts daily counts.
+const secondsADay = 24 * 60 * 60
+
 // designDaemons is the number of daemons.
 const designDaemons = designZones * designDaemonsAZone
--- a/internal/capacity/measure_state.go
+++ b/internal/capacity/measure_state.go
@@ -70,7 +70,39 @@
 		return nil, err
 	}
 	finished, err := b.jobState("state-jobs-finished", true)
-	return []Series{teams, open, finished}, err
+	if err != nil {
+		return nil, err
+	}
+	transfers, err := b.transferState()
+	return []Series{teams, open, finished, transfers}, err
+}
+
+// transferState measures the ids of transfers that a shared snapshot carries.
+func (b *Bench) transferState() (Series, error) {
+	s := Series{Name: "state-transfers", X: "transfers within the window of remembered ids"}
+	for _, n := range []int{1000, 4000, 8000, 16000} {
+		w, zone, epoch, err := newStateWriter(1)
+		if err != nil {
+			return s, err
+		}
+		other := manyZones(designZones, 1, 1)[1].name
+		err = w.write(&record.Envelope{Kind: record.KindClaim, Claim: &record.Claim{Zone: other, Holder: other + "-d0/1", Address: "192.0.2.2:7401"}})
+		if err != nil {
+			return s, err
+		}
+		from, to, fromEpoch, toEpoch := zone, other, epoch, w.offset
+		for i := range n {
+			err := w.write(&record.Envelope{Kind: record.KindTransfer, Transfer: &record.Transfer{
+				ID: fmt.Sprintf("%024d", i), Team: benchTeam, From: from, To: to, Amount: 1, Epoch: fromEpoch,
+			}})
+			if err != nil {
+				return s, err
+			}
+			from, to, fromEpoch, toEpoch = to, from, toEpoch, fromEpoch
+		}
+		s.add(b, float64(n), map[string]float64{"snapshot_bytes": snapshotBytes(w.state.SnapshotShared()), "log_bytes": float64(w.bytes)})
+	}
+	return s, nil
 }
 
 // jobState measures one zone's jobs, open or finished.
--- a/internal/capacity/measure_zone.go
+++ b/internal/capacity/measure_zone.go
@@ -4,7 +4,10 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Bench runs the measurements.
@@ -178,16 +181,25 @@
 		pending.Wait()
 		calls.close()
 	}()
+	var refused atomic.Int64
+	var reason atomic.Value
 	for range n + runnerSlots {
-		pending.Go(func() { _ = calls.request(ctx, "sleep", "10m") })
+		pending.Go(func() {
+			if err := calls.request(ctx, "sleep", "10m"); err != nil && ctx.Err() == nil {
+				refused.Add(1)
+				reason.Store(err.Error())
+			}
+		})
 		time.Sleep(200 * time.Microsecond)
 	}
+	waiting := 0.0
 	err := eventually("all requests wait", startTimeout, func() bool {
 		v, err := held.vars()
-		return err == nil && v["requests_waiting"] >= float64(n)
+		waiting = v["requests_waiting"]
+		return err == nil && waiting >= float64(n)
 	})
 	if err != nil {
-		return err
+		return errors.Wrapf(err, "%g of %d wait, %d refused, the last with %v", waiting, n, refused.Load(), reason.Load())
 	}
 	values, err := c.window(b.Window/2, nil, held, front)
 	if err != nil {
