Compare the page's table of budgets with the kept results

The table was written by hand from the printed one, so that a new run or a changed size could leave the page behind. The command prints the rows as the page shows them, and a test requires each row of the kept results on the page; it was seen to fail with one digit changed.

--- a/internal/capacity/budget.go
+++ b/internal/capacity/budget.go
@@ -6,14 +6,14 @@
 	Value    string
 	Budget   float64
 	Computed float64
-	Unit     string
 }
 
-// Units of the table.
+// Values of the table, with their units.
 const (
-	unitCPU   = "% of a core"
-	unitMB    = "MB"
-	unitBytes = "bytes/s"
+	rowCPU     = "CPU, % of a core"
+	rowMB      = "memory, MB"
+	rowBytes   = "bytes/s"
+	rowAppends = "appends/s"
 )
 
 // part is one cause of a daemon's spending: the slope of a series at a size of
@@ -46,17 +46,17 @@
 // measured; rows whose series is missing are left out.
 func (r *Results) Budgets() []Row {
 	b := &book{results: r}
-	b.add("daemon without any load", valueCPU, budgetCPUPercent, b.base(valueCPU), unitCPU)
-	b.add("daemon without any load", valueRSS, budgetMB, b.base(valueRSS), unitMB)
+	b.add("daemon without any load", rowCPU, budgetCPUPercent, b.base(valueCPU))
+	b.add("daemon without any load", rowMB, budgetMB, b.base(valueRSS))
 	cpu, mb, bytes := b.base(valueCPU), b.base(valueRSS), 0.0
 	for _, p := range holderParts() {
 		c, m, n := b.part(p)
 		cpu, mb, bytes = cpu+c, mb+m, bytes+n
 	}
 	bytes += b.config()
-	b.add("sum: a holder that is a front door as well", valueCPU, budgetCPUPercent, cpu, unitCPU)
-	b.add("sum: a holder that is a front door as well", valueRSS, budgetMB, mb, unitMB)
-	b.add("sum: a holder that is a front door as well", "bytes_s", budgetBytes, bytes, unitBytes)
+	b.add("sum: a holder that is a front door as well", rowCPU, budgetCPUPercent, cpu)
+	b.add("sum: a holder that is a front door as well", rowMB, budgetMB, mb)
+	b.add("sum: a holder that is a front door as well", rowBytes, budgetBytes, bytes)
 	b.appends()
 	b.times()
 	return b.rows
@@ -70,7 +70,7 @@
 		return 0
 	}
 	mean := f.Slope * designConfigADay / secondsADay
-	b.add("configuration: whole text in each change", "bytes_s", budgetBytes, mean, unitBytes)
+	b.add("configuration: whole text in each change", rowBytes, budgetBytes, mean)
 	return mean
 }
 
@@ -80,20 +80,24 @@
 	if !ok {
 		return
 	}
-	b.add("log appends of jobs, mean of a day", valueAppends, budgetAppends, f.Slope*designJobsADay/secondsADay, "appends/s")
-	b.add("log appends of jobs, all starts of the peak", valueAppends, budgetAppends, f.Slope*designJobsAtPeak, "appends/s")
+	b.add("log appends of jobs, mean of a day", rowAppends, budgetAppends, f.Slope*designJobsADay/secondsADay)
+	b.add("log appends of jobs, all starts of the peak", rowAppends, budgetAppends, f.Slope*designJobsAtPeak)
 }
 
 // times adds the rows of delays.
 func (b *book) times() {
-	for _, way := range []string{"config-relay", "config-direct"} {
-		if f, ok := b.fit(way, "max_ms"); ok {
-			b.add(way+": last daemon has a change in force", "max_ms", float64(budgetConfig.Milliseconds()), f.At(designDaemons), "ms")
+	for _, way := range []string{"relay", "direct"} {
+		if f, ok := b.fit("config-"+way, "max_ms"); ok {
+			b.add("last daemon has a change in force, by "+way, "delay, ms", float64(budgetConfig.Milliseconds()), f.At(designDaemons))
 		}
 	}
-	for _, value := range []string{"first_start_s", "full_s", "max_wait_s"} {
-		if f, ok := b.fit("failover", value); ok {
-			b.add("death of a holder", value, budgetStart.Seconds(), f.At(designWorkersAZone), "s")
+	for _, delay := range []struct{ role, value string }{
+		{"first start after a holder's death", "first_start_s"},
+		{"all endpoints attached after a holder's death", "full_s"},
+		{"longest wait of a request through a holder's death", "max_wait_s"},
+	} {
+		if f, ok := b.fit("failover", delay.value); ok {
+			b.add(delay.role, "delay, s", budgetStart.Seconds(), f.At(designWorkersAZone))
 		}
 	}
 }
@@ -126,10 +130,10 @@
 		return 0, 0, 0
 	}
 	cpu = max(f.Slope, 0) * p.size
-	b.add(p.role, valueCPU, budgetCPUPercent, cpu, unitCPU)
+	b.add(p.role, rowCPU, budgetCPUPercent, cpu)
 	if f, ok = b.fit(p.series, valueRSS); ok {
 		mb = max(f.Slope, 0) * p.size
-		b.add(p.role, valueRSS, budgetMB, mb, unitMB)
+		b.add(p.role, rowMB, budgetMB, mb)
 	}
 	for _, value := range p.bytes {
 		if f, ok = b.fit(p.series, value); ok {
@@ -137,12 +141,12 @@
 		}
 	}
 	if len(p.bytes) > 0 {
-		b.add(p.role, "bytes_s", budgetBytes, bytes, unitBytes)
+		b.add(p.role, rowBytes, budgetBytes, bytes)
 	}
 	return cpu, mb, bytes
 }
 
 // add appends a row.
-func (b *book) add(role, value string, budget, computed float64, unit string) {
-	b.rows = append(b.rows, Row{Role: role, Value: value, Budget: budget, Computed: computed, Unit: unit})
+func (b *book) add(role, value string, budget, computed float64) {
+	b.rows = append(b.rows, Row{Role: role, Value: value, Budget: budget, Computed: computed})
 }
--- a/internal/capacity/results.go
+++ b/internal/capacity/results.go
@@ -4,8 +4,10 @@
 	"fmt"
 	"io"
 	"maps"
+	"math"
 	"slices"
 	"sort"
+	"strconv"
 	"text/tabwriter"
 
 	"github.com/pkg/errors"
@@ -113,8 +115,28 @@
 
 // printBudgets writes the budgets against what the slopes amount to.
 func (r *Results) printBudgets(w io.Writer) {
-	_, _ = fmt.Fprint(w, "\n== size to design for\nrole\tvalue\tbudget\tcomputed\tratio\tunit\n")
+	_, _ = fmt.Fprint(w, "\n== size to design for\n")
 	for _, row := range r.Budgets() {
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%.4g\t%.4g\t%.2f\t%s\n", row.Role, row.Value, row.Budget, row.Computed, row.Computed/row.Budget, row.Unit)
+		_, _ = fmt.Fprintln(w, row)
 	}
 }
+
+// String is the row as docs/CAPACITY.md shows it.
+func (row Row) String() string {
+	mark := ""
+	ratio := row.Computed / row.Budget
+	if ratio > 1 {
+		mark = "**"
+	}
+	return fmt.Sprintf("| %s | %s | %s | %s | %s%.2f%s |", row.Role, row.Value, figure(row.Budget), figure(row.Computed), mark, ratio, mark)
+}
+
+// figure writes a number with three digits that count and no exponent.
+func figure(v float64) string {
+	const exponentFrom = 1000
+	if v < exponentFrom {
+		return strconv.FormatFloat(v, 'g', 3, 64)
+	}
+	unit := math.Pow(10, math.Floor(math.Log10(v))-2)
+	return strconv.FormatFloat(math.Round(v/unit)*unit, 'f', 0, 64)
+}
--- a/internal/capacity/results_test.go
+++ b/internal/capacity/results_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -27,11 +29,11 @@
 	}
 	const instances = designWorkers + designDaemons
 	for name, want := range map[string]float64{
-		"daemon without any load cpu_percent":                    1,
-		"directory: platform's whole list cpu_percent":           instances / 1000.0,
-		"directory: platform's whole list bytes_s":               100 * instances,
-		"sum: a holder that is a front door as well cpu_percent": 1 + instances/1000.0,
-		"sum: a holder that is a front door as well bytes_s":     100 * instances,
+		"daemon without any load CPU, % of a core":                    1,
+		"directory: platform's whole list CPU, % of a core":           instances / 1000.0,
+		"directory: platform's whole list bytes/s":                    100 * instances,
+		"sum: a holder that is a front door as well CPU, % of a core": 1 + instances/1000.0,
+		"sum: a holder that is a front door as well bytes/s":          100 * instances,
 	} {
 		if c := got[name].Computed; c < want*0.999 || c > want*1.001 {
 			t.Errorf("%s is %v, want %v", name, c, want)
@@ -43,6 +45,40 @@
 	}
 }
 
+// TestPageShowsWhatWasMeasured compares the page's table with the one that
+// the kept results give.
+func TestPageShowsWhatWasMeasured(t *testing.T) {
+	data, err := os.ReadFile("measured.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var r Results
+	if err := json.Unmarshal(data, &r); err != nil {
+		t.Fatal(err)
+	}
+	page, err := os.ReadFile("../../docs/CAPACITY.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	rows := r.Budgets()
+	if len(rows) == 0 {
+		t.Fatal("the kept results give no rows")
+	}
+	for _, row := range rows {
+		if !strings.Contains(string(page), "\n"+row.String()+"\n") {
+			t.Errorf("docs/CAPACITY.md lacks the row, or has another figure:\n%s", row)
+		}
+	}
+}
+
+func TestFiguresHaveThreeDigits(t *testing.T) {
+	for v, want := range map[float64]string{0: "0", 0.9806: "0.981", 3.6: "3.6", 999: "999", 1000: "1000", 7674.6: "7670", 1185432: "1190000"} {
+		if got := figure(v); got != want {
+			t.Errorf("%v is written %s, want %s", v, got, want)
+		}
+	}
+}
+
 func TestMeasureNamesTheChoices(t *testing.T) {
 	b := &Bench{}
 	if _, err := b.Measure("nothing"); err == nil || !strings.Contains(err.Error(), "failover") {
