Leave out sums whose causes were not all measured

A partial run printed the sum of a holder with zeros for what it had not measured, which reads like a budget that is met. The sum and the empty daemon now appear only if their series were measured; the full table is unchanged.

--- a/internal/capacity/budget.go
+++ b/internal/capacity/budget.go
@@ -46,32 +46,45 @@
 // measured; rows whose series is missing are left out.
 func (r *Results) Budgets() []Row {
 	b := &book{results: r}
-	b.add("daemon without any load", rowCPU, budgetCPUPercent, b.base(valueCPU))
-	b.add("daemon without any load", rowMB, budgetMB, b.base(valueRSS))
-	cpu, mb, bytes := b.base(valueCPU), b.base(valueRSS), 0.0
+	b.daemon()
+	b.appends()
+	b.times()
+	return b.rows
+}
+
+// daemon adds the rows of each cause, and their sum if all were measured.
+func (b *book) daemon() {
+	baseCPU, whole := b.fit("directory", valueCPU)
+	baseMB, _ := b.fit("directory", valueRSS)
+	if whole {
+		b.add("daemon without any load", rowCPU, budgetCPUPercent, baseCPU.Intercept)
+		b.add("daemon without any load", rowMB, budgetMB, baseMB.Intercept)
+	}
+	cpu, mb, bytes := baseCPU.Intercept, baseMB.Intercept, 0.0
 	for _, p := range holderParts() {
-		c, m, n := b.part(p)
-		cpu, mb, bytes = cpu+c, mb+m, bytes+n
+		c, m, n, ok := b.part(p)
+		cpu, mb, bytes, whole = cpu+c, mb+m, bytes+n, whole && ok
+	}
+	n, ok := b.config()
+	bytes, whole = bytes+n, whole && ok
+	if !whole {
+		return
 	}
-	bytes += b.config()
 	b.add("sum: a holder that is a front door as well", rowCPU, budgetCPUPercent, cpu)
 	b.add("sum: a holder that is a front door as well", rowMB, budgetMB, mb)
 	b.add("sum: a holder that is a front door as well", rowBytes, budgetBytes, bytes)
-	b.appends()
-	b.times()
-	return b.rows
 }
 
 // config adds the bytes of configuration that each reader of the log takes in
 // over a day, and returns their mean.
-func (b *book) config() float64 {
+func (b *book) config() (mean float64, ok bool) {
 	f, ok := b.fit("config-direct", "log_bytes_per_change")
 	if !ok {
-		return 0
+		return 0, false
 	}
-	mean := f.Slope * designConfigADay / secondsADay
+	mean = f.Slope * designConfigADay / secondsADay
 	b.add("configuration: whole text in each change", rowBytes, budgetBytes, mean)
-	return mean
+	return mean, true
 }
 
 // appends adds the log appends of jobs over all zones.
@@ -117,17 +130,11 @@
 	return s.Fit(value)
 }
 
-// base is a value of a daemon that has nothing to do.
-func (b *book) base(value string) float64 {
-	f, _ := b.fit("directory", value)
-	return f.Intercept
-}
-
 // part adds the rows of one cause and returns what it spends.
-func (b *book) part(p part) (cpu, mb, bytes float64) {
+func (b *book) part(p part) (cpu, mb, bytes float64, ok bool) {
 	f, ok := b.fit(p.series, valueCPU)
 	if !ok {
-		return 0, 0, 0
+		return 0, 0, 0, false
 	}
 	cpu = max(f.Slope, 0) * p.size
 	b.add(p.role, rowCPU, budgetCPUPercent, cpu)
@@ -143,7 +150,7 @@
 	if len(p.bytes) > 0 {
 		b.add(p.role, rowBytes, budgetBytes, bytes)
 	}
-	return cpu, mb, bytes
+	return cpu, mb, bytes, true
 }
 
 // add appends a row.
