--- a/internal/capacity/measure_peers.go
+++ b/internal/capacity/measure_peers.go
@@ -201,7 +201,7 @@
 	if err := c.publish(c.options.config); err != nil {
 		return nil, err
 	}
-	err := eventually("the change is in force everywhere", startTimeout, func() bool {
+	err := eventually("the change is in force everywhere", func() bool {
 		for _, p := range c.daemons {
 			if _, ok := p.inForceAt(c.version); !ok {
 				return false
--- a/internal/capacity/measure_work.go
+++ b/internal/capacity/measure_work.go
@@ -53,24 +53,64 @@
 	failoverLength = 8 * time.Second
 )
 
+// busyPerEndpoint is how many tasks run for each endpoint of the zone while a
+// holder with running tasks is killed: three quarters of the runners' slots.
+const busyPerEndpoint = runnerSlots / 2 * 3 / 4
+
 // Failover measures the time from the kill of a holder to the first start by
-// its successor and to the attachment of all endpoints.
+// its successor and to the attachment of all endpoints, without and with
+// running tasks.
 func (b *Bench) Failover() ([]Series, error) {
-	s := Series{Name: "failover", X: "endpoints of the zone"}
+	idle := Series{Name: "failover", X: "endpoints of the zone"}
 	for _, n := range []int{16, 32, 64, 128, 256} {
-		err := b.run(cellOptions{zones: oneZone(failoverDaemons, n/2, n-n/2)}, func(c *testCell) error {
-			for range failoverTrials {
-				if err := b.failover(c, n, &s); err != nil {
-					return err
-				}
-			}
-			return nil
-		})
-		if err != nil {
+		if err := b.failovers(n, 0, &idle); err != nil {
 			return nil, err
 		}
 	}
-	return []Series{s}, nil
+	return []Series{idle}, nil
+}
+
+// BusyFailover is Failover while tasks run on the endpoints.
+func (b *Bench) BusyFailover() ([]Series, error) {
+	busy := Series{Name: "failover-busy", X: "endpoints of the zone"}
+	for _, n := range []int{32, 64, 128, 256} {
+		if err := b.failovers(n, busyPerEndpoint*n, &busy); err != nil {
+			return nil, err
+		}
+	}
+	return []Series{busy}, nil
+}
+
+// failovers kills the holders of one cell while a number of tasks run.
+func (b *Bench) failovers(n, tasks int, s *Series) error {
+	return b.run(cellOptions{zones: oneZone(failoverDaemons, n/2, n-n/2)}, func(c *testCell) error {
+		stop, err := c.occupy(tasks)
+		defer stop()
+		for trial := 0; err == nil && trial < failoverTrials; trial++ {
+			err = b.failover(c, n, s)
+		}
+		return err
+	})
+}
+
+// occupy runs a number of tasks until the returned function is called.
+func (c *testCell) occupy(tasks int) (stop func(), err error) {
+	holder := c.holder("zone-a")
+	calls := newCaller(c.frontDoor())
+	ctx, cancel := context.WithCancel(context.Background())
+	var pending sync.WaitGroup
+	for range tasks {
+		pending.Go(func() { _ = calls.request(ctx, "sleep", "10m") })
+	}
+	stop = func() {
+		cancel()
+		pending.Wait()
+		calls.close()
+	}
+	return stop, eventually("all tasks run", func() bool {
+		v, err := holder.vars()
+		return err == nil && v["tasks_started_total"] >= float64(tasks)
+	})
 }
 
 // failover kills the holder once.
@@ -79,6 +119,7 @@
 	if holder == nil || front == nil {
 		return errors.New("the zone has no holder to kill")
 	}
+	before := c.stops()
 	calls := newCaller(front)
 	defer calls.close()
 	var killed time.Time
@@ -102,10 +143,14 @@
 		"max_wait_s":    float64(result.Rows[0].Latency.Max) / 1e6,
 		"p50_wait_ms":   float64(result.Rows[0].Latency.P50) / 1e3,
 		"not_done":      float64(result.Due - result.Count("done")),
+		"stops":         float64(c.stops() - before),
 	})
 	return nil
 }
 
+// stops is how many commands to stop tasks the endpoints have had.
+func (c *testCell) stops() int64 { return c.endpointMeter.requests(endpoint.PathStop) }
+
 const (
 	// skewLimit is the upper limit whose use moves between zones.
 	skewLimit = 48
--- a/internal/capacity/measure_zone.go
+++ b/internal/capacity/measure_zone.go
@@ -193,7 +193,7 @@
 		time.Sleep(200 * time.Microsecond)
 	}
 	waiting := 0.0
-	err := eventually("all requests wait", startTimeout, func() bool {
+	err := eventually("all requests wait", func() bool {
 		v, err := held.vars()
 		waiting = v["requests_waiting"]
 		return err == nil && waiting >= float64(n)
--- a/internal/capacity/ready.go
+++ b/internal/capacity/ready.go
@@ -27,7 +27,7 @@
 // awaitReady waits until every daemon has the configuration in force and every
 // endpoint has been polled for events.
 func (c *testCell) awaitReady() error {
-	err := eventually("the cell is ready", startTimeout, func() bool {
+	err := eventually("the cell is ready", func() bool {
 		polled, _, _ := c.endpointMeter.firsts(endpoint.PathEvents)
 		return len(c.behind()) == 0 && polled == len(c.endpoints) && len(c.unheld()) == 0
 	})
@@ -92,12 +92,12 @@
 	}
 }
 
-// eventually polls a condition until it holds.
-func eventually(what string, limit time.Duration, holds func() bool) error {
-	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(poll) {
+// eventually polls a condition until it holds or startTimeout is over.
+func eventually(what string, holds func() bool) error {
+	for deadline := time.Now().Add(startTimeout); time.Now().Before(deadline); time.Sleep(poll) {
 		if holds() {
 			return nil
 		}
 	}
-	return errors.Errorf("not within %s: %s", limit, what)
+	return errors.Errorf("not within %s: %s", startTimeout, what)
 }
--- a/internal/capacity/results.go
+++ b/internal/capacity/results.go
@@ -30,6 +30,7 @@
 	"config":    (*Bench).Config,
 	"jobs":      (*Bench).Jobs,
 	"failover":  (*Bench).Failover,
+	"busy":      (*Bench).BusyFailover,
 	"allotment": (*Bench).Allotment,
 	"state":     (*Bench).State,
 }
