Give each process under test a loopback address of its own

Ports that were free a moment ago were taken by outgoing connections before their process listened: 3 of 34 cells broke off with 'ended before it listened', and a restarted endpoint could lose its port as well. Retrying with other ports was ruled out, since relays and lists already name them. Processes now have fixed ports on addresses of their own within 127/8.

The platform's log is kept with the logs of a cell.

--- a/internal/harness/daemon.go
+++ b/internal/harness/daemon.go
@@ -1,7 +1,6 @@
 package harness
 
 import (
-	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -38,31 +37,17 @@
 func (c *Cell) makeDaemons() error {
 	for _, zone := range c.Options.Zones {
 		for i := range c.Options.DaemonsPerZone {
-			ports, err := freeAddresses(3)
+			a, err := freeAddresses(apiPort, peerPort, adminPort)
 			if err != nil {
 				return err
 			}
 			id := daemonID(zone, i)
-			c.Daemons[id] = &Daemon{ID: id, Zone: zone, api: ports[0], peer: ports[1], admin: ports[2]}
+			c.Daemons[id] = &Daemon{ID: id, Zone: zone, api: a[0], peer: a[1], admin: a[2]}
 		}
 	}
 	return nil
 }
 
-// freeAddresses returns n loopback addresses whose ports were free just now.
-func freeAddresses(n int) ([]string, error) {
-	var out []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, errors.Wrap(err, "find a free port")
-		}
-		defer func() { _ = l.Close() }()
-		out = append(out, l.Addr().String())
-	}
-	return out, nil
-}
-
 // wire makes the relays of a daemon's links and the list by which it finds
 // the other ends: every other instance stands there under the relay's address.
 func (c *Cell) wire(d *Daemon) error {
--- a/internal/harness/matrix/run.go
+++ b/internal/harness/matrix/run.go
@@ -10,6 +10,7 @@
 
 	"github.com/bluebellstile/bluebellstile/internal/harness"
 	"github.com/bluebellstile/bluebellstile/internal/history"
+	"github.com/bluebellstile/bluebellstile/internal/record"
 )
 
 const (
@@ -53,6 +54,7 @@
 		return withRecovery(notRun(cell, err.Error()), cell, err), nil
 	}
 	keep(opts.Dir, events)
+	w.keepLog(opts.Dir)
 	rows, found := judge(cell, events, checkOptions(recovery == nil))
 	return withRecovery(rows, cell, recovery), found
 }
@@ -93,16 +95,42 @@
 // keep writes the merged history beside the logs of a cell, if there is a
 // folder for it.
 func keep(dir string, events []history.Event) {
+	writeLines(dir, "merged.history", events)
+}
+
+// keptRecord is a record of the platform's log in readable form.
+type keptRecord struct {
+	Offset uint64           `json:"offset"`
+	ID     string           `json:"id"`
+	Record *record.Envelope `json:"record"`
+}
+
+// keepLog writes the platform's log beside the logs of a cell.
+func (w *world) keepLog(dir string) {
+	records, err := w.Records(w.ctx)
+	if err != nil {
+		return
+	}
+	var out []keptRecord
+	for _, r := range records {
+		e, _ := record.Decode(r.Data)
+		out = append(out, keptRecord{r.Offset, r.ID, e})
+	}
+	writeLines(dir, "platform.log", out)
+}
+
+// writeLines writes a list as JSON lines, if there is a folder for it.
+func writeLines[T any](dir, name string, list []T) {
 	if dir == "" {
 		return
 	}
-	file, err := os.Create(filepath.Join(dir, "merged.history"))
+	file, err := os.Create(filepath.Join(dir, name))
 	if err != nil {
 		return
 	}
 	defer func() { _ = file.Close() }()
 	out := json.NewEncoder(file)
-	for _, e := range events {
+	for _, e := range list {
 		_ = out.Encode(e)
 	}
 }
--- a/internal/harness/standins.go
+++ b/internal/harness/standins.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -32,15 +33,18 @@
 type readyLine struct {
 	Kind    string `json:"kind"`
 	Address string `json:"address"`
-	Admin   string `json:"admin"`
 }
 
-// start starts the process, under its former addresses if it had some.
+// start starts the process, always under the same addresses.
 func (n *standinNode) start(bin, logPath string) error {
-	args := n.args
-	if n.address != "" {
-		args = append(args[:len(args):len(args)], "-listen", n.address, "-admin", n.admin)
+	if n.address == "" {
+		free, err := freeAddresses(standinPort, switchPort)
+		if err != nil {
+			return err
+		}
+		n.address, n.admin = free[0], free[1]
 	}
+	args := slices.Concat(n.args, []string{"-listen", n.address, "-admin", n.admin})
 	var line readyLine
 	ready := func(text string) (string, bool) {
 		return "", json.Unmarshal([]byte(text), &line) == nil && line.Address != ""
@@ -49,7 +53,7 @@
 	if err != nil {
 		return err
 	}
-	n.process, n.address, n.admin = p, line.Address, line.Admin
+	n.process = p
 	return nil
 }
 
