Append a transfer until its fate is known

Cause: a transfer whose append was not confirmed kept the giver's bound lowered until 16,384 more records had passed, for ever in a quiet cell, so that a team could not run where it had work (matrix, log down/transferring allotment: zone zb ran nothing of team ink for 30 s after the log was back). Ruled out: giving the reservation up after a time, since a late append counts. Change: the same record is appended again under its id until one copy's effect, valid or void, has been read; the first copy decides.

--- a/internal/holder/allotments.go
+++ b/internal/holder/allotments.go
@@ -12,6 +12,7 @@
 	"github.com/bluebellstile/bluebellstile/internal/problem"
 	"github.com/bluebellstile/bluebellstile/internal/record"
 	"github.com/bluebellstile/bluebellstile/internal/team"
+	"github.com/pkg/errors"
 )
 
 const (
@@ -216,7 +217,8 @@
 
 // Give transfers at most amount of a team's unused allotment to another zone
 // and returns how much was given. The own bound is lowered before the record
-// is appended and stays so until the record's effect is known.
+// is appended and stays so until the record's effect is known, which goes on
+// after ctx has ended.
 func (t *Term) Give(ctx context.Context, name, to string, amount int64) (int64, *problem.Problem) {
 	id, amount := t.reserve(name, amount)
 	if amount <= 0 {
@@ -231,22 +233,65 @@
 		Epoch:  t.epoch,
 	}}
 	envelope.Seen = t.deps.Journal.State().Applied()
-	effect, err := t.deps.Journal.AppendID(ctx, id, envelope)
-	if err != nil && !errorsIsNotAppended(err) {
-		return 0, appendProblem(err)
+	entry := &transferEntry{id: id, team: name, envelope: envelope, done: make(chan *problem.Problem, 1)}
+	t.transfers.add(entry)
+	select {
+	case p := <-entry.done:
+		if p != nil {
+			return 0, p
+		}
+		return amount, nil
+	case <-ctx.Done():
+		return 0, problem.Doubt(problem.LogOutcomeUnknown, "ask again", "the log did not confirm the transfer in time")
 	}
-	t.resolve(id, name)
-	if err != nil {
-		return 0, appendProblem(err)
+}
+
+// transferEntry is a transfer on its way to the log.
+type transferEntry struct {
+	id       string
+	team     string
+	envelope *record.Envelope
+	// doubt is set once an attempt may have been appended. From then on only
+	// the effect of a copy ends the reservation.
+	doubt bool
+	done  chan *problem.Problem
+}
+
+// size implements sized.
+func (e *transferEntry) size() int { return len(e.id) + len(e.team) + 64 }
+
+// commitTransfers appends transfers, each until its fate is known. All copies
+// have one id, so that the first one in the log decides.
+func (t *Term) commitTransfers(group []*transferEntry) (again []*transferEntry) {
+	for _, e := range group {
+		ctx, cancel := context.WithTimeout(t.tomb.Context(context.Background()), appendTimeout)
+		effect, err := t.deps.Journal.AppendID(ctx, e.id, e.envelope)
+		cancel()
+		if err != nil && (e.doubt || !errors.Is(err, journal.ErrNotAppended)) {
+			e.doubt = true
+			again = append(again, e)
+			continue
+		}
+		t.resolve(e.id, e.team)
+		e.done <- transferProblem(effect, err)
 	}
-	if !effect.Valid {
-		return 0, problem.Refuse(problem.Moved, "ask again", "the transfer is void: %s", effect.Reason)
+	if len(again) > 0 {
+		t.pause(appendPause)
 	}
-	return amount, nil
+	return again
 }
 
-// errorsIsNotAppended reports whether the record certainly isn't in the log.
-func errorsIsNotAppended(err error) bool { return appendProblem(err).Verdict == problem.NotRun }
+// transferProblem says why a transfer did not count. One that is a duplicate
+// counted as an earlier copy, or was void as one.
+func transferProblem(effect cell.Effect, err error) *problem.Problem {
+	switch {
+	case err != nil:
+		return appendProblem(err)
+	case !effect.Valid:
+		return problem.Refuse(problem.Moved, "ask again", "the transfer is void: %s", effect.Reason)
+	}
+	return nil
+}
 
 // reserve lowers the bound for a transfer of at most half of what is free
 // beyond the team's own waiting work.
--- a/internal/holder/term.go
+++ b/internal/holder/term.go
@@ -90,11 +90,12 @@
 	moving   bool
 	teams    map[string]bool
 
-	ledger   *team.Ledger
-	registry *registry
-	jobLog   *batcher[jobEntry]
-	outcomes *batcher[outcomeEntry]
-	rosters  *batcher[rosterEntry]
+	ledger    *team.Ledger
+	registry  *registry
+	jobLog    *batcher[jobEntry]
+	outcomes  *batcher[outcomeEntry]
+	rosters   *batcher[rosterEntry]
+	transfers *batcher[*transferEntry]
 }
 
 // ErrSuperseded ends a term when a higher epoch has been seen.
@@ -125,6 +126,7 @@
 	t.jobLog = newBatcher(t.commitJobs)
 	t.outcomes = newBatcher(t.commitOutcomes)
 	t.rosters = newBatcher(t.commitRoster)
+	t.transfers = newBatcher(t.commitTransfers)
 	return t
 }
 
@@ -145,6 +147,7 @@
 		func() error { return t.jobLog.run(t.tomb) },
 		func() error { return t.outcomes.run(t.tomb) },
 		func() error { return t.rosters.run(t.tomb) },
+		func() error { return t.transfers.run(t.tomb) },
 	} {
 		t.tomb.Go(run)
 	}
