Probe a silent holder through the log, bound waiting by team, rest refusing endpoints

Cause: reading the term's paths showed faults that no test had hit yet: two daemons of a zone that can't hear each other would take the zone from each other every two seconds; a large job's tasks counted against callers' bound; shedding scanned all units; an endpoint that refuses was asked again at once; a gang inherited by a new term was queued task by task; the list alone could declare a rostered endpoint gone. Ruled out: longer silence before claims (slows every failover). Change: a candidate appends a probe, a living holder renews its claim, only else the zone is claimed; waiting requests are bounded by queue and team; the list counts only after every lease of the earlier term has lapsed; default takeover_after 1.5 s in place of 2 s, which the probe's 0.4 s allows. The settings test names the new default, as strict as before.

--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -190,6 +190,8 @@
 		return env.Snapshot.Zone
 	case record.KindReport:
 		return env.Report.Zone
+	case record.KindProbe:
+		return env.Probe.Zone
 	}
 	return ""
 }
--- a/internal/claimant/claimant.go
+++ b/internal/claimant/claimant.go
@@ -8,8 +8,10 @@
 	"log/slog"
 	"sort"
 	"strings"
+	"sync/atomic"
 	"time"
 
+	"github.com/bluebellstile/bluebellstile/internal/cell"
 	"github.com/bluebellstile/bluebellstile/internal/journal"
 	"github.com/bluebellstile/bluebellstile/internal/membership"
 	"github.com/bluebellstile/bluebellstile/internal/metrics"
@@ -32,6 +34,8 @@
 	freshBound = 2 * time.Second
 	// appendTimeout bounds the wait for a claim to be read back.
 	appendTimeout = 3 * time.Second
+	// probeWait is how long a probed holder has for its renewal.
+	probeWait = 400 * time.Millisecond
 	// liveWithin is the silence after which a daemon no longer counts as in
 	// line.
 	liveWithin = 1500 * time.Millisecond
@@ -50,16 +54,20 @@
 	// since is the instant from which silence counts.
 	since time.Time
 	seen  zone.Claim
+	// renewed is when a renewal of the zone's claim was last read.
+	renewed atomic.Pointer[time.Time]
+	probed  chan uint64
 }
 
 // New returns a claimant that claims after the given silence of the holder.
 func New(self peer.Identity, silence time.Duration, j *journal.Journal, table *membership.Table, standing func() peer.Standing, logger *slog.Logger) *Claimant {
 	now := time.Now()
-	return &Claimant{self: self, silence: silence, journal: j, table: table, standing: standing, log: logger, lastLook: now, since: now}
+	return &Claimant{self: self, silence: silence, journal: j, table: table, standing: standing, log: logger, lastLook: now, since: now, probed: make(chan uint64, 1)}
 }
 
 // Run looks at the holder until t dies.
 func (c *Claimant) Run(t *tomb.Tomb) error {
+	t.Go(func() error { return c.runRenewals(t) })
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
@@ -68,6 +76,13 @@
 			return nil
 		case <-ticker.C:
 		}
+		if !c.due(time.Now()) {
+			continue
+		}
+		if c.alive(t) {
+			c.since = time.Now()
+			continue
+		}
 		if c.due(time.Now()) {
 			c.claim(t)
 		}
@@ -93,12 +108,95 @@
 	if !ok || age > freshBound || standing.Leaving {
 		return false
 	}
-	if heard, _, ok := c.table.Holder(current.Zone, current.Epoch); held && ok && heard.After(c.since) {
-		c.since = heard
+	if held {
+		c.heard(current)
 	}
 	return now.Sub(c.since) >= c.wait(held, current)
 }
 
+// heard takes in the latest signs of life of the holder.
+func (c *Claimant) heard(current zone.Claim) {
+	if at, _, ok := c.table.Holder(current.Zone, current.Epoch); ok && at.After(c.since) {
+		c.since = at
+	}
+	if at := c.renewed.Load(); at != nil && at.After(c.since) {
+		c.since = *at
+	}
+}
+
+// Observe follows the zone's claims and probes in log order: a renewal is a
+// sign of life of the holder, and a probe of the own term asks for one.
+func (c *Claimant) Observe(effect cell.Effect) {
+	if effect.Zone != c.self.AvailabilityZone || !effect.Valid {
+		return
+	}
+	switch effect.Kind {
+	case record.KindClaim:
+		if effect.Envelope.Claim.Base != 0 {
+			now := time.Now()
+			c.renewed.Store(&now)
+		}
+	case record.KindProbe:
+		if effect.Envelope.Probe.Epoch == c.standing().Epoch {
+			select {
+			case c.probed <- effect.Envelope.Probe.Epoch:
+			default:
+			}
+		}
+	}
+}
+
+// runRenewals renews the claim whenever it is probed.
+func (c *Claimant) runRenewals(t *tomb.Tomb) error {
+	for {
+		select {
+		case <-t.Dying():
+			return nil
+		case epoch := <-c.probed:
+			e := Envelope(c.self.AvailabilityZone, c.self.Holder(), c.self.Address, 0)
+			e.Claim.Base = epoch
+			_, err := c.append(t, e)
+			c.log.Info("claim renewed after a probe", "epoch", epoch, "error", err)
+		}
+	}
+}
+
+// append appends a record and waits for its effect.
+func (c *Claimant) append(t *tomb.Tomb, e *record.Envelope) (cell.Effect, error) {
+	ctx, cancel := context.WithTimeout(t.Context(context.Background()), appendTimeout)
+	defer cancel()
+	return c.journal.Append(ctx, e)
+}
+
+// alive asks a holder that is silent on all direct links for a sign of life
+// through the log, and reports whether one came. It keeps two daemons that
+// can't hear each other from taking the zone from each other in turn.
+func (c *Claimant) alive(t *tomb.Tomb) bool {
+	if c.seen.Epoch == 0 || strings.HasPrefix(c.seen.Holder, c.self.Instance+"/") {
+		return false
+	}
+	before := c.renewed.Load()
+	probe := &record.Envelope{Kind: record.KindProbe, Probe: &record.Probe{Zone: c.self.AvailabilityZone, Epoch: c.seen.Epoch}}
+	if _, err := c.append(t, probe); err != nil {
+		return true
+	}
+	metrics.Claims.Add("probed", 1)
+	deadline := time.NewTimer(probeWait)
+	defer deadline.Stop()
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for c.renewed.Load() == before {
+		select {
+		case <-t.Dying():
+			return true
+		case <-deadline.C:
+			return false
+		case <-ticker.C:
+		}
+	}
+	return true
+}
+
 // wait is the silence after which this daemon claims: each daemon of the zone
 // has its place in line, which differs from epoch to epoch.
 //
@@ -137,9 +235,7 @@
 
 // claim appends a claim and waits for its effect.
 func (c *Claimant) claim(t *tomb.Tomb) {
-	ctx, cancel := context.WithTimeout(t.Context(context.Background()), appendTimeout)
-	defer cancel()
-	effect, err := c.journal.Append(ctx, Envelope(c.self.AvailabilityZone, c.self.Holder(), c.self.Address, c.seen.Epoch))
+	effect, err := c.append(t, Envelope(c.self.AvailabilityZone, c.self.Holder(), c.self.Address, c.seen.Epoch))
 	switch {
 	case err != nil:
 		metrics.Claims.Add("unknown", 1)
--- a/internal/holder/adopt.go
+++ b/internal/holder/adopt.go
@@ -103,8 +103,7 @@
 // bind places a unit on the endpoint that reports it.
 func (t *Term) bind(s *session, u *unit, status endpoint.TaskStatus) {
 	if u.phase == phaseWaiting {
-		t.engine.Withdraw(u.work, u.key)
-		t.waiting--
+		t.withdraw(u)
 	}
 	u.spec.ID = status.Task.ID
 	u.session = s
--- a/internal/holder/gate.go
+++ b/internal/holder/gate.go
@@ -82,9 +82,14 @@
 }
 
 // expireGate accounts for rostered endpoints that the platform has removed.
+// The list may be wrong, so it counts only once every lease that the previous
+// holder granted before this term has lapsed as well.
 func (t *Term) expireGate() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if time.Since(t.gate.since) < lapseBound(t.settings.Lease) {
+		return
+	}
 	for id := range t.gate.pending {
 		name, _ := parseRosterID(id)
 		if !t.deps.Directory.Gone(name, goneBound, t.gate.since) {
@@ -109,6 +114,11 @@
 
 // passGate decides about the work that was held back.
 func (t *Term) passGate() {
+	for _, state := range t.jobs {
+		if state.spec.Gang && state.untouched() {
+			t.enqueueJob(state)
+		}
+	}
 	for _, u := range t.units {
 		if u.phase == phaseHeld {
 			t.resolveHeld(u)
@@ -120,6 +130,10 @@
 // resolveHeld queues held work that was found on no endpoint, unless it is
 // non-idempotent and may have run on one that was lost.
 func (t *Term) resolveHeld(u *unit) {
+	if u.cancelled {
+		t.settle(u, failed(cancelledWaiting()))
+		return
+	}
 	if u.spec.Idempotent || (u.job != nil && !t.gate.lost) {
 		t.enqueue(u)
 		return
--- a/internal/holder/jobs.go
+++ b/internal/holder/jobs.go
@@ -37,6 +37,9 @@
 	return n
 }
 
+// maxWaitingTasks bounds the tasks of jobs that wait in one zone.
+const maxWaitingTasks = 100_000
+
 // JobID derives a job's id from the ticket of its submission, so that the same
 // submission is the same job wherever and however often it is made.
 func JobID(ticketText string) string { return "j-" + ticketText }
@@ -76,9 +79,11 @@
 func (t *Term) refuseJob(j *record.Job, queue operator.Queue) *problem.Problem {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	limit := t.deps.MaxWaiting()
-	if t.waiting+len(j.Inputs) > limit+job.MaxTasks {
-		return problem.Refuse(problem.QueueFull, "retry after the hint, with backoff", "%d tasks wait in the zone already", t.waiting).After(retryHint)
+	if p := t.draining(); p != nil {
+		return p
+	}
+	if t.line.tasks > 0 && t.line.tasks+len(j.Inputs) > maxWaitingTasks {
+		return problem.Refuse(problem.QueueFull, "retry after the hint, with backoff", "%d tasks of jobs wait in the zone already", t.line.tasks).After(retryHint)
 	}
 	if !t.gate.passed() || len(t.sessions) == 0 {
 		return nil
@@ -155,15 +160,33 @@
 	state := t.newJob(j)
 	t.noteTeam(j.Team)
 	for index := range j.Inputs {
-		u := t.newJobUnit(state, index)
+		t.newJobUnit(state, index)
+	}
+	t.enqueueJob(state)
+}
+
+// enqueueJob hands a whole job to the engine.
+func (t *Term) enqueueJob(state *jobState) {
+	j := &state.spec
+	for _, u := range state.units {
 		u.work = j.ID
 		u.phase = phaseWaiting
+		t.line.add(u)
 	}
-	t.waiting += len(j.Inputs)
 	t.engine.Submit(jobWork(j, t.queue(j.Queue), t.now()))
 	t.kick()
 }
 
+// untouched reports whether no task of the job has begun or ended.
+func (s *jobState) untouched() bool {
+	for _, u := range s.units {
+		if u.phase != phaseHeld || u.cancelled {
+			return false
+		}
+	}
+	return len(s.units) == len(s.spec.Inputs)
+}
+
 // inheritJob holds the unfinished tasks of a job from an earlier term.
 func (t *Term) inheritJob(j *job.Job) {
 	spec := j.Spec
@@ -172,10 +195,7 @@
 		if _, ended := j.Outcome(index); ended {
 			continue
 		}
-		u := t.newJobUnit(state, index)
-		if t.gate.passed() {
-			t.resolveHeld(u)
-		}
+		t.newJobUnit(state, index)
 	}
 }
 
@@ -187,7 +207,7 @@
 }
 
 // newJobUnit registers one task of a job as held.
-func (t *Term) newJobUnit(state *jobState, index int) *unit {
+func (t *Term) newJobUnit(state *jobState, index int) {
 	j := &state.spec
 	u := &unit{
 		key: taskKey(j.ID, index),
@@ -209,7 +229,6 @@
 	u.applyQueue(t.queue(j.Queue))
 	state.units[index] = u
 	t.units[u.key] = u
-	return u
 }
 
 // taskKey names one task of a job.
--- a/internal/holder/request.go
+++ b/internal/holder/request.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/bluebellstile/bluebellstile/internal/endpoint"
-	"github.com/bluebellstile/bluebellstile/internal/metrics"
 	"github.com/bluebellstile/bluebellstile/internal/placement"
 	"github.com/bluebellstile/bluebellstile/internal/problem"
 	"github.com/bluebellstile/bluebellstile/internal/ticket"
@@ -162,12 +161,11 @@
 	if r.Ticket.Epoch == t.epoch && t.registry.expired(r.Ticket.Generation, t.now()) {
 		return problem.Doubt(problem.TicketExpired, "check the effect of the request, then send it with a new ticket", "the ticket is too old for its outcome to be known")
 	}
-	limit := t.deps.MaxWaiting()
-	if r.Queue.MaxWaiting > 0 {
-		limit = min(limit, r.Queue.MaxWaiting)
+	if p := t.draining(); p != nil {
+		return p
 	}
-	if t.waiting >= limit && !t.shed(r) {
-		return problem.Refuse(problem.QueueFull, "retry after the hint, with backoff", "%d requests wait in the zone already", t.waiting).After(retryHint)
+	if p := t.crowded(r); p != nil {
+		return p
 	}
 	if !t.gate.passed() {
 		return nil
@@ -179,21 +177,40 @@
 	return nil
 }
 
+// draining refuses new work while the operators drain the zone.
+func (t *Term) draining() *problem.Problem {
+	cfg, _ := t.deps.Journal.State().Config()
+	if cfg == nil {
+		return nil
+	}
+	for _, z := range cfg.Zones {
+		if z.Name == t.settings.AvailabilityZone && z.Drain {
+			return problem.Refuse(problem.ZoneDraining, "send it to another zone", "the operators drain zone %q", z.Name)
+		}
+	}
+	return nil
+}
+
+// crowded refuses a request beyond the bound of its team in the queue or that
+// of the zone.
+func (t *Term) crowded(r *Request) *problem.Problem {
+	waiting := t.line.of(r.Queue.Name, r.Team)
+	if r.Queue.MaxWaiting > 0 && waiting >= r.Queue.MaxWaiting {
+		return problem.Refuse(problem.QueueFull, "retry after the hint, with backoff", "%d requests of the team wait in queue %q already", waiting, r.Queue.Name).After(retryHint)
+	}
+	if t.line.requests >= t.deps.MaxWaiting() && !t.shed(r) {
+		return problem.Refuse(problem.QueueFull, "retry after the hint, with backoff", "%d requests wait in the zone already", t.line.requests).After(retryHint)
+	}
+	return nil
+}
+
 // shed makes room for an urgent request by refusing the batch request that
 // came last.
 func (t *Term) shed(r *Request) bool {
 	if r.Queue.Class != operator.ClassUrgent {
 		return false
 	}
-	var victim *unit
-	for _, u := range t.units {
-		if u.request == nil || u.phase != phaseWaiting || u.class != placement.ClassBatch {
-			continue
-		}
-		if victim == nil || u.enqueued > victim.enqueued {
-			victim = u
-		}
-	}
+	victim := t.line.newest()
 	if victim == nil {
 		return false
 	}
@@ -249,8 +266,7 @@
 // withdraw takes a waiting unit out of the queue.
 func (t *Term) withdraw(u *unit) {
 	t.engine.Withdraw(u.work, u.key)
-	t.waiting--
-	metrics.Waiting.Set(int64(t.waiting))
+	t.line.remove(u)
 	u.phase = phaseHeld
 }
 
--- a/internal/holder/schedule.go
+++ b/internal/holder/schedule.go
@@ -15,6 +15,8 @@
 	// scheduleInterval is how often the engine is asked without a cause, for
 	// what depends on time alone.
 	scheduleInterval = 100 * time.Millisecond
+	// refusalRest is how long an endpoint that refused a task gets no other.
+	refusalRest = 250 * time.Millisecond
 )
 
 // runScheduler asks the engine for decisions whenever something has changed.
@@ -63,8 +65,7 @@
 		s.queueStop(endpoint.ActionCheckpoint, u.spec.ID)
 		return
 	}
-	t.waiting--
-	metrics.Waiting.Set(int64(t.waiting))
+	t.line.remove(u)
 	if p := t.recheck(u); p != nil {
 		t.engine.Finish(u.key, t.now(), placement.ResultStopped)
 		u.phase = phaseHeld
@@ -118,8 +119,7 @@
 // enqueue hands a unit to the engine.
 func (t *Term) enqueue(u *unit) {
 	u.phase = phaseWaiting
-	t.waiting++
-	metrics.Waiting.Set(int64(t.waiting))
+	t.line.add(u)
 	t.noteTeam(u.spec.Team)
 	t.engine.Submit(u.engineWork())
 	t.kick()
@@ -153,12 +153,28 @@
 		if reason, ok := reasons[spec.ID]; ok {
 			t.log.Warn("endpoint refused a task", "endpoint", s.id, "task", spec.ID, "reason", reason)
 			t.undoStart(s, u)
+			t.rest(s)
 			continue
 		}
 		u.phase, u.ran = phaseRunning, true
 	}
 }
 
+// rest keeps new work from an endpoint that refused a task, for a while.
+func (t *Term) rest(s *session) {
+	if s.resting {
+		return
+	}
+	s.resting = true
+	t.applyUsable(s)
+	time.AfterFunc(refusalRest, func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		s.resting = false
+		t.applyUsable(s)
+	})
+}
+
 // undoStart queues a unit again that its endpoint refused.
 func (t *Term) undoStart(s *session, u *unit) {
 	t.engine.Finish(u.key, t.now(), placement.ResultStopped)
@@ -269,10 +285,13 @@
 	defer t.mu.Unlock()
 	for _, task := range stopped {
 		u := t.unitOf(task.ID)
-		if u == nil || u.session != s || !task.NeverRan {
+		if u == nil || u.session != s {
 			continue
 		}
-		t.undoStart(s, u)
+		u.spec.ResumeMS = max(u.spec.ResumeMS, task.CheckpointMS)
+		if task.NeverRan {
+			t.undoStart(s, u)
+		}
 	}
 	t.kick()
 }
--- a/internal/holder/session.go
+++ b/internal/holder/session.go
@@ -51,6 +51,8 @@
 	// leaving is what the endpoint itself said last, listed what the list says.
 	leaving bool
 	listed  bool
+	// resting is set for a while after the endpoint refused a task.
+	resting bool
 	units   map[string]*unit
 
 	mu          sync.Mutex
@@ -225,8 +227,13 @@
 	if s.tokenAt.IsZero() {
 		return false
 	}
-	bound := time.Duration(float64(s.term.settings.Lease) * (1 + clockDrift))
-	return time.Since(s.tokenAt) > bound
+	return time.Since(s.tokenAt) > lapseBound(s.term.settings.Lease)
+}
+
+// lapseBound is the time after which a lease of the given length has lapsed by
+// any clock.
+func lapseBound(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease) * (1 + clockDrift))
 }
 
 // countLapse ends the tasks of an endpoint whose lease has lapsed, once the
@@ -250,7 +257,7 @@
 
 // forgetIfGone ends the session of an endpoint that the platform has removed.
 func (s *session) forgetIfGone() bool {
-	if !s.term.deps.Directory.Gone(s.id, goneBound, s.term.began) {
+	if !s.term.deps.Directory.Gone(s.id, goneBound, s.term.began) || !s.idle() {
 		return false
 	}
 	s.term.endpointLost(s, "the platform removed the instance")
@@ -258,6 +265,15 @@
 	return true
 }
 
+// idle reports whether nothing of this term can be running on the endpoint:
+// no lease was ever granted, or the last one has lapsed.
+func (s *session) idle() bool {
+	s.mu.Lock()
+	never := s.tokenAt.IsZero()
+	s.mu.Unlock()
+	return never || s.lapsed()
+}
+
 // runEvents polls for events until the session ends.
 func (s *session) runEvents(loops *tomb.Tomb) error {
 	after := uint64(0)
--- a/internal/holder/sessions.go
+++ b/internal/holder/sessions.go
@@ -70,7 +70,7 @@
 	if s.rosterID == "" {
 		return
 	}
-	t.engine.SetAvailable(s.id, s.usable && !s.leaving && !s.listed)
+	t.engine.SetAvailable(s.id, s.usable && !s.leaving && !s.listed && !s.resting)
 	t.kick()
 }
 
--- a/internal/holder/term.go
+++ b/internal/holder/term.go
@@ -86,7 +86,7 @@
 	jobs     map[string]*jobState
 	sessions map[string]*session
 	gate     gate
-	waiting  int
+	line     line
 	moving   bool
 	teams    map[string]bool
 
@@ -118,6 +118,7 @@
 		jobs:     make(map[string]*jobState),
 		sessions: make(map[string]*session),
 		teams:    make(map[string]bool),
+		line:     newLine(),
 		registry: newRegistry(),
 	}
 	t.ledger = team.NewLedger(func(name string) int64 {
@@ -139,6 +140,9 @@
 	for _, j := range state.Jobs(t.settings.AvailabilityZone) {
 		t.inheritJob(j)
 	}
+	if t.gate.passed() {
+		t.passGate()
+	}
 	t.mu.Unlock()
 	metrics.HolderEpoch.Set(int64(t.epoch))
 	t.log.Info("term begins", "roster", len(t.gate.pending))
--- a/internal/record/kind.go
+++ b/internal/record/kind.go
@@ -11,6 +11,7 @@
 	KindSnapshot: "snapshot",
 	KindAudit:    "audit",
 	KindReport:   "report",
+	KindProbe:    "probe",
 }
 
 // String returns the name of k, "unknown" if it has none.
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -22,6 +22,7 @@
 	KindSnapshot Kind = 7
 	KindAudit    Kind = 8
 	KindReport   Kind = 9
+	KindProbe    Kind = 10
 )
 
 // Envelope is one log record.
@@ -36,6 +37,7 @@
 	Snapshot *Snapshot `cbor:"8,keyasint,omitempty"`
 	Audit    *Audit    `cbor:"9,keyasint,omitempty"`
 	Report   *Report   `cbor:"10,keyasint,omitempty"`
+	Probe    *Probe    `cbor:"12,keyasint,omitempty"`
 	// Seen is the offset that the writer had applied when it made the record.
 	// Roster, Transfer, Jobs, Outcomes and Report records count only at
 	// offsets up to Seen+SeenWindow, so that a writer whose append got no
@@ -191,6 +193,13 @@
 	Unplaced int64 `cbor:"4,keyasint,omitempty"`
 }
 
+// Probe asks the holder of a zone for a sign of life: a holder that reads it
+// renews its claim. It changes nothing by itself.
+type Probe struct {
+	Zone  string `cbor:"1,keyasint"`
+	Epoch uint64 `cbor:"2,keyasint"`
+}
+
 // Audit records an operator's action.
 type Audit struct {
 	Author string `cbor:"1,keyasint"`
@@ -262,6 +271,8 @@
 		return e.Audit != nil
 	case KindReport:
 		return e.Report != nil
+	case KindProbe:
+		return e.Probe != nil
 	}
 	return false
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -135,6 +135,7 @@
 	s.claimant = claimant.New(s.self, s.settings.Zone.TakeoverAfter, s.journal, s.table, s.standing, s.log)
 	s.journal.Observe(s.keeper.observe)
 	s.journal.Observe(s.router.Observe)
+	s.journal.Observe(s.claimant.Observe)
 }
 
 // serve makes the HTTP servers.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -164,7 +164,7 @@
 		"part of TLS":         {"# cert =", "cert = /etc/cert.pem", KindConflict, "tls.cert"},
 		"relative path":       {"# cert =", "cert = cert.pem", KindBadValue, "tls.cert"},
 		"heartbeat and lease": {"lease = 30s", "lease = 1s", KindConflict, "zone.heartbeat"},
-		"heartbeat, takeover": {"takeover_after = 2s", "takeover_after = 700ms", KindConflict, "zone.heartbeat"},
+		"heartbeat, takeover": {"takeover_after = 1.5s", "takeover_after = 700ms", KindConflict, "zone.heartbeat"},
 		"long read":           {"read_wait = 1s", "read_wait = 4s", KindConflict, "platform.read_wait"},
 		"not a line of INI":   {"lease = 30s", "lease 30s", KindSyntax, "."},
 		"behind the end":      {"[end]", "[end]\n[zone]", KindDuplicateSection, "zone."},
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -87,7 +87,7 @@
 	duration("zone", "heartbeat", 500*time.Millisecond, 10*time.Millisecond, 10*time.Second,
 		"Interval of heartbeats to endpoints and between daemons of a zone. Must be at most a third of zone.lease and half of zone.takeover_after.",
 		func(s *Settings) *time.Duration { return &s.Zone.Heartbeat }),
-	duration("zone", "takeover_after", 2*time.Second, 50*time.Millisecond, time.Minute,
+	duration("zone", "takeover_after", 1500*time.Millisecond, 50*time.Millisecond, time.Minute,
 		"How long the holder of a zone goes unheard before another daemon claims it.",
 		func(s *Settings) *time.Duration { return &s.Zone.TakeoverAfter }),
 	duration("zone", "schedule_interval", 2*time.Millisecond, 100*time.Microsecond, time.Second,
