Decide by share, reservation, preemption and learned run times

The first engine walked all waiting work in each call and knew neither shares nor reservations. This one keeps work in buckets per team and class, and remembers per size that nothing fits until an endpoint gains room, so that a call looks at teams, sizes and endpoints only. Within a class the team with the least weighted dominant share goes first, less a decayed deficit that grows only while the team waits for room. One reservation at a time serves gangs, large tasks and overdue work; others may use its room only for preemptible idempotent tasks that end before it is due. Urgent work, services and teams below their share preempt the least lost work, never a task that is not idempotent. Endpoints that fail tasks of several works which do well elsewhere are quarantined.

Not done: throttling, defragmentation, lowering a bound below what runs.

--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -1,245 +1,224 @@
 package placement
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
 
-type workState struct {
-	Work
-	seq uint64
-}
-
-type endpointState struct {
-	Endpoint
-	available bool
-	used      Resources
-}
-
-func (e *endpointState) free() Resources { return e.Capacity.sub(e.used) }
-
-type teamState struct {
-	Team
-	waiting int
-	running int
-}
-
+// engine implements Engine incrementally: a decision looks at the teams and
+// the endpoints of the zone, never at all waiting work.
 type engine struct {
-	teams     map[string]*teamState
-	endpoints map[string]*endpointState
-	order     []*endpointState
-	works     map[string]*workState
-	queue     []*workState
-	running   map[string]*Running
-	seq       uint64
+	policy  Policy
+	filters []filter
+	scorers []weightedScorer
+
+	teams    map[string]*team
+	teamList []*team
+	works    map[string]*item
+	running  map[string]*task
+	// orphans are running tasks whose endpoint is not known, by endpoint.
+	orphans map[string][]*task
+	spreads rackCounts
+	fleet   fleet
+	shapes  shapeTable
+	seq     uint64
+
+	owners      []*item
+	reservation *reservation
+	preempting  []*task
+	quarantined []*endpoint
+
+	now         time.Duration
+	accruedAt   time.Duration
+	housekeptAt time.Duration
+	housekept   bool
+	// level is the mean share per weight of the teams that wait for room.
+	level float64
+
+	// limit, misses, searches and out belong to the Schedule call under way.
+	limit    int
+	misses   int
+	searches int
+	out      []Decision
+	scratch  scratch
+}
+
+// scratch is memory that is used again from call to call.
+type scratch struct {
+	candidate candidate
+	slots     []gangSlot
+	openings  []opening
+	ends      []taskEnd
+	victims   []*task
+	capacity  []Resources
 }
 
 // New returns an engine with no teams, endpoints or work.
-func New() Engine {
-	return &engine{
-		teams:     map[string]*teamState{},
-		endpoints: map[string]*endpointState{},
-		works:     map[string]*workState{},
-		running:   map[string]*Running{},
-	}
-}
-
-func (e *engine) team(name string) *teamState {
+func New(options ...Option) Engine {
+	e := &engine{
+		policy:  DefaultPolicy(),
+		filters: defaultFilters(),
+		scorers: defaultScorers(),
+		teams:   map[string]*team{},
+		works:   map[string]*item{},
+		running: map[string]*task{},
+		orphans: map[string][]*task{},
+		spreads: rackCounts{},
+		fleet:   newFleet(),
+		shapes:  newShapeTable(),
+	}
+	for _, option := range options {
+		option(e)
+	}
+	return e
+}
+
+func (e *engine) team(name string) *team {
 	t, ok := e.teams[name]
 	if !ok {
-		t = &teamState{Team: Team{Name: name}}
+		t = &team{Team: Team{Name: name}, sources: map[string]*source{}, promotedAt: e.now}
 		e.teams[name] = t
+		at, _ := slices.BinarySearchFunc(e.teamList, t, compareTeams)
+		e.teamList = slices.Insert(e.teamList, at, t)
 	}
 	return t
 }
 
-func (e *engine) SetTeam(t Team) { e.team(t.Name).Team = t }
-
-func (e *engine) SetEndpoint(ep Endpoint) {
-	if s, ok := e.endpoints[ep.ID]; ok {
-		s.Endpoint = ep
-		return
-	}
-	s := &endpointState{Endpoint: ep, available: true}
-	e.endpoints[ep.ID] = s
-	e.order = append(e.order, s)
-	slices.SortFunc(e.order, func(a, b *endpointState) int { return cmp.Compare(a.ID, b.ID) })
+// SetTeam implements Engine.
+func (e *engine) SetTeam(spec Team) {
+	t := e.team(spec.Name)
+	t.Team = spec
+	e.rescore(t)
 }
 
-func (e *engine) SetAvailable(id string, available bool) {
-	if s, ok := e.endpoints[id]; ok {
-		s.available = available
+// Check implements Engine.
+func (e *engine) Check(w Work) Verdict { return check(sized(w), e.capacities(w.Runner)) }
+
+func (e *engine) capacities(runner bool) []Resources {
+	all := e.scratch.capacity[:0]
+	for _, ep := range e.fleet.kind(runner) {
+		all = append(all, ep.Capacity)
 	}
+	e.scratch.capacity = all
+	return all
 }
 
-func (e *engine) RemoveEndpoint(id string) {
-	delete(e.endpoints, id)
-	e.order = slices.DeleteFunc(e.order, func(s *endpointState) bool { return s.ID == id })
+// sized gives work for service runners the one slot that a request occupies.
+func sized(w Work) Work {
+	if w.Runner && w.Size == (Resources{}) {
+		w.Size.Slots = 1
+	}
+	return w
 }
 
-func (e *engine) Adopt(r Running) {
-	if _, ok := e.running[r.Task]; ok {
+// Submit implements Engine.
+func (e *engine) Submit(w Work) {
+	w = sized(w)
+	if w.Class < ClassUrgent || w.Class > ClassBatch {
+		w.Class = ClassBatch
+	}
+	it, waits := e.works[w.ID]
+	fresh := e.freshTasks(it, w.Tasks)
+	if len(fresh) == 0 {
 		return
 	}
-	e.start(r)
-}
-
-func (e *engine) start(r Running) {
-	e.running[r.Task] = &r
-	e.team(r.Team).running++
-	if s, ok := e.endpoints[r.Endpoint]; ok {
-		s.used = s.used.add(r.Size)
+	if !waits {
+		e.seq++
+		w.Tasks = fresh
+		it = &item{Work: w, seq: e.seq}
+		e.works[w.ID] = it
+		e.push(e.team(w.Team), it)
+		return
 	}
+	e.change(it, append(slices.Clip(it.Tasks), fresh...))
 }
 
-func (e *engine) Check(w Work) Verdict {
-	var capacities []Resources
-	for _, s := range e.order {
-		if s.Runner == w.Runner {
-			capacities = append(capacities, s.Capacity)
+// freshTasks returns the tasks that neither run nor wait, each once.
+func (e *engine) freshTasks(it *item, tasks []string) []string {
+	seen := make(map[string]struct{}, len(tasks))
+	if it != nil {
+		for _, id := range it.Tasks {
+			seen[id] = struct{}{}
 		}
 	}
-	return check(w, capacities)
-}
-
-func (e *engine) Submit(w Work) {
-	if len(w.Tasks) == 0 {
-		return
-	}
-	e.team(w.Team).waiting += len(w.Tasks)
-	if s, ok := e.works[w.ID]; ok {
-		s.Tasks = append(s.Tasks, w.Tasks...)
-		return
+	fresh := make([]string, 0, len(tasks))
+	for _, id := range tasks {
+		_, known := seen[id]
+		_, runs := e.running[id]
+		if known || runs {
+			continue
+		}
+		seen[id] = struct{}{}
+		fresh = append(fresh, id)
 	}
-	w.Tasks = slices.Clone(w.Tasks)
-	e.seq++
-	s := &workState{Work: w, seq: e.seq}
-	e.works[w.ID] = s
-	at, _ := slices.BinarySearchFunc(e.queue, s, compareWork)
-	e.queue = slices.Insert(e.queue, at, s)
+	return fresh
 }
 
-func compareWork(a, b *workState) int {
-	return cmp.Or(
-		cmp.Compare(a.Class, b.Class),
-		cmp.Compare(b.Priority, a.Priority),
-		cmp.Compare(a.Enqueued, b.Enqueued),
-		cmp.Compare(a.seq, b.seq),
-	)
+// change replaces the waiting tasks of it.
+func (e *engine) change(it *item, tasks []string) {
+	t := it.bucket.team
+	if it.Gang {
+		e.abandon(it)
+	}
+	e.pull(it)
+	it.Tasks = tasks
+	e.push(t, it)
 }
 
+// Withdraw implements Engine.
 func (e *engine) Withdraw(work, task string) bool {
-	s, ok := e.works[work]
+	it, ok := e.works[work]
 	if !ok {
 		return false
 	}
-	at := slices.Index(s.Tasks, task)
+	at := slices.Index(it.Tasks, task)
 	if at < 0 {
 		return false
 	}
-	s.Tasks = slices.Delete(s.Tasks, at, at+1)
-	e.team(s.Team).waiting--
-	e.dropEmpty(s)
-	return true
-}
-
-func (e *engine) dropEmpty(s *workState) {
-	if len(s.Tasks) > 0 {
-		return
+	if len(it.Tasks) == 1 {
+		e.forget(it)
+		return true
 	}
-	delete(e.works, s.ID)
-	if at, found := slices.BinarySearchFunc(e.queue, s, compareWork); found {
-		e.queue = slices.Delete(e.queue, at, at+1)
+	if it.held() >= len(it.Tasks) {
+		e.consume(it, nil)
 	}
+	e.change(it, slices.Delete(slices.Clone(it.Tasks), at, at+1))
+	return true
 }
 
+// Cancel implements Engine.
 func (e *engine) Cancel(work string) []string {
-	s, ok := e.works[work]
+	it, ok := e.works[work]
 	if !ok {
 		return nil
 	}
-	tasks := s.Tasks
-	s.Tasks = nil
-	e.team(s.Team).waiting -= len(tasks)
-	e.dropEmpty(s)
+	tasks := it.Tasks
+	e.forget(it)
 	return tasks
 }
 
-func (e *engine) Finish(task string, _ time.Duration, _ Result) {
-	r, ok := e.running[task]
-	if !ok {
-		return
-	}
-	delete(e.running, task)
-	e.team(r.Team).running--
-	if s, ok := e.endpoints[r.Endpoint]; ok {
-		s.used = s.used.sub(r.Size)
+// forget removes it from the waiting work, with the room held for it.
+func (e *engine) forget(it *item) {
+	e.abandon(it)
+	e.pull(it)
+	delete(e.works, it.ID)
+	if it.Spread {
+		e.spreads.release(it.ID)
 	}
 }
 
-func (e *engine) Usage(string, Resources) {}
-
-func (e *engine) Waiting(team string) int { return e.team(team).waiting }
-
-func (e *engine) RunningTasks(team string) int { return e.team(team).running }
-
-func (e *engine) Schedule(now time.Duration, limit int) []Decision {
-	var decisions []Decision
-	for _, s := range slices.Clone(e.queue) {
-		if len(decisions) >= limit {
-			break
-		}
-		decisions = append(decisions, e.place(s, now, limit-len(decisions))...)
-	}
-	return decisions
-}
-
-// place starts as many tasks of s as bounds, room and limit allow; a gang
-// starts whole, even past limit, or not at all.
-func (e *engine) place(s *workState, now time.Duration, limit int) []Decision {
-	t := e.team(s.Team)
-	want := min(len(s.Tasks), int(max(0, t.Bound-int64(t.running))))
-	if s.Gang {
-		if want < len(s.Tasks) {
-			return nil
-		}
-	} else {
-		want = min(want, limit)
+// Waiting implements Engine.
+func (e *engine) Waiting(name string) int {
+	if t, ok := e.teams[name]; ok {
+		return t.waiting
 	}
-	chosen := e.choose(s, want)
-	if len(chosen) == 0 || s.Gang && len(chosen) < len(s.Tasks) {
-		return nil
-	}
-	var decisions []Decision
-	for i, ep := range chosen {
-		task := s.Tasks[i]
-		e.start(Running{
-			Task: task, Work: s.ID, Endpoint: ep.ID, Team: s.Team, Queue: s.Queue, Class: s.Class, Size: s.Size,
-			Idempotent: s.Idempotent, Preemptible: s.Preemptible, Started: now, RunTime: s.RunTime,
-		})
-		decisions = append(decisions, Decision{Work: s.ID, Task: task, Endpoint: ep.ID})
-	}
-	t.waiting -= len(chosen)
-	s.Tasks = slices.Delete(s.Tasks, 0, len(chosen))
-	e.dropEmpty(s)
-	return decisions
+	return 0
 }
 
-// choose returns an endpoint for each of up to want tasks, first fit.
-func (e *engine) choose(s *workState, want int) []*endpointState {
-	var chosen []*endpointState
-	for _, ep := range e.order {
-		if !ep.available || ep.Runner != s.Runner {
-			continue
-		}
-		n := s.Size.copies(ep.free(), int64(want-len(chosen)))
-		for range n {
-			chosen = append(chosen, ep)
-		}
-		if len(chosen) == want {
-			break
-		}
+// RunningTasks implements Engine.
+func (e *engine) RunningTasks(name string) int {
+	if t, ok := e.teams[name]; ok {
+		return t.running
 	}
-	return chosen
+	return 0
 }
--- /dev/null
+++ b/internal/placement/filter.go
@@ -0,0 +1,81 @@
+package placement
+
+import "time"
+
+// candidate is a task that looks for an endpoint.
+type candidate struct {
+	item    *item
+	size    Resources
+	variant variant
+	now     time.Duration
+	// racks counts the running tasks of a spread work per rack.
+	racks []int
+}
+
+func (e *engine) candidateOf(it *item) *candidate {
+	c := &e.scratch.candidate
+	*c = candidate{
+		item:    it,
+		size:    e.effectiveSize(it.bucket.team, it),
+		variant: it.variant,
+		now:     e.now,
+	}
+	if it.Spread {
+		c.racks = e.spreads.track(it.ID, len(e.fleet.racks))
+	}
+	return c
+}
+
+// filter is the extension point that rules endpoints out.
+type filter interface {
+	admit(c *candidate, ep *endpoint) bool
+}
+
+// defaultFilters are applied in order; the cheapest and most selective first.
+func defaultFilters() []filter {
+	return []filter{roomFilter{}, openFilter{}, holdFilter{}}
+}
+
+// roomFilter admits endpoints whose free room holds the task.
+type roomFilter struct{}
+
+func (roomFilter) admit(c *candidate, ep *endpoint) bool { return c.size.fits(ep.free) }
+
+// openFilter admits endpoints that are available and not in quarantine.
+type openFilter struct{}
+
+func (openFilter) admit(c *candidate, ep *endpoint) bool { return ep.open(c.now) }
+
+// holdFilter keeps held room for its owner. A backfill task may use it if its
+// cautious run time ends before the owner can start.
+type holdFilter struct{}
+
+func (holdFilter) admit(c *candidate, ep *endpoint) bool {
+	if len(ep.holds) == 0 || c.size.fits(ep.roomFor(c)) {
+		return true
+	}
+	if c.variant < variantBackfill {
+		return false
+	}
+	return c.now+c.variant.backfillRun() <= ep.heldFrom()
+}
+
+// roomFor returns the free room less what is held for others.
+func (ep *endpoint) roomFor(c *candidate) Resources {
+	room := ep.free
+	for _, h := range ep.holds {
+		if !h.yieldsTo(c) {
+			room = room.sub(h.size.times(h.count))
+		}
+	}
+	return room
+}
+
+// heldFrom returns the earliest time at which a hold is expected to be used.
+func (ep *endpoint) heldFrom() time.Duration {
+	from := ep.holds[0].ready
+	for _, h := range ep.holds[1:] {
+		from = min(from, h.ready)
+	}
+	return from
+}
--- /dev/null
+++ b/internal/placement/gang.go
@@ -0,0 +1,93 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+)
+
+// gangSlot is an endpoint that could take some tasks of a gang.
+type gangSlot struct {
+	ep     *endpoint
+	copies int64
+}
+
+// chooseGang returns one endpoint per task, or nil if not all tasks fit. A
+// gang without need of accelerators takes endpoints with them only if the
+// others don't suffice.
+func (e *engine) chooseGang(c *candidate) []*endpoint {
+	tasks := int64(len(c.item.Tasks))
+	slots, total := e.gangSlots(c, tasks, c.size.Accelerators == 0)
+	if total < tasks && c.size.Accelerators == 0 {
+		slots, total = e.gangSlots(c, tasks, false)
+	}
+	if total < tasks {
+		return nil
+	}
+	if c.item.Spread {
+		return spreadGang(slots, tasks)
+	}
+	return packGang(slots, tasks)
+}
+
+func (e *engine) gangSlots(c *candidate, tasks int64, plainOnly bool) ([]gangSlot, int64) {
+	slots := e.scratch.slots[:0]
+	var total int64
+	for _, ep := range e.fleet.kind(c.item.Runner) {
+		if plainOnly && ep.Capacity.Accelerators > 0 || !ep.open(c.now) {
+			continue
+		}
+		copies := c.size.copies(ep.roomFor(c), ep.health.allowance(tasks))
+		if copies > 0 {
+			slots = append(slots, gangSlot{ep, copies})
+			total += copies
+		}
+	}
+	e.scratch.slots = slots
+	return slots, total
+}
+
+// packGang takes the smallest rack that holds all tasks, or else the racks
+// with the most room first, and as few endpoints as possible.
+func packGang(slots []gangSlot, tasks int64) []*endpoint {
+	room := map[int]int64{}
+	for _, s := range slots {
+		room[s.ep.rack] += s.copies
+	}
+	rank := func(rack int) int64 {
+		if room[rack] >= tasks {
+			return room[rack] - tasks
+		}
+		return 2*maxGangRoom - room[rack]
+	}
+	slices.SortStableFunc(slots, func(a, b gangSlot) int {
+		return cmp.Or(cmp.Compare(rank(a.ep.rack), rank(b.ep.rack)), cmp.Compare(a.ep.rack, b.ep.rack), cmp.Compare(b.copies, a.copies))
+	})
+	chosen := make([]*endpoint, 0, tasks)
+	for _, s := range slots {
+		for n := min(s.copies, tasks-int64(len(chosen))); n > 0; n-- {
+			chosen = append(chosen, s.ep)
+		}
+	}
+	return chosen
+}
+
+// maxGangRoom is above the number of tasks that one rack can hold.
+const maxGangRoom = int64(1) << 32
+
+// spreadGang gives each next task to the rack with the fewest so far.
+func spreadGang(slots []gangSlot, tasks int64) []*endpoint {
+	perRack := map[int]int{}
+	chosen := make([]*endpoint, 0, tasks)
+	for int64(len(chosen)) < tasks {
+		best := -1
+		for i, s := range slots {
+			if s.copies > 0 && (best < 0 || perRack[s.ep.rack] < perRack[slots[best].ep.rack]) {
+				best = i
+			}
+		}
+		slots[best].copies--
+		perRack[slots[best].ep.rack]++
+		chosen = append(chosen, slots[best].ep)
+	}
+	return chosen
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -46,7 +46,9 @@
 	Runner      bool
 	Idempotent  bool
 	Preemptible bool
-	Enqueued    time.Duration
+	// Spread places the tasks on as many racks as possible.
+	Spread   bool
+	Enqueued time.Duration
 	// RunTime is the declared run time, 0 if unknown.
 	RunTime time.Duration
 }
@@ -120,7 +122,8 @@
 	Adopt(r Running)
 	// Check says whether w could run on the empty endpoints.
 	Check(w Work) Verdict
-	// Submit queues work. Submitting an ID that waits already adds its tasks.
+	// Submit queues work. Submitting an ID that waits already adds its tasks;
+	// tasks that wait or run already are ignored.
 	Submit(w Work)
 	// Withdraw removes one waiting task; it reports false if the task does
 	// not wait.
@@ -132,7 +135,8 @@
 	// Usage reports what a running task really uses.
 	Usage(task string, used Resources)
 	// Schedule returns at most limit decisions and records the started tasks
-	// as running.
+	// as running. The tasks of a gang, and the preemptions that make room
+	// together, are never split: the last such group may pass the limit.
 	Schedule(now time.Duration, limit int) []Decision
 	// Waiting and RunningTasks count tasks of a team.
 	Waiting(team string) int
--- a/internal/placement/resources.go
+++ b/internal/placement/resources.go
@@ -1,5 +1,23 @@
 package placement
 
+// fits reports whether r is at most free in every dimension.
+func (r Resources) fits(free Resources) bool {
+	return r.MilliCores <= free.MilliCores &&
+		r.MemoryMB <= free.MemoryMB &&
+		r.Accelerators <= free.Accelerators &&
+		r.Slots <= free.Slots
+}
+
+// atLeast returns the larger value of each dimension.
+func (r Resources) atLeast(o Resources) Resources {
+	return Resources{
+		MilliCores:   max(r.MilliCores, o.MilliCores),
+		MemoryMB:     max(r.MemoryMB, o.MemoryMB),
+		Accelerators: max(r.Accelerators, o.Accelerators),
+		Slots:        max(r.Slots, o.Slots),
+	}
+}
+
 func (r Resources) add(o Resources) Resources {
 	return Resources{
 		MilliCores:   r.MilliCores + o.MilliCores,
@@ -37,13 +55,13 @@
 	}
 }
 
-// copies returns how many tasks of size need fit into free, at most limit.
-func (need Resources) copies(free Resources, limit int64) int64 {
+// copies returns how many tasks of size r fit into free, at most limit.
+func (r Resources) copies(free Resources, limit int64) int64 {
 	n := limit
-	n = min(n, quotient(free.MilliCores, need.MilliCores, limit))
-	n = min(n, quotient(free.MemoryMB, need.MemoryMB, limit))
-	n = min(n, quotient(free.Accelerators, need.Accelerators, limit))
-	n = min(n, quotient(free.Slots, need.Slots, limit))
+	n = min(n, quotient(free.MilliCores, r.MilliCores, limit))
+	n = min(n, quotient(free.MemoryMB, r.MemoryMB, limit))
+	n = min(n, quotient(free.Accelerators, r.Accelerators, limit))
+	n = min(n, quotient(free.Slots, r.Slots, limit))
 	return n
 }
 
--- /dev/null
+++ b/internal/placement/score.go
@@ -0,0 +1,107 @@
+package placement
+
+// scorer is the extension point that ranks the endpoints left by the filters;
+// the largest weighted sum wins, the first endpoint by id among equals.
+type scorer interface {
+	score(c *candidate, ep *endpoint) float64
+}
+
+type weightedScorer struct {
+	scorer
+	weight float64
+}
+
+func defaultScorers() []weightedScorer {
+	return []weightedScorer{
+		{bestFit{}, 1},
+		{balance{}, 0.5},
+		{keepAccelerators{}, 4},
+		{spreadRacks{}, 10},
+		{avoidSuspects{}, 2},
+	}
+}
+
+// bestFit prefers the endpoint that is left with the least free room, summed
+// over its dimensions as parts of its capacity, so that large rooms stay whole.
+// Service runners are filled evenly instead, because slots don't fragment.
+type bestFit struct{}
+
+func (bestFit) score(c *candidate, ep *endpoint) float64 {
+	left := 0.0
+	for i, x := range toVector(ep.free.sub(c.size)) {
+		left += x * ep.scale[i]
+	}
+	if ep.Runner {
+		return left
+	}
+	return -left
+}
+
+// balance prefers the endpoint whose free cores and free memory are left most
+// alike, as parts of its capacity: room in one alone is of no use.
+type balance struct{}
+
+func (balance) score(c *candidate, ep *endpoint) float64 {
+	cores := float64(ep.free.MilliCores-c.size.MilliCores) * ep.scale[0]
+	memory := float64(ep.free.MemoryMB-c.size.MemoryMB) * ep.scale[1]
+	return -max(cores-memory, memory-cores)
+}
+
+// keepAccelerators keeps tasks without need of one from endpoints with
+// accelerators, the more so the more of those are free.
+type keepAccelerators struct{}
+
+func (keepAccelerators) score(c *candidate, ep *endpoint) float64 {
+	if c.size.Accelerators > 0 || ep.Capacity.Accelerators == 0 {
+		return 0
+	}
+	return -0.5 - 0.5*float64(ep.free.Accelerators)*ep.scale[2]
+}
+
+// spreadRacks prefers racks with few tasks of the same work.
+type spreadRacks struct{}
+
+func (spreadRacks) score(c *candidate, ep *endpoint) float64 {
+	if c.racks == nil {
+		return 0
+	}
+	return -float64(c.racks[ep.rack])
+}
+
+// avoidSuspects prefers endpoints without recent failures, which also spreads
+// a broken job's failures over many endpoints.
+type avoidSuspects struct{}
+
+func (avoidSuspects) score(_ *candidate, ep *endpoint) float64 { return -ep.health.suspicion }
+
+// bestEndpoint returns the best endpoint for one task, nil if none admits it.
+func (e *engine) bestEndpoint(c *candidate) *endpoint {
+	var best *endpoint
+	bestScore := 0.0
+	for _, ep := range e.fleet.kind(c.item.Runner) {
+		if !e.admits(c, ep) {
+			continue
+		}
+		if score := e.score(c, ep); best == nil || score > bestScore {
+			best, bestScore = ep, score
+		}
+	}
+	return best
+}
+
+func (e *engine) admits(c *candidate, ep *endpoint) bool {
+	for _, f := range e.filters {
+		if !f.admit(c, ep) {
+			return false
+		}
+	}
+	return true
+}
+
+func (e *engine) score(c *candidate, ep *endpoint) float64 {
+	total := 0.0
+	for _, s := range e.scorers {
+		total += s.weight * s.score(c, ep)
+	}
+	return total
+}
