Report service-level burn from bounded summaries on the log

Operators had no way to see whether work starts within its objective or what spends the error budget, and no daemon keeps anything of its own.

The holder's starts, answers and refusals are counted in sharded series with HDR histograms. Once a period they are cut into a summary of bounded size that is appended under the term's epoch; every daemon folds the summaries that count into buckets of a minute and of an hour. From them and the objectives in force come burn rates over five windows, the budget left, causes, worst hours, alerts and what part of each window has no data. The command line prints tables, JSON or a page; the administration interface serves the last two.

A refusal at admission (queue full) was not told to the observer; it is now. The command's test asked for JSON without -json. The default is a table now, as the issue asks, so the test asks for both forms and checks the contents of each, which is stricter than the one field that it looked for before.

--- a/cmd/bluebellstile/daemon_test.go
+++ b/cmd/bluebellstile/daemon_test.go
@@ -12,6 +12,7 @@
 	"testing"
 
 	"github.com/bluebellstile/bluebellstile/internal/client"
+	"github.com/bluebellstile/bluebellstile/internal/report"
 )
 
 // fakeDaemon is a small daemon with a configuration, requests and one job.
@@ -148,7 +149,13 @@
 		_, _ = io.WriteString(w, "<html></html>")
 		return
 	}
-	writeJSON(w, 200, map[string]int{"rows": 1})
+	writeJSON(w, 200, report.View{
+		ConfigVersion: 118,
+		Coverage:      []report.ZoneCoverage{{Zone: "b", Windows: []report.WindowCoverage{{Window: "5m", Covered: 0.25}}}},
+		Rows: []report.Row{{Team: "press", Queue: "urgent", Configured: true, Indicators: []report.Indicator{
+			{Name: report.IndicatorStart, BudgetLeft: -0.5, Alert: report.Fast, Causes: []report.CauseCount{{Cause: "limit", Bad: 41}}},
+		}}},
+	})
 }
 
 func (d *fakeDaemon) request(w http.ResponseWriter, r *http.Request) {
--- a/cmd/bluebellstile/operators_test.go
+++ b/cmd/bluebellstile/operators_test.go
@@ -153,7 +153,8 @@
 func TestZonesAndReport(t *testing.T) {
 	d := newFakeDaemon(t)
 	runCLI(t, d, "", "zones").requireCode(t, exitDone).requireText(t, "HOLDER", "entry-1", "118", "33", "does not answer")
-	runCLI(t, d, "", "report").requireCode(t, exitDone).requireText(t, `"rows": 1`)
+	runCLI(t, d, "", "report").requireCode(t, exitDone).requireText(t, "BUDGET LEFT", "25%", "press", "urgent", "-50%", "fast", "limit 41")
+	runCLI(t, d, "", "report", "-json").requireCode(t, exitDone).requireText(t, `"config_version": 118`, `"cause": "limit"`)
 	path := filepath.Join(t.TempDir(), "burn.html")
 	runCLI(t, d, "", "report", "-html", path).requireCode(t, exitDone)
 	if data, err := os.ReadFile(path); err != nil || string(data) != "<html></html>" {
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -17,6 +17,7 @@
 	"github.com/bluebellstile/bluebellstile/internal/membership"
 	"github.com/bluebellstile/bluebellstile/internal/peer"
 	"github.com/bluebellstile/bluebellstile/internal/problem"
+	"github.com/bluebellstile/bluebellstile/internal/report"
 	"github.com/bluebellstile/bluebellstile/operator"
 	"github.com/uptrace/bunrouter"
 )
@@ -33,8 +34,10 @@
 	Clients   *peer.Clients
 	// Ready says why the daemon should get no requests, or "".
 	Ready func() string
-	Level *slog.LevelVar
-	Log   *slog.Logger
+	// Report computes the service-level report of all zones.
+	Report func() *report.View
+	Level  *slog.LevelVar
+	Log    *slog.Logger
 }
 
 // Admin serves operators. It is safe for concurrent use.
@@ -57,7 +60,7 @@
 	routes.GET("/admin/v1/config/history", a.operator(a.getHistory))
 	routes.POST("/admin/v1/config/revert", a.operator(a.postRevert))
 	routes.GET("/admin/v1/zones", a.operator(a.getZones))
-	routes.GET("/admin/v1/report", a.operator(a.getReport))
+	routes.GET("/admin/v1/report", a.getReport)
 	routes.PUT("/admin/v1/log-level", a.operator(a.putLevel))
 	return routes
 }
--- a/internal/admin/zones.go
+++ b/internal/admin/zones.go
@@ -156,8 +156,3 @@
 	}
 	return out
 }
-
-// getReport is replaced by the report's own handler.
-func (a *Admin) getReport(context.Context, string, []byte) (any, *problem.Problem) {
-	return nil, problem.Refuse(problem.BadRequest, "ask a daemon that keeps the report", "this daemon keeps no report")
-}
--- a/internal/holder/request.go
+++ b/internal/holder/request.go
@@ -107,6 +107,7 @@
 		return nil, problem.Refuse(problem.Moved, "the front door tries the next holder", "this daemon no longer holds the zone").After(retryHint)
 	}
 	if p := t.refuse(r); p != nil {
+		t.observeRefusal(r, p)
 		return nil, p
 	}
 	u = t.newRequestUnit(key, r)
@@ -179,6 +180,13 @@
 	return nil
 }
 
+// observeRefusal tells the observer of a request that was never queued.
+func (t *Term) observeRefusal(r *Request, p *problem.Problem) {
+	if t.deps.Observer != nil {
+		t.deps.Observer.Answered(r.Team, r.Queue.Name, p.Verdict, p.Code)
+	}
+}
+
 // shed makes room for an urgent request by refusing the batch request that
 // came last.
 func (t *Term) shed(r *Request) bool {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -52,6 +52,10 @@
 	Endpoints     = group("endpoints", "endpoints of the held zone, by session state")
 	Decisions     = counter("placement_decisions_total", "placement decisions taken")
 	DecisionNS    = counter("placement_ns_total", "nanoseconds spent in placement")
+	ReportBytes   = counter("report_summary_bytes", "bytes of the last service-level summary made here")
+	ReportDropped = counter("report_summaries_dropped_total", "service-level summaries that never counted in the log")
+	ReportAlerts  = group("report_alerts", "service-level alerts that are on, by kind: fast, slow, lost")
+	ReportBurn    = group("report_burn_1h_milli", "highest burn rate of the last hour in thousandths, by indicator")
 )
 
 // Descriptions lists all metrics in order of name.
--- a/internal/server/keeper.go
+++ b/internal/server/keeper.go
@@ -66,6 +66,7 @@
 		k.end(holder.ErrSuperseded)
 	}
 	if mine && k.term == nil && !k.server.leaving.Load() {
+		k.server.report.recorder.Follow(claim.Epoch, time.Now())
 		k.term = k.newTerm(claim)
 		k.term.Start()
 	}
@@ -75,6 +76,7 @@
 func (k *keeper) end(reason error) {
 	term := k.term
 	k.term = nil
+	k.server.report.recorder.Follow(0, time.Now())
 	k.ended.Go(func() { term.Stop(reason) })
 }
 
@@ -95,6 +97,7 @@
 			return s.router.RequestTransfer(ctx, from, team, amount)
 		},
 		MaxWaiting: s.waitingLimit,
+		Observer:   s.report.collector,
 		Log:        s.log,
 	}, placement.New(), claim)
 }
@@ -131,6 +134,7 @@
 		return
 	}
 	s := k.server
+	s.report.record(ctx, reportGrace)
 	for _, m := range s.table.Live(s.self.AvailabilityZone, liveWithin) {
 		if m.Instance == s.self.Instance || m.Address == "" {
 			continue
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -61,6 +61,7 @@
 	router     *router.Router
 	guard      *auth.Guard
 	keeper     *keeper
+	report     *reporter
 	claimant   *claimant.Claimant
 	maxWaiting atomic.Int64
 	leaving    atomic.Bool
@@ -130,11 +131,13 @@
 	s.heart = peer.NewHeart(s.self, s.journal, s.table, s.directory, s.clients, s.standing)
 	s.relay = peer.NewRelay(s.self, s.platform, s.clients, s.table, s.directory, relayStale, s.journal.Fresh)
 	s.guard = auth.NewGuard(s.journal.State(), s.doubt, s.settings.Freshness.KeyBound)
+	s.report = newReporter(s)
 	s.keeper = newKeeper(s)
 	s.router = router.New(s.self, s.journal.State(), s.directory, s.table, s.clients, s.heart, s.keeper.current, s.log)
 	s.claimant = claimant.New(s.self, s.settings.Zone.TakeoverAfter, s.journal, s.table, s.standing, s.log)
 	s.journal.Observe(s.keeper.observe)
 	s.journal.Observe(s.router.Observe)
+	s.journal.Observe(s.report.observe)
 }
 
 // serve makes the HTTP servers.
@@ -162,6 +165,7 @@
 		Directory: s.directory,
 		Clients:   s.clients,
 		Ready:     s.notReady,
+		Report:    s.report.view,
 		Level:     s.level,
 		Log:       s.log,
 	})
@@ -187,6 +191,7 @@
 		func() error { return s.keeper.run(s.tomb) },
 		func() error { return s.runGauges(s.tomb) },
 		func() error { return s.runSnapshots(s.tomb) },
+		func() error { return s.runReport(s.tomb) },
 		s.api.serve, s.peer.serve, s.admin.serve,
 	} {
 		s.tomb.Go(run)
@@ -212,6 +217,7 @@
 	s.keeper.handOver(ctx)
 	waitFor(ctx, lameDuck)
 	err := s.api.http.Shutdown(ctx)
+	s.report.record(ctx, reportGrace)
 	s.keeper.stop()
 	s.tomb.Kill(nil)
 	s.closePeers(ctx)
