--- /dev/null
+++ b/internal/cell/late_test.go
@@ -0,0 +1,155 @@
+package cell
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+
+	"github.com/bluebellstile/bluebellstile/internal/record"
+	"github.com/bluebellstile/bluebellstile/internal/team"
+	"github.com/bluebellstile/bluebellstile/operator"
+)
+
+// TestTransferWithoutAnswerExpires checks with the product's bounds that a
+// reservation ends just when its transfer can no longer count.
+func TestTransferWithoutAnswerExpires(t *testing.T) {
+	zones := []operator.Zone{{Name: "a", Region: "r"}, {Name: "b", Region: "r"}}
+	for _, behind := range []uint64{record.SeenWindow, record.SeenWindow + 1} {
+		s := New()
+		apply(t, s, "1", &record.Envelope{Kind: record.KindConfig, Config: &record.Config{Text: testConfig(t, zones, map[string]int64{"red": 8})}})
+		apply(t, s, "2", claimOf("a", "h1", 0))
+		ledger := team.NewLedger(func(name string) int64 { return s.Allotment(name, "a") })
+		transfer := encode(t, &record.Envelope{Kind: record.KindTransfer, Seen: 2, Transfer: &record.Transfer{ID: "x", Team: "red", From: "a", To: "b", Amount: 3, Epoch: 2}})
+		ledger.Reserve("x", "red", 3, 0, 2)
+		audit := encode(t, &record.Envelope{Kind: record.KindAudit, Audit: &record.Audit{}})
+		for s.Applied() < 2+behind-1 {
+			s.Apply(s.Applied()+1, "", audit)
+		}
+		expired := len(ledger.Expire(s.Applied())) > 0
+		effect := s.Apply(s.Applied()+1, "x", transfer)
+		if expired == effect.Valid {
+			t.Errorf("%d offsets behind: expired %v, valid %v", behind, expired, effect.Valid)
+		}
+	}
+}
+
+// TestBacklogIsBounded lets a reader behind the trim hold back more than its
+// bound; it has to know the shards from the next snapshot on.
+func TestBacklogIsBounded(t *testing.T) {
+	full := New()
+	late := newState(bounds{span: record.SeenWindow, backlogBytes: 2000})
+	step := func(id string, env *record.Envelope) {
+		env.Seen = full.Applied()
+		data := encode(t, env)
+		full.Apply(full.Applied()+1, id, data)
+		if full.Applied() > 1 {
+			late.Apply(full.Applied(), id, data)
+		}
+	}
+	snapshot := func(through *State) {
+		for _, part := range append(through.SnapshotShared(), through.SnapshotZone("a")...) {
+			step("", &record.Envelope{Kind: record.KindSnapshot, Snapshot: part})
+		}
+	}
+	step("claim", claimOf("a", "h1", 0))
+	early := append(full.SnapshotShared(), full.SnapshotZone("a")...)
+	for i := range 100 {
+		step(fmt.Sprint(i), &record.Envelope{Kind: record.KindRoster, Roster: &record.Roster{Zone: "a", Epoch: 1, Endpoints: []string{fmt.Sprint("endpoint-", i)}}})
+	}
+	if late.backlog.bytes > 2000 || len(late.backlog.entries) == 0 {
+		t.Fatalf("%d bytes are held back", late.backlog.bytes)
+	}
+	for _, part := range early {
+		step("", &record.Envelope{Kind: record.KindSnapshot, Snapshot: part})
+	}
+	if late.Known("a") || late.Known("") {
+		t.Fatal("a snapshot was taken although records behind it are dropped")
+	}
+	snapshot(full)
+	if !late.Known("a") || !late.Known("") || len(late.Roster("a")) != 100 || late.waiting || late.backlog.entries != nil {
+		t.Fatalf("known %v, %d endpoints, waiting %v", late.Known("a"), len(late.Roster("a")), late.waiting)
+	}
+}
+
+// TestSnapshotOfManyParts carries more than a record's worth of jobs.
+func TestSnapshotOfManyParts(t *testing.T) {
+	full := New()
+	apply(t, full, "claim", claimOf("a", "h1", 0))
+	for i := range 20 {
+		jobs := []record.Job{{ID: fmt.Sprint(i), Team: "red", Inputs: [][]byte{make([]byte, 100<<10), nil}}}
+		apply(t, full, "j"+fmt.Sprint(i), &record.Envelope{Kind: record.KindJobs, Jobs: &record.Jobs{Zone: "a", Epoch: 1, Jobs: jobs}})
+		outcomes := []record.Outcome{{Job: fmt.Sprint(i), Index: i % 2, State: "done", Output: make([]byte, 1000)}}
+		apply(t, full, "o"+fmt.Sprint(i), &record.Envelope{Kind: record.KindOutcomes, Outcomes: &record.Outcomes{Zone: "a", Epoch: 1, Outcomes: outcomes}})
+	}
+	parts := append(full.SnapshotZone("a"), full.SnapshotShared()...)
+	if len(parts) < 5 {
+		t.Fatalf("%d parts", len(parts))
+	}
+	first := full.Applied() + 1
+	late := New()
+	for i := range parts {
+		data := encode(t, &record.Envelope{Kind: record.KindSnapshot, Snapshot: parts[len(parts)-1-i]})
+		full.Apply(full.Applied()+1, "", data)
+		late.Apply(full.Applied(), "", data)
+	}
+	if got, want := digest(late.SnapshotZone("a")), digest(full.SnapshotZone("a")); got != want {
+		t.Error("the reader behind the trim has other jobs")
+	}
+	if needs := full.Behind(first); len(needs) != 0 {
+		t.Errorf("still needed: %v", needs)
+	}
+	if needs := full.Behind(first + 1); len(needs) != 2 {
+		t.Errorf("needed %v, want both shards", needs)
+	}
+}
+
+// TestReadersDuringApply reads everything while records are applied; the race
+// detector watches.
+func TestReadersDuringApply(t *testing.T) {
+	w := newWorld(randomSchedule(7, scheduleLength), nil)
+	if err := w.run(); err != nil {
+		t.Fatal(err)
+	}
+	s := newState(w.bounds(1 << 20))
+	done := make(chan struct{})
+	var readers sync.WaitGroup
+	for range 4 {
+		readers.Go(func() {
+			version, epoch := uint64(0), uint64(0)
+			for {
+				select {
+				case <-done:
+					return
+				default:
+				}
+				version, epoch = readAll(t, s, version, epoch)
+			}
+		})
+	}
+	for offset := uint64(1); offset <= uint64(len(w.log)); offset++ {
+		w.apply(s, offset)
+	}
+	close(done)
+	readers.Wait()
+}
+
+// readAll checks that versions and epochs never go back.
+func readAll(t *testing.T, s *State, version, epoch uint64) (uint64, uint64) {
+	_, v := s.Config()
+	claim, _ := s.Epoch("a")
+	if v < version || claim.Epoch < epoch {
+		t.Errorf("version %d became %d, epoch %d became %d", version, v, epoch, claim.Epoch)
+	}
+	s.Claims()
+	s.History()
+	s.Roster("a")
+	s.Allotments("red")
+	s.Behind(s.Applied())
+	s.SnapshotShared()
+	s.SnapshotZone("a")
+	for _, j := range s.Jobs("a") {
+		_, _ = s.Job(j.Spec.ID)
+		_, _ = s.JobByTicket(j.Spec.Team, j.Spec.Ticket)
+	}
+	return v, claim.Epoch
+}
--- a/internal/cell/limits_test.go
+++ b/internal/cell/limits_test.go
@@ -116,7 +116,7 @@
 
 // replace starts a process that claims the zone; it may begin behind the trim.
 func (w *limitWorld) replace(z *limitZone) {
-	h := &holder{name: fmt.Sprint(z.name, len(z.holders)), state: newState(bounds{span: 40, backlogBytes: 1 << 20})}
+	h := &holder{name: fmt.Sprint(z.name, len(z.holders)), state: newState(bounds{span: modelSpan, backlogBytes: 1 << 20})}
 	z.holders = append(z.holders, h)
 	first := uint64(1)
 	if w.next(2) == 0 {
--- a/internal/cell/model_test.go
+++ b/internal/cell/model_test.go
@@ -115,7 +115,7 @@
 var worldZones = []string{"a", "b", "c"}
 
 func newWorld(schedule []uint32, mutate mutation) *world {
-	w := &world{journal: journal{choices: schedule}, mutate: mutate, span: 40, digests: []map[string]string{nil}}
+	w := &world{journal: journal{choices: schedule}, mutate: mutate, span: modelSpan, digests: []map[string]string{nil}}
 	w.reference = newState(w.bounds(1 << 20))
 	w.oracle = newOracle(w.span)
 	for i := range 4 {
--- a/internal/cell/mutants_test.go
+++ b/internal/cell/mutants_test.go
@@ -11,6 +11,8 @@
 	// mutantSeeds is the number of schedules in one of which a mutant has to
 	// be caught.
 	mutantSeeds = 80
+	// modelSpan stands for record.SeenWindow in the models.
+	modelSpan = 40
 	// scheduleLength is the number of choices of a schedule.
 	scheduleLength = 2000
 )
@@ -25,6 +27,7 @@
 		"a transfer of an old epoch counts":      oldTransferCounts,
 		"a retried record counts twice":          retryCountsTwice,
 		"a late record counts":                   lateRecordCounts,
+		"a late removal counts":                  lateRemovalCounts,
 		"a snapshot holds where it stands":       snapshotHoldsWhereItStands,
 		"a snapshot forgets recent ids":          snapshotForgetsIDs,
 		"a snapshot forgets who else is claimed": snapshotForgetsClaims,
@@ -100,7 +103,9 @@
 }
 
 func lateRecordCounts(_ *State, offset uint64, id string, env *record.Envelope) string {
-	env.Seen = offset - 1
+	if offset-env.Seen > modelSpan {
+		env.Seen = offset - 1
+	}
 	return id
 }
 
@@ -124,3 +129,10 @@
 	}
 	return id
 }
+
+func lateRemovalCounts(_ *State, offset uint64, id string, env *record.Envelope) string {
+	if env.Kind == record.KindRoster && offset-env.Seen <= modelSpan {
+		env.Seen = offset - 1
+	}
+	return id
+}
--- a/internal/cell/oracle_test.go
+++ b/internal/cell/oracle_test.go
@@ -19,7 +19,7 @@
 	zones    map[string]bool
 	epochs   map[string]uint64
 	holders  map[string]string
-	rosters  map[string]map[string]bool
+	rosters  map[string]map[string]uint64
 	outcomes map[string]map[int]string
 	tickets  map[string]bool
 	tasks    map[string]int
@@ -28,7 +28,7 @@
 func newOracle(span uint64) *oracle {
 	return &oracle{
 		span: span, ids: map[string]bool{}, limits: map[string]int64{}, zones: map[string]bool{},
-		epochs: map[string]uint64{}, holders: map[string]string{}, rosters: map[string]map[string]bool{},
+		epochs: map[string]uint64{}, holders: map[string]string{}, rosters: map[string]map[string]uint64{},
 		outcomes: map[string]map[int]string{}, tickets: map[string]bool{}, tasks: map[string]int{},
 	}
 }
@@ -57,7 +57,7 @@
 	if epoch == 0 || epoch != o.epochs[zoneName] {
 		return false
 	}
-	o.applyHolder(env)
+	o.applyHolder(offset, env)
 	t := env.Transfer
 	return t == nil || (o.zones[t.To] && t.From != t.To && t.Amount > 0 && balance >= t.Amount)
 }
@@ -97,10 +97,10 @@
 	return true
 }
 
-func (o *oracle) applyHolder(env *record.Envelope) {
+func (o *oracle) applyHolder(offset uint64, env *record.Envelope) {
 	switch env.Kind {
 	case record.KindRoster:
-		o.applyRoster(env.Roster)
+		o.applyRoster(offset, env.Seen, env.Roster)
 	case record.KindJobs:
 		for _, j := range env.Jobs.Jobs {
 			o.accept(env.Jobs.Zone, j)
@@ -112,15 +112,17 @@
 	}
 }
 
-func (o *oracle) applyRoster(r *record.Roster) {
+func (o *oracle) applyRoster(offset, seen uint64, r *record.Roster) {
 	if o.rosters[r.Zone] == nil {
-		o.rosters[r.Zone] = map[string]bool{}
+		o.rosters[r.Zone] = map[string]uint64{}
 	}
 	for _, id := range r.Removed {
-		delete(o.rosters[r.Zone], id)
+		if o.rosters[r.Zone][id] <= seen {
+			delete(o.rosters[r.Zone], id)
+		}
 	}
 	for _, id := range r.Endpoints {
-		o.rosters[r.Zone][id] = true
+		o.rosters[r.Zone][id] = offset
 	}
 }
 
--- a/internal/cell/snapshot.go
+++ b/internal/cell/snapshot.go
@@ -64,9 +64,10 @@
 	}
 }
 
-func (b *builder) endpoint(id string) {
+func (b *builder) endpoint(id string, added uint64) {
 	p := b.part(len(id))
 	p.Roster = append(p.Roster, id)
+	p.Added = append(p.Added, added)
 }
 
 func (b *builder) openJob(j *job.Job) {
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -225,6 +225,9 @@
 
 func (s *State) applyToZone(e *entry) (rejected map[string]error, err error) {
 	name := zoneOf(e.env)
+	if name == "" {
+		return nil, record.NewVoid(record.VoidInvalid, "the record names no zone; set it")
+	}
 	z, ok := s.lookup(name)
 	if !ok {
 		if e.env.Kind != record.KindClaim {
--- a/internal/cell/zoneshard.go
+++ b/internal/cell/zoneshard.go
@@ -29,7 +29,7 @@
 		name:   name,
 		known:  known,
 		chain:  zone.NewChain(name),
-		roster: zone.NewRoster(nil),
+		roster: zone.NewRoster(),
 		jobs:   job.NewStore(name),
 		recent: newWindow(span, nil),
 	}
@@ -50,17 +50,18 @@
 	if err := z.recent.check(e.offset, e.env.Seen, e.id); err != nil {
 		return nil, err
 	}
-	return z.applyHolder(e.env)
+	return z.applyHolder(e)
 }
 
 // applyHolder applies a record that only the holder may write.
-func (z *zoneShard) applyHolder(env *record.Envelope) (rejected map[string]error, err error) {
+func (z *zoneShard) applyHolder(e *entry) (rejected map[string]error, err error) {
+	env := e.env
 	if err := z.chain.Check(epochOf(env)); err != nil {
 		return nil, err
 	}
 	switch env.Kind {
 	case record.KindRoster:
-		z.roster.Apply(env.Roster)
+		z.roster.Apply(e.offset, env.Seen, env.Roster)
 	case record.KindJobs:
 		return z.jobs.Accept(env.Jobs.Jobs), nil
 	case record.KindOutcomes:
@@ -98,7 +99,7 @@
 	})
 	b.claim(z.chain.Snapshot())
 	for _, id := range z.roster.Endpoints() {
-		b.endpoint(id)
+		b.endpoint(id, z.roster.Added(id))
 	}
 	for _, j := range z.jobs.Open() {
 		b.openJob(j)
@@ -115,11 +116,19 @@
 	if len(snap.Claims) != 1 || snap.Claims[0].Zone != z.name {
 		return record.NewVoid(record.VoidInvalid, "the snapshot of zone %q lacks its claim", z.name)
 	}
+	roster, err := zone.RestoreRoster(snap.Roster, snap.Added)
+	if err != nil {
+		return err
+	}
+	jobs, err := job.Restore(z.name, snap.Jobs, snap.Finished, snap.Outcomes)
+	if err != nil {
+		return err
+	}
 	z.mu.Lock()
 	defer z.mu.Unlock()
 	z.chain = zone.RestoreChain(&snap.Claims[0])
-	z.roster = zone.NewRoster(snap.Roster)
-	z.jobs = job.Restore(z.name, snap.Jobs, snap.Finished, snap.Outcomes)
+	z.roster = roster
+	z.jobs = jobs
 	z.recent = newWindow(z.recent.span, snap.Recent)
 	z.through = snap.Through
 	z.known = true
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -92,8 +92,7 @@
 }
 
 // newJob returns an accepted job without outcomes.
-func newJob(zone string, spec *record.Job) *Job {
-	tasks := min(max(len(spec.Inputs), spec.Tasks), MaxTasks)
+func newJob(zone string, spec *record.Job, tasks int) *Job {
 	return &Job{
 		Spec:     *spec,
 		Zone:     zone,
--- a/internal/job/store.go
+++ b/internal/job/store.go
@@ -81,7 +81,7 @@
 	if id, ok := s.tickets[ticketKey{spec.Team, spec.Ticket}]; ok && spec.Ticket != "" {
 		return record.NewVoid(record.VoidDuplicate, "ticket %q is that of job %q; read its state", spec.Ticket, id)
 	}
-	s.insert(newJob(s.zone, spec))
+	s.insert(newJob(s.zone, spec, len(spec.Inputs)))
 	return nil
 }
 
@@ -206,17 +206,21 @@
 	return jobs
 }
 
-// Restore returns the store that a snapshot gives.
-func Restore(zone string, open, finished []record.Job, outcomes []record.Outcome) *Store {
+// Restore returns the store that a snapshot gives. It refuses one whose
+// finished jobs lack outcomes.
+func Restore(zone string, open, finished []record.Job, outcomes []record.Outcome) (*Store, error) {
+	if err := checkFinished(finished, outcomes); err != nil {
+		return nil, err
+	}
 	s := NewStore(zone)
 	all := make(map[string]*Job, len(open)+len(finished))
 	for i := range open {
-		j := newJob(zone, &open[i])
+		j := newJob(zone, &open[i], len(open[i].Inputs))
 		all[j.Spec.ID] = j
 		s.insert(j)
 	}
 	for i := range finished {
-		all[finished[i].ID] = newJob(zone, &finished[i])
+		all[finished[i].ID] = newJob(zone, &finished[i], finished[i].Tasks)
 	}
 	for i := range outcomes {
 		if j, ok := all[outcomes[i].Job]; ok {
@@ -231,7 +235,22 @@
 		s.index(j)
 		s.keepFinished(j)
 	}
-	return s
+	return s, nil
+}
+
+// checkFinished bounds what a damaged snapshot makes its reader allocate.
+func checkFinished(finished []record.Job, outcomes []record.Outcome) error {
+	tasks := 0
+	for i := range finished {
+		if n := finished[i].Tasks; n < 0 || n > MaxTasks {
+			return record.NewVoid(record.VoidInvalid, "job %q in a snapshot has %d tasks", finished[i].ID, n)
+		}
+		tasks += finished[i].Tasks
+	}
+	if tasks > len(outcomes) || len(finished) > MaxFinished {
+		return record.NewVoid(record.VoidInvalid, "a snapshot has %d finished jobs with %d tasks and %d outcomes", len(finished), tasks, len(outcomes))
+	}
+	return nil
 }
 
 // restore adds an outcome whose output was bounded when it was recorded.
--- a/internal/job/store_test.go
+++ b/internal/job/store_test.go
@@ -138,7 +138,13 @@
 	for _, j := range s.Finished() {
 		finished = append(finished, j.Spec)
 	}
-	restored := Restore("z", open, finished, outcomes)
+	restored, err := Restore("z", open, finished, outcomes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Restore("z", open, finished, nil); err == nil {
+		t.Error("finished jobs without outcomes were restored")
+	}
 	ignore := cmpopts.IgnoreFields(Job{}, "sequence")
 	unexported := cmp.AllowUnexported(Store{}, Job{}, ticketKey{})
 	if diff := cmp.Diff(s, restored, unexported, ignore, cmpopts.IgnoreFields(Store{}, "sequence")); diff != "" {
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -78,7 +78,8 @@
 	Zone      string   `cbor:"1,keyasint"`
 	Epoch     uint64   `cbor:"2,keyasint"`
 	Endpoints []string `cbor:"3,keyasint"`
-	// Removed endpoints are certainly gone.
+	// Removed endpoints are certainly gone. Those added again behind the
+	// offset that the writer had seen stay.
 	Removed []string `cbor:"4,keyasint,omitempty"`
 }
 
@@ -174,6 +175,8 @@
 	Claims []Claim       `cbor:"12,keyasint,omitempty"`
 	Config *Config       `cbor:"13,keyasint,omitempty"`
 	Teams  []TeamBalance `cbor:"14,keyasint,omitempty"`
+	// Added holds the offset at which each endpoint of Roster was last added.
+	Added []uint64 `cbor:"15,keyasint,omitempty"`
 }
 
 // RecentID is the id of a record and where it stands.
--- a/internal/zone/chain.go
+++ b/internal/zone/chain.go
@@ -68,7 +68,7 @@
 
 // Apply applies the claim at offset; an error is a *record.Void.
 func (c *Chain) Apply(offset uint64, claim *record.Claim) error {
-	if claim.Zone != c.zone || claim.Holder == "" {
+	if claim.Zone != c.zone || claim.Zone == "" || claim.Holder == "" {
 		return record.NewVoid(record.VoidInvalid, "the claim names no zone or no holder; set both")
 	}
 	if claim.Base != 0 {
