--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -62,7 +62,8 @@
 
 // Claim makes Holder the holder of a zone if Previous is the current epoch
 // where the record stands. The epoch of a valid claim is its own offset.
-// Inside a Snapshot, Base is the current epoch.
+// Inside a Snapshot, Base is the current epoch and Previous the one that it
+// ended.
 type Claim struct {
 	Zone     string `cbor:"1,keyasint"`
 	Holder   string `cbor:"2,keyasint"`
--- a/internal/zone/chain.go
+++ b/internal/zone/chain.go
@@ -13,7 +13,7 @@
 	// Epoch is the offset of the claim's record. It grows for ever, whatever
 	// retention has dropped, and fences the holder's records and commands.
 	Epoch uint64
-	// Previous is the epoch that the claim ended; 0 if it is not known.
+	// Previous is the epoch that the claim ended, 0 if it was the first.
 	Previous uint64
 	Holder   string
 	Address  string
@@ -48,10 +48,11 @@
 	return &Chain{
 		zone: c.Zone,
 		current: Claim{
-			Zone:    c.Zone,
-			Epoch:   c.Base,
-			Holder:  c.Holder,
-			Address: c.Address,
+			Zone:     c.Zone,
+			Epoch:    c.Base,
+			Previous: c.Previous,
+			Holder:   c.Holder,
+			Address:  c.Address,
 		},
 	}
 }
@@ -115,9 +116,10 @@
 		return nil
 	}
 	return &record.Claim{
-		Zone:    c.zone,
-		Holder:  c.current.Holder,
-		Address: c.current.Address,
-		Base:    c.current.Epoch,
+		Zone:     c.zone,
+		Holder:   c.current.Holder,
+		Address:  c.current.Address,
+		Base:     c.current.Epoch,
+		Previous: c.current.Previous,
 	}
 }
