--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -64,7 +64,8 @@
 
 // Claim makes Holder the holder of a zone if Previous is the current epoch
 // where the record stands. The epoch of a valid claim is its own offset.
-// Inside a Snapshot, Base is the current epoch.
+// Inside a Snapshot, Base is the current epoch and Previous the one that it
+// ended.
 type Claim struct {
 	Zone     string `cbor:"1,keyasint"`
 	Holder   string `cbor:"2,keyasint"`
@@ -80,7 +81,8 @@
 	Zone      string   `cbor:"1,keyasint"`
 	Epoch     uint64   `cbor:"2,keyasint"`
 	Endpoints []string `cbor:"3,keyasint"`
-	// Removed endpoints are certainly gone.
+	// Removed endpoints are certainly gone. Those added again behind the
+	// offset that the writer had seen stay.
 	Removed []string `cbor:"4,keyasint,omitempty"`
 }
 
@@ -176,6 +178,8 @@
 	Claims []Claim       `cbor:"12,keyasint,omitempty"`
 	Config *Config       `cbor:"13,keyasint,omitempty"`
 	Teams  []TeamBalance `cbor:"14,keyasint,omitempty"`
+	// Added holds the offset at which each endpoint of Roster was last added.
+	Added []uint64 `cbor:"15,keyasint,omitempty"`
 }
 
 // RecentID is the id of a record and where it stands.
