Take over four findings of the state model

Cause: the model of the state derived from the log showed that a transfer could name a later Seen than its reservation, so that the reservation could end while the record might still count; outputs were cut without a mark; a zone that hears no log for longer than retention lost its roster and jobs. Change: one Seen for both, Truncated is set and the output left out, any holder writes the state of a zone that has not written its own by the last quarter of retention, period 200,000 records.

--- a/internal/holder/allotments.go
+++ b/internal/holder/allotments.go
@@ -220,11 +220,12 @@
 // is appended and stays so until the record's effect is known, which goes on
 // after ctx has ended.
 func (t *Term) Give(ctx context.Context, name, to string, amount int64) (int64, *problem.Problem) {
-	id, amount := t.reserve(name, amount)
+	seen := t.deps.Journal.State().Applied()
+	id, amount := t.reserve(name, amount, seen)
 	if amount <= 0 {
 		return 0, nil
 	}
-	envelope := &record.Envelope{Kind: record.KindTransfer, Transfer: &record.Transfer{
+	envelope := &record.Envelope{Kind: record.KindTransfer, Seen: seen, Transfer: &record.Transfer{
 		ID:     id,
 		Team:   name,
 		From:   t.settings.AvailabilityZone,
@@ -232,7 +233,6 @@
 		Amount: amount,
 		Epoch:  t.epoch,
 	}}
-	envelope.Seen = t.deps.Journal.State().Applied()
 	entry := &transferEntry{id: id, team: name, envelope: envelope, done: make(chan *problem.Problem, 1)}
 	t.transfers.add(entry)
 	select {
@@ -295,7 +295,7 @@
 
 // reserve lowers the bound for a transfer of at most half of what is free
 // beyond the team's own waiting work.
-func (t *Term) reserve(name string, amount int64) (id string, reserved int64) {
+func (t *Term) reserve(name string, amount int64, seen uint64) (id string, reserved int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.noteTeam(name)
@@ -303,7 +303,7 @@
 	spare := t.ledger.Bound(name) - used - int64(t.engine.Waiting(name))
 	amount = min(amount, (spare+1)/2)
 	id = journal.NewID()
-	if amount <= 0 || !t.ledger.Reserve(id, name, amount, used, t.deps.Journal.State().Applied()) {
+	if amount <= 0 || !t.ledger.Reserve(id, name, amount, used, seen) {
 		return "", 0
 	}
 	t.setTeam(name)
--- a/internal/holder/commit.go
+++ b/internal/holder/commit.go
@@ -53,7 +53,10 @@
 func taskOutcome(u *unit, result Result) record.Outcome {
 	o := record.Outcome{Job: u.spec.Job, Index: u.spec.Index, State: job.StateDone}
 	if result.Problem == nil {
-		o.Output = result.Output[:min(len(result.Output), job.MaxOutputBytes)]
+		o.Output = result.Output
+		if len(o.Output) > job.MaxOutputBytes {
+			o.Output, o.Truncated = nil, true
+		}
 		return o
 	}
 	o.Reason = result.Problem.Detail
--- a/internal/server/snapshots.go
+++ b/internal/server/snapshots.go
@@ -16,7 +16,12 @@
 	snapshotInterval = 5 * time.Second
 	// snapshotRecords is the number of records after which state is written
 	// again even if retention has dropped nothing yet.
-	snapshotRecords = 20000
+	snapshotRecords = 200_000
+	// ownHorizon and othersHorizon are the parts of what the log keeps, in
+	// percent from its begin, below which a holder writes the state of its own
+	// zone and that of zones whose holders have not done so.
+	ownHorizon    = 50
+	othersHorizon = 25
 	// snapshotTimeout bounds the append of one snapshot record.
 	snapshotTimeout = 5 * time.Second
 	// sharedStagger spreads the daemons that would write the shared snapshot.
@@ -49,21 +54,30 @@
 
 // writeSnapshots appends the snapshots that are due. A snapshot is due when
 // the state it carries rests on records in the older half of what the log
-// keeps, or on more than snapshotRecords records.
+// keeps, or on more than snapshotRecords records. A zone whose holder writes
+// none, as when it is cut off, is written by others in the last quarter.
 func (s *Server) writeSnapshots(ctx context.Context) {
 	first, end := s.journal.Kept()
-	horizon := first + (end-first)/2
-	if first <= 1 {
-		horizon = 0
-	}
-	if end > snapshotRecords {
-		horizon = max(horizon, end-snapshotRecords)
-	}
-	for _, need := range s.journal.State().Behind(horizon) {
+	for _, need := range s.journal.State().Behind(horizon(first, end, ownHorizon)) {
 		if need.Zone == "" || need.Zone == s.self.AvailabilityZone {
 			s.writeSnapshot(ctx, need)
 		}
 	}
+	for _, need := range s.journal.State().Behind(horizon(first, end, othersHorizon)) {
+		s.writeSnapshot(ctx, need)
+	}
+}
+
+// horizon is the offset below which state has to be written again.
+func horizon(first, end, percent uint64) uint64 {
+	out := uint64(0)
+	if first > 1 {
+		out = first + (end-first)*percent/100
+	}
+	if percent == ownHorizon && end > snapshotRecords {
+		out = max(out, end-snapshotRecords)
+	}
+	return out
 }
 
 // writeSnapshot appends the records of one snapshot.
