--- a/internal/holder/term.go
+++ b/internal/holder/term.go
@@ -86,15 +86,16 @@
 	jobs     map[string]*jobState
 	sessions map[string]*session
 	gate     gate
-	waiting  int
+	line     line
 	moving   bool
 	teams    map[string]bool
 
-	ledger   *team.Ledger
-	registry *registry
-	jobLog   *batcher[jobEntry]
-	outcomes *batcher[outcomeEntry]
-	rosters  *batcher[rosterEntry]
+	ledger    *team.Ledger
+	registry  *registry
+	jobLog    *batcher[jobEntry]
+	outcomes  *batcher[outcomeEntry]
+	rosters   *batcher[rosterEntry]
+	transfers *batcher[*transferEntry]
 }
 
 // ErrSuperseded ends a term when a higher epoch has been seen.
@@ -117,6 +118,7 @@
 		jobs:     make(map[string]*jobState),
 		sessions: make(map[string]*session),
 		teams:    make(map[string]bool),
+		line:     newLine(),
 		registry: newRegistry(),
 	}
 	t.ledger = team.NewLedger(func(name string) int64 {
@@ -125,6 +127,7 @@
 	t.jobLog = newBatcher(t.commitJobs)
 	t.outcomes = newBatcher(t.commitOutcomes)
 	t.rosters = newBatcher(t.commitRoster)
+	t.transfers = newBatcher(t.commitTransfers)
 	return t
 }
 
@@ -137,6 +140,9 @@
 	for _, j := range state.Jobs(t.settings.AvailabilityZone) {
 		t.inheritJob(j)
 	}
+	if t.gate.passed() {
+		t.passGate()
+	}
 	t.mu.Unlock()
 	metrics.HolderEpoch.Set(int64(t.epoch))
 	t.log.Info("term begins", "roster", len(t.gate.pending))
@@ -145,6 +151,7 @@
 		func() error { return t.jobLog.run(t.tomb) },
 		func() error { return t.outcomes.run(t.tomb) },
 		func() error { return t.rosters.run(t.tomb) },
+		func() error { return t.transfers.run(t.tomb) },
 	} {
 		t.tomb.Go(run)
 	}
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -22,6 +22,7 @@
 	KindSnapshot Kind = 7
 	KindAudit    Kind = 8
 	KindReport   Kind = 9
+	KindProbe    Kind = 10
 )
 
 // Envelope is one log record.
@@ -36,6 +37,7 @@
 	Snapshot *Snapshot `cbor:"8,keyasint,omitempty"`
 	Audit    *Audit    `cbor:"9,keyasint,omitempty"`
 	Report   *Report   `cbor:"10,keyasint,omitempty"`
+	Probe    *Probe    `cbor:"12,keyasint,omitempty"`
 	// Seen is the offset that the writer had applied when it made the record.
 	// Roster, Transfer, Jobs, Outcomes and Report records count only at
 	// offsets up to Seen+SeenWindow, so that a writer whose append got no
@@ -62,7 +64,8 @@
 
 // Claim makes Holder the holder of a zone if Previous is the current epoch
 // where the record stands. The epoch of a valid claim is its own offset.
-// Inside a Snapshot, Base is the current epoch.
+// Inside a Snapshot, Base is the current epoch and Previous the one that it
+// ended.
 type Claim struct {
 	Zone     string `cbor:"1,keyasint"`
 	Holder   string `cbor:"2,keyasint"`
@@ -78,7 +81,8 @@
 	Zone      string   `cbor:"1,keyasint"`
 	Epoch     uint64   `cbor:"2,keyasint"`
 	Endpoints []string `cbor:"3,keyasint"`
-	// Removed endpoints are certainly gone.
+	// Removed endpoints are certainly gone. Those added again behind the
+	// offset that the writer had seen stay.
 	Removed []string `cbor:"4,keyasint,omitempty"`
 }
 
@@ -174,6 +178,8 @@
 	Claims []Claim       `cbor:"12,keyasint,omitempty"`
 	Config *Config       `cbor:"13,keyasint,omitempty"`
 	Teams  []TeamBalance `cbor:"14,keyasint,omitempty"`
+	// Added holds the offset at which each endpoint of Roster was last added.
+	Added []uint64 `cbor:"15,keyasint,omitempty"`
 }
 
 // RecentID is the id of a record and where it stands.
@@ -191,6 +197,13 @@
 	Unplaced int64 `cbor:"4,keyasint,omitempty"`
 }
 
+// Probe asks the holder of a zone for a sign of life: a holder that reads it
+// renews its claim. It changes nothing by itself.
+type Probe struct {
+	Zone  string `cbor:"1,keyasint"`
+	Epoch uint64 `cbor:"2,keyasint"`
+}
+
 // Audit records an operator's action.
 type Audit struct {
 	Author string `cbor:"1,keyasint"`
@@ -262,6 +275,8 @@
 		return e.Audit != nil
 	case KindReport:
 		return e.Report != nil
+	case KindProbe:
+		return e.Probe != nil
 	}
 	return false
 }
