Keep goodput under overload and give lowered limits a grace

Cause: at three times capacity requests waited in order until their deadline was near, were started, and were stopped half-way: 422 of 3,840 answered, 3,400 unknown. Ruled out: last come first served under overload, which answers the unlucky late instead of refusing them early; a fixed bound on the queue, which does not know run times. A decayed rate of starts was tried and dropped: after an idle time it predicts long waits for a burst that would start at once. Change: the pace of each team and queue is measured while requests wait; what would miss its deadline is refused at once as not run, and is not started when its turn comes too late. Tasks over a lowered limit have 4 s to end or to get allotment before the newest are stopped, idempotent ones first.

--- a/internal/holder/allotments.go
+++ b/internal/holder/allotments.go
@@ -19,6 +19,10 @@
 	// allotmentInterval is how often teams that wait at their bound are looked
 	// for.
 	allotmentInterval = 200 * time.Millisecond
+	// excessGrace is how long a team may run more than its lowered bound before
+	// tasks are stopped. It leaves half of the time in which a configuration
+	// has to be in force for the stop itself.
+	excessGrace = 4 * time.Second
 	// transferTimeout bounds one request to another zone.
 	transferTimeout = 3 * time.Second
 	// maxTransfersPerRound bounds the teams served in one round, and with it
@@ -81,7 +85,6 @@
 	switch effect.Kind {
 	case record.KindConfig, record.KindSnapshot:
 		t.refreshBounds()
-		t.stopExcess()
 	case record.KindTransfer:
 		if name := effect.Envelope.Transfer.Team; t.teams[name] {
 			t.setTeam(name)
@@ -92,40 +95,53 @@
 	t.kick()
 }
 
-// stopExcess stops the newest tasks of teams whose limit was lowered below
-// what they run: checkpointed if they may be started again, else stopped.
-func (t *Term) stopExcess() {
+// stopExcess stops the newest tasks of teams that have been running more than
+// their bound for excessGrace, as after their limit was lowered: first those
+// that may be started again, which are checkpointed, then the others. Until
+// then tasks may end by themselves, and other zones may give allotment.
+func (t *Term) stopExcess(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	for name := range t.teams {
-		running := int64(t.engine.RunningTasks(name))
-		excess := running - t.bound(name)
+		excess := int64(t.engine.RunningTasks(name)) - t.bound(name)
 		if excess <= 0 || !t.gate.passed() {
+			delete(t.overSince, name)
+			continue
+		}
+		since, known := t.overSince[name]
+		if !known {
+			t.overSince[name] = now
 			continue
 		}
-		for _, task := range team.Newest(t.runningOf(name), excess) {
+		if now.Sub(since) >= excessGrace {
+			t.stopNewest(name, excess)
+			t.overSince[name] = now
+		}
+	}
+}
+
+// stopNewest stops a number of a team's tasks.
+func (t *Term) stopNewest(name string, excess int64) {
+	for _, idempotent := range []bool{true, false} {
+		tasks := team.Newest(t.runningOf(name, idempotent), excess)
+		for _, task := range tasks {
 			t.stopOver(t.units[task.ID])
 		}
+		excess -= int64(len(tasks))
 	}
 }
 
-// runningOf lists a team's running tasks.
-func (t *Term) runningOf(name string) []team.Task {
+// runningOf lists a team's running tasks, idempotent ones or the others.
+func (t *Term) runningOf(name string, idempotent bool) []team.Task {
 	var tasks []team.Task
 	for _, u := range t.units {
-		if u.spec.Team == name && u.session != nil {
-			tasks = append(tasks, team.Task{ID: u.key, Started: u.enqueued + u.queuedFor()})
+		if u.spec.Team == name && u.session != nil && u.spec.Idempotent == idempotent {
+			tasks = append(tasks, team.Task{ID: u.key, Started: u.begun})
 		}
 	}
 	return tasks
 }
 
-// queuedFor is how long the unit waited, as far as it is known.
-func (u *unit) queuedFor() time.Duration {
-	if u.request == nil {
-		return 0
-	}
-	return u.request.queued
-}
-
 // stopOver stops a task over its team's bound.
 func (t *Term) stopOver(u *unit) {
 	action := endpoint.ActionStop
@@ -148,6 +164,7 @@
 		case <-ticker.C:
 		}
 		t.expireReservations()
+		t.stopExcess(time.Now())
 		for _, need := range t.shortTeams() {
 			t.acquire(need)
 		}
@@ -177,7 +194,7 @@
 	var out []shortage
 	for name := range t.teams {
 		waiting, running := int64(t.engine.Waiting(name)), int64(t.engine.RunningTasks(name))
-		if need := running + waiting - t.bound(name); waiting > 0 && need > 0 {
+		if need := running + waiting - t.bound(name); need > 0 {
 			out = append(out, shortage{team: name, amount: need})
 		}
 		if len(out) == maxTransfersPerRound {
--- a/internal/holder/request.go
+++ b/internal/holder/request.go
@@ -23,6 +23,8 @@
 	Command    string
 	Input      []byte
 	Size       endpoint.Resources
+	// Until is the caller's deadline; zero if there is none.
+	Until time.Time
 	// NotStartedEpoch is the epoch of a holder that declared that the request
 	// has not started up to and including its own term; 0 if none did.
 	NotStartedEpoch uint64
@@ -67,6 +69,7 @@
 // Run places a request and waits for its outcome, until ctx ends. The same
 // ticket joins the request that has it already.
 func (t *Term) Run(ctx context.Context, r *Request) Result {
+	r.Until, _ = ctx.Deadline()
 	u, p := t.admit(r)
 	if p != nil {
 		return failed(p)
@@ -154,6 +157,7 @@
 	}
 	u.request.digest, u.request.known = digest, true
 	u.request.waiters++
+	u.until = max(u.until, t.untilOf(r))
 	return u, nil
 }
 
@@ -202,7 +206,40 @@
 	if t.line.requests >= t.deps.MaxWaiting() && !t.shed(r) {
 		return problem.Refuse(problem.QueueFull, "retry after the hint, with backoff", "%d requests wait in the zone already", t.line.requests).After(retryHint)
 	}
-	return nil
+	return t.hopeless(r, waiting)
+}
+
+// hopeless refuses a request that would wait past its deadline at the pace at
+// which its team is served in the queue.
+func (t *Term) hopeless(r *Request, waiting int) *problem.Problem {
+	p := t.paces[lineKey{queue: r.Queue.Name, team: r.Team}]
+	until := t.untilOf(r)
+	if p == nil || until == 0 {
+		return nil
+	}
+	now := t.now()
+	wait, ok := p.wait(now, waiting)
+	if !ok || now+wait+p.needed() <= until {
+		return nil
+	}
+	return problem.Refuse(problem.QueueFull, "retry after the hint, with backoff, or with a longer deadline", "%d requests of the team wait in queue %q, about %s", waiting, r.Queue.Name, wait.Round(time.Millisecond)).After(wait)
+}
+
+// untilOf is the deadline of a request on the term's clock, 0 if it has none.
+func (t *Term) untilOf(r *Request) time.Duration {
+	if r.Until.IsZero() {
+		return 0
+	}
+	return max(r.Until.Sub(t.began), 1)
+}
+
+// paceOf returns the pace at which a request's team is served in its queue.
+func (t *Term) paceOf(u *unit) *pace {
+	key := keyOfUnit(u)
+	if t.paces[key] == nil {
+		t.paces[key] = &pace{}
+	}
+	return t.paces[key]
 }
 
 // observeRefusal tells the observer of a request that was never queued.
@@ -243,6 +280,7 @@
 		},
 		keyID:    r.KeyID,
 		enqueued: t.now(),
+		until:    t.untilOf(r),
 		request:  newRequest(),
 	}
 	u.applyQueue(r.Queue)
--- a/internal/holder/schedule.go
+++ b/internal/holder/schedule.go
@@ -75,9 +75,16 @@
 	t.begin(s, u)
 }
 
-// recheck refuses work whose key was withdrawn while it waited.
+// recheck refuses work whose key was withdrawn while it waited, and work that
+// could no longer be answered in time.
 func (t *Term) recheck(u *unit) *problem.Problem {
-	if u.request == nil || u.keyID == "" {
+	if u.request == nil {
+		return nil
+	}
+	if u.until > 0 && t.now()+t.paceOf(u).needed() > u.until {
+		return problem.Refuse(problem.DeadlineQueued, "retry later or with a longer deadline", "too little time was left when the work's turn came").After(retryHint)
+	}
+	if u.keyID == "" {
 		return nil
 	}
 	return t.deps.Authorize(u.keyID, u.spec.Team, u.spec.Queue)
@@ -91,8 +98,10 @@
 	u.answer = assembly{}
 	s.units[u.key] = u
 	waited := t.now() - u.enqueued
+	u.begun = t.now()
 	if u.request != nil {
 		u.request.queued = waited
+		t.paceOf(u).started(u.begun)
 	}
 	if t.deps.Observer != nil && u.attempts == 1 {
 		t.deps.Observer.Started(u.spec.Team, u.spec.Queue, waited, t.waitCause(u))
@@ -119,6 +128,9 @@
 // enqueue hands a unit to the engine.
 func (t *Term) enqueue(u *unit) {
 	u.phase = phaseWaiting
+	if u.request != nil && t.line.of(u.spec.Queue, u.spec.Team) == 0 {
+		t.paceOf(u).begin(t.now())
+	}
 	t.line.add(u)
 	t.noteTeam(u.spec.Team)
 	t.engine.Submit(u.engineWork())
@@ -234,6 +246,9 @@
 	u.session = nil
 	switch {
 	case u.answer.state == endpoint.TaskDone:
+		if u.request != nil && u.begun > 0 {
+			t.paceOf(u).finished(t.now() - u.begun)
+		}
 		t.settleDone(s, u, attempt)
 	case u.cancelled:
 		s.queueAck(attempt)
--- a/internal/holder/term.go
+++ b/internal/holder/term.go
@@ -87,8 +87,11 @@
 	sessions map[string]*session
 	gate     gate
 	line     line
-	moving   bool
-	teams    map[string]bool
+	paces    map[lineKey]*pace
+	// overSince is since when a team runs more than its bound.
+	overSince map[string]time.Time
+	moving    bool
+	teams     map[string]bool
 
 	ledger    *team.Ledger
 	registry  *registry
@@ -105,21 +108,23 @@
 // journal's state.
 func NewTerm(settings Settings, deps Dependencies, engine placement.Engine, claim zone.Claim) *Term {
 	t := &Term{
-		settings: settings,
-		deps:     deps,
-		epoch:    claim.Epoch,
-		previous: claim.Previous,
-		began:    time.Now(),
-		tomb:     new(tomb.Tomb),
-		log:      deps.Log.With("zone", settings.AvailabilityZone, "epoch", claim.Epoch),
-		wake:     make(chan struct{}, 1),
-		engine:   engine,
-		units:    make(map[string]*unit),
-		jobs:     make(map[string]*jobState),
-		sessions: make(map[string]*session),
-		teams:    make(map[string]bool),
-		line:     newLine(),
-		registry: newRegistry(),
+		settings:  settings,
+		deps:      deps,
+		epoch:     claim.Epoch,
+		previous:  claim.Previous,
+		began:     time.Now(),
+		tomb:      new(tomb.Tomb),
+		log:       deps.Log.With("zone", settings.AvailabilityZone, "epoch", claim.Epoch),
+		wake:      make(chan struct{}, 1),
+		engine:    engine,
+		units:     make(map[string]*unit),
+		jobs:      make(map[string]*jobState),
+		sessions:  make(map[string]*session),
+		teams:     make(map[string]bool),
+		line:      newLine(),
+		paces:     make(map[lineKey]*pace),
+		overSince: make(map[string]time.Time),
+		registry:  newRegistry(),
 	}
 	t.ledger = team.NewLedger(func(name string) int64 {
 		return deps.Journal.State().Allotment(name, settings.AvailabilityZone)
--- a/internal/holder/unit.go
+++ b/internal/holder/unit.go
@@ -45,6 +45,10 @@
 	session  *session
 	answer   assembly
 	enqueued time.Duration
+	// begun is when the current attempt was sent.
+	begun time.Duration
+	// until is the latest deadline of those who wait, 0 if there is none.
+	until time.Duration
 
 	// request is nil for tasks of jobs, job is nil for requests.
 	request *request
