Test the terms of a zone holder against endpoints of their own time

The holder had no tests of its own: its rules were exercised only by the matrix of real processes, where a takeover at the wrong moment is rare.

--- /dev/null
+++ b/internal/holder/world_test.go
@@ -0,0 +1,344 @@
+package holder
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"gopkg.in/tomb.v2"
+
+	"github.com/bluebellstile/bluebellstile/internal/cell"
+	"github.com/bluebellstile/bluebellstile/internal/endpoint"
+	"github.com/bluebellstile/bluebellstile/internal/history"
+	"github.com/bluebellstile/bluebellstile/internal/journal"
+	"github.com/bluebellstile/bluebellstile/internal/membership"
+	"github.com/bluebellstile/bluebellstile/internal/placement"
+	"github.com/bluebellstile/bluebellstile/internal/platform"
+	"github.com/bluebellstile/bluebellstile/internal/problem"
+	"github.com/bluebellstile/bluebellstile/internal/record"
+	"github.com/bluebellstile/bluebellstile/internal/standin"
+	"github.com/bluebellstile/bluebellstile/internal/ticket"
+	"github.com/bluebellstile/bluebellstile/operator"
+)
+
+const (
+	zoneName  = "z"
+	redTeam   = "red"
+	blueTeam  = "blue"
+	queueName = "work"
+	testLease = 2 * time.Second
+	testBeat  = 400 * time.Millisecond
+	// frontDoorPause is the pause between two attempts of a front door.
+	frontDoorPause = 50 * time.Millisecond
+)
+
+// testQueue is the queue of all work.
+func testQueue() operator.Queue {
+	return operator.Queue{Name: queueName, Class: operator.ClassService, MaxWaiting: 100, RetryBudget: 1, Preemptible: true}
+}
+
+// testConfig is the configuration of a cell of one zone.
+func testConfig() *operator.Config {
+	return &operator.Config{
+		Zones:  []operator.Zone{{Name: zoneName, Region: "r"}},
+		Teams:  []operator.Team{{Name: redTeam, Share: 2, UpperLimit: 3}, {Name: blueTeam, Share: 1, UpperLimit: 2}},
+		Queues: []operator.Queue{testQueue()},
+	}
+}
+
+// world is one zone without sockets: a log, endpoints and the daemons that
+// hold the zone in turn. It lives in a bubble of its own time.
+type world struct {
+	t        *testing.T
+	log      *memoryLog
+	seen     *lines
+	writer   *history.Writer
+	machines map[string]*machine
+	list     fixedList
+	// maxWaiting is what terms take as the bound on waiting requests.
+	maxWaiting int
+	// keepFate keeps the log's rule for appends when the faults heal.
+	keepFate bool
+
+	mu      sync.Mutex
+	daemons []*daemon
+	tomb    tomb.Tomb
+	// callers are the requests under way.
+	callers sync.WaitGroup
+}
+
+// daemon is one daemon's view of the log and its terms.
+type daemon struct {
+	name    string
+	journal *journal.Journal
+	term    *Term
+}
+
+// newWorld returns a zone with two workers and a runner, a configuration and
+// no holder.
+func newWorld(t *testing.T) *world {
+	t.Helper()
+	w := &world{t: t, log: newMemoryLog(), seen: &lines{}, machines: map[string]*machine{}, maxWaiting: 50}
+	w.writer = history.NewWriter(w.seen)
+	w.tomb.Go(func() error { <-w.tomb.Dying(); return nil })
+	for _, id := range []string{"w1", "w2"} {
+		w.addEndpoint(standin.EndpointOptions{ID: id, Kind: endpoint.KindWorker, Capacity: endpoint.Resources{MilliCores: 2000, MemoryMB: 1000}})
+	}
+	w.addEndpoint(standin.EndpointOptions{ID: "r1", Kind: endpoint.KindRunner, Capacity: endpoint.Resources{Slots: 2}})
+	text, err := operator.Print(testConfig())
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.append("config", &record.Envelope{Kind: record.KindConfig, Config: &record.Config{Text: text}})
+	for _, configured := range testConfig().Teams {
+		w.record(history.Event{Kind: history.LimitSet, Team: configured.Name, Limit: configured.UpperLimit})
+	}
+	return w
+}
+
+// addEndpoint starts an endpoint and lists it.
+func (w *world) addEndpoint(o standin.EndpointOptions) {
+	o.AvailabilityZone, o.History, o.PartBytes = zoneName, w.writer, 8
+	w.machines[o.ID] = newMachine(o)
+	role := platform.RoleWorker
+	if o.Kind == endpoint.KindRunner {
+		role = platform.RoleRunner
+	}
+	w.list = append(w.list, platform.Instance{ID: o.ID, Role: role, Address: o.ID, AvailabilityZone: zoneName, State: platform.StateLive})
+}
+
+// append appends a record that no daemon makes.
+func (w *world) append(id string, e *record.Envelope) uint64 {
+	data, err := record.Encode(e)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return w.log.Log.Append(id, data)
+}
+
+// record writes a caller's event.
+func (w *world) record(e history.Event) { _ = w.writer.Write(e) }
+
+// takeOver lets another daemon claim the zone and start its term. The one
+// before goes on until an endpoint or the log shows it the higher epoch.
+func (w *world) takeOver() *daemon {
+	w.mu.Lock()
+	n := len(w.daemons) + 1
+	w.mu.Unlock()
+	d := &daemon{name: fmt.Sprintf("d%d/i", n)}
+	d.journal = journal.New(w.log, cell.New(), slog.New(slog.DiscardHandler))
+	d.journal.Observe(func(e cell.Effect) {
+		if term := w.termOf(d); term != nil {
+			term.Observe(e)
+		}
+	})
+	source := []journal.Source{journal.LogSource{Log: w.log}}
+	w.tomb.Go(func() error { return d.journal.Run(&w.tomb, func() []journal.Source { return source }) })
+	previous := uint64(0)
+	if current := w.current(); current != nil {
+		previous = current.term.epoch
+	}
+	epoch := w.append("claim-"+d.name, &record.Envelope{Kind: record.KindClaim, Claim: &record.Claim{Zone: zoneName, Holder: d.name, Address: d.name, Previous: previous}})
+	w.until(func() bool { return d.journal.State().Applied() >= epoch })
+	claim, _ := d.journal.State().Epoch(zoneName)
+	if claim.Epoch != epoch {
+		w.t.Errorf("claim at %d is void", epoch)
+	}
+	directory := membership.NewDirectory(w.list, slog.New(slog.DiscardHandler))
+	w.tomb.Go(func() error { return directory.Run(&w.tomb) })
+	term := NewTerm(Settings{AvailabilityZone: zoneName, Holder: d.name, Lease: testLease, Heartbeat: testBeat}, Dependencies{
+		Journal:         d.journal,
+		Directory:       directory,
+		Dial:            func(address string) EndpointClient { return w.machines[address] },
+		Authorize:       func(string, string, string) *problem.Problem { return nil },
+		RequestTransfer: func(context.Context, string, string, int64) (int64, error) { return 0, nil },
+		MaxWaiting:      w.room,
+		Log:             slog.New(slog.DiscardHandler),
+	}, placement.New(), claim)
+	w.mu.Lock()
+	d.term = term
+	w.daemons = append(w.daemons, d)
+	w.mu.Unlock()
+	term.Start()
+	return d
+}
+
+// termOf returns the term of a daemon, nil before it has one.
+func (w *world) termOf(d *daemon) *Term {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return d.term
+}
+
+// current returns the daemon that claimed last.
+func (w *world) current() *daemon {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.daemons) == 0 {
+		return nil
+	}
+	return w.daemons[len(w.daemons)-1]
+}
+
+// until waits until ok holds.
+func (w *world) until(ok func() bool) {
+	const bound = 5 * time.Minute
+	deadline := time.Now().Add(bound)
+	for !ok() {
+		if time.Now().After(deadline) {
+			w.t.Error("the condition did not come to hold")
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// close ends everything.
+func (w *world) close() {
+	w.callers.Wait()
+	for _, d := range w.daemons {
+		d.term.Stop(ErrSuperseded)
+	}
+	w.tomb.Kill(nil)
+	_ = w.tomb.Wait()
+	for _, m := range w.machines {
+		m.close()
+	}
+}
+
+// mint makes a ticket as a front door does.
+func (w *world) mint() ticket.Ticket {
+	term := w.current().term
+	return ticket.New(zoneName, term.Epoch(), term.Generation())
+}
+
+// runnerRequest returns a request of a team for the runner.
+func runnerRequest(t ticket.Ticket, command, input string, idempotent bool) *Request {
+	return &Request{Ticket: t, Team: redTeam, Queue: testQueue(), Idempotent: idempotent, Command: command, Input: []byte(input), Size: endpoint.Resources{Slots: 1}}
+}
+
+// frontDoor brings a request to its outcome as package router does: it goes on
+// at the next holder, with what the last one declared, until the deadline.
+func (w *world) frontDoor(ctx context.Context, r Request, deadline time.Duration) Result {
+	until := time.Now().Add(deadline)
+	for {
+		term := w.current().term
+		attempt, cancel := context.WithDeadline(ctx, until)
+		result := term.Run(attempt, &r)
+		cancel()
+		if result.Problem == nil || result.Problem.Code != problem.Moved {
+			return result
+		}
+		sent := true
+		if result.Problem.Verdict == problem.NotRun {
+			if declared := term.Declares(&r); declared > 0 {
+				r.NotStartedEpoch, sent = declared, false
+			}
+		}
+		if time.Now().After(until) || ctx.Err() != nil {
+			return failed(lateAnswer(sent))
+		}
+		time.Sleep(frontDoorPause)
+	}
+}
+
+// lateAnswer is the front door's answer at the deadline.
+func lateAnswer(sent bool) *problem.Problem {
+	if sent {
+		return problem.Doubt(problem.OutcomeLost, "ask again", "no answer")
+	}
+	return problem.Refuse(problem.NoHolder, "retry", "no holder")
+}
+
+// send makes a caller's request and records what it saw.
+func (w *world) send(ctx context.Context, id string, r *Request, deadline time.Duration) Result {
+	w.record(history.Event{
+		Kind: history.RequestSent, Source: "caller", Request: id, Ticket: r.Ticket.String(), Queue: queueName, Team: r.Team,
+		Idempotent: r.Idempotent, InputSum: history.Sum(r.Input), ExpectSum: history.Sum(expected(r.Command, r.Input)),
+	})
+	result := w.frontDoor(ctx, *r, deadline)
+	e := history.Event{Kind: history.RequestAnswered, Source: "caller", Request: id, Ticket: r.Ticket.String(), Verdict: string(result.verdict())}
+	if result.Problem != nil {
+		e.Code = string(result.Problem.Code)
+	} else {
+		e.OutputSum = history.Sum(result.Output)
+	}
+	w.record(e)
+	return result
+}
+
+// expected is the right answer of a stand-in's command.
+func expected(command string, input []byte) []byte {
+	if command == "sleep" {
+		return append([]byte("slept "), input...)
+	}
+	return input
+}
+
+// job returns a job of n tasks that sleep on workers.
+func (w *world) job(n int, gang, idempotent bool, sleep string) record.Job {
+	t := w.mint().String()
+	j := record.Job{ID: JobID(t), Ticket: t, Team: blueTeam, Queue: queueName, Command: "sleep", Gang: gang, Idempotent: idempotent, MilliCores: 1000, MemoryMB: 100}
+	for range n {
+		j.Inputs = append(j.Inputs, []byte(sleep))
+	}
+	return j
+}
+
+// submit submits a job at the current holder and records its acceptance.
+func (w *world) submit(ctx context.Context, j record.Job) *problem.Problem {
+	w.record(history.Event{Kind: history.RequestSent, Source: "caller", Request: j.ID, Ticket: j.Ticket, Queue: queueName, Idempotent: j.Idempotent})
+	id, p := w.current().term.SubmitJob(ctx, j, testQueue())
+	if p != nil {
+		return p
+	}
+	w.record(history.Event{Kind: history.JobAccepted, Source: "caller", Request: j.ID, Job: id, Tasks: len(j.Inputs), Idempotent: j.Idempotent})
+	return nil
+}
+
+// outcomes records what a fresh reader of the log finds of all jobs, and
+// returns how many tasks are still open.
+func (w *world) outcomes() (open int) {
+	state := cell.New()
+	page := w.log.Log.Read(context.Background(), 1, 0, 0)
+	for len(page.Records) > 0 {
+		for _, r := range page.Records {
+			state.Apply(r.Offset, r.ID, r.Data)
+		}
+		page = w.log.Log.Read(context.Background(), state.Applied()+1, 0, 0)
+	}
+	for _, e := range w.seen.all() {
+		if e.Kind != history.JobAccepted {
+			continue
+		}
+		j, ok := state.Job(e.Job)
+		if !ok {
+			open += e.Tasks
+			continue
+		}
+		for index := range j.Tasks {
+			o, ended := j.Outcome(index)
+			if !ended {
+				open++
+				continue
+			}
+			w.record(outcomeEvent(e.Job, o))
+		}
+	}
+	return open
+}
+
+// outcomeEvent is the end of a task as a caller reads it.
+func outcomeEvent(id string, o record.Outcome) history.Event {
+	e := history.Event{Kind: history.JobFinished, Source: "caller", Job: id, Work: fmt.Sprintf("%s/%d", id, o.Index), State: o.State, Verdict: history.VerdictUnknown}
+	switch o.State {
+	case "done":
+		e.Verdict, e.OutputSum = history.VerdictDone, history.Sum(o.Output)
+	case "not run":
+		e.Verdict = history.VerdictNotRun
+	}
+	return e
+}
