Mend ten faults that the model of terms found

Ruled out: leaving 'not run' for a conflict of tickets, since the verdict is read as the ticket's. Change: each as its test asks; jobs carry a digest in the log; roster removals go behind the outcomes; a unit that may have run in an earlier term is never answered 'not run'.

--- a/internal/api/jobs.go
+++ b/internal/api/jobs.go
@@ -86,7 +86,7 @@
 	if err := json.Unmarshal(body, &job); err != nil {
 		return "", problem.Refuse(problem.BadRequest, "send a job as JSON", "the body is not a job: %v", err)
 	}
-	if p := job.check(); p != nil {
+	if p := job.check(grant.Queue.Runner); p != nil {
 		return job.Ticket, p
 	}
 	t, p := a.jobTicket(r, &job)
@@ -140,14 +140,17 @@
 	}
 }
 
-// check refuses a job that makes no sense.
-func (j *jobBody) check() *problem.Problem {
+// check refuses a job that makes no sense; the tasks of service runners have
+// no size of their own.
+func (j *jobBody) check(runner bool) *problem.Problem {
 	const remedy = "correct the job and submit it again"
 	switch {
 	case j.Command == "":
 		return problem.Refuse(problem.BadRequest, remedy, "no command is given")
 	case len(j.Inputs) == 0:
 		return problem.Refuse(problem.BadRequest, remedy, "inputs is empty; each input makes one task")
+	case !runner && j.Size.MilliCores == 0:
+		return problem.Refuse(problem.BadRequest, remedy, "size.milli_cores is missing; state what each task needs")
 	case j.Size.MilliCores < 0 || j.Size.MilliCores > maxMilliCores:
 		return problem.Refuse(problem.BadRequest, remedy, "milli_cores %d is not from 0 to %d", j.Size.MilliCores, maxMilliCores)
 	case j.Size.MemoryMB < 0 || j.Size.MemoryMB > maxMemoryMB:
--- a/internal/holder/adopt.go
+++ b/internal/holder/adopt.go
@@ -36,7 +36,7 @@
 	t.engine.SetAvailable(s.id, false)
 	if previous != "" && previous != current {
 		t.loseUnits(s, "the endpoint restarted")
-		t.rosters.add(rosterEntry{removed: previous})
+		t.removeFromRoster(previous)
 	}
 	t.adoptTasks(s, response.Tasks)
 	t.accountLost(t.gate.account(s.id, current))
@@ -48,6 +48,13 @@
 	t.rosters.add(rosterEntry{added: current, session: s})
 }
 
+// removeFromRoster takes a lost incarnation off the roster once the outcomes
+// of what was lost with it stand in the log. A holder that found the roster
+// without it, and no outcome, would run that work again.
+func (t *Term) removeFromRoster(id string) {
+	t.outcomes.add(outcomeEntry{removed: id})
+}
+
 // rostered reports whether the log's roster has the id already.
 func (t *Term) rostered(id string) bool {
 	for _, known := range t.deps.Journal.State().Roster(t.settings.AvailabilityZone) {
@@ -78,6 +85,10 @@
 	t.engine.Finish(u.key, t.now(), placement.ResultStopped)
 	delete(s.units, u.key)
 	u.session = nil
+	if u.cancelled {
+		t.settle(u, failed(cancelledWaiting()))
+		return
+	}
 	t.requeue(u)
 }
 
@@ -92,7 +103,13 @@
 	case u == nil || u.phase == phaseFinal:
 		t.discard(s, status)
 	case u.session == s && u.spec.ID == status.Task.ID:
-		return
+		u.ran = true
+		if u.phase == phaseStarting {
+			u.phase = phaseRunning
+		}
+		if u.cancelled {
+			s.queueStop(endpoint.ActionStop, u.spec.ID)
+		}
 	case u.session != nil:
 		t.discard(s, status)
 	default:
--- a/internal/holder/commit.go
+++ b/internal/holder/commit.go
@@ -19,12 +19,16 @@
 	appendPause = 250 * time.Millisecond
 )
 
-// outcomeEntry is the end of a job's task on its way to the log.
-type outcomeEntry struct{ outcome record.Outcome }
+// outcomeEntry is the end of a job's task on its way to the log, or a roster
+// id that may be removed once everything before it stands there.
+type outcomeEntry struct {
+	outcome record.Outcome
+	removed string
+}
 
 // size implements sized.
 func (e outcomeEntry) size() int {
-	return len(e.outcome.Job) + len(e.outcome.Output) + len(e.outcome.Reason) + 32
+	return len(e.removed) + len(e.outcome.Job) + len(e.outcome.Output) + len(e.outcome.Reason) + 32
 }
 
 // append appends a record of this term and waits for its effect.
@@ -81,10 +85,17 @@
 		Epoch: t.epoch,
 	}}
 	for _, e := range group {
-		envelope.Outcomes.Outcomes = append(envelope.Outcomes.Outcomes, e.outcome)
+		if e.removed == "" {
+			envelope.Outcomes.Outcomes = append(envelope.Outcomes.Outcomes, e.outcome)
+		}
+	}
+	if len(envelope.Outcomes.Outcomes) == 0 {
+		t.removeRostered(group)
+		return nil
 	}
 	effect, err := t.append(envelope)
 	if err == nil && effect.Valid {
+		t.removeRostered(group)
 		return nil
 	}
 	if err == nil && t.lostClaim() {
@@ -94,6 +105,15 @@
 	return group
 }
 
+// removeRostered queues the roster removals of a group.
+func (t *Term) removeRostered(group []outcomeEntry) {
+	for _, e := range group {
+		if e.removed != "" {
+			t.rosters.add(rosterEntry{removed: e.removed})
+		}
+	}
+}
+
 // acknowledge lets the endpoint forget a task whose outcome stands in the log.
 func (t *Term) acknowledge(o record.Outcome) {
 	state := t.jobs[o.Job]
--- a/internal/holder/gate.go
+++ b/internal/holder/gate.go
@@ -39,6 +39,9 @@
 	// lost is set when an incarnation ended without giving its inventory, so
 	// that non-idempotent work which is found nowhere may have run there.
 	lost bool
+	// gone are the lost incarnations that are still on the roster. They leave
+	// it only when everything held back has been decided about.
+	gone []string
 }
 
 // open begins with the roster of the log at the start of the term.
@@ -104,8 +107,8 @@
 func (t *Term) accountLost(lost []string) {
 	for _, id := range lost {
 		t.log.Warn("endpoint incarnation ended unseen", "roster", id)
-		t.rosters.add(rosterEntry{removed: id})
 	}
+	t.gate.gone = append(t.gate.gone, lost...)
 	t.refreshBounds()
 	if t.gate.passed() {
 		t.passGate()
@@ -124,6 +127,10 @@
 			t.resolveHeld(u)
 		}
 	}
+	for _, id := range t.gate.gone {
+		t.removeFromRoster(id)
+	}
+	t.gate.gone = nil
 	t.kick()
 }
 
@@ -134,6 +141,7 @@
 		t.settle(u, failed(cancelledWaiting()))
 		return
 	}
+	u.ran = u.ran || (u.job != nil && u.spec.Idempotent)
 	if u.spec.Idempotent || (u.job != nil && !t.gate.lost) {
 		t.enqueue(u)
 		return
--- a/internal/holder/jobs.go
+++ b/internal/holder/jobs.go
@@ -1,7 +1,9 @@
 package holder
 
 import (
+	"bytes"
 	"context"
+	"crypto/sha256"
 	"fmt"
 	"time"
 
@@ -47,8 +49,9 @@
 // SubmitJob accepts a job once its record counts in the log, and returns its
 // id. Submitting the same ticket again returns the same job.
 func (t *Term) SubmitJob(ctx context.Context, j record.Job, queue operator.Queue) (string, *problem.Problem) {
+	j.Digest = jobDigest(&j)
 	if known, ok := t.deps.Journal.State().JobByTicket(j.Team, j.Ticket); ok {
-		return known.Spec.ID, nil
+		return known.Spec.ID, sameJob(&known.Spec, &j)
 	}
 	if err := job.Validate(&j); err != nil {
 		return "", problem.Refuse(problem.BadRequest, "correct the job and submit it again", "%v", err)
@@ -60,19 +63,46 @@
 	t.jobLog.add(entry)
 	select {
 	case err := <-entry.done:
-		return j.ID, acceptance(err)
+		return j.ID, t.acceptance(&j, err)
 	case <-ctx.Done():
 	case <-t.tomb.Dying():
 	}
 	return "", problem.Doubt(problem.LogOutcomeUnknown, "submit it again with the same ticket", "the log did not confirm the job in time")
 }
 
-// acceptance converts the outcome of a group commit.
-func acceptance(err error) *problem.Problem {
-	if err == nil {
+// acceptance converts the outcome of a group commit. What stands in the log
+// under the ticket may be another job, submitted at the same time.
+func (t *Term) acceptance(j *record.Job, err error) *problem.Problem {
+	if err != nil {
+		return problem.From(err, problem.Unknown)
+	}
+	if known, ok := t.deps.Journal.State().Job(j.ID); ok {
+		return sameJob(&known.Spec, j)
+	}
+	return nil
+}
+
+// jobDigest identifies a job by what it asks for.
+func jobDigest(j *record.Job) []byte {
+	h := sha256.New()
+	_, _ = fmt.Fprintf(h, "%q %q %q %t %t %d %d %d %d %d\n", j.Team, j.Queue, j.Command, j.Idempotent, j.Gang,
+		j.MilliCores, j.MemoryMB, j.Accelerators, j.Slots, j.RunTimeMS)
+	for _, input := range j.Inputs {
+		_, _ = fmt.Fprintf(h, "%d\n", len(input))
+		h.Write(input)
+	}
+	return h.Sum(nil)[:jobDigestBytes]
+}
+
+// jobDigestBytes is the length of the digest that the log keeps of a job.
+const jobDigestBytes = 16
+
+// sameJob refuses a ticket that was used for another job.
+func sameJob(known, j *record.Job) *problem.Problem {
+	if len(known.Digest) == 0 || bytes.Equal(known.Digest, j.Digest) {
 		return nil
 	}
-	return problem.From(err, problem.Unknown)
+	return problem.Doubt(problem.TicketConflict, "get a new ticket for another job", "the ticket belongs to a different job, which may have run")
 }
 
 // refuseJob says why a job can't be taken.
@@ -82,6 +112,9 @@
 	if p := t.draining(); p != nil {
 		return p
 	}
+	if j.Slots <= 0 && j.MilliCores <= 0 {
+		return problem.Refuse(problem.BadRequest, "state the milli_cores that each task needs", "a task of no size can't be placed")
+	}
 	if t.line.tasks > 0 && t.line.tasks+len(j.Inputs) > maxWaitingTasks {
 		return problem.Refuse(problem.QueueFull, "retry after the hint, with backoff", "%d tasks of jobs wait in the zone already", t.line.tasks).After(retryHint)
 	}
--- a/internal/holder/request.go
+++ b/internal/holder/request.go
@@ -32,12 +32,17 @@
 
 // digest identifies what the ticket was used for.
 func (r *Request) digest() [sha256.Size]byte {
+	return digestOf(r.Team, r.Queue.Name, r.Command, r.Input)
+}
+
+// digestOf identifies a request by what it asks for.
+func digestOf(team, queue, command string, input []byte) [sha256.Size]byte {
 	h := sha256.New()
-	for _, part := range []string{r.Team, r.Queue.Name, r.Command} {
+	for _, part := range []string{team, queue, command} {
 		h.Write([]byte(part))
 		h.Write([]byte{0})
 	}
-	h.Write(r.Input)
+	h.Write(input)
 	return [sha256.Size]byte(h.Sum(nil))
 }
 
@@ -105,14 +110,19 @@
 	if u != nil && !u.restartable() {
 		return t.join(u, r)
 	}
+	if p := t.outOfDate(r); p != nil {
+		return nil, p
+	}
 	if r.Ticket.Epoch > t.epoch || !t.tomb.Alive() || t.moving {
 		return nil, problem.Refuse(problem.Moved, "the front door tries the next holder", "this daemon no longer holds the zone").After(retryHint)
 	}
 	if p := t.refuse(r); p != nil {
+		p = t.truthful(r, p)
 		t.observeRefusal(r, p)
 		return nil, p
 	}
 	u = t.newRequestUnit(key, r)
+	u.ran = !t.neverStarted(r)
 	t.units[key] = u
 	u.request.waiters++
 	if t.neverStarted(r) {
@@ -131,14 +141,40 @@
 
 // Declares returns the epoch that a "moved" refusal of the request declares:
 // it has not started up to and including this term. It is 0 if that is not
-// known.
+// known, as when the ticket may have been forgotten.
 func (t *Term) Declares(r *Request) uint64 {
-	if t.neverStarted(r) {
+	if t.neverStarted(r) && t.outOfDate(r) == nil {
 		return t.epoch
 	}
 	return 0
 }
 
+// outOfDate refuses a ticket of this term that may have been forgotten, or
+// that this term can't have given out yet.
+func (t *Term) outOfDate(r *Request) *problem.Problem {
+	now := t.now()
+	switch {
+	case r.Ticket.Epoch != t.epoch:
+		return nil
+	case t.registry.expired(r.Ticket.Generation, now):
+		return problem.Doubt(problem.TicketExpired, "check the effect of the request, then send it with a new ticket", "the ticket is too old for its outcome to be known")
+	case r.Ticket.Generation > t.registry.generation(now):
+		return problem.Refuse(problem.TicketInvalid, "get a ticket from POST /v1/tickets", "the ticket was not given out by this zone")
+	}
+	return nil
+}
+
+// truthful turns the refusal of a request that an earlier term may have run
+// into a doubt.
+func (t *Term) truthful(r *Request, p *problem.Problem) *problem.Problem {
+	if t.neverStarted(r) {
+		return p
+	}
+	doubt := *p
+	doubt.Verdict = problem.Unknown
+	return &doubt
+}
+
 // restartable reports whether a unit ended without running and without anyone
 // having been told, as when the front door died while it waited.
 func (u *unit) restartable() bool {
@@ -149,11 +185,11 @@
 // join adds a caller to a request that has the same ticket.
 func (t *Term) join(u *unit, r *Request) (*unit, *problem.Problem) {
 	if u.request == nil {
-		return nil, problem.Refuse(problem.TicketConflict, "get a new ticket for another request", "the ticket belongs to a job")
+		return nil, problem.Doubt(problem.TicketConflict, "get a new ticket for another request", "the ticket belongs to a job, which may have run")
 	}
 	digest := r.digest()
 	if u.request.known && u.request.digest != digest {
-		return nil, problem.Refuse(problem.TicketConflict, "get a new ticket for another request", "the ticket was used for a different request")
+		return nil, problem.Doubt(problem.TicketConflict, "get a new ticket for another request", "the ticket belongs to a different request, which may have run")
 	}
 	u.request.digest, u.request.known = digest, true
 	u.request.waiters++
@@ -163,9 +199,6 @@
 
 // refuse says why a new request can't be taken.
 func (t *Term) refuse(r *Request) *problem.Problem {
-	if r.Ticket.Epoch == t.epoch && t.registry.expired(r.Ticket.Generation, t.now()) {
-		return problem.Doubt(problem.TicketExpired, "check the effect of the request, then send it with a new ticket", "the ticket is too old for its outcome to be known")
-	}
 	if p := t.draining(); p != nil {
 		return p
 	}
--- a/internal/holder/session.go
+++ b/internal/holder/session.go
@@ -145,7 +145,8 @@
 	return loops.Wait()
 }
 
-// begin takes over the numbers of a new session.
+// begin takes over the numbers of a new session. Starts of the ended one are
+// dropped, since adoption decides about them; stops are still wanted.
 func (s *session) begin(response *endpoint.AttachResponse) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -154,7 +155,6 @@
 	s.token = response.LeaseToken
 	s.tokenAt = time.Now()
 	s.starts = nil
-	s.stops = make(map[endpoint.StopAction][]string)
 }
 
 // runHeartbeats renews the lease until it lapses or the session ends.
--- a/internal/holder/sessions.go
+++ b/internal/holder/sessions.go
@@ -119,7 +119,7 @@
 	defer t.mu.Unlock()
 	if s.rosterID != "" {
 		t.engine.RemoveEndpoint(s.id)
-		t.rosters.add(rosterEntry{removed: s.rosterID})
+		t.removeFromRoster(s.rosterID)
 	}
 	delete(t.sessions, s.id)
 }
--- a/internal/holder/util.go
+++ b/internal/holder/util.go
@@ -26,6 +26,8 @@
 		return nil
 	}
 	u := &unit{key: key, work: key, spec: spec, enqueued: t.now(), request: newRequest(), class: placement.ClassBatch}
+	u.request.digest = digestOf(spec.Team, spec.Queue, spec.Command, spec.Input)
+	u.request.known = true
 	u.applyQueue(t.queue(spec.Queue))
 	t.units[key] = u
 	return u
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -127,6 +127,9 @@
 	// Tasks is the number of tasks of a finished job, whose inputs a snapshot
 	// leaves out.
 	Tasks int `cbor:"15,keyasint,omitempty"`
+	// Digest identifies what the job asks for, so that a ticket can't be used
+	// for another job even when the inputs are no longer kept.
+	Digest []byte `cbor:"16,keyasint,omitempty"`
 }
 
 // Outcomes is a group commit of finished tasks of durable jobs. A task is
