Test the report's arithmetic, bounds, merge and replay

The report rests on summaries that are merged, cut down and read back, each of which can lose or double events without any visible sign.

They found that a bucket kept its large backing array after it was cut down, that a reader behind the trim judged summaries of a zone that it had not heard of as void, and that the coverage of an hour was computed once for each row; all three are mended.

--- a/internal/report/coverage.go
+++ b/internal/report/coverage.go
@@ -66,5 +66,6 @@
 	for _, g := range c.gaps(window) {
 		missing += g.ToMS - g.FromMS
 	}
-	return 1 - float64(missing)/float64(window.ToMS-window.FromMS)
+	length := window.ToMS - window.FromMS
+	return float64(length-missing) / float64(length)
 }
--- a/internal/report/fold.go
+++ b/internal/report/fold.go
@@ -6,14 +6,20 @@
 
 	"github.com/bluebellstile/bluebellstile/internal/cell"
 	"github.com/bluebellstile/bluebellstile/internal/record"
+	"github.com/bluebellstile/bluebellstile/internal/zone"
 )
 
 // maxHeldBytes bounds the records that are held back until it is known
 // whether they count; the oldest go first.
 const maxHeldBytes = 4 << 20
 
-// Epochs tells the epoch under which a zone is held at present.
-type Epochs func(zone string) (epoch uint64, ok bool)
+// State is what a Fold asks of the state that is derived from the log.
+type State interface {
+	// Known reports whether the state of a zone is known.
+	Known(zone string) bool
+	// Epoch returns the valid claim on a zone.
+	Epoch(zone string) (claim zone.Claim, ok bool)
+}
 
 // Fold fills a Store with the summaries that count in the log. Its Observe
 // is called in log order by one goroutine.
@@ -23,10 +29,10 @@
 // offset of its claim, so that with the snapshot those under its epoch count
 // and those of older epochs are left out, as a gap in the report.
 type Fold struct {
-	store  *Store
-	epochs Epochs
-	now    func() time.Time
-	log    *slog.Logger
+	store *Store
+	state State
+	now   func() time.Time
+	log   *slog.Logger
 
 	held      []heldReport
 	heldBytes int
@@ -44,8 +50,8 @@
 
 // NewFold returns a fold into store. The clock now is asked for the time at
 // which a summary is read.
-func NewFold(store *Store, epochs Epochs, now func() time.Time, log *slog.Logger) *Fold {
-	return &Fold{store: store, epochs: epochs, now: now, log: log, confirm: func(string) {}}
+func NewFold(store *Store, state State, now func() time.Time, log *slog.Logger) *Fold {
+	return &Fold{store: store, state: state, now: now, log: log, confirm: func(string) {}}
 }
 
 // Confirm registers f to be told the id of every summary that counts, before
@@ -66,7 +72,7 @@
 	switch {
 	case effect.Valid:
 		f.take(effect.ID, effect.Envelope.Report)
-	case effect.Void == record.VoidUnknown:
+	case effect.Void == record.VoidUnknown, effect.Void == record.VoidEpoch && !f.state.Known(effect.Zone):
 		f.hold(heldReport{effect.ID, effect.Offset, effect.Envelope.Seen, effect.Envelope.Report})
 	}
 }
@@ -99,13 +105,13 @@
 	var unknown []heldReport
 	taken := make(map[string]bool)
 	for _, h := range f.held {
-		epoch, known := f.epochs(h.report.Zone)
+		claim, known := f.state.Epoch(h.report.Zone)
 		if !known {
 			unknown = append(unknown, h)
 			continue
 		}
 		late := h.offset > h.seen+record.SeenWindow
-		if h.report.Epoch == epoch && !late && !taken[h.id] {
+		if h.report.Epoch == claim.Epoch && !late && !taken[h.id] {
 			taken[h.id] = true
 			f.take(h.id, h.report)
 		}
--- /dev/null
+++ b/internal/report/log_test.go
@@ -0,0 +1,280 @@
+package report
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/bluebellstile/bluebellstile/internal/cell"
+	"github.com/bluebellstile/bluebellstile/internal/journal"
+	"github.com/bluebellstile/bluebellstile/internal/problem"
+	"github.com/bluebellstile/bluebellstile/internal/record"
+	"github.com/google/go-cmp/cmp"
+)
+
+// fakeLog is a log that one daemon writes and reads back. lose and refuse
+// count the appends whose answers are lost and that don't arrive.
+type fakeLog struct {
+	records      []logged
+	state        *cell.State
+	fold         *Fold
+	lose, refuse int
+	// unread holds back what was written: the daemon doesn't read the log.
+	unread bool
+	offset uint64
+}
+
+type logged struct {
+	offset uint64
+	id     string
+	data   []byte
+}
+
+func (l *fakeLog) Applied() uint64 { return l.state.Applied() }
+
+func (l *fakeLog) AppendID(_ context.Context, id string, e *record.Envelope) (cell.Effect, error) {
+	if l.refuse > 0 {
+		l.refuse--
+		return cell.Effect{}, journal.ErrNotAppended
+	}
+	effect := l.write(id, e)
+	if l.lose > 0 || l.unread {
+		l.lose--
+		return cell.Effect{}, journal.ErrFateUnknown
+	}
+	return effect, nil
+}
+
+// write appends a record past all faults.
+func (l *fakeLog) write(id string, e *record.Envelope) cell.Effect {
+	data, err := record.Encode(e)
+	if err != nil {
+		panic(err)
+	}
+	l.offset++
+	l.records = append(l.records, logged{l.offset, id, data})
+	if l.unread {
+		return cell.Effect{}
+	}
+	return l.apply(l.records[len(l.records)-1])
+}
+
+func (l *fakeLog) apply(r logged) cell.Effect {
+	effect := l.state.Apply(r.offset, r.id, r.data)
+	l.fold.Observe(effect)
+	return effect
+}
+
+// claim makes a holder of zone a under a new epoch, which it returns.
+func (l *fakeLog) claim(holder string, previous uint64) uint64 {
+	return l.write("claim-"+holder, &record.Envelope{Kind: record.KindClaim, Claim: &record.Claim{Zone: "a", Holder: holder, Address: "x", Previous: previous}}).Offset
+}
+
+// newReader returns a log reader without any records.
+func newReader(now *time.Time) (*fakeLog, *Store) {
+	store := NewStore()
+	l := &fakeLog{state: cell.New()}
+	l.fold = NewFold(store, l.state, func() time.Time { return *now }, slog.New(slog.DiscardHandler))
+	return l, store
+}
+
+// holderOf returns a collector and recorder of a daemon that holds zone a.
+func holderOf(l *fakeLog, epoch uint64, now time.Time) (*Collector, *Recorder) {
+	c := NewCollector(objectives)
+	r := NewRecorder("a", c, l, slog.New(slog.DiscardHandler))
+	l.fold.Confirm(r.Confirm)
+	r.Follow(epoch, now)
+	return c, r
+}
+
+// totals are the starts of the budget's period over all rows.
+func totals(s *Store, now time.Time) Ratio {
+	var out Ratio
+	for _, row := range s.Build(now, 1, nil, objectives).Rows {
+		out.add(row.Indicators[0].Windows[4].Ratio)
+	}
+	return out
+}
+
+func TestReplacementOfEveryDaemon(t *testing.T) {
+	now := begin
+	l, store := newReader(&now)
+	epoch := uint64(0)
+	for n := range 3 {
+		epoch = l.claim(fmt.Sprint("daemon-", n), epoch)
+		c, r := holderOf(l, epoch, now)
+		for range 4 {
+			c.Started("press", "urgent", time.Second, "failover")
+			now = now.Add(time.Minute)
+			if err := r.Record(t.Context(), now); err != nil {
+				t.Fatal(err)
+			}
+		}
+		// The next daemon comes two minutes later.
+		now = now.Add(2 * time.Minute)
+	}
+	stale := &record.Report{Zone: "a", Epoch: 1, StartMS: unixMS(begin), EndMS: unixMS(now), Series: []byte{0xa0}}
+	l.write("stale", &record.Envelope{Kind: record.KindReport, Report: stale, Seen: l.Applied()})
+	fresh, replaced := newReader(&now)
+	for _, r := range l.records {
+		fresh.apply(r)
+	}
+	want, got := store.Build(now, 1, []string{"a", "b"}, objectives), replaced.Build(now, 1, []string{"a", "b"}, objectives)
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("report of a new daemon differs (-old +new):\n%s", diff)
+	}
+	if total := totals(replaced, now); total != (Ratio{12, 12}) {
+		t.Errorf("starts %+v, want 12 bad ones", total)
+	}
+	hour := got.Coverage[0].Windows[1]
+	if hour.Covered != 0.2 || hour.Missing != 4 {
+		t.Errorf("zone a covered %v with %d gaps, want 12 of 60 minutes and 4 gaps", hour.Covered, hour.Missing)
+	}
+	if b := got.Coverage[1].Windows[1]; got.Coverage[1].Zone != "b" || b.Covered != 0 || len(b.Gaps) != 1 {
+		t.Errorf("zone without data: %+v", b)
+	}
+}
+
+func TestReaderBehindTrim(t *testing.T) {
+	now := begin
+	l, _ := newReader(&now)
+	first := l.claim("old", 0)
+	c, r := holderOf(l, first, now)
+	record4 := func() {
+		for range 4 {
+			c.Started("press", "urgent", time.Second, "")
+			now = now.Add(time.Minute)
+			if err := r.Record(t.Context(), now); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	record4()
+	second := l.claim("new", first)
+	c, r = holderOf(l, second, now)
+	record4()
+	for _, part := range append(l.state.SnapshotShared(), l.state.SnapshotZone("a")...) {
+		l.write(journal.NewID(), &record.Envelope{Kind: record.KindSnapshot, Snapshot: part})
+	}
+	for _, c := range []struct {
+		from uint64
+		want Ratio
+	}{
+		{first, Ratio{8, 8}},
+		// Those of the old epoch can't be judged any more.
+		{first + 2, Ratio{4, 4}},
+		{second + 3, Ratio{2, 2}},
+	} {
+		late, store := newReader(&now)
+		for _, r := range l.records {
+			if r.offset >= c.from {
+				late.apply(r)
+			}
+		}
+		if got := totals(store, now); got != c.want {
+			t.Errorf("reader from offset %d: starts %+v, want %+v", c.from, got, c.want)
+		}
+	}
+}
+
+func TestLostAnswersCountOnce(t *testing.T) {
+	for name, fault := range map[string]func(*fakeLog){
+		"answers lost":     func(l *fakeLog) { l.lose = 3 },
+		"appends refused":  func(l *fakeLog) { l.refuse = 3 },
+		"log is not read":  func(l *fakeLog) { l.unread = true },
+		"both, one by one": func(l *fakeLog) { l.lose, l.refuse = 1, 1 },
+	} {
+		now := begin
+		l, store := newReader(&now)
+		c, r := holderOf(l, l.claim("d", 0), now)
+		fault(l)
+		for range 5 {
+			c.Started("press", "urgent", 0, "")
+			now = now.Add(time.Minute)
+			_ = r.Record(t.Context(), now)
+		}
+		if l.unread {
+			l.unread = false
+			for _, rec := range l.records[1:] {
+				l.apply(rec)
+			}
+		}
+		now = now.Add(time.Minute)
+		if err := r.Record(t.Context(), now); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+		view := store.Build(now, 1, nil, objectives)
+		if got := totals(store, now); got != (Ratio{0, 5}) || view.Coverage[0].Windows[0].Covered != 1 {
+			t.Errorf("%s: starts %+v and coverage %+v, want 5 and no gap", name, got, view.Coverage[0].Windows[0])
+		}
+	}
+}
+
+// TestLateAppend lets the log pass the offsets at which an append counts
+// before it arrives.
+func TestLateAppend(t *testing.T) {
+	now := begin
+	l, store := newReader(&now)
+	c, r := holderOf(l, l.claim("d", 0), now)
+	c.Started("press", "urgent", 0, "")
+	l.refuse = 1
+	now = now.Add(time.Minute)
+	_ = r.Record(t.Context(), now)
+	audit := &record.Envelope{Kind: record.KindAudit, Audit: &record.Audit{Action: "x"}}
+	for range record.SeenWindow + 2 {
+		l.write("", audit)
+	}
+	now = now.Add(time.Minute)
+	if err := r.Record(t.Context(), now); err != nil {
+		t.Fatal(err)
+	}
+	if got := totals(store, now); got != (Ratio{0, 1}) {
+		t.Errorf("starts %+v, want 1", got)
+	}
+}
+
+func TestPendingIsBounded(t *testing.T) {
+	now := begin
+	l, store := newReader(&now)
+	c, r := holderOf(l, l.claim("d", 0), now)
+	l.refuse = maxPending + 40
+	for range maxPending + 40 {
+		c.Started("press", "urgent", 0, "")
+		now = now.Add(time.Minute)
+		_ = r.Record(t.Context(), now)
+	}
+	for len(r.queue) > 0 {
+		if err := r.Record(t.Context(), now); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := totals(store, now); got.Total != maxPending {
+		t.Errorf("%d starts, want those of the newest %d minutes", got.Total, maxPending)
+	}
+	if gaps := store.Build(now, 1, nil, objectives).Coverage[0].Windows[4]; gaps.Missing != 1 || gaps.Gaps[0].ToMS != unixMS(begin.Add(40*time.Minute)) {
+		t.Errorf("gaps %+v, want one up to 40 minutes", gaps)
+	}
+}
+
+// TestEpochEnds checks that what was counted under an epoch is not taken into
+// a later one.
+func TestEpochEnds(t *testing.T) {
+	now := begin
+	l, store := newReader(&now)
+	first := l.claim("d", 0)
+	c, r := holderOf(l, first, now)
+	c.Started("press", "urgent", 0, "")
+	c.Answered("press", "urgent", problem.Done, "")
+	r.Follow(0, now)
+	r.Lost(first, "press", "urgent")
+	r.Follow(l.claim("d", first), now)
+	now = now.Add(time.Minute)
+	if err := r.Record(t.Context(), now); err != nil {
+		t.Fatal(err)
+	}
+	if got := store.Build(now, 1, nil, objectives); len(got.Rows) != 0 || got.Coverage[0].Windows[1].Covered == 0 {
+		t.Errorf("rows %+v, want none for a period that is known", got.Rows)
+	}
+}
--- a/internal/report/ring.go
+++ b/internal/report/ring.go
@@ -77,11 +77,11 @@
 	if len(b.tallies) <= maxTallies {
 		return
 	}
-	ranked := slices.Clone(b.tallies)
+	ranked := b.tallies
 	slices.SortStableFunc(ranked, func(x, y tally) int {
 		return cmp.Or(cmp.Compare(y.counts.bad(), x.counts.bad()), cmp.Compare(y.counts.total(), x.counts.total()))
 	})
-	b.tallies = b.tallies[:0]
+	b.tallies = make([]tally, 0, maxTallies)
 	for i := range ranked {
 		id := ranked[i].id
 		switch {
@@ -93,7 +93,6 @@
 		}
 		b.add(id, &ranked[i].counts)
 	}
-	b.tallies = slices.Clip(b.tallies)
 }
 
 // seriesID is a short name of a key.
--- a/internal/report/view.go
+++ b/internal/report/view.go
@@ -10,6 +10,8 @@
 )
 
 const (
+	// maxViewRows bounds the rows of a report.
+	maxViewRows = 512
 	// worstHours is the number of worst hours that a row lists.
 	worstHours = 3
 	// plottedRows is the number of rows that come with their hours.
@@ -26,8 +28,10 @@
 	// ConfigVersion is the configuration whose objectives are used.
 	ConfigVersion uint64         `json:"config_version"`
 	Coverage      []ZoneCoverage `json:"coverage"`
-	// Rows are the teams and queues, the most overspent budget first.
-	Rows []Row `json:"rows"`
+	// Rows are the teams and queues, the most overspent budget first; Omitted
+	// is the number of further ones.
+	Rows    []Row `json:"rows"`
+	Omitted int   `json:"omitted,omitempty"`
 }
 
 // ZoneCoverage says for what part of each window there is data of a zone.
@@ -137,6 +141,8 @@
 	slices.SortFunc(view.Rows, func(a, b Row) int {
 		return cmp.Or(cmp.Compare(a.least(), b.least()), cmp.Compare(a.Team, b.Team), cmp.Compare(a.Queue, b.Queue))
 	})
+	view.Omitted = max(0, len(view.Rows)-maxViewRows)
+	view.Rows = view.Rows[:len(view.Rows)-view.Omitted]
 	s.addHours(view, samples, zones)
 	return view
 }
@@ -144,14 +150,15 @@
 // addHours adds the hours of the first rows, and to all hours what part of
 // them has data.
 func (s *Store) addHours(view *View, samples map[seriesID]*sample, zones []string) {
+	covered := s.hourCover(zones)
 	for i := range view.Rows {
 		row := &view.Rows[i]
 		if i < plottedRows {
 			row.Hours = samples[s.names.ids[Key{row.Team, row.Queue}]].plot(view.GeneratedMS)
 		}
-		s.coverHours(row.Hours, zones)
+		covered(row.Hours)
 		for _, indicator := range row.Indicators {
-			s.coverHours(indicator.Worst, zones)
+			covered(indicator.Worst)
 		}
 	}
 }
@@ -195,13 +202,20 @@
 	return slices.Compact(out)
 }
 
-// coverHours sets what part of each hour every zone has data for.
-func (s *Store) coverHours(hours []HourPoint, zones []string) {
-	for i := range hours {
-		span := Span{hours[i].StartMS, hours[i].StartMS + time.Hour.Milliseconds()}
-		hours[i].Covered = 1
-		for _, zone := range s.allZones(zones) {
-			hours[i].Covered = min(hours[i].Covered, s.zones[zone].share(span))
+// hourCover returns a function that sets what part of each hour every zone has
+// data for. It computes each hour once.
+func (s *Store) hourCover(zones []string) func(hours []HourPoint) {
+	all, known := s.allZones(zones), make(map[int64]float64)
+	return func(hours []HourPoint) {
+		for i := range hours {
+			start := hours[i].StartMS
+			if _, ok := known[start]; !ok {
+				known[start] = 1
+				for _, zone := range all {
+					known[start] = min(known[start], s.zones[zone].share(Span{start, start + time.Hour.Milliseconds()}))
+				}
+			}
+			hours[i].Covered = known[start]
 		}
 	}
 }
--- a/internal/server/report.go
+++ b/internal/server/report.go
@@ -34,7 +34,7 @@
 	r := &reporter{server: s, store: report.NewStore(), alarms: report.NewAlarms(s.log)}
 	r.collector = report.NewCollector(r.objective)
 	r.recorder = report.NewRecorder(s.self.AvailabilityZone, r.collector, reportLog{s.journal}, s.log)
-	r.fold = report.NewFold(r.store, r.epoch, time.Now, s.log)
+	r.fold = report.NewFold(r.store, s.journal.State(), time.Now, s.log)
 	r.fold.Confirm(r.recorder.Confirm)
 	return r
 }
@@ -59,12 +59,6 @@
 	return report.Objective{}, false
 }
 
-// epoch returns the epoch under which a zone is held.
-func (r *reporter) epoch(zone string) (uint64, bool) {
-	claim, ok := r.server.journal.State().Epoch(zone)
-	return claim.Epoch, ok
-}
-
 // observe folds summaries and counts lost tasks, in log order.
 func (r *reporter) observe(effect cell.Effect) {
 	r.fold.Observe(effect)
