Check that the report outlives every daemon

The report's own tests replay a log in one process. Whether a daemon's last period reaches the log before it ends, and whether a new daemon finds it, shows only with processes.

The test starts a zone of two daemons as real processes, sends requests, replaces all daemons, twice, and asks the new ones: all 14 starts and answers are there, the time between the daemons is a gap, a configured zone without daemons has no data, the page is served, and a team's key doesn't read it.

--- /dev/null
+++ b/internal/server/report_test.go
@@ -0,0 +1,168 @@
+package server_test
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/bluebellstile/bluebellstile/internal/client"
+	"github.com/bluebellstile/bluebellstile/internal/harness"
+	"github.com/bluebellstile/bluebellstile/internal/report"
+	"github.com/bluebellstile/bluebellstile/internal/settings"
+	"github.com/bluebellstile/bluebellstile/operator"
+)
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	harness.RemoveBuilt()
+	os.Exit(code)
+}
+
+// reportBound bounds each wait of the test.
+const reportBound = 30 * time.Second
+
+// sent is the number of requests before and after the replacement.
+const sent = 7
+
+// reportCell is a cell of real processes and its callers.
+type reportCell struct {
+	t     *testing.T
+	cell  *harness.Cell
+	admin *client.Client
+	press *client.Client
+}
+
+func startReportCell(t *testing.T) *reportCell {
+	options := harness.DefaultOptions()
+	options.Zones, options.Dir = []string{"za"}, t.TempDir()
+	c := &reportCell{t: t, cell: harness.Start(t, options)}
+	var apis, admins []string
+	for id := range c.cell.Daemons {
+		s, err := settings.Load(filepath.Join(options.Dir, id+".ini"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		apis = append(apis, c.cell.Entry(id).URL)
+		admins = append(admins, "http://"+s.Listen.Admin)
+	}
+	budget := client.Budget{Tries: 1000, Elapsed: reportBound}
+	var err error
+	if c.admin, err = client.New(client.Options{URLs: admins, Key: "operators-secret", Budget: budget}); err != nil {
+		t.Fatal(err)
+	}
+	if c.press, err = client.New(client.Options{URLs: apis, Key: "press-secret", Budget: budget}); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// publish publishes a configuration with one queue.
+func (c *reportCell) publish() {
+	c.t.Helper()
+	text, err := operator.Print(&operator.Config{
+		Zones: []operator.Zone{{Name: "za", Region: "region-za"}, {Name: "zb", Region: "region-zb"}},
+		Teams: []operator.Team{{Name: "press", Share: 1, UpperLimit: 10}},
+		Keys: []operator.Key{
+			{ID: "admin", SHA256: operator.HashSecret("operators-secret"), Operator: true},
+			{ID: "press-1", Team: "press", SHA256: operator.HashSecret("press-secret")},
+		},
+		Queues: []operator.Queue{{Name: "labels", Class: operator.ClassUrgent, Runner: true, StartObjective: 10 * time.Second, StartTarget: 0.99}},
+	})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	if _, err := c.admin.Publish(c.t.Context(), client.PublishRequest{Text: text}); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// send sends requests that are answered.
+func (c *reportCell) send() {
+	c.t.Helper()
+	for range sent {
+		if _, err := c.press.Submit(c.t.Context(), client.Request{Queue: "labels", Command: "echo", Input: []byte("x")}); err != nil {
+			c.t.Fatal(err)
+		}
+	}
+}
+
+// replaceAll stops every daemon as planned, then starts new ones.
+func (c *reportCell) replaceAll() {
+	c.t.Helper()
+	var restarts []func() error
+	for id := range c.cell.Daemons {
+		restarts = append(restarts, c.cell.StopDaemon(id))
+	}
+	for _, restart := range restarts {
+		if err := restart(); err != nil {
+			c.t.Fatal(err)
+		}
+	}
+}
+
+// await waits until the report shows the given number of starts and answers.
+func (c *reportCell) await(want uint64) *report.View {
+	c.t.Helper()
+	var view report.View
+	if !harness.Eventually(harness.Within(c.t.Context(), reportBound), func() bool {
+		data, err := c.admin.Report(c.t.Context(), false)
+		view = report.View{}
+		return err == nil && json.Unmarshal(data, &view) == nil && len(view.Rows) == 1 &&
+			view.Rows[0].Indicators[0].Windows[4].Total == want && view.Rows[0].Indicators[1].Windows[4].Total == want
+	}) {
+		c.t.Fatalf("report %+v, want %d starts and answers", view, want)
+	}
+	return &view
+}
+
+// TestReportOutlivesEveryDaemon replaces all daemons twice and asks new ones.
+func TestReportOutlivesEveryDaemon(t *testing.T) {
+	c := startReportCell(t)
+	c.publish()
+	c.send()
+	c.replaceAll()
+	c.await(sent)
+	c.send()
+	c.replaceAll()
+	view := c.await(2 * sent)
+	row := view.Rows[0]
+	if row.Team != "press" || row.Queue != "labels" || !row.Configured || row.Target != 0.99 || row.Waits != 2*sent {
+		t.Errorf("row %+v", row)
+	}
+	if row.Indicators[1].Windows[4].Bad != 0 || row.Indicators[0].Alert != report.NoAlert {
+		t.Errorf("indicators %+v, want nothing bad", row.Indicators)
+	}
+	za, zb := view.Coverage[0], view.Coverage[1]
+	if za.Zone != "za" || za.Windows[1].Covered <= 0 || za.Windows[1].Covered >= 1 || za.Windows[1].Missing < 2 {
+		t.Errorf("coverage of the hour %+v, want some, with gaps before and between the daemons", za)
+	}
+	if zb.Zone != "zb" || zb.Windows[4].Covered != 0 {
+		t.Errorf("coverage of a zone without daemons %+v, want none", zb)
+	}
+	page, err := c.admin.Report(t.Context(), true)
+	if err != nil || !strings.Contains(string(page), "<svg") || !strings.Contains(string(page), "labels") {
+		t.Errorf("page of %d bytes, %v", len(page), err)
+	}
+	c.requireKey()
+}
+
+// requireKey checks that the report is for operators only.
+func (c *reportCell) requireKey() {
+	c.t.Helper()
+	for id := range c.cell.Daemons {
+		s, err := settings.Load(filepath.Join(c.cell.Options.Dir, id+".ini"))
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		stranger, err := client.New(client.Options{URLs: []string{"http://" + s.Listen.Admin}, Key: "press-secret"})
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		if data, err := stranger.Report(c.t.Context(), true); err == nil {
+			c.t.Errorf("a team's key reads the report: %d bytes", len(data))
+		}
+	}
+}
