Ask for the truth where it is hardest to give

The load of the matrix asked for little that can be answered wrongly: its requests were rarely refused, so that 'not run' had nothing to judge in most cells. More callers of the same kind were ruled out, since they only wait longer. Every cell now has callers that send one ticket through two entries at once, set deadlines about as long as the work, cancel under way, use a key that was never granted and go on with one that is withdrawn just before the step. The ticket, the fence and the claim are judged as linearizable objects, a row each.

--- a/internal/harness/job.go
+++ b/internal/harness/job.go
@@ -44,7 +44,7 @@
 
 // Submit submits a job once. A job that was accepted has an id.
 func (c *Caller) Submit(ctx context.Context, at Entry, queue string, j Job) (string, Answer) {
-	id := c.recordSent(at, queue, j.Ticket, j.Idempotent, nil, nil)
+	id := c.recordSent(at, history.Event{Queue: queue, Ticket: j.Ticket, Idempotent: j.Idempotent, Tasks: len(j.Inputs)})
 	var body struct {
 		Job string `json:"job"`
 	}
@@ -85,6 +85,12 @@
 	return c.call(ctx, http.MethodDelete, at.URL+"/v1/jobs/"+job, nil, nil)
 }
 
+// CancelRequest cancels a request by its ticket.
+func (c *Caller) CancelRequest(ctx context.Context, at Entry, ticket string) error {
+	c.rec.Add(history.Event{Kind: history.RequestCancelled, Source: c.Name, Ticket: ticket, Daemon: at.Daemon})
+	return c.call(ctx, http.MethodDelete, at.URL+"/v1/requests/"+ticket, nil, nil)
+}
+
 // finalStates maps the final states of a task to verdicts.
 var finalStates = map[string]string{
 	"done":      history.VerdictDone,
--- a/internal/harness/matrix/load.go
+++ b/internal/harness/matrix/load.go
@@ -42,6 +42,7 @@
 	w.repeat(ctx, jobPause, func(int) {
 		w.job(w.ink, queueCost, gangJob(2, 200*time.Millisecond, 500))
 	})
+	w.startHardLoad(ctx)
 	w.repeat(ctx, observePause, func(int) {
 		for id := range w.Daemons {
 			w.ObserveConfig(ctx, id, secret(keyOps))
--- a/internal/harness/matrix/report.go
+++ b/internal/harness/matrix/report.go
@@ -37,7 +37,7 @@
 	for _, c := range history.Checkers() {
 		out = append(out, c.Promise)
 	}
-	return append(out, PromiseRecovery)
+	return append(out, ObjectTicket, ObjectFence, ObjectClaim, PromiseRecovery)
 }
 
 func writeLine(b *strings.Builder, promise string, fault Fault, rows []Row) {
--- a/internal/harness/matrix/steps.go
+++ b/internal/harness/matrix/steps.go
@@ -199,21 +199,34 @@
 
 // stepPublishing lowers a limit and withdraws a key while the fault strikes.
 func stepPublishing(w *world) (func() error, error) {
+	w.publish(func(c *operator.Config) {
+		lowerLinen(c)
+		withdrawOld(c)
+	})
+	return nothing, nil
+}
+
+func lowerLinen(c *operator.Config) {
+	for i := range c.Teams {
+		if c.Teams[i].Name == teamLinen {
+			c.Teams[i].UpperLimit = loweredLinen
+		}
+	}
+}
+
+// withdrawOld withdraws the key with which one caller goes on.
+func withdrawOld(c *operator.Config) { _ = c.WithdrawKey(keyOld) }
+
+// publish publishes a change in the background and rebases it when another
+// operator comes first.
+func (w *world) publish(change func(*operator.Config)) {
 	ctx := harness.Within(w.ctx, stepTimeout)
 	w.probes.Go(func() {
 		for ctx.Err() == nil {
-			_, err := w.Publish(w.ctx, "operator", func(c *operator.Config) {
-				for i := range c.Teams {
-					if c.Teams[i].Name == teamLinen {
-						c.Teams[i].UpperLimit = loweredLinen
-					}
-				}
-				_ = c.WithdrawKey(keyOld)
-			})
+			_, err := w.Publish(w.ctx, "operator", change)
 			if !errors.Is(err, harness.ErrRace) {
 				return
 			}
 		}
 	})
-	return nothing, nil
 }
--- a/internal/harness/matrix/world.go
+++ b/internal/harness/matrix/world.go
@@ -88,6 +88,8 @@
 	old  *harness.Caller
 	lin  *harness.Caller
 	open *harness.Caller
+	// forger has a key that was never granted.
+	forger *harness.Caller
 
 	stopLoad context.CancelFunc
 	load     sync.WaitGroup
@@ -114,6 +116,7 @@
 	w.ink = harness.NewCaller("ink", keyInk, secret(keyInk), c.Rec)
 	w.old = harness.NewCaller("old", keyOld, secret(keyOld), c.Rec)
 	w.lin = harness.NewCaller("linen", keyLinen, secret(keyLinen), c.Rec)
+	w.forger = harness.NewCaller("forger", "key-forged", secret("key-forged"), c.Rec)
 	w.open = harness.NewCaller("open", "", "", c.Rec)
 	if _, err := c.Publish(ctx, "bootstrap", cellConfig); err != nil {
 		return nil, errors.Wrap(err, "publish the first configuration")
--- a/internal/history/edge_test.go
+++ b/internal/history/edge_test.go
@@ -153,6 +153,13 @@
 		sent(0, "r1"), {UnixNano: at(s), Kind: DrainStarted, Daemon: "d2"},
 		{UnixNano: at(s), Kind: FaultInjected, Fault: "kill", Endpoint: "w1"}, answered(2*s, "r1", VerdictUnknown, "endpoint_lost"),
 	}, 0},
+	{"cancelled by its caller during the stop", StopCutsNothing, []Event{
+		sent(0, "r1"), {UnixNano: at(s), Kind: DrainStarted, Daemon: "d1"}, {UnixNano: at(s), Kind: RequestCancelled, Ticket: "t1"},
+		answered(2*s, "r1", VerdictUnknown, CodeCancelled),
+	}, 0},
+	{"cancelled by nobody during the stop", StopCutsNothing, []Event{
+		sent(0, "r1"), {UnixNano: at(s), Kind: DrainStarted, Daemon: "d1"}, answered(2*s, "r1", VerdictUnknown, CodeCancelled),
+	}, 1},
 	{"connection refused by the stopping daemon", StopCutsNothing, []Event{
 		{UnixNano: at(0), Kind: DrainStarted, Daemon: "d1"}, sent(s, "r1"), answered(2*s, "r1", VerdictUnknown, CodeRefused),
 	}, 0},
--- a/internal/history/event.go
+++ b/internal/history/event.go
@@ -21,6 +21,8 @@
 	RequestAnswered Kind = "request_answered"
 	JobAccepted     Kind = "job_accepted"
 	JobFinished     Kind = "job_finished"
+	// RequestCancelled is written before the cancellation is sent.
+	RequestCancelled Kind = "request_cancelled"
 
 	// Written by operators.
 	ConfigPublished Kind = "config_published"
@@ -82,7 +84,8 @@
 	ExpectSum string `json:"expect_sum,omitempty"`
 	// Request names one sending of a request; its answer carries it too.
 	Request string `json:"request,omitempty"`
-	// Job is the durable job of an event and Tasks the number of its tasks.
+	// Job is the durable job of an event and Tasks the number of its tasks,
+	// which is 0 for requests.
 	Job   string `json:"job,omitempty"`
 	Tasks int    `json:"tasks,omitempty"`
 
--- a/internal/history/linear/linear_test.go
+++ b/internal/history/linear/linear_test.go
@@ -31,6 +31,7 @@
 		{"done after the run", []history.Event{sent(1, "a"), started(2), answered(3, "a", history.VerdictDone)}, true},
 		{"refused, then run by a retry", []history.Event{sent(1, "a"), answered(2, "a", history.VerdictNotRun), sent(3, "b"), started(4), answered(5, "b", history.VerdictDone)}, true},
 		{"unknown fits both", []history.Event{sent(1, "a"), answered(2, "a", history.VerdictUnknown), started(3)}, true},
+		{"accepted job", []history.Event{{UnixNano: 1, Kind: history.RequestSent, Request: "a", Ticket: "t", Tasks: 2}, answered(2, "a", history.VerdictDone), started(3), started(4)}, true},
 		{"run twice", []history.Event{sent(1, "a"), started(2), started(3)}, false},
 		{"done without a run", []history.Event{sent(1, "a"), answered(2, "a", history.VerdictDone)}, false},
 		{"refused after the run", []history.Event{sent(1, "a"), started(2), sent(3, "b"), answered(4, "b", history.VerdictNotRun)}, false},
