Let a previous holder answer for its tickets, look tickets up before 'not run'

Cause: two cells of the matrix. none/handing over: a ticket made under the old epoch and first sent to the new holder was answered unknown, since the new holder could not know that it had never run. pause/queued: a retry that was refused for a stale configuration was answered 'not run' while the first sending ran. Ruled out: handing tickets over with the claim, which grows the log; answering unknown to every refusal with a ticket, which tells callers less than is known. Change: the front door asks the previous holder, which keeps its ended term, and passes its declaration on; a refusal of a request with a ticket asks the zone's holder whether the ticket may have run. Event polls carry the lease renewal (one exchange per endpoint and 5 s in place of 2.5 a second), list polls are filtered and conditional, group commits have a least interval, ticks are fewer.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -243,7 +243,8 @@
 func (a *API) postRequest(w http.ResponseWriter, r bunrouter.Request) (string, *problem.Problem) {
 	call, p := a.callOf(w, r)
 	if p != nil {
-		return r.Header.Get(HeaderTicket), p
+		text := r.Header.Get(HeaderTicket)
+		return text, a.truthful(r.Context(), p, text)
 	}
 	answer := a.router.Run(r.Context(), call)
 	text := ""
@@ -264,6 +265,19 @@
 	return text, nil
 }
 
+// truthful turns the refusal of a request that came with a ticket into a doubt,
+// since an earlier sending with the ticket may have run,
+// unless the zone's holder knows that none did.
+func (a *API) truthful(ctx context.Context, p *problem.Problem, ticketText string) *problem.Problem {
+	t, err := ticket.Parse(ticketText)
+	if err != nil || p.Verdict != problem.NotRun || !a.router.MayHaveRun(ctx, t) {
+		return p
+	}
+	doubt := *p
+	doubt.Verdict = problem.Unknown
+	return &doubt
+}
+
 // callOf checks a request and converts it.
 func (a *API) callOf(w http.ResponseWriter, r bunrouter.Request) (*router.Call, *problem.Problem) {
 	grant, p := a.guard.Admit(secret(r.Request), r.Param("queue"))
--- a/internal/api/jobs.go
+++ b/internal/api/jobs.go
@@ -74,10 +74,6 @@
 
 // postJob accepts a durable job.
 func (a *API) postJob(w http.ResponseWriter, r bunrouter.Request) (string, *problem.Problem) {
-	grant, p := a.guard.Admit(secret(r.Request), r.Param("queue"))
-	if p != nil {
-		return "", p
-	}
 	body, p := a.readBody(w, r.Request)
 	if p != nil {
 		return "", p
@@ -86,8 +82,12 @@
 	if err := json.Unmarshal(body, &job); err != nil {
 		return "", problem.Refuse(problem.BadRequest, "send a job as JSON", "the body is not a job: %v", err)
 	}
-	if p := job.check(grant.Queue.Runner); p != nil {
-		return job.Ticket, p
+	grant, p := a.guard.Admit(secret(r.Request), r.Param("queue"))
+	if p == nil {
+		p = job.check(grant.Queue.Runner)
+	}
+	if p != nil {
+		return job.Ticket, jobTruthful(p, job.Ticket)
 	}
 	t, p := a.jobTicket(r, &job)
 	if p != nil {
@@ -116,6 +116,17 @@
 	return t.String(), nil
 }
 
+// jobTruthful turns the refusal of a job that came with a ticket into a doubt
+// if a job under the ticket may have been accepted.
+func jobTruthful(p *problem.Problem, ticketText string) *problem.Problem {
+	if _, err := ticket.Parse(ticketText); err != nil || p.Verdict != problem.NotRun {
+		return p
+	}
+	doubt := *p
+	doubt.Verdict = problem.Unknown
+	return &doubt
+}
+
 // jobTicket returns the caller's ticket or makes one.
 func (a *API) jobTicket(r bunrouter.Request, job *jobBody) (ticket.Ticket, *problem.Problem) {
 	if job.Ticket == "" {
--- a/internal/claimant/claimant.go
+++ b/internal/claimant/claimant.go
@@ -23,7 +23,7 @@
 
 const (
 	// interval is the time between two looks at the holder.
-	interval = 50 * time.Millisecond
+	interval = 100 * time.Millisecond
 	// stagger is the further silence that each next daemon in line waits for,
 	// so that one claims at a time.
 	stagger = 400 * time.Millisecond
--- a/internal/endpoint/wire.go
+++ b/internal/endpoint/wire.go
@@ -188,12 +188,19 @@
 }
 
 // EventsRequest polls for events with a sequence above After, waiting up to
-// WaitMS milliseconds for the first.
+// WaitMS milliseconds for the first. It renews the lease at its begin, so that
+// an idle endpoint costs its holder one exchange per wait.
 type EventsRequest struct {
 	Session uint64 `json:"session"`
 	Epoch   uint64 `json:"epoch"`
 	After   uint64 `json:"after"`
 	WaitMS  int64  `json:"wait_ms"`
+	// LeaseToken and LeaseMS renew the lease as a heartbeat does; LeaseMS 0
+	// renews nothing.
+	LeaseToken uint64 `json:"lease_token,omitempty"`
+	LeaseMS    int64  `json:"lease_ms,omitempty"`
+	// Leaving is what the holder knows; a poll returns at once if it is wrong.
+	Leaving bool `json:"leaving,omitempty"`
 }
 
 // EventsResponse returns events in any order, possibly again after a lost
@@ -203,6 +210,11 @@
 	Events      []Event `json:"events"`
 	// Next is the After value of the next poll.
 	Next uint64 `json:"next"`
+	// LeaseToken, Leaving and Usage are as in a HeartbeatResponse. Usage comes
+	// with polls that returned no event.
+	LeaseToken uint64      `json:"lease_token,omitempty"`
+	Leaving    bool        `json:"leaving,omitempty"`
+	Usage      []TaskUsage `json:"usage,omitempty"`
 }
 
 // Event is a part of an answer or the end of a task.
--- a/internal/holder/batcher.go
+++ b/internal/holder/batcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"gopkg.in/tomb.v2"
 )
@@ -18,6 +19,9 @@
 // of entries.
 type batcher[E sized] struct {
 	commit func([]E) (again []E)
+	// gap is the least time between the begins of two commits. It bounds the
+	// appends of a zone whatever the rate of entries.
+	gap time.Duration
 
 	mu      sync.Mutex
 	waiting []E
@@ -26,8 +30,8 @@
 
 // newBatcher returns a batcher that calls commit with each group; what commit
 // returns goes into the next group again.
-func newBatcher[E sized](commit func([]E) []E) *batcher[E] {
-	return &batcher[E]{commit: commit, wake: make(chan struct{}, 1)}
+func newBatcher[E sized](gap time.Duration, commit func([]E) []E) *batcher[E] {
+	return &batcher[E]{commit: commit, gap: gap, wake: make(chan struct{}, 1)}
 }
 
 // add queues an entry.
@@ -54,7 +58,9 @@
 			if len(group) == 0 {
 				break
 			}
+			began := time.Now()
 			b.putBack(b.commit(group))
+			rest(t, b.gap-time.Since(began))
 		}
 	}
 }
@@ -85,3 +91,16 @@
 	defer b.mu.Unlock()
 	b.waiting = append(again, b.waiting...)
 }
+
+// rest waits for d or until t dies.
+func rest(t *tomb.Tomb, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-t.Dying():
+	case <-timer.C:
+	}
+}
--- a/internal/holder/commit.go
+++ b/internal/holder/commit.go
@@ -15,6 +15,10 @@
 const (
 	// appendTimeout bounds the wait for a record to be read back.
 	appendTimeout = 4 * time.Second
+	// jobsGap and outcomesGap are the least times between two group commits of
+	// accepted jobs and of outcomes.
+	jobsGap     = 50 * time.Millisecond
+	outcomesGap = 100 * time.Millisecond
 	// appendPause is the pause after a failed append that is tried again.
 	appendPause = 250 * time.Millisecond
 )
--- a/internal/holder/fakes_test.go
+++ b/internal/holder/fakes_test.go
@@ -99,7 +99,7 @@
 type fixedList []platform.Instance
 
 // Instances implements platform.Lister.
-func (l fixedList) Instances(context.Context) (*platform.InstanceList, error) {
+func (l fixedList) Instances(context.Context, platform.Filter) (*platform.InstanceList, error) {
 	return &platform.InstanceList{Instances: l, AsOf: time.Now()}, nil
 }
 
--- a/internal/holder/registry.go
+++ b/internal/holder/registry.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/bluebellstile/bluebellstile/internal/ticket"
 )
 
 const (
@@ -90,14 +92,25 @@
 			t.ackRequest(key)
 		}
 		for _, key := range forget {
-			if u := t.units[key]; u != nil && u.phase == phaseFinal {
-				delete(t.units, key)
-			}
+			t.forget(key)
 		}
 		t.mu.Unlock()
 	}
 }
 
+// forget drops a ticket. Those of earlier terms stay known until this term
+// ends, since another holder may still declare them as not started.
+func (t *Term) forget(key string) {
+	u := t.units[key]
+	if u == nil || u.phase != phaseFinal {
+		return
+	}
+	if tk, err := ticket.Parse(key); err == nil && tk.Epoch != t.epoch {
+		return
+	}
+	delete(t.units, key)
+}
+
 // ackRequest lets the endpoint of a request forget it, and drops its input and
 // answer. Its ticket stays known, so that it can't run again.
 func (t *Term) ackRequest(key string) {
--- a/internal/holder/request.go
+++ b/internal/holder/request.go
@@ -175,6 +175,18 @@
 	return &doubt
 }
 
+// MayHaveRun reports whether a request with the ticket may have run, or may
+// run yet.
+func (t *Term) MayHaveRun(tk ticket.Ticket) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := &Request{Ticket: tk}
+	if u := t.units[tk.String()]; u != nil {
+		return !u.restartable()
+	}
+	return !t.neverStarted(r) || t.outOfDate(r) != nil
+}
+
 // restartable reports whether a unit ended without running and without anyone
 // having been told, as when the front door died while it waited.
 func (u *unit) restartable() bool {
--- a/internal/holder/sender.go
+++ b/internal/holder/sender.go
@@ -106,6 +106,7 @@
 	defer cancel()
 	response, err := s.client.Start(ctx, &endpoint.StartRequest{Session: s.sessionNumber(), Epoch: s.term.epoch, Tasks: batch})
 	if err != nil {
+		s.term.setUsable(s, false)
 		return s.commandError(err)
 	}
 	s.mu.Lock()
--- a/internal/holder/session.go
+++ b/internal/holder/session.go
@@ -16,13 +16,16 @@
 	// to attach to an endpoint.
 	attachBackoffMin = 50 * time.Millisecond
 	attachBackoffMax = time.Second
-	// silentBeats is after how many missed heartbeats an endpoint gets no new
-	// work.
-	silentBeats = 3
+	// silentGrace is how much longer than a poll waits an endpoint may be
+	// silent before it is sent a heartbeat.
+	silentGrace = time.Second
+	// pollsPerLease is how many polls follow each other during one lease.
+	pollsPerLease = 4
+	// maxPollWait bounds the wait of a poll. It bounds how late an endpoint
+	// that stopped without closing its connections is noticed.
+	maxPollWait = 5 * time.Second
 	// clockDrift is the rate by which two monotonic clocks may differ.
 	clockDrift = 0.01
-	// eventWait is how long a poll for events waits, in milliseconds.
-	eventWait = 1000
 	// callTimeout bounds a command other than a poll.
 	callTimeout = 2 * time.Second
 	// proofInterval is how often a lapsed session looks for proof that this
@@ -132,7 +135,7 @@
 	s.term.adopt(s, response)
 	loops := new(tomb.Tomb)
 	loops.Go(func() error {
-		loops.Go(func() error { return s.runHeartbeats(loops) })
+		loops.Go(func() error { return s.runWatch(loops) })
 		loops.Go(func() error { return s.runEvents(loops) })
 		loops.Go(func() error { return s.runSender(loops) })
 		select {
@@ -157,34 +160,44 @@
 	s.starts = nil
 }
 
-// runHeartbeats renews the lease until it lapses or the session ends.
-func (s *session) runHeartbeats(loops *tomb.Tomb) error {
+// runWatch sends a heartbeat when polls have failed to bring word from the
+// endpoint for a while, and ends the session when its lease has lapsed.
+func (s *session) runWatch(loops *tomb.Tomb) error {
 	ticker := time.NewTicker(s.term.settings.Heartbeat)
 	defer ticker.Stop()
-	missed := 0
 	for {
 		select {
 		case <-loops.Dying():
 			return nil
 		case <-ticker.C:
 		}
+		if s.lapsed() {
+			return errLapsed
+		}
+		if s.silence() < s.pollWait()+silentGrace {
+			continue
+		}
 		err := s.beat()
-		switch {
-		case err == nil && missed > 0:
-			missed = 0
-			s.term.setUsable(s, true)
-		case err == nil:
-		case errors.Is(err, errSessionEnded) || errors.Is(err, errRestarted) || s.lapsed():
+		if errors.Is(err, errSessionEnded) || errors.Is(err, errRestarted) {
 			return err
-		default:
-			missed++
-		}
-		if missed == silentBeats {
-			s.term.setUsable(s, false)
 		}
+		s.term.setUsable(s, err == nil)
 	}
 }
 
+// pollWait is how long a poll for events waits. Each renews the lease, so that
+// several may fail before it lapses.
+func (s *session) pollWait() time.Duration {
+	return min(s.term.settings.Lease/pollsPerLease, maxPollWait)
+}
+
+// silence is how long ago the endpoint answered last.
+func (s *session) silence() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.tokenAt)
+}
+
 // beat sends one heartbeat.
 func (s *session) beat() error {
 	s.mu.Lock()
@@ -204,10 +217,8 @@
 	if response.Incarnation != s.incarnationNow() {
 		return errRestarted
 	}
-	s.mu.Lock()
-	s.token, s.tokenAt = response.LeaseToken, time.Now()
-	s.mu.Unlock()
-	s.term.observeHeartbeat(s, response)
+	s.renew(response.LeaseToken)
+	s.term.observeCondition(s, response.Leaving, response.Usage)
 	return nil
 }
 
@@ -274,22 +285,40 @@
 	return never || s.lapsed()
 }
 
+// renew takes over a lease token that has just arrived.
+func (s *session) renew(token uint64) {
+	if token == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.token, s.tokenAt = token, time.Now()
+}
+
 // runEvents polls for events until the session ends.
 func (s *session) runEvents(loops *tomb.Tomb) error {
-	after := uint64(0)
+	after, failing := uint64(0), false
 	for loops.Alive() {
 		response, err := s.pollEvents(loops, after)
 		if err != nil {
 			if err = s.commandError(err); errors.Is(err, errSessionEnded) {
 				return err
 			}
+			failing = true
+			s.term.setUsable(s, false)
 			s.term.pause(attachBackoffMin)
 			continue
 		}
 		if response.Incarnation != s.incarnationNow() {
 			return errRestarted
 		}
+		if failing {
+			failing = false
+			s.term.setUsable(s, true)
+		}
 		after = response.Next
+		s.renew(response.LeaseToken)
+		s.term.observeCondition(s, response.Leaving, response.Usage)
 		s.term.observeEvents(s, response.Events)
 	}
 	return nil
@@ -297,14 +326,21 @@
 
 // pollEvents makes one long poll.
 func (s *session) pollEvents(loops *tomb.Tomb, after uint64) (*endpoint.EventsResponse, error) {
-	ctx, cancel := context.WithTimeout(loops.Context(context.Background()), callTimeout+eventWait*time.Millisecond)
+	leaving := s.term.knownLeaving(s)
+	s.mu.Lock()
+	request := &endpoint.EventsRequest{
+		Session:    s.number,
+		Epoch:      s.term.epoch,
+		After:      after,
+		WaitMS:     s.pollWait().Milliseconds(),
+		LeaseToken: s.token,
+		LeaseMS:    s.term.settings.Lease.Milliseconds(),
+		Leaving:    leaving,
+	}
+	s.mu.Unlock()
+	ctx, cancel := context.WithTimeout(loops.Context(context.Background()), callTimeout+s.pollWait())
 	defer cancel()
-	return s.client.Events(ctx, &endpoint.EventsRequest{
-		Session: s.sessionNumber(),
-		Epoch:   s.term.epoch,
-		After:   after,
-		WaitMS:  eventWait,
-	})
+	return s.client.Events(ctx, request)
 }
 
 // sessionNumber is the number that the endpoint gave the session.
--- a/internal/holder/sessions.go
+++ b/internal/holder/sessions.go
@@ -11,7 +11,7 @@
 
 const (
 	// sessionInterval is how often the list is compared with the sessions.
-	sessionInterval = 200 * time.Millisecond
+	sessionInterval = 500 * time.Millisecond
 	// goneBound is for how long the platform's list must have lacked an
 	// instance before it counts as removed. It exceeds the list's lag.
 	goneBound = 15 * time.Second
@@ -74,15 +74,22 @@
 	t.kick()
 }
 
-// observeHeartbeat takes in what a heartbeat reported.
-func (t *Term) observeHeartbeat(s *session, response *endpoint.HeartbeatResponse) {
+// knownLeaving is what the endpoint last said of itself.
+func (t *Term) knownLeaving(s *session) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if response.Leaving != s.leaving {
-		s.leaving = response.Leaving
+	return s.leaving
+}
+
+// observeCondition takes in what an endpoint reported of itself.
+func (t *Term) observeCondition(s *session, leaving bool, usages []endpoint.TaskUsage) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if leaving != s.leaving {
+		s.leaving = leaving
 		t.applyUsable(s)
 	}
-	for _, usage := range response.Usage {
+	for _, usage := range usages {
 		if u := t.units[keyOf(usage.ID)]; u != nil && u.spec.ID == usage.ID {
 			t.engine.Usage(u.key, engineSize(usage.Usage))
 		}
--- a/internal/holder/term.go
+++ b/internal/holder/term.go
@@ -129,10 +129,10 @@
 	t.ledger = team.NewLedger(func(name string) int64 {
 		return deps.Journal.State().Allotment(name, settings.AvailabilityZone)
 	})
-	t.jobLog = newBatcher(t.commitJobs)
-	t.outcomes = newBatcher(t.commitOutcomes)
-	t.rosters = newBatcher(t.commitRoster)
-	t.transfers = newBatcher(t.commitTransfers)
+	t.jobLog = newBatcher(jobsGap, t.commitJobs)
+	t.outcomes = newBatcher(outcomesGap, t.commitOutcomes)
+	t.rosters = newBatcher(0, t.commitRoster)
+	t.transfers = newBatcher(0, t.commitTransfers)
 	return t
 }
 
--- a/internal/holder/world_test.go
+++ b/internal/holder/world_test.go
@@ -147,7 +147,7 @@
 	if claim.Epoch != epoch {
 		w.t.Errorf("claim at %d is void", epoch)
 	}
-	directory := membership.NewDirectory(w.list, slog.New(slog.DiscardHandler))
+	directory := membership.NewDirectory(w.list, "z", slog.New(slog.DiscardHandler))
 	w.tomb.Go(func() error { return directory.Run(&w.tomb) })
 	term := NewTerm(Settings{AvailabilityZone: zoneName, Holder: d.name, Lease: testLease, Heartbeat: testBeat}, Dependencies{
 		Journal:         d.journal,
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -46,16 +46,19 @@
 	ring      *ring
 	// first and end bound what the log keeps.
 	first, end uint64
+	// advanced is closed and replaced whenever a page has been applied.
+	advanced chan struct{}
 }
 
 // New returns a journal over log that fills state.
 func New(log platform.Log, state *cell.State, logger *slog.Logger) *Journal {
 	return &Journal{
-		log:     log,
-		state:   state,
-		slog:    logger,
-		waiters: make(map[string]chan cell.Effect),
-		ring:    newRing(ringBytes),
+		log:      log,
+		state:    state,
+		slog:     logger,
+		waiters:  make(map[string]chan cell.Effect),
+		ring:     newRing(ringBytes),
+		advanced: make(chan struct{}),
 	}
 }
 
--- a/internal/journal/tail.go
+++ b/internal/journal/tail.go
@@ -137,4 +137,32 @@
 	if !page.AsOf.IsZero() {
 		j.Prove(page.AsOf, page.End)
 	}
+	if len(page.Records) > 0 {
+		j.mu.Lock()
+		close(j.advanced)
+		j.advanced = make(chan struct{})
+		j.mu.Unlock()
+	}
+}
+
+// Await waits until the record at an offset has been applied, for at most
+// wait. Its error is that of ctx.
+func (j *Journal) Await(ctx context.Context, offset uint64, wait time.Duration) error {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		j.mu.Lock()
+		advanced := j.advanced
+		j.mu.Unlock()
+		if j.state.Applied() >= offset {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-timer.C:
+			return nil
+		case <-advanced:
+		}
+	}
 }
--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -21,9 +22,11 @@
 	listTimeout = 2 * time.Second
 )
 
-// Directory holds the latest list of instances. It is safe for concurrent use.
+// Directory holds the latest list of instances: all daemons, and the endpoints
+// of the own availability zone. It is safe for concurrent use.
 type Directory struct {
 	lister platform.Lister
+	zone   string
 	slog   *slog.Logger
 
 	mu      sync.Mutex
@@ -37,9 +40,9 @@
 	absentSince time.Time
 }
 
-// NewDirectory returns a directory that is empty until Run has read the list.
-func NewDirectory(lister platform.Lister, logger *slog.Logger) *Directory {
-	return &Directory{lister: lister, slog: logger, entries: make(map[string]entry)}
+// NewDirectory returns a directory for a zone that is empty until Run has read the list.
+func NewDirectory(lister platform.Lister, zone string, logger *slog.Logger) *Directory {
+	return &Directory{lister: lister, zone: zone, slog: logger, entries: make(map[string]entry)}
 }
 
 // Run polls the list until t dies.
@@ -60,12 +63,17 @@
 func (d *Directory) refresh(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	list, err := d.lister.Instances(ctx)
+	entries, err := d.lister.Instances(ctx, platform.Filter{Role: platform.RoleEntry})
 	if err != nil {
 		d.slog.Debug("read of the instance list failed", "error", err)
 		return
 	}
-	d.replace(list.Instances, time.Now())
+	own, err := d.lister.Instances(ctx, platform.Filter{AvailabilityZone: d.zone})
+	if err != nil {
+		d.slog.Debug("read of the zone's instance list failed", "error", err)
+		return
+	}
+	d.replace(slices.Concat(entries.Instances, own.Instances), time.Now())
 }
 
 // replace takes over a list that was read at now.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -23,13 +23,15 @@
 	maxTail = 512
 	// maxTailWait bounds how long a relayed read waits.
 	maxTailWait = 2 * time.Second
-	// tailPoll is how often a waiting relayed read looks again.
-	tailPoll = 10 * time.Millisecond
 )
 
 // TermOf returns the term that runs in this daemon, nil if none does.
 type TermOf func() *holder.Term
 
+// EndedOf returns the term of this daemon that ended under an epoch, nil if it
+// is not kept. It can still answer for its tickets.
+type EndedOf func(epoch uint64) *holder.Term
+
 // Server answers the other daemons.
 type Server struct {
 	peerv1connect.UnimplementedPeerServiceHandler
@@ -37,6 +39,7 @@
 	table   *membership.Table
 	journal *journal.Journal
 	term    TermOf
+	ended   EndedOf
 	zone    string
 	// jobs reads a job of a team from the state here.
 	jobs JobReader
@@ -46,8 +49,8 @@
 type JobReader func(id, team string) (*peerv1.JobStatusResponse, *problem.Problem)
 
 // NewServer returns a server for the daemon of the given zone.
-func NewServer(heart *Heart, table *membership.Table, j *journal.Journal, term TermOf, zone string, jobs JobReader) *Server {
-	return &Server{heart: heart, table: table, journal: j, term: term, zone: zone, jobs: jobs}
+func NewServer(heart *Heart, table *membership.Table, j *journal.Journal, term TermOf, ended EndedOf, zone string, jobs JobReader) *Server {
+	return &Server{heart: heart, table: table, journal: j, term: term, ended: ended, zone: zone, jobs: jobs}
 }
 
 // Handler returns the path and handler to mount.
@@ -100,9 +103,15 @@
 // Run implements the service.
 func (s *Server) Run(ctx context.Context, r *connect.Request[peerv1.RunRequest]) (*connect.Response[peerv1.RunResponse], error) {
 	term := s.held(r.Msg.AvailabilityZone)
+	if term == nil && r.Msg.AvailabilityZone == s.zone {
+		term = s.ended(r.Msg.Epoch)
+	}
 	if term == nil {
 		return connect.NewResponse(runProblem(s.notHere(r.Msg.AvailabilityZone))), nil
 	}
+	if r.Msg.Lookup {
+		return connect.NewResponse(lookup(term, r.Msg.Ticket)), nil
+	}
 	request, err := s.requestOf(r.Msg)
 	if err != nil {
 		return connect.NewResponse(runProblem(problem.From(err, problem.NotRun))), nil
@@ -112,6 +121,18 @@
 	return connect.NewResponse(RunOn(ctx, term, request)), nil
 }
 
+// lookup says whether a ticket may have run.
+func lookup(term *holder.Term, text string) *peerv1.RunResponse {
+	t, err := ticket.Parse(text)
+	if err != nil {
+		return runProblem(problem.From(err, problem.NotRun))
+	}
+	if term.MayHaveRun(t) {
+		return &peerv1.RunResponse{Verdict: peerv1.Verdict_VERDICT_UNKNOWN, Epoch: term.Epoch()}
+	}
+	return &peerv1.RunResponse{Verdict: peerv1.Verdict_VERDICT_NOT_RUN, Epoch: term.Epoch()}
+}
+
 // RunOn runs a request on a term of this daemon.
 func RunOn(ctx context.Context, term *holder.Term, request *holder.Request) *peerv1.RunResponse {
 	result := term.Run(ctx, request)
@@ -290,13 +311,8 @@
 // Tail implements the service.
 func (s *Server) Tail(ctx context.Context, r *connect.Request[peerv1.TailRequest]) (*connect.Response[peerv1.TailResponse], error) {
 	wait := min(time.Duration(r.Msg.WaitMs)*time.Millisecond, maxTailWait)
-	deadline := time.Now().Add(wait)
-	for s.journal.State().Applied() < r.Msg.From && time.Now().Before(deadline) {
-		select {
-		case <-ctx.Done():
-			return nil, connect.NewError(connect.CodeCanceled, ctx.Err())
-		case <-time.After(tailPoll):
-		}
+	if err := s.journal.Await(ctx, r.Msg.From, wait); err != nil {
+		return nil, connect.NewError(connect.CodeCanceled, err)
 	}
 	response := &peerv1.TailResponse{FreshAgeMs: -1}
 	if age, end, ok := s.journal.Fresh(); ok {
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -26,7 +26,9 @@
 
 // Lister is the platform's lagging list of instances.
 type Lister interface {
-	Instances(ctx context.Context) (*InstanceList, error)
+	// Instances returns the instances that pass the filter. An unchanged list
+	// costs the platform no body if it gives entity tags.
+	Instances(ctx context.Context, filter Filter) (*InstanceList, error)
 }
 
 // Operations, as named in errors and metrics.
@@ -72,7 +74,8 @@
 	breakers map[string]*breaker
 	metrics  *metrics
 	// end is the highest log end seen; the log never goes below it.
-	end atomic.Uint64
+	end   atomic.Uint64
+	lists listCache
 }
 
 var (
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -260,12 +260,12 @@
 		goleak.VerifyNone(t)
 	})
 	list.Set([]platform.Instance{{ID: "w2"}})
-	got, err := client.Instances(context.Background())
+	got, err := client.Instances(context.Background(), platform.Filter{})
 	if err != nil || len(got.Instances) != 1 || got.Instances[0].ID != "w1" {
 		t.Fatalf("lagging list %+v, %v", got, err)
 	}
 	set(t, list.Faults(), "lag", "0s")
-	got, err = client.Instances(context.Background())
+	got, err = client.Instances(context.Background(), platform.Filter{})
 	if err != nil || len(got.Instances) != 1 || got.Instances[0].ID != "w2" {
 		t.Fatalf("list %+v, %v", got, err)
 	}
--- a/internal/platform/exchange.go
+++ b/internal/platform/exchange.go
@@ -32,6 +32,14 @@
 	body   []byte
 	// wait is how long the platform may hold the request.
 	wait time.Duration
+	// tag, if set, makes the request conditional.
+	tag *entityTag
+}
+
+// entityTag is the tag of a cached answer and what became of asking again.
+type entityTag struct {
+	known     string
+	unchanged bool
 }
 
 // exchange makes one attempt, decodes the body into out and keeps the
@@ -79,6 +87,9 @@
 		return &attemptError{kind: KindBadRequest, certainty: noEffect, permanent: true, cause: err}
 	}
 	req.Header.Set("Content-Type", "application/json")
+	if r.tag != nil && r.tag.known != "" {
+		req.Header.Set("If-None-Match", r.tag.known)
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return &attemptError{kind: KindUnavailable, certainty: sendCertainty(sent.Load()), cause: err}
@@ -90,9 +101,16 @@
 	if err != nil {
 		return &attemptError{kind: KindUnavailable, certainty: mayHaveEffect, cause: err}
 	}
+	if r.tag != nil && resp.StatusCode == http.StatusNotModified {
+		r.tag.unchanged = true
+		return nil
+	}
 	if resp.StatusCode != http.StatusOK {
 		return statusError(resp.StatusCode, body)
 	}
+	if r.tag != nil {
+		r.tag.known = resp.Header.Get("ETag")
+	}
 	return decodeBody(body, out)
 }
 
--- a/internal/platform/read.go
+++ b/internal/platform/read.go
@@ -68,19 +68,3 @@
 	}
 	return nil
 }
-
-// Instances implements Lister.
-func (c *Client) Instances(ctx context.Context) (*InstanceList, error) {
-	r := request{op: opList, method: http.MethodGet, url: c.listURL + PathInstances}
-	list, err := retry(ctx, c, opList, func() (*InstanceList, error) {
-		var list InstanceList
-		if err := c.exchange(ctx, r, &list); err != nil {
-			return nil, err
-		}
-		return &list, nil
-	})
-	if err != nil {
-		return nil, c.failure(opList, kindOfAttempt(err), err)
-	}
-	return list, nil
-}
--- a/internal/platform/wire.go
+++ b/internal/platform/wire.go
@@ -29,6 +29,27 @@
 	Offset uint64 `json:"offset"`
 }
 
+// Filter narrows the list; empty fields match everything.
+type Filter struct {
+	Role             Role
+	AvailabilityZone string
+}
+
+// Parameters of a filtered list. A platform that doesn't know them answers the
+// whole list, which the client narrows itself.
+const (
+	ParamRole             = "role"
+	ParamAvailabilityZone = "availability_zone"
+)
+
+// Matches reports whether an instance passes the filter.
+func (f Filter) Matches(i Instance) bool {
+	if f.Role != "" && i.Role != f.Role {
+		return false
+	}
+	return f.AvailabilityZone == "" || i.AvailabilityZone == f.AvailabilityZone
+}
+
 // Record is one entry of the log.
 type Record struct {
 	Offset uint64 `json:"offset"`
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -34,6 +34,8 @@
 	// movedGrace is how long a call goes on after another claim was read, for
 	// the old holder to declare what it has not started.
 	movedGrace = 300 * time.Millisecond
+	// previousTimeout bounds the question to the previous holder of a zone.
+	previousTimeout = 300 * time.Millisecond
 	// probeTimeout bounds a heartbeat that asks for the ticket generation.
 	probeTimeout = time.Second
 )
@@ -194,10 +196,14 @@
 	sent bool
 }
 
-// runTicket brings a ticket to its outcome at whoever holds its zone.
+// runTicket brings a ticket to its outcome at whoever holds its zone. A ticket
+// that the caller brought may have been sent before.
 func (r *Router) runTicket(ctx context.Context, c *Call, t ticket.Ticket, until time.Time) Answer {
 	request := r.request(c, t)
-	sent := false
+	sent := c.Ticket != nil
+	if answer, answered := r.askPrevious(ctx, t, request); answered {
+		return answer
+	}
 	for {
 		a := r.attempt(ctx, request, until)
 		sent = sent || a.sent
@@ -216,6 +222,46 @@
 	}
 }
 
+// askPrevious asks the previous holder of the zone about a ticket of its term:
+// it may have the answer, or declare that the request has not started.
+func (r *Router) askPrevious(ctx context.Context, t ticket.Ticket, request *peerv1.RunRequest) (answer Answer, answered bool) {
+	claim, ok := r.claims.previous(t.AvailabilityZone, t.Epoch)
+	if !ok {
+		return Answer{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, previousTimeout)
+	defer cancel()
+	request.DeadlineMs = previousTimeout.Milliseconds()
+	response, err := r.clients.To(r.address(claim)).Run(ctx, connect.NewRequest(request))
+	if err != nil {
+		return Answer{}, false
+	}
+	answer = answerOf(t, response.Msg)
+	if answer.Problem == nil {
+		return answer, true
+	}
+	request.NotStartedEpoch = response.Msg.NotStartedEpoch
+	return Answer{}, false
+}
+
+// MayHaveRun reports whether a request with the ticket may have run. It is
+// true if the zone's holder can't be asked.
+func (r *Router) MayHaveRun(ctx context.Context, t ticket.Ticket) bool {
+	claim, ok := r.state.Epoch(t.AvailabilityZone)
+	if !ok {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	response, err := r.clients.To(r.address(claim)).Run(ctx, connect.NewRequest(&peerv1.RunRequest{
+		Ticket:           t.String(),
+		Epoch:            t.Epoch,
+		AvailabilityZone: t.AvailabilityZone,
+		Lookup:           true,
+	}))
+	return err != nil || response.Msg.Verdict != peerv1.Verdict_VERDICT_NOT_RUN || response.Msg.Problem != nil
+}
+
 // answerOf converts a holder's response.
 func answerOf(t ticket.Ticket, m *peerv1.RunResponse) Answer {
 	return Answer{
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -19,7 +19,9 @@
 
 // watchedClaim is a context that lasts as long as a claim.
 type watchedClaim struct {
-	epoch  uint64
+	claim zone.Claim
+	// before is the claim that this one ended, as far as it was read here.
+	before zone.Claim
 	ctx    context.Context
 	cancel context.CancelFunc
 }
@@ -33,18 +35,27 @@
 		w.zones = make(map[string]watchedClaim)
 	}
 	watched, ok := w.zones[claim.Zone]
-	if ok && watched.epoch >= claim.Epoch {
+	if ok && watched.claim.Epoch >= claim.Epoch {
 		return watched.ctx
 	}
 	if ok {
 		watched.cancel()
+		watched.before = watched.claim
 	}
-	watched.epoch = claim.Epoch
+	watched.claim = claim
 	watched.ctx, watched.cancel = context.WithCancel(context.Background())
 	w.zones[claim.Zone] = watched
 	return watched.ctx
 }
 
+// previous returns the claim before the current one if it has the given epoch.
+func (w *claimWatch) previous(zoneName string, epoch uint64) (zone.Claim, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	watched := w.zones[zoneName]
+	return watched.before, epoch != 0 && watched.before.Epoch == epoch
+}
+
 // Observe follows the claims in log order.
 func (r *Router) Observe(effect cell.Effect) {
 	if effect.Kind != record.KindClaim || !effect.Valid {
--- a/internal/server/keeper.go
+++ b/internal/server/keeper.go
@@ -12,14 +12,11 @@
 	"github.com/bluebellstile/bluebellstile/internal/placement"
 	"github.com/bluebellstile/bluebellstile/internal/record"
 	"github.com/bluebellstile/bluebellstile/internal/zone"
-	"gopkg.in/tomb.v2"
 )
 
 const (
 	// liveWithin is the silence after which a daemon is no successor.
 	liveWithin = time.Second
-	// handOverPoll is how often a hand-over looks whether it has been applied.
-	handOverPoll = 20 * time.Millisecond
 )
 
 // keeper runs a term while the log says that this daemon holds its zone.
@@ -28,6 +25,9 @@
 
 	mu   sync.Mutex
 	term *holder.Term
+	// last is the latest term that has ended here. It answers for its tickets
+	// until it is replaced.
+	last *holder.Term
 	// ended are terms that are being stopped.
 	ended sync.WaitGroup
 }
@@ -42,6 +42,16 @@
 	return k.term
 }
 
+// endedTerm returns the latest ended term if it has the given epoch.
+func (k *keeper) endedTerm(epoch uint64) *holder.Term {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.last == nil || k.last.Epoch() != epoch {
+		return nil
+	}
+	return k.last
+}
+
 // observe follows the claims on the zone in log order and passes every effect
 // to the running term.
 func (k *keeper) observe(effect cell.Effect) {
@@ -69,13 +79,15 @@
 		k.server.report.recorder.Follow(claim.Epoch, time.Now())
 		k.term = k.newTerm(claim)
 		k.term.Start()
+		term := k.term
+		k.ended.Go(func() { k.watch(term) })
 	}
 }
 
 // end stops the running term in the background; the caller holds the lock.
 func (k *keeper) end(reason error) {
 	term := k.term
-	k.term = nil
+	k.term, k.last = nil, term
 	k.server.report.recorder.Follow(0, time.Now())
 	k.ended.Go(func() { term.Stop(reason) })
 }
@@ -102,26 +114,14 @@
 	}, placement.New(), claim)
 }
 
-// run drops a term that has ended by itself, as when an endpoint showed a
-// higher epoch.
-func (k *keeper) run(t *tomb.Tomb) error {
-	ticker := time.NewTicker(handOverPoll)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-t.Dying():
-			return nil
-		case <-ticker.C:
-		}
-		k.mu.Lock()
-		if k.term != nil {
-			select {
-			case <-k.term.Dying():
-				k.end(holder.ErrSuperseded)
-			default:
-			}
-		}
-		k.mu.Unlock()
+// watch drops a term that ends by itself, as when an endpoint showed a higher
+// epoch.
+func (k *keeper) watch(term *holder.Term) {
+	<-term.Dying()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.term == term {
+		k.end(holder.ErrSuperseded)
 	}
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -124,7 +124,7 @@
 // compose makes the parts and connects them.
 func (s *Server) compose(tlsClient *tls.Config) {
 	s.platform = platform.NewClient(s.settings.Platform.LogURL, s.settings.Platform.ListURL)
-	s.directory = membership.NewDirectory(s.platform, s.log)
+	s.directory = membership.NewDirectory(s.platform, s.self.AvailabilityZone, s.log)
 	s.table = membership.NewTable()
 	s.journal = journal.New(s.platform, cell.New(), s.log)
 	s.clients = peer.NewClients(tlsClient, s.linkOf)
@@ -157,7 +157,7 @@
 		MaxHeaderBytes:    s.settings.Limits.MaxHeaderBytes,
 	}
 	mux := http.NewServeMux()
-	mux.Handle(peer.NewServer(s.heart, s.table, s.journal, s.keeper.current, s.self.AvailabilityZone, s.router.LocalJob).Handler())
+	mux.Handle(peer.NewServer(s.heart, s.table, s.journal, s.keeper.current, s.keeper.endedTerm, s.self.AvailabilityZone, s.router.LocalJob).Handler())
 	s.peer.http = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, Protocols: peerProtocols(tlsServer), TLSConfig: tlsServer}
 	operators := admin.New(admin.Dependencies{
 		Self:      s.self,
@@ -189,7 +189,6 @@
 		func() error { return s.journal.Run(s.tomb, s.relay.Choose) },
 		func() error { return s.heart.Run(s.tomb) },
 		func() error { return s.claimant.Run(s.tomb) },
-		func() error { return s.keeper.run(s.tomb) },
 		func() error { return s.runGauges(s.tomb) },
 		func() error { return s.runSnapshots(s.tomb) },
 		func() error { return s.runReport(s.tomb) },
--- a/internal/server/standing.go
+++ b/internal/server/standing.go
@@ -10,7 +10,7 @@
 )
 
 // gaugeInterval is how often gauges are set.
-const gaugeInterval = 250 * time.Millisecond
+const gaugeInterval = time.Second
 
 // standing is the daemon's part in its zone at present.
 func (s *Server) standing() peer.Standing {
--- a/internal/standin/cmd/standin/main_test.go
+++ b/internal/standin/cmd/standin/main_test.go
@@ -139,7 +139,7 @@
 	defer client.Close()
 	shows := func(id string) func() bool {
 		return func() bool {
-			list, err := client.Instances(context.Background())
+			list, err := client.Instances(context.Background(), platform.Filter{})
 			return err == nil && len(list.Instances) == 1 && list.Instances[0].ID == id
 		}
 	}
--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -171,6 +171,7 @@
 		e.record(history.Event{Kind: history.EndpointLeaving})
 	}
 	e.leaving = leaving
+	e.events.wake()
 }
 
 func (e *Endpoint) isLeaving() bool {
--- a/internal/standin/endpoint_commands.go
+++ b/internal/standin/endpoint_commands.go
@@ -109,12 +109,15 @@
 
 // poll waits for events above the request's After.
 func (e *Endpoint) poll(ctx context.Context, req *endpoint.EventsRequest) (*endpoint.EventsResponse, error) {
+	if err := e.renewByPoll(req); err != nil {
+		return nil, err
+	}
 	wait := min(max(time.Duration(req.WaitMS)*time.Millisecond, 0), endpoint.MaxPollWait)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for waiting := wait > 0; ; {
 		resp, changed, err := e.pollOnce(req)
-		if err != nil || len(resp.Events) > 0 || !waiting {
+		if err != nil || len(resp.Events) > 0 || resp.Leaving != req.Leaving || !waiting {
 			return resp, err
 		}
 		select {
@@ -136,7 +139,31 @@
 	if err := e.enterSessionLocked(req.Epoch, req.Session, time.Now()); err != nil {
 		return nil, nil, err
 	}
-	return e.pollLocked(req.After), e.events.changed, nil
+	resp := e.pollLocked(req.After)
+	resp.LeaseToken = e.issueToken(time.Now())
+	resp.Leaving = e.leaving
+	if len(resp.Events) == 0 {
+		resp.Usage = e.usage.report(e.sampleLocked(time.Now()), e.knobs.usageLag.get())
+	}
+	return resp, e.events.changed, nil
+}
+
+// renewByPoll renews the lease at the begin of a poll.
+func (e *Endpoint) renewByPoll(req *endpoint.EventsRequest) error {
+	if req.LeaseMS == 0 {
+		return nil
+	}
+	if req.LeaseMS < 0 || req.LeaseMS > maxLease.Milliseconds() {
+		return badRequest(fmt.Sprintf("lease_ms is not from 0 to %d", maxLease.Milliseconds()))
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	if err := e.enterSessionLocked(req.Epoch, req.Session, now); err != nil {
+		return err
+	}
+	e.renewLocked(req.LeaseToken, time.Duration(req.LeaseMS)*time.Millisecond, now)
+	return nil
 }
 
 // ack forgets finished tasks. Their ids stay known, so that a late repetition
--- a/internal/standin/list.go
+++ b/internal/standin/list.go
@@ -2,12 +2,14 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/bluebellstile/bluebellstile/internal/platform"
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -124,12 +126,37 @@
 // Handler serves the list's interface.
 func (l *List) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+platform.PathInstances, func(w http.ResponseWriter, _ *http.Request) {
-		writeJSON(w, http.StatusOK, l.Instances())
-	})
+	mux.HandleFunc("GET "+platform.PathInstances, l.serveList)
 	return l.link.wrap(mux)
 }
 
+// serveList answers the filtered list, or that it has not changed.
+func (l *List) serveList(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	filter := platform.Filter{
+		Role:             platform.Role(query.Get(platform.ParamRole)),
+		AvailabilityZone: query.Get(platform.ParamAvailabilityZone),
+	}
+	list := l.Instances()
+	list.Instances = slices.DeleteFunc(list.Instances, func(i platform.Instance) bool { return !filter.Matches(i) })
+	tag := entityTag(list.Instances)
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	writeJSON(w, http.StatusOK, list)
+}
+
+// entityTag identifies the contents of a list.
+func entityTag(instances []platform.Instance) string {
+	h := xxhash.New()
+	for _, i := range instances {
+		_, _ = fmt.Fprintf(h, "%q\n", i)
+	}
+	return fmt.Sprintf(`"%x"`, h.Sum64())
+}
+
 // PathTrueInstances takes PUT of a JSON list of instances on the admin address.
 const PathTrueInstances = "/instances"
 
