--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -27,6 +27,8 @@
 	reservation *reservation
 	preempting  []*task
 	quarantined []*endpoint
+	// suspects is above 0 while an endpoint may have a suspicion.
+	suspects int
 
 	now         time.Duration
 	accruedAt   time.Duration
@@ -34,6 +36,8 @@
 	housekept   bool
 	// level is the mean share per weight of the teams that wait for room.
 	level float64
+	// activeLevel is that of all teams with work.
+	activeLevel float64
 
 	// limit, misses, searches and out belong to the Schedule call under way.
 	limit    int
@@ -46,6 +50,8 @@
 // scratch is memory that is used again from call to call.
 type scratch struct {
 	candidate candidate
+	filters   []filter
+	scorers   []weightedScorer
 	slots     []gangSlot
 	openings  []opening
 	ends      []taskEnd
--- a/internal/placement/filter.go
+++ b/internal/placement/filter.go
@@ -26,8 +26,10 @@
 	return c
 }
 
-// filter is the extension point that rules endpoints out.
+// filter is the extension point that rules endpoints out. Filters that are not
+// relevant are left out of the search for the candidate.
 type filter interface {
+	relevant(e *engine, c *candidate) bool
 	admit(c *candidate, ep *endpoint) bool
 }
 
@@ -39,17 +41,23 @@
 // roomFilter admits endpoints whose free room holds the task.
 type roomFilter struct{}
 
+func (roomFilter) relevant(*engine, *candidate) bool { return true }
+
 func (roomFilter) admit(c *candidate, ep *endpoint) bool { return c.size.fits(ep.free) }
 
 // openFilter admits endpoints that are available and not in quarantine.
 type openFilter struct{}
 
+func (openFilter) relevant(*engine, *candidate) bool { return true }
+
 func (openFilter) admit(c *candidate, ep *endpoint) bool { return ep.open(c.now) }
 
 // holdFilter keeps held room for its owner. A backfill task may use it if its
 // cautious run time ends before the owner can start.
 type holdFilter struct{}
 
+func (holdFilter) relevant(e *engine, _ *candidate) bool { return len(e.owners) > 0 }
+
 func (holdFilter) admit(c *candidate, ep *endpoint) bool {
 	if len(ep.holds) == 0 || c.size.fits(ep.roomFor(c)) {
 		return true
--- a/internal/placement/health.go
+++ b/internal/placement/health.go
@@ -5,9 +5,15 @@
 const (
 	// suspectAt is the suspicion at which an endpoint is quarantined.
 	suspectAt = 2.5
+	// leastTrust is the trust below which a failure says nothing about the
+	// endpoint.
+	leastTrust = 0.3
 	// recentWorks is how many different works are remembered per endpoint, so
 	// that one broken job counts once.
 	recentWorks = 8
+	// suspectMemory is the number of successes after the last failure for
+	// which suspicions are looked at when a task is placed.
+	suspectMemory = 10000
 	// evidenceSize is how many outcomes are remembered per source.
 	evidenceSize = 16
 	// maxQuarantined is the largest part of a kind's endpoints in quarantine.
@@ -101,13 +107,15 @@
 	trust := tk.source.evidence.trust(ep)
 	tk.source.evidence.add(ep, result == ResultFailed)
 	if result == ResultDone {
+		e.suspects = max(0, e.suspects-1)
 		h.succeed()
 		return
 	}
-	if h.seen(tk.Work) {
+	if trust < leastTrust || h.seen(tk.Work) {
 		return
 	}
 	h.suspicion += trust
+	e.suspects = suspectMemory
 	if h.suspicion >= suspectAt || h.probation > 0 && trust >= typicalQuantile {
 		e.quarantine(ep, now)
 	}
--- a/internal/placement/hold.go
+++ b/internal/placement/hold.go
@@ -12,15 +12,23 @@
 	ep    *endpoint
 	size  Resources
 	count int64
+	// firm holds yield to urgent work only, others to any higher class.
+	firm bool
 	// ready is when the owner is expected to use the room.
 	ready   time.Duration
 	expires time.Duration
 }
 
-// yieldsTo reports whether c may use the held room: its owner, and urgent work
-// where the owner isn't urgent.
+// yieldsTo reports whether c may use the held room: its owner, and work of a
+// higher class.
 func (h *hold) yieldsTo(c *candidate) bool {
-	return h.owner == c.item || c.variant == variantUrgent && h.owner.Class != ClassUrgent
+	if h.owner == c.item {
+		return true
+	}
+	if h.firm && c.variant != variantUrgent {
+		return false
+	}
+	return c.item.Class < h.owner.Class
 }
 
 // held returns the number of tasks of it that have room held.
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -13,6 +13,8 @@
 	maxOwners = 64
 	// preemptScan bounds the works of a bucket that are looked at per call.
 	preemptScan = 64
+	// reclaimBelow is the part of its share below which a team takes room back.
+	reclaimBelow = 0.75
 	// preemptRetry is the wait after a search that found no victims.
 	preemptRetry = 250 * time.Millisecond
 )
@@ -55,18 +57,18 @@
 	e.preemptClass(ClassBatch, e.policy.ReclaimAfter, e.overShare)
 }
 
-// overShare admits victims whose team would still have at least as large a
-// share per weight as the claimant's would then have, so that a preemption is
-// never followed by its reverse.
+// overShare admits victims for a claimant whose share per weight is well below
+// the mean of all teams with work; the victim's team must stay above that mean,
+// so that a preemption is never followed by its reverse.
 func (e *engine) overShare(it *item) func(*task) bool {
 	claimant := it.bucket.team
-	after := (claimant.share + dominant(it.Size, e.fleet.scale)) / claimant.weight()
+	short := claimant.share < reclaimBelow*e.activeLevel*claimant.weight()
 	return func(tk *task) bool {
-		if tk.Class < it.Class || tk.team == claimant {
+		if !short || tk.Class < it.Class || tk.team == claimant {
 			return false
 		}
 		left := tk.team.share - dominant(tk.charged, e.fleet.scale)
-		return left/tk.team.weight() >= after
+		return left >= e.activeLevel*tk.team.weight()
 	}
 }
 
--- a/internal/placement/property_test.go
+++ b/internal/placement/property_test.go
@@ -179,10 +179,28 @@
 		Size:       Resources{MilliCores: rapid.Int64Range(1, 20).Draw(t, "cores") * 1000},
 		Idempotent: true, Preemptible: rapid.Bool().Draw(t, "preemptible"), Started: m.now,
 	}
+	m.adoptWaiting(t, &r)
 	m.running[r.Task] = r
 	m.each(func(e Engine) { e.Adopt(r) })
 }
 
+// adoptWaiting turns r into a task that waits here too, as when work is
+// submitted again before the inventory that shows it running.
+func (m *model) adoptWaiting(t *rapid.T, r *Running) {
+	id, ok := m.pickWork(t)
+	if !ok || rapid.Bool().Draw(t, "new") {
+		return
+	}
+	w := m.works[id]
+	task := rapid.SampledFrom(w.Tasks).Draw(t, "task")
+	if !m.waiting[id][task] {
+		return
+	}
+	delete(m.waiting[id], task)
+	r.Task, r.Work, r.Team, r.Queue, r.Class, r.Size = task, w.ID, w.Team, w.Queue, w.Class, w.Size
+	r.Idempotent, r.Preemptible = w.Idempotent, w.Preemptible
+}
+
 func (m *model) finish(t *rapid.T) {
 	var ids []string
 	for i := 1; i <= m.seq; i++ {
@@ -283,6 +301,19 @@
 	}
 }
 
+// removeEndpoint forgets an endpoint on which nothing runs.
+func (m *model) removeEndpoint(t *rapid.T) {
+	id := fmt.Sprintf("e%d", rapid.IntRange(0, 7).Draw(t, "endpoint"))
+	for _, r := range m.running {
+		if r.Endpoint == id {
+			return
+		}
+	}
+	delete(m.capacity, id)
+	delete(m.closed, id)
+	m.each(func(e Engine) { e.RemoveEndpoint(id) })
+}
+
 // conserved compares the counts of waiting and running tasks.
 func (m *model) conserved(t *rapid.T) {
 	for _, team := range modelTeams {
@@ -317,7 +348,7 @@
 			m.setTeam(t)
 		}
 		t.Repeat(map[string]func(*rapid.T){
-			"team": m.setTeam, "endpoint": m.setEndpoint, "available": m.setAvailable, "submit": m.submit, "submit2": m.submit,
+			"team": m.setTeam, "endpoint": m.setEndpoint, "available": m.setAvailable, "remove": m.removeEndpoint, "submit": m.submit, "submit2": m.submit,
 			"resubmit": m.resubmit, "withdraw": m.withdraw, "cancel": m.cancel, "adopt": m.adopt, "finish": m.finish,
 			"schedule": m.schedule, "schedule2": m.schedule, "": m.conserved,
 		})
--- a/internal/placement/reserve.go
+++ b/internal/placement/reserve.go
@@ -67,20 +67,22 @@
 	shadow := max(e.now, openings[len(openings)-1].at)
 	size := e.effectiveSize(it.bucket.team, it)
 	e.reservation = &reservation{owner: it, shadow: shadow, expires: expires}
+	firm := e.overdue(it.bucket.team, it)
 	for _, o := range openings {
-		e.holdOpening(it, o, size, shadow, expires)
+		e.holdOpening(hold{owner: it, ep: o.ep, size: size, count: o.copies, firm: firm, ready: shadow, expires: expires})
 	}
 }
 
-func (e *engine) holdOpening(it *item, o opening, size Resources, shadow, expires time.Duration) {
-	for _, h := range it.holds {
-		if h.ep == o.ep {
-			h.count += o.copies
-			it.bucket.team.held += int(o.copies)
+// holdOpening adds a hold, or widens the one on the same endpoint.
+func (e *engine) holdOpening(more hold) {
+	for _, h := range more.owner.holds {
+		if h.ep == more.ep {
+			h.count += more.count
+			more.owner.bucket.team.held += int(more.count)
 			return
 		}
 	}
-	e.addHold(&hold{owner: it, ep: o.ep, size: size, count: o.copies, ready: shadow, expires: expires})
+	e.addHold(&more)
 }
 
 // reservationCandidate returns the blocked work that may be reserved for:
--- a/internal/placement/score.go
+++ b/internal/placement/score.go
@@ -2,7 +2,9 @@
 
 // scorer is the extension point that ranks the endpoints left by the filters;
 // the largest weighted sum wins, the first endpoint by id among equals.
+// Scorers that are not relevant to the candidate are left out.
 type scorer interface {
+	relevant(e *engine, c *candidate) bool
 	score(c *candidate, ep *endpoint) float64
 }
 
@@ -26,21 +28,23 @@
 // Service runners are filled evenly instead, because slots don't fragment.
 type bestFit struct{}
 
+func (bestFit) relevant(*engine, *candidate) bool { return true }
+
 func (bestFit) score(c *candidate, ep *endpoint) float64 {
-	left := 0.0
-	for i, x := range toVector(ep.free.sub(c.size)) {
-		left += x * ep.scale[i]
-	}
 	if ep.Runner {
-		return left
+		return float64(ep.free.Slots) * ep.scale[3]
 	}
-	return -left
+	return -float64(ep.free.MilliCores-c.size.MilliCores)*ep.scale[0] -
+		float64(ep.free.MemoryMB-c.size.MemoryMB)*ep.scale[1] -
+		float64(ep.free.Accelerators-c.size.Accelerators)*ep.scale[2]
 }
 
 // balance prefers the endpoint whose free cores and free memory are left most
 // alike, as parts of its capacity: room in one alone is of no use.
 type balance struct{}
 
+func (balance) relevant(_ *engine, c *candidate) bool { return !c.item.Runner }
+
 func (balance) score(c *candidate, ep *endpoint) float64 {
 	cores := float64(ep.free.MilliCores-c.size.MilliCores) * ep.scale[0]
 	memory := float64(ep.free.MemoryMB-c.size.MemoryMB) * ep.scale[1]
@@ -51,8 +55,12 @@
 // accelerators, the more so the more of those are free.
 type keepAccelerators struct{}
 
-func (keepAccelerators) score(c *candidate, ep *endpoint) float64 {
-	if c.size.Accelerators > 0 || ep.Capacity.Accelerators == 0 {
+func (keepAccelerators) relevant(e *engine, c *candidate) bool {
+	return c.size.Accelerators == 0 && e.fleet.total.Accelerators > 0
+}
+
+func (keepAccelerators) score(_ *candidate, ep *endpoint) float64 {
+	if ep.Capacity.Accelerators == 0 {
 		return 0
 	}
 	return -0.5 - 0.5*float64(ep.free.Accelerators)*ep.scale[2]
@@ -61,10 +69,9 @@
 // spreadRacks prefers racks with few tasks of the same work.
 type spreadRacks struct{}
 
+func (spreadRacks) relevant(_ *engine, c *candidate) bool { return c.racks != nil }
+
 func (spreadRacks) score(c *candidate, ep *endpoint) float64 {
-	if c.racks == nil {
-		return 0
-	}
 	return -float64(c.racks[ep.rack])
 }
 
@@ -72,10 +79,13 @@
 // a broken job's failures over many endpoints.
 type avoidSuspects struct{}
 
+func (avoidSuspects) relevant(e *engine, _ *candidate) bool { return e.suspects > 0 }
+
 func (avoidSuspects) score(_ *candidate, ep *endpoint) float64 { return -ep.health.suspicion }
 
 // bestEndpoint returns the best endpoint for one task, nil if none admits it.
 func (e *engine) bestEndpoint(c *candidate) *endpoint {
+	e.selectPlugins(c)
 	var best *endpoint
 	bestScore := 0.0
 	for _, ep := range e.fleet.kind(c.item.Runner) {
@@ -89,8 +99,24 @@
 	return best
 }
 
-func (e *engine) admits(c *candidate, ep *endpoint) bool {
+// selectPlugins leaves out the filters and scorers that can't matter to c.
+func (e *engine) selectPlugins(c *candidate) {
+	e.scratch.filters = e.scratch.filters[:0]
 	for _, f := range e.filters {
+		if f.relevant(e, c) {
+			e.scratch.filters = append(e.scratch.filters, f)
+		}
+	}
+	e.scratch.scorers = e.scratch.scorers[:0]
+	for _, s := range e.scorers {
+		if s.relevant(e, c) {
+			e.scratch.scorers = append(e.scratch.scorers, s)
+		}
+	}
+}
+
+func (e *engine) admits(c *candidate, ep *endpoint) bool {
+	for _, f := range e.scratch.filters {
 		if !f.admit(c, ep) {
 			return false
 		}
@@ -100,7 +126,7 @@
 
 func (e *engine) score(c *candidate, ep *endpoint) float64 {
 	total := 0.0
-	for _, s := range e.scorers {
+	for _, s := range e.scratch.scorers {
 		total += s.weight * s.score(c, ep)
 	}
 	return total
--- a/internal/placement/shape.go
+++ b/internal/placement/shape.go
@@ -7,6 +7,7 @@
 
 const (
 	variantUrgent variant = iota
+	variantService
 	variantPlain
 	// variantBackfill and above may use held room for backfillRuns of the rest.
 	variantBackfill
@@ -179,11 +180,14 @@
 // variantOf returns what it may do with held room. Only tasks that can be
 // stopped again without harm are placed there, for a known run time.
 func (e *engine) variantOf(t *team, it *item) variant {
-	if it.Class == ClassUrgent {
+	switch it.Class {
+	case ClassUrgent:
 		return variantUrgent
+	case ClassService:
+		return variantService
 	}
 	run := e.longRun(t, it)
-	if it.Class != ClassBatch || it.Gang || !it.Preemptible || !it.Idempotent || run == 0 {
+	if it.Gang || !it.Preemptible || !it.Idempotent || run == 0 {
 		return variantPlain
 	}
 	for i, longest := range backfillRuns {
--- a/internal/placement/share.go
+++ b/internal/placement/share.go
@@ -105,13 +105,19 @@
 // contenders marks the teams that wait for room and sums their shares and
 // weights.
 func (e *engine) contenders() (pool, weights float64) {
+	allShares, allWeights := 0.0, 0.0
 	for _, t := range e.teamList {
+		if t.running > 0 || t.waiting > 0 {
+			allShares += t.share
+			allWeights += t.weight()
+		}
 		t.hungry = t.blockedWork()
 		if t.hungry {
 			pool += t.share
 			weights += t.weight()
 		}
 	}
+	e.activeLevel = allShares / max(1, allWeights)
 	e.level = 0
 	if weights > 0 {
 		e.level = pool / weights
