--- a/internal/report/burn_test.go
+++ b/internal/report/burn_test.go
@@ -54,6 +54,9 @@
 	for _, s := range []Span{{100, 200}, {300, 400}, {200, 250}, {390, 500}} {
 		c = c.add(s, 0)
 	}
+	if len(c) != 2 {
+		t.Errorf("spans %v, want two", c)
+	}
 	for name, w := range map[string]struct {
 		window Span
 		share  float64
--- a/internal/report/log_test.go
+++ b/internal/report/log_test.go
@@ -155,6 +155,11 @@
 	second := l.claim("new", first)
 	c, r = holderOf(l, second, now)
 	record4()
+	// A retry whose first copy counts.
+	again := l.records[len(l.records)-1]
+	l.offset++
+	l.records = append(l.records, logged{l.offset, again.id, again.data})
+	l.apply(l.records[len(l.records)-1])
 	for _, part := range append(l.state.SnapshotShared(), l.state.SnapshotZone("a")...) {
 		l.write(journal.NewID(), &record.Envelope{Kind: record.KindSnapshot, Snapshot: part})
 	}
@@ -270,6 +275,7 @@
 	r.Follow(0, now)
 	r.Lost(first, "press", "urgent")
 	r.Follow(l.claim("d", first), now)
+	r.Lost(first, "press", "urgent")
 	now = now.Add(time.Minute)
 	if err := r.Record(t.Context(), now); err != nil {
 		t.Fatal(err)
