--- a/internal/report/burn_test.go
+++ b/internal/report/burn_test.go
@@ -38,8 +38,8 @@
 		"fast":                   {map[string]Ratio{"5m": hot, "1h": hot, "6h": hot, "3d": warm}, Fast},
 		"over since 5 minutes":   {map[string]Ratio{"5m": cold, "1h": hot, "6h": cold, "3d": cold}, NoAlert},
 		"begun 5 minutes ago":    {map[string]Ratio{"5m": hot, "1h": warm, "6h": cold, "3d": cold}, NoAlert},
-		"slow":                   {map[string]Ratio{"5m": cold, "1h": cold, "6h": warm, "3d": Ratio{20, 1000}}, Slow},
-		"slow, over since 6h":    {map[string]Ratio{"6h": cold, "3d": Ratio{20, 1000}}, NoAlert},
+		"slow":                   {map[string]Ratio{"5m": cold, "1h": cold, "6h": warm, "3d": {20, 1000}}, Slow},
+		"slow, over since 6h":    {map[string]Ratio{"6h": cold, "3d": {20, 1000}}, NoAlert},
 		"too few bad events":     {map[string]Ratio{"5m": {4, 4}, "1h": {4, 4}, "6h": {4, 4}, "3d": {4, 4}}, NoAlert},
 		"just enough bad events": {map[string]Ratio{"5m": {5, 5}, "1h": {5, 5}}, Fast},
 	} {
--- a/internal/report/log_test.go
+++ b/internal/report/log_test.go
@@ -273,7 +273,9 @@
 	c.Started("press", "urgent", 0, "")
 	c.Answered("press", "urgent", problem.Done, "")
 	r.Follow(0, now)
-	r.Lost(first, "press", "urgent")
+	if r.Lost(first, "press", "urgent") {
+		t.Error("a loss counts that nobody holds the zone for")
+	}
 	r.Follow(l.claim("d", first), now)
 	r.Lost(first, "press", "urgent")
 	now = now.Add(time.Minute)
--- a/internal/report/recorder.go
+++ b/internal/report/recorder.go
@@ -88,14 +88,15 @@
 }
 
 // Lost counts a task of an accepted durable job that was lost, if it ended
-// under the current epoch.
-func (r *Recorder) Lost(epoch uint64, team, queue string) {
+// under the current epoch, and reports whether it did.
+func (r *Recorder) Lost(epoch uint64, team, queue string) bool {
 	r.mu.Lock()
 	current := epoch == r.epoch && epoch != 0
 	r.mu.Unlock()
 	if current {
 		r.collector.Lost(team, queue)
 	}
+	return current
 }
 
 // Record ends the current period and appends what waits for the log, the
--- a/internal/server/report.go
+++ b/internal/server/report.go
@@ -74,8 +74,9 @@
 		if o.State != job.StateUnknown {
 			continue
 		}
-		if j, ok := r.server.journal.State().Job(o.Job); ok {
-			r.recorder.Lost(outcomes.Epoch, j.Spec.Team, j.Spec.Queue)
+		j, ok := r.server.journal.State().Job(o.Job)
+		if ok && r.recorder.Lost(outcomes.Epoch, j.Spec.Team, j.Spec.Queue) {
+			r.server.log.Warn("outcome of an accepted task is unknown", "job", o.Job, "task", o.Index, "team", j.Spec.Team, "queue", j.Spec.Queue, "reason", o.Reason)
 		}
 	}
 }
