Test the log's retention and judge refusals during a planned stop

The matrix never let the log drop a record, so that a reader that begins behind the trim was never tried. A longer matrix was ruled out, since it is the number of records that counts.

The checker of planned stops counted new requests that a stopping daemon refused as 'not run'. They aren't cut off: nothing of theirs was in flight, and the promise is about what is. Requests that were in flight when the stop began are judged as before, new ones still by broken connections and 'unknown'; both are cases of the checker's test.

--- a/internal/harness/cell.go
+++ b/internal/harness/cell.go
@@ -28,6 +28,8 @@
 	TakeoverAfter  time.Duration
 	DrainTimeout   time.Duration
 	ListLag        time.Duration
+	// LogRetention is the number of records that the log keeps; 0 keeps all.
+	LogRetention int
 	// Dir receives settings, logs and histories; empty means a temporary one.
 	Dir string
 }
--- a/internal/harness/standins.go
+++ b/internal/harness/standins.go
@@ -99,7 +99,7 @@
 func (n *standinNode) Alive() bool { return n.process.alive() }
 
 func (c *Cell) startLog() error {
-	c.logNode = &standinNode{name: LogName, args: []string{"log"}}
+	c.logNode = &standinNode{name: LogName, args: []string{"log", "-retention", strconv.Itoa(c.Options.LogRetention)}}
 	if err := c.logNode.start(c.bins.Standin, c.path("log.out")); err != nil {
 		return err
 	}
--- a/internal/history/edge_test.go
+++ b/internal/history/edge_test.go
@@ -149,6 +149,12 @@
 	{"request in flight refused by the stop", StopCutsNothing, []Event{
 		sent(0, "r1"), {UnixNano: at(s), Kind: DrainStarted, Daemon: "d1"}, answered(2*s, "r1", VerdictNotRun, "draining"),
 	}, 1},
+	{"new request refused by the stopping daemon", StopCutsNothing, []Event{
+		{UnixNano: at(0), Kind: DrainStarted, Daemon: "d1"}, sent(s, "r1"), answered(2*s, "r1", VerdictNotRun, "draining"),
+	}, 0},
+	{"new request cut off by the stopping daemon", StopCutsNothing, []Event{
+		{UnixNano: at(0), Kind: DrainStarted, Daemon: "d1"}, sent(s, "r1"), answered(2*s, "r1", VerdictUnknown, "draining"),
+	}, 1},
 	{"another fault struck as well", StopCutsNothing, []Event{
 		sent(0, "r1"), {UnixNano: at(s), Kind: DrainStarted, Daemon: "d2"},
 		{UnixNano: at(s), Kind: FaultInjected, Fault: "kill", Endpoint: "w1"}, answered(2*s, "r1", VerdictUnknown, "endpoint_lost"),
