Keep the matrix's rows over runs and pause workers

A full matrix takes longer than the time between two mends, so that the page on faults was either old or missing. Rows now carry the commit that they ran on; a run of some cells replaces their rows, and the page is written from all of them. Typing the page was ruled out.

A worker that is paused past its lease is a fault of its own now. A cut of links that carry no connection is an error instead of a pass.

--- a/internal/harness/faults.go
+++ b/internal/harness/faults.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/bluebellstile/bluebellstile/internal/history"
 	"github.com/bluebellstile/bluebellstile/internal/testrelay"
 )
@@ -156,15 +158,31 @@
 }
 
 // CutLinks applies a fault to the links that match until the returned
-// function heals them.
-func (c *Cell) CutLinks(name string, match func(Link) bool, fault testrelay.Fault) func() error {
+// function heals them. Links that carry no connection can't show anything, so
+// that it is an error if none of them does.
+func (c *Cell) CutLinks(name string, match func(Link) bool, fault testrelay.Fault) (func() error, error) {
+	if !c.inUse(match) {
+		return nil, errors.Errorf("no connection to cut for %q", name)
+	}
 	healed := c.inject(history.Event{Fault: name})
 	c.SetLinks(match, fault)
 	return func() error {
 		c.SetLinks(match, testrelay.Fault{})
 		healed()
 		return nil
+	}, nil
+}
+
+// inUse reports whether a link that matches carries a connection.
+func (c *Cell) inUse(match func(Link) bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for l, r := range c.relays {
+		if match(l) && r.Connections() > 0 {
+			return true
+		}
 	}
+	return false
 }
 
 // BetweenZones matches links from one zone to another, in both directions.
--- a/internal/harness/matrix/load.go
+++ b/internal/harness/matrix/load.go
@@ -164,12 +164,12 @@
 }
 
 // awaitJob waits for the outcomes of one job and records them.
-func (w *world) awaitJob(ctx context.Context, j acceptedJob) bool {
+func (w *world) awaitJob(ctx context.Context, j acceptedJob) {
 	want := func(i int) []byte {
 		if j.sleeps {
 			return sleepOutput(j.inputs[i])
 		}
 		return j.inputs[i]
 	}
-	return j.caller.AwaitJob(ctx, w.Entries(""), j.id, len(j.inputs), want)
+	j.caller.AwaitJob(ctx, w.Entries(""), j.id, len(j.inputs), want)
 }
--- a/internal/harness/matrix/matrix_test.go
+++ b/internal/harness/matrix/matrix_test.go
@@ -47,6 +47,7 @@
 		for i, cell := range selected {
 			cell.Seed = seed
 			cell.Test = "TestMatrix"
+			cell.Commit = os.Getenv("BLUEBELLSTILE_COMMIT")
 			results[i] = withRecovery(notRun(cell, "the cell was broken off"), cell, nil)
 			t.Run(fileName(cell), func(t *testing.T) {
 				t.Parallel()
@@ -116,17 +117,31 @@
 	if err := Print(os.Stdout, rows); err != nil {
 		t.Error(err)
 	}
-	if path := os.Getenv("BLUEBELLSTILE_FAULTS_PAGE"); path != "" {
-		page, err := os.Create(path)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if err := WriteReport(page, rows); err != nil {
-			t.Error(err)
-		}
-		if err := page.Close(); err != nil {
-			t.Error(err)
-		}
+	if path := os.Getenv("BLUEBELLSTILE_ROWS"); path != "" {
+		keepRows(t, path, rows)
+	}
+}
+
+// keepRows merges the rows with those of earlier runs and writes the page on
+// faults from all of them.
+func keepRows(t *testing.T, path string, rows []Row) {
+	earlier, err := readRows(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	all := mergeRows(earlier, rows)
+	if err := writeRows(path, all); err != nil {
+		t.Fatal(err)
+	}
+	page, err := os.Create(os.Getenv("BLUEBELLSTILE_FAULTS_PAGE"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := WriteReport(page, all); err != nil {
+		t.Error(err)
+	}
+	if err := page.Close(); err != nil {
+		t.Error(err)
 	}
 }
 
--- a/internal/harness/matrix/row.go
+++ b/internal/harness/matrix/row.go
@@ -26,6 +26,7 @@
 	AnswerLost        Fault = "answer lost"
 	ListWrong         Fault = "list lagging or wrong"
 	WorkerDeath       Fault = "worker death"
+	WorkerPause       Fault = "worker pause"
 	WorkerFails       Fault = "worker fails everything"
 	OperatorsRacing   Fault = "operators racing"
 	CancellationWave  Fault = "cancellation wave"
@@ -36,7 +37,7 @@
 // Faults lists every fault in the order of the report.
 var Faults = []Fault{
 	None, Kill, PauseFault, CutZones, CutPlatform, CutOneWay, LogDown, LogSlow, AnswerLost, ListWrong,
-	WorkerDeath, WorkerFails, OperatorsRacing, CancellationWave, AllTogether, TwiceInSuccession,
+	WorkerDeath, WorkerPause, WorkerFails, OperatorsRacing, CancellationWave, AllTogether, TwiceInSuccession,
 }
 
 // Step is how far a request, or the daemon that holds it, has come when the
@@ -83,6 +84,8 @@
 	Verdict Verdict `json:"verdict"`
 	Test    string  `json:"test"`
 	Seed    int64   `json:"seed"`
+	// Commit is the version of the code that the cell ran on.
+	Commit string `json:"commit,omitempty"`
 	// Detail says why a row failed or wasn't run.
 	Detail string `json:"detail,omitempty"`
 }
--- a/internal/harness/matrix/row_test.go
+++ b/internal/harness/matrix/row_test.go
@@ -48,15 +48,27 @@
 func TestReportShowsFailuresFirst(t *testing.T) {
 	rows := []Row{
 		{Fault: Kill, Step: Started, Promise: history.PromiseKeys, Verdict: Passed},
-		{Fault: Kill, Step: Queued, Promise: history.PromiseKeys, Verdict: Failed, Detail: "evidence"},
+		{Fault: Kill, Step: Queued, Promise: history.PromiseKeys, Verdict: Failed, Detail: "evidence", Commit: "1a2b"},
 	}
 	var b strings.Builder
 	if err := WriteReport(&b, rows); err != nil {
 		t.Fatal(err)
 	}
-	for _, want := range []string{"| keys | kill | failed | started | queued | none |", "- kill, queued, keys (seed 0): evidence", "| keys | pause | not run |"} {
+	for _, want := range []string{"| keys | kill | failed | started | queued | none |", "- kill, queued, keys (seed 0, commit 1a2b): evidence", "| keys | pause | not run |"} {
 		if !strings.Contains(b.String(), want) {
 			t.Errorf("report lacks %q", want)
 		}
 	}
 }
+
+func TestMergeRowsKeepsTheLaterRun(t *testing.T) {
+	earlier := []Row{
+		{Fault: Kill, Step: Sent, Promise: history.PromiseKeys, Verdict: Failed},
+		{Fault: None, Step: Sent, Promise: history.PromiseKeys, Verdict: Passed},
+	}
+	later := []Row{{Fault: Kill, Step: Sent, Promise: history.PromiseKeys, Verdict: Passed, Commit: "1a2b"}}
+	got := mergeRows(earlier, later)
+	if len(got) != 2 || got[0].Fault != None || got[1].Verdict != Passed || got[1].Commit != "1a2b" {
+		t.Fatalf("merged rows %+v", got)
+	}
+}
--- a/internal/harness/matrix/strikes.go
+++ b/internal/harness/matrix/strikes.go
@@ -29,6 +29,7 @@
 	AnswerLost:        strikeAnswerLost,
 	ListWrong:         strikeListWrong,
 	WorkerDeath:       strikeWorkerDeath,
+	WorkerPause:       strikeWorkerPause,
 	WorkerFails:       strikeWorkerFails,
 	OperatorsRacing:   strikeOperatorsRacing,
 	CancellationWave:  strikeCancellationWave,
@@ -65,19 +66,22 @@
 }
 
 func strikeCutZones(w *world) (func() error, error) {
-	return w.CutLinks(string(CutZones), w.BetweenZones(zoneA, zoneB), testrelay.Blackhole()), nil
+	return w.CutLinks(string(CutZones), w.BetweenZones(zoneA, zoneB), testrelay.Blackhole())
 }
 
 func strikeCutPlatform(w *world) (func() error, error) {
-	return w.CutLinks(string(CutPlatform), w.ToLog(zoneA), testrelay.Blackhole()), nil
+	return w.CutLinks(string(CutPlatform), w.ToLog(zoneA), testrelay.Blackhole())
 }
 
 // strikeCutOneWay stops what zone A opens towards zone B, and what the holder
 // of zone A sends to its endpoints arrives while the answers don't.
 func strikeCutOneWay(w *world) (func() error, error) {
-	first := w.CutLinks(string(CutOneWay), w.FromZoneTo(zoneA, zoneB), testrelay.Fault{StallToTarget: true})
-	second := w.CutLinks(string(CutOneWay)+" to endpoints", w.ToEndpoints(zoneA), testrelay.Fault{StallFromTarget: true})
-	return both(first, second), nil
+	first, err := w.CutLinks(string(CutOneWay), w.FromZoneTo(zoneA, zoneB), testrelay.Fault{StallToTarget: true})
+	if err != nil {
+		return nil, err
+	}
+	second, err := w.CutLinks(string(CutOneWay)+" to endpoints", w.ToEndpoints(zoneA), testrelay.Fault{StallFromTarget: true})
+	return both(first, second), err
 }
 
 func both(heals ...func() error) func() error {
@@ -99,8 +103,8 @@
 	if err != nil {
 		return nil, err
 	}
-	links := w.CutLinks(string(AnswerLost), w.ToEndpoints(zoneA), testrelay.Fault{DropFromTarget: true})
-	return both(healLog, links), nil
+	links, err := w.CutLinks(string(AnswerLost), w.ToEndpoints(zoneA), testrelay.Fault{DropFromTarget: true})
+	return both(healLog, links), err
 }
 
 // strikeListWrong hides a live runner and a live daemon and keeps the rest of
@@ -129,6 +133,15 @@
 	return both(worker, w.FailEndpoint(zoneA+"-r1")), nil
 }
 
+// strikeWorkerPause stops endpoints of zone A for longer than their lease.
+func strikeWorkerPause(w *world) (func() error, error) {
+	worker := w.PauseEndpoint(zoneA + "-w1")
+	if !w.Endpoints[zoneA+"-r1"].Alive() {
+		return worker, nil
+	}
+	return both(worker, w.PauseEndpoint(zoneA+"-r1")), nil
+}
+
 func strikeWorkerFails(w *world) (func() error, error) {
 	return w.EndpointSwitch(zoneA+"-w1", "fail_tasks", true, false)
 }
@@ -186,7 +199,10 @@
 	if err != nil {
 		return nil, err
 	}
-	cut := w.CutLinks(string(CutPlatform), w.ToLog(zoneB), testrelay.Blackhole())
+	cut, err := w.CutLinks(string(CutPlatform), w.ToLog(zoneB), testrelay.Blackhole())
+	if err != nil {
+		return nil, err
+	}
 	return both(cut, slow, w.FailEndpoint(zoneA+"-w1"), kill), nil
 }
 
--- a/scripts/matrix.sh
+++ b/scripts/matrix.sh
@@ -1,6 +1,8 @@
 #!/usr/bin/env bash
 # Runs the fault matrix with real processes and writes docs/FAULTS.md from it.
-# Logs and histories of the cells stay in out/matrix.
+# Logs and histories of the cells stay in out/matrix, all rows in
+# out/matrix-rows.jsonl. A run of some cells replaces their rows only; a run of
+# all begins anew.
 # BLUEBELLSTILE_MATRIX  cells as "fault/step", separated by commas; "fault/" and
 #                       "/step" stand for a whole row or column; default all
 # BLUEBELLSTILE_SEED    seed of the run
@@ -9,8 +11,12 @@
 cd "$(dirname "$0")/.."
 export BLUEBELLSTILE_MATRIX=${BLUEBELLSTILE_MATRIX:-all}
 export BLUEBELLSTILE_MATRIX_DIR=$PWD/out/matrix
+export BLUEBELLSTILE_ROWS=$PWD/out/matrix-rows.jsonl
+export BLUEBELLSTILE_FAULTS_PAGE=$PWD/docs/FAULTS.md
+BLUEBELLSTILE_COMMIT=$(git describe --always --dirty --exclude '*')
+export BLUEBELLSTILE_COMMIT
 if [ "$BLUEBELLSTILE_MATRIX" = all ]; then
-  export BLUEBELLSTILE_FAULTS_PAGE=$PWD/docs/FAULTS.md
+  rm -f "$BLUEBELLSTILE_ROWS"
 fi
 rm -rf "$BLUEBELLSTILE_MATRIX_DIR"
 mkdir -p "$BLUEBELLSTILE_MATRIX_DIR" docs
