--- a/internal/holder/request.go
+++ b/internal/holder/request.go
@@ -23,6 +23,8 @@
 	Command    string
 	Input      []byte
 	Size       endpoint.Resources
+	// Until is the caller's deadline; zero if there is none.
+	Until time.Time
 	// NotStartedEpoch is the epoch of a holder that declared that the request
 	// has not started up to and including its own term; 0 if none did.
 	NotStartedEpoch uint64
@@ -30,12 +32,17 @@
 
 // digest identifies what the ticket was used for.
 func (r *Request) digest() [sha256.Size]byte {
+	return digestOf(r.Team, r.Queue.Name, r.Command, r.Input)
+}
+
+// digestOf identifies a request by what it asks for.
+func digestOf(team, queue, command string, input []byte) [sha256.Size]byte {
 	h := sha256.New()
-	for _, part := range []string{r.Team, r.Queue.Name, r.Command} {
+	for _, part := range []string{team, queue, command} {
 		h.Write([]byte(part))
 		h.Write([]byte{0})
 	}
-	h.Write(r.Input)
+	h.Write(input)
 	return [sha256.Size]byte(h.Sum(nil))
 }
 
@@ -67,6 +74,7 @@
 // Run places a request and waits for its outcome, until ctx ends. The same
 // ticket joins the request that has it already.
 func (t *Term) Run(ctx context.Context, r *Request) Result {
+	r.Until, _ = ctx.Deadline()
 	u, p := t.admit(r)
 	if p != nil {
 		return failed(p)
@@ -102,14 +110,19 @@
 	if u != nil && !u.restartable() {
 		return t.join(u, r)
 	}
+	if p := t.outOfDate(r); p != nil {
+		return nil, p
+	}
 	if r.Ticket.Epoch > t.epoch || !t.tomb.Alive() || t.moving {
 		return nil, problem.Refuse(problem.Moved, "the front door tries the next holder", "this daemon no longer holds the zone").After(retryHint)
 	}
 	if p := t.refuse(r); p != nil {
+		p = t.truthful(r, p)
 		t.observeRefusal(r, p)
 		return nil, p
 	}
 	u = t.newRequestUnit(key, r)
+	u.ran = !t.neverStarted(r)
 	t.units[key] = u
 	u.request.waiters++
 	if t.neverStarted(r) {
@@ -128,14 +141,40 @@
 
 // Declares returns the epoch that a "moved" refusal of the request declares:
 // it has not started up to and including this term. It is 0 if that is not
-// known.
+// known, as when the ticket may have been forgotten.
 func (t *Term) Declares(r *Request) uint64 {
-	if t.neverStarted(r) {
+	if t.neverStarted(r) && t.outOfDate(r) == nil {
 		return t.epoch
 	}
 	return 0
 }
 
+// outOfDate refuses a ticket of this term that may have been forgotten, or
+// that this term can't have given out yet.
+func (t *Term) outOfDate(r *Request) *problem.Problem {
+	now := t.now()
+	switch {
+	case r.Ticket.Epoch != t.epoch:
+		return nil
+	case t.registry.expired(r.Ticket.Generation, now):
+		return problem.Doubt(problem.TicketExpired, "check the effect of the request, then send it with a new ticket", "the ticket is too old for its outcome to be known")
+	case r.Ticket.Generation > t.registry.generation(now):
+		return problem.Refuse(problem.TicketInvalid, "get a ticket from POST /v1/tickets", "the ticket was not given out by this zone")
+	}
+	return nil
+}
+
+// truthful turns the refusal of a request that an earlier term may have run
+// into a doubt.
+func (t *Term) truthful(r *Request, p *problem.Problem) *problem.Problem {
+	if t.neverStarted(r) {
+		return p
+	}
+	doubt := *p
+	doubt.Verdict = problem.Unknown
+	return &doubt
+}
+
 // restartable reports whether a unit ended without running and without anyone
 // having been told, as when the front door died while it waited.
 func (u *unit) restartable() bool {
@@ -146,22 +185,20 @@
 // join adds a caller to a request that has the same ticket.
 func (t *Term) join(u *unit, r *Request) (*unit, *problem.Problem) {
 	if u.request == nil {
-		return nil, problem.Refuse(problem.TicketConflict, "get a new ticket for another request", "the ticket belongs to a job")
+		return nil, problem.Doubt(problem.TicketConflict, "get a new ticket for another request", "the ticket belongs to a job, which may have run")
 	}
 	digest := r.digest()
 	if u.request.known && u.request.digest != digest {
-		return nil, problem.Refuse(problem.TicketConflict, "get a new ticket for another request", "the ticket was used for a different request")
+		return nil, problem.Doubt(problem.TicketConflict, "get a new ticket for another request", "the ticket belongs to a different request, which may have run")
 	}
 	u.request.digest, u.request.known = digest, true
 	u.request.waiters++
+	u.until = max(u.until, t.untilOf(r))
 	return u, nil
 }
 
 // refuse says why a new request can't be taken.
 func (t *Term) refuse(r *Request) *problem.Problem {
-	if r.Ticket.Epoch == t.epoch && t.registry.expired(r.Ticket.Generation, t.now()) {
-		return problem.Doubt(problem.TicketExpired, "check the effect of the request, then send it with a new ticket", "the ticket is too old for its outcome to be known")
-	}
 	if p := t.draining(); p != nil {
 		return p
 	}
@@ -202,7 +239,40 @@
 	if t.line.requests >= t.deps.MaxWaiting() && !t.shed(r) {
 		return problem.Refuse(problem.QueueFull, "retry after the hint, with backoff", "%d requests wait in the zone already", t.line.requests).After(retryHint)
 	}
-	return nil
+	return t.hopeless(r, waiting)
+}
+
+// hopeless refuses a request that would wait past its deadline at the pace at
+// which its team is served in the queue.
+func (t *Term) hopeless(r *Request, waiting int) *problem.Problem {
+	p := t.paces[lineKey{queue: r.Queue.Name, team: r.Team}]
+	until := t.untilOf(r)
+	if p == nil || until == 0 {
+		return nil
+	}
+	now := t.now()
+	wait, ok := p.wait(now, waiting)
+	if !ok || now+wait+p.needed() <= until {
+		return nil
+	}
+	return problem.Refuse(problem.QueueFull, "retry after the hint, with backoff, or with a longer deadline", "%d requests of the team wait in queue %q, about %s", waiting, r.Queue.Name, wait.Round(time.Millisecond)).After(wait)
+}
+
+// untilOf is the deadline of a request on the term's clock, 0 if it has none.
+func (t *Term) untilOf(r *Request) time.Duration {
+	if r.Until.IsZero() {
+		return 0
+	}
+	return max(r.Until.Sub(t.began), 1)
+}
+
+// paceOf returns the pace at which a request's team is served in its queue.
+func (t *Term) paceOf(u *unit) *pace {
+	key := keyOfUnit(u)
+	if t.paces[key] == nil {
+		t.paces[key] = &pace{}
+	}
+	return t.paces[key]
 }
 
 // observeRefusal tells the observer of a request that was never queued.
@@ -243,6 +313,7 @@
 		},
 		keyID:    r.KeyID,
 		enqueued: t.now(),
+		until:    t.untilOf(r),
 		request:  newRequest(),
 	}
 	u.applyQueue(r.Queue)
