--- /dev/null
+++ b/internal/membership/table_test.go
@@ -0,0 +1,180 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	peerv1 "github.com/bluebellstile/bluebellstile/internal/gen/peer/v1"
+	"pgregory.net/rapid"
+)
+
+// beat is a heartbeat that says nothing of freshness, claims or zones.
+func beat(instance string) Beat {
+	return Beat{Instance: instance, Incarnation: "i", AvailabilityZone: "a", Address: instance + ":1", FreshAgeMS: -1, AllZonesAgeMS: -1}
+}
+
+func TestLiveMembers(t *testing.T) {
+	now := time.Now()
+	table := NewTable()
+	leaving, silent, elsewhere := beat("d3"), beat("d4"), beat("d5")
+	leaving.Leaving = true
+	elsewhere.AvailabilityZone = "b"
+	table.Hear(beat("d2"), now)
+	table.Hear(beat("d1"), now)
+	table.Hear(leaving, now)
+	table.Hear(silent, now.Add(-time.Hour))
+	table.Hear(elsewhere, now)
+	for zone, want := range map[string][]string{"a": {"d1", "d2"}, "b": {"d5"}, "": {"d1", "d2", "d5"}, "c": nil} {
+		var got []string
+		for _, m := range table.Live(zone, time.Minute) {
+			got = append(got, m.Instance)
+		}
+		if len(got) != len(want) {
+			t.Errorf("zone %q has %v, want %v", zone, got, want)
+			continue
+		}
+		for i := range want {
+			if got[i] != want[i] {
+				t.Errorf("zone %q has %v, want %v", zone, got, want)
+			}
+		}
+	}
+}
+
+// TestOlderBeatBeatsNothing hears the beats of one daemon in any order: what
+// is known in the end is what the latest one said.
+func TestOlderBeatBeatsNothing(t *testing.T) {
+	start := time.Now()
+	rapid.Check(t, func(rt *rapid.T) {
+		table := NewTable()
+		var latest Beat
+		latestAt := time.Duration(-1)
+		for _, second := range rapid.Permutation([]int{0, 1, 2, 3, 4}).Draw(rt, "order") {
+			at := time.Duration(second) * time.Second
+			b := beat("d1")
+			b.Incarnation = string(rune('a' + second))
+			b.Applied = uint64(second)
+			b.Leaving = rapid.Bool().Draw(rt, "leaving")
+			table.Hear(b, start.Add(at))
+			if at > latestAt {
+				latest, latestAt = b, at
+			}
+			if got := table.HighestApplied(); got != latest.Applied {
+				rt.Fatalf("applied went to %d after %d was heard", got, latest.Applied)
+			}
+			live := table.Live("a", time.Hour)
+			if (len(live) == 0) != latest.Leaving {
+				rt.Fatalf("live %v after the latest beat said leaving %v", live, latest.Leaving)
+			}
+			if len(live) == 1 && live[0].Incarnation != latest.Incarnation {
+				rt.Fatalf("incarnation %q after %q was heard", live[0].Incarnation, latest.Incarnation)
+			}
+		}
+	})
+}
+
+// sighting is one word on a zone's holder.
+type sighting struct {
+	epoch, generation uint64
+	at                time.Duration
+	ageMS             int64
+}
+
+// drawSighting draws a word on a holder; a negative age says nothing.
+func drawSighting(t *rapid.T) sighting {
+	return sighting{
+		epoch:      rapid.Uint64Range(1, 3).Draw(t, "epoch"),
+		generation: rapid.Uint64Range(1, 4).Draw(t, "generation"),
+		at:         time.Duration(rapid.IntRange(0, 10).Draw(t, "at")) * time.Second,
+		ageMS:      rapid.Int64Range(-1, 5).Draw(t, "age") * 1000,
+	}
+}
+
+// TestHolderIsTheLatestWord compares the table with all words heard: of the
+// highest epoch the latest instant and the highest generation count, and no
+// word is dated later than the beat that brought it.
+func TestHolderIsTheLatestWord(t *testing.T) {
+	start := time.Now()
+	rapid.Check(t, func(rt *rapid.T) {
+		table := NewTable()
+		var epoch, generation uint64
+		var heard time.Time
+		for _, s := range rapid.SliceOfN(rapid.Custom(drawSighting), 1, 12).Draw(rt, "sightings") {
+			b := beat("d1")
+			b.Claims = []*peerv1.Claim{{AvailabilityZone: "b", Epoch: s.epoch, Generation: s.generation, HeardAgeMs: s.ageMS}}
+			table.Hear(b, start.Add(s.at))
+			if s.ageMS >= 0 && s.epoch >= epoch {
+				if s.epoch > epoch {
+					epoch, generation, heard = s.epoch, 0, time.Time{}
+				}
+				generation = max(generation, s.generation)
+				heard = later(heard, start.Add(s.at).Add(-time.Duration(s.ageMS)*time.Millisecond))
+			}
+			for e := uint64(1); e <= 3; e++ {
+				at, g, ok := table.Holder("b", e)
+				if ok != (e == epoch) || ok && (!at.Equal(heard) || g != generation) {
+					rt.Fatalf("holder of epoch %d: %v, %d, %v; want epoch %d, %v, %d", e, at, g, ok, epoch, heard, generation)
+				}
+			}
+		}
+	})
+}
+
+// TestProofIsDatedFromItsBeat takes over the latest proof only, and never
+// dates it later than the beat was composed.
+func TestProofIsDatedFromItsBeat(t *testing.T) {
+	start := time.Now()
+	rapid.Check(t, func(rt *rapid.T) {
+		table := NewTable()
+		var best time.Time
+		var offset uint64
+		for i := range rapid.IntRange(1, 10).Draw(rt, "beats") {
+			b := beat("d1")
+			b.FreshAgeMS = rapid.Int64Range(-1, 5).Draw(rt, "age") * 1000
+			b.FreshOffset = uint64(i + 1)
+			at := start.Add(time.Duration(rapid.IntRange(0, 10).Draw(rt, "at")) * time.Second)
+			table.Hear(b, at)
+			proven := at.Add(-time.Duration(b.FreshAgeMS) * time.Millisecond)
+			if b.FreshAgeMS >= 0 && proven.After(best) {
+				best, offset = proven, b.FreshOffset
+			}
+			if gotAt, got := table.Proof(); !gotAt.Equal(best) || got != offset {
+				rt.Fatalf("proof of %d at %v, want %d at %v", got, gotAt, offset, best)
+			}
+		}
+	})
+}
+
+func TestAllZonesNeverGoesBack(t *testing.T) {
+	now := time.Now()
+	table := NewTable()
+	if !table.AllZones().IsZero() {
+		t.Error("all zones were heard before any was")
+	}
+	table.SetAllZones(now)
+	table.SetAllZones(now.Add(-time.Second))
+	old := beat("d1")
+	old.AllZonesAgeMS = 5000
+	table.Hear(old, now)
+	if got := table.AllZones(); !got.Equal(now) {
+		t.Errorf("all zones heard at %v, want %v", got, now)
+	}
+	newer := beat("d1")
+	newer.AllZonesAgeMS = 1000
+	table.Hear(newer, now.Add(3*time.Second))
+	if got := table.AllZones(); !got.Equal(now.Add(2 * time.Second)) {
+		t.Errorf("all zones heard at %v, want 2s later than %v", got, now)
+	}
+}
+
+// TestBeatWithoutAddressKeepsTheKnownOne covers answers, which name none.
+func TestBeatWithoutAddressKeepsTheKnownOne(t *testing.T) {
+	table := NewTable()
+	table.Hear(beat("d1"), time.Now())
+	b := beat("d1")
+	b.Address = ""
+	table.Hear(b, time.Now())
+	if live := table.Live("a", time.Minute); len(live) != 1 || live[0].Address != "d1:1" {
+		t.Errorf("live %v", live)
+	}
+}
