Publish a configuration as a patch of the version that it replaces

Ruled out: patches of the parsed form, which need a second canonical encoding; compression, which leaves about a quarter of the bytes. Audit records name the changes by meaning. A request whose deadline passes after a holder was reached is refused as deadline_while_queued and no longer as no_holder.

--- a/internal/admin/config.go
+++ b/internal/admin/config.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"time"
 
+	"github.com/bluebellstile/bluebellstile/internal/config"
 	"github.com/bluebellstile/bluebellstile/internal/journal"
 	"github.com/bluebellstile/bluebellstile/internal/problem"
 	"github.com/bluebellstile/bluebellstile/internal/record"
@@ -95,7 +97,7 @@
 	if p != nil {
 		return nil, p
 	}
-	a.audit(ctx, author, "publish", wanted.Text)
+	a.audit(ctx, author, "publish", strings.Join(changes, "\n"))
 	a.deps.Log.Info("configuration published", "author", author, "version", applied, "changes", len(changes))
 	return publishedBody{Version: applied, Changes: changes, Zones: a.awaitForce(ctx, next, applied)}, nil
 }
@@ -126,11 +128,7 @@
 func (a *Admin) appendConfig(ctx context.Context, author string, wanted publishBody) (uint64, *problem.Problem) {
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
-	effect, err := a.deps.Journal.Append(ctx, &record.Envelope{Kind: record.KindConfig, Config: &record.Config{
-		Text:     wanted.Text,
-		Expected: wanted.Expected,
-		Author:   author,
-	}})
+	effect, err := a.deps.Journal.Append(ctx, &record.Envelope{Kind: record.KindConfig, Config: a.configRecord(author, wanted)})
 	switch {
 	case errors.Is(err, journal.ErrNotAppended):
 		return 0, problem.Refuse(problem.LogUnavailable, "publish it again when the log is back", "%v", err)
@@ -145,6 +143,28 @@
 	return effect.Offset, nil
 }
 
+// configRecord is the record of a publication: a patch of the version that it
+// replaces where that is shorter, else the whole text.
+func (a *Admin) configRecord(author string, wanted publishBody) *record.Config {
+	out := &record.Config{Text: wanted.Text, Expected: wanted.Expected, Author: author}
+	base, version := a.deps.Journal.State().ConfigText()
+	if version == 0 || version != wanted.Expected {
+		return out
+	}
+	patch := config.NewPatch(base, wanted.Text)
+	size := 0
+	for _, run := range patch.Runs {
+		size += len(run.Text) + patchRunBytes
+	}
+	if size < len(wanted.Text) {
+		out.Text, out.Patch = "", patch
+	}
+	return out
+}
+
+// patchRunBytes is about what a run of a patch takes beside its text.
+const patchRunBytes = 8
+
 // audit records an operator's action. It is not worth failing the action for.
 func (a *Admin) audit(ctx context.Context, author, what, detail string) {
 	_, err := a.deps.Journal.Append(ctx, &record.Envelope{Kind: record.KindAudit, Audit: &record.Audit{
--- a/internal/config/register.go
+++ b/internal/config/register.go
@@ -52,14 +52,26 @@
 		return record.NewVoid(record.VoidConflict, "the configuration expects version %d but %d by %q is in force; rebase on it and publish again",
 			c.Expected, r.current.Version, r.current.Author)
 	}
-	parsed, err := operator.Parse(c.Text)
+	text, err := r.textOf(c)
+	if err != nil {
+		return err
+	}
+	parsed, err := operator.Parse(text)
 	if err != nil {
 		return record.NewVoid(record.VoidInvalid, "the configuration is invalid and version %d stays in force: %v", r.current.Version, err)
 	}
-	r.set(Version{Version: offset, Expected: c.Expected, Author: c.Author, Text: c.Text}, parsed)
+	r.set(Version{Version: offset, Expected: c.Expected, Author: c.Author, Text: text}, parsed)
 	return nil
 }
 
+// textOf returns the text that a record publishes.
+func (r *Register) textOf(c *record.Config) (string, error) {
+	if c.Patch == nil {
+		return c.Text, nil
+	}
+	return ApplyPatch(r.current.Text, c.Patch)
+}
+
 // repeat checks a version that was appended again.
 func (r *Register) repeat(c *record.Config) error {
 	if c.Base != r.current.Version {
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -60,6 +60,22 @@
 	// Base is set when the version in force is appended again; the version
 	// stays Base.
 	Base uint64 `cbor:"4,keyasint,omitempty"`
+	// Patch makes the text from that of version Expected; Text is empty then.
+	Patch *ConfigPatch `cbor:"5,keyasint,omitempty"`
+}
+
+// ConfigPatch makes a text from another one.
+type ConfigPatch struct {
+	Runs []PatchRun `cbor:"1,keyasint"`
+	// Sum is the begin of the SHA-256 of the text that results.
+	Sum []byte `cbor:"2,keyasint"`
+}
+
+// PatchRun is Text, followed by Count sections of the base from Start on.
+type PatchRun struct {
+	Start int    `cbor:"1,keyasint,omitempty"`
+	Count int    `cbor:"2,keyasint,omitempty"`
+	Text  string `cbor:"3,keyasint,omitempty"`
 }
 
 // Claim makes Holder the holder of a zone if Previous is the current epoch
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -200,13 +200,13 @@
 // that the caller brought may have been sent before.
 func (r *Router) runTicket(ctx context.Context, c *Call, t ticket.Ticket, until time.Time) Answer {
 	request := r.request(c, t)
-	sent := c.Ticket != nil && *c.Ticket == t
+	sent, reached := c.Ticket != nil && *c.Ticket == t, false
 	if answer, answered := r.askPrevious(ctx, t, request); answered {
 		return answer
 	}
 	for {
 		a := r.attempt(ctx, request, until)
-		sent = sent || a.sent
+		sent, reached = sent || a.sent, reached || a.response != nil
 		if a.response != nil {
 			answer := answerOf(t, a.response)
 			if answer.Problem == nil || answer.Problem.Code != problem.Moved {
@@ -217,7 +217,7 @@
 			}
 		}
 		if time.Now().After(until) || !pause(ctx) {
-			return Answer{Ticket: t, Problem: r.outOfTime(t, sent)}
+			return Answer{Ticket: t, Problem: outOfTime(t, sent, reached)}
 		}
 	}
 }
@@ -273,11 +273,14 @@
 }
 
 // outOfTime is the truthful answer when the deadline passes here.
-func (r *Router) outOfTime(t ticket.Ticket, sent bool) *problem.Problem {
-	if !sent {
-		return noHolder(t.AvailabilityZone)
+func outOfTime(t ticket.Ticket, sent, reached bool) *problem.Problem {
+	switch {
+	case sent:
+		return problem.Doubt(problem.OutcomeLost, "ask again with the same ticket", "the holder of zone %q did not answer before the deadline", t.AvailabilityZone)
+	case reached:
+		return problem.Refuse(problem.DeadlineQueued, "retry later or with a longer deadline", "the deadline passed before the work could start").After(retryPause)
 	}
-	return problem.Doubt(problem.OutcomeLost, "ask again with the same ticket", "the holder of zone %q did not answer before the deadline", t.AvailabilityZone)
+	return noHolder(t.AvailabilityZone)
 }
 
 // request converts a call for the wire.
