Entitle teams to what they ask for and reserve for three works at once

Two causes were found by printing the windows that were off. A team with one blocked task earned credit for a full share; entitlements are now filled up to what a team has running and waiting. And teams whose backlog was down to gangs started them one after another, since the zone had one reservation; it now has three, each leaving alone what the earlier ones hold, so that they wait for running tasks only and not for each other.

--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -23,10 +23,10 @@
 	shapes  shapeTable
 	seq     uint64
 
-	owners      []*item
-	reservation *reservation
-	preempting  []*task
-	quarantined []*endpoint
+	owners       []*item
+	reservations []*reservation
+	preempting   []*task
+	quarantined  []*endpoint
 	// suspects is above 0 while an endpoint may have a suspicion.
 	suspects int
 
@@ -56,6 +56,7 @@
 	openings  []opening
 	ends      []taskEnd
 	victims   []*task
+	teams     []*team
 	capacity  []Resources
 }
 
@@ -188,7 +189,7 @@
 	if it.held() >= len(it.Tasks) {
 		e.consume(it, nil)
 	}
-	e.change(it, slices.Delete(slices.Clone(it.Tasks), at, at+1))
+	e.change(it, slices.Delete(it.Tasks, at, at+1))
 	return true
 }
 
--- a/internal/placement/hold.go
+++ b/internal/placement/hold.go
@@ -80,9 +80,7 @@
 	for len(it.holds) > 0 {
 		e.dropHold(it.holds[len(it.holds)-1])
 	}
-	if e.reservation != nil && e.reservation.owner == it {
-		e.reservation = nil
-	}
+	e.reservations = slices.DeleteFunc(e.reservations, func(r *reservation) bool { return r.owner == it })
 }
 
 // consume gives back the hold of one task of it, on ep if there is one there.
@@ -114,7 +112,7 @@
 		if it.holds[0].expires > e.now {
 			continue
 		}
-		if e.reservation != nil && e.reservation.owner == it {
+		if e.reservationOf(it) != nil {
 			limit := e.holdLimit(it)
 			it.holdLimit = 2 * limit
 			it.reserveAt = e.now + limit/2
--- a/internal/placement/reserve.go
+++ b/internal/placement/reserve.go
@@ -18,12 +18,15 @@
 	// replanAfter is how long past its expected start a reservation keeps
 	// its endpoints before others are chosen.
 	replanAfter = 5 * time.Second
+	// maxReservations bounds the reservations of a zone at the same time.
+	maxReservations = 3
 	// reserveBackoff is the wait after a reservation could not be planned.
 	reserveBackoff = 30 * time.Second
 )
 
-// reservation is the only one of the zone, so that no two gangs can wait for
-// room that the other holds.
+// reservation is a plan to start its owner on room that is held. A plan leaves
+// alone what earlier ones hold and waits for running tasks only, so that no two
+// gangs wait for each other.
 type reservation struct {
 	owner *item
 	// shadow is when all its room is expected to be free.
@@ -39,23 +42,30 @@
 }
 
 // reserve takes out a reservation for the work that has first claim to one,
-// and renews the plan of one that is late.
+// and renews the plans that are late.
 func (e *engine) reserve() {
-	if r := e.reservation; r != nil {
+	for _, r := range slices.Clone(e.reservations) {
 		if e.now > r.shadow+replanAfter {
-			e.replan(r)
+			e.abandon(r.owner)
+			e.planReservation(r.owner, r.expires)
 		}
+	}
+	if len(e.reservations) >= maxReservations {
 		return
 	}
-	it := e.reservationCandidate()
-	if it != nil {
+	if it := e.reservationCandidate(); it != nil {
 		e.planReservation(it, e.now+e.holdLimit(it))
 	}
 }
 
-func (e *engine) replan(r *reservation) {
-	e.abandon(r.owner)
-	e.planReservation(r.owner, r.expires)
+// reservationOf returns the reservation of it, nil if there is none.
+func (e *engine) reservationOf(it *item) *reservation {
+	for _, r := range e.reservations {
+		if r.owner == it {
+			return r
+		}
+	}
+	return nil
 }
 
 func (e *engine) planReservation(it *item, expires time.Duration) {
@@ -66,7 +76,7 @@
 	}
 	shadow := max(e.now, openings[len(openings)-1].at)
 	size := e.effectiveSize(it.bucket.team, it)
-	e.reservation = &reservation{owner: it, shadow: shadow, expires: expires}
+	e.reservations = append(e.reservations, &reservation{owner: it, shadow: shadow, expires: expires})
 	firm := e.overdue(it.bucket.team, it)
 	for _, o := range openings {
 		e.holdOpening(hold{owner: it, ep: o.ep, size: size, count: o.copies, firm: firm, ready: shadow, expires: expires})
@@ -220,19 +230,30 @@
 	return tk.Started + run, true
 }
 
-// clearBackfill preempts backfilled tasks once they alone keep the owner of
-// the reservation from starting.
+// clearBackfill preempts backfilled tasks once they alone keep the owner of a
+// reservation from starting.
 func (e *engine) clearBackfill() {
-	r := e.reservation
-	if r == nil || len(e.out) >= e.limit {
-		return
+	for _, r := range e.reservations {
+		if len(e.out) >= e.limit {
+			return
+		}
+		if r.owner.onlyBackfillInTheWay() {
+			e.stopBackfill(r.owner)
+		}
 	}
-	for _, h := range r.owner.holds {
+}
+
+func (it *item) onlyBackfillInTheWay() bool {
+	for _, h := range it.holds {
 		if !h.size.times(h.count).fits(h.ep.free.add(h.ep.backfilled())) {
-			return
+			return false
 		}
 	}
-	for _, h := range r.owner.holds {
+	return true
+}
+
+func (e *engine) stopBackfill(it *item) {
+	for _, h := range it.holds {
 		if h.size.times(h.count).fits(h.ep.free) {
 			continue
 		}
--- a/internal/placement/schedule.go
+++ b/internal/placement/schedule.go
@@ -112,8 +112,13 @@
 func (e *engine) placeOwners(urgent bool) {
 	for i := 0; i < len(e.owners) && !e.done(); {
 		it := e.owners[i]
-		if (it.Class == ClassUrgent) != urgent || !it.holdsReady() || it.bucket.team.room() < max(1, it.gangSize()) || !e.attempt(it) {
+		t, overdue := it.bucket.team, e.overdue(it.bucket.team, it)
+		if (it.Class == ClassUrgent) != urgent || !it.holdsReady() || t.room() < max(1, it.gangSize()) || !e.attempt(it) {
 			i++
+			continue
+		}
+		if overdue {
+			t.promotedAt = e.now
 		}
 	}
 }
@@ -170,6 +175,7 @@
 	it.Tasks = it.Tasks[1:]
 	t.queues[it.Class].waiting--
 	t.waiting--
+	t.queued = t.queued.sub(it.Size)
 	e.consume(it, ep)
 	if len(it.Tasks) == 0 {
 		e.forget(it)
--- a/internal/placement/share.go
+++ b/internal/placement/share.go
@@ -33,6 +33,8 @@
 	// held counts the waiting tasks that have room held.
 	held int
 	used Resources
+	// queued sums the sizes of the waiting tasks.
+	queued Resources
 	// share is the dominant share s of used.
 	share float64
 	// deficit is d in share-seconds; entitled is the share that the team
@@ -77,25 +79,25 @@
 // to its deficit.
 //
 // Only teams that wait for room take part, so usage of idle room is not held
-// against anyone later. With P the sum of their shares, team i is entitled to
+// against anyone later. The sum P of their shares is divided by water filling:
+// with the level L at which the entitlements add up to P, team i with share and
+// queued work a_i is entitled to
 //
-//	e_i = P * w_i / sum(w)
+//	e_i = min(a_i, L * w_i)
 //
 // and d_i grows by (e_i - s_i)*dt after decaying by 2^(-dt/HistoryHalfLife).
-// The deficits of the teams that take part add up to no more than before.
 func (e *engine) accrue() {
 	dt := e.now - e.accruedAt
 	if dt < accrueInterval {
 		return
 	}
 	e.accruedAt = e.now
-	pool, weights := e.contenders()
 	dt = min(dt, maxAccrual)
+	e.entitle(e.contenders())
 	decay := math.Exp2(-dt.Seconds() / e.policy.HistoryHalfLife.Seconds())
 	for _, t := range e.teamList {
 		t.deficit *= decay
 		if t.hungry {
-			t.entitled = pool * t.weight() / weights
 			t.deficit += (t.entitled - t.share) * dt.Seconds()
 		}
 		e.rescore(t)
@@ -124,3 +126,34 @@
 	}
 	return pool, weights
 }
+
+// entitle divides pool among the teams that wait for room: those that ask for
+// less than their weighted part get what they ask for, and the rest is divided
+// again among the others.
+func (e *engine) entitle(pool, weights float64) {
+	open := e.scratch.teams[:0]
+	for _, t := range e.teamList {
+		if t.hungry {
+			open = append(open, t)
+		}
+	}
+	for settled := false; !settled && len(open) > 0; {
+		settled = true
+		level := pool / weights
+		rest := open[:0]
+		for _, t := range open {
+			asked := dominant(t.used.add(t.queued), e.fleet.scale)
+			t.entitled = level * t.weight()
+			if asked > t.entitled {
+				rest = append(rest, t)
+				continue
+			}
+			t.entitled = asked
+			pool -= asked
+			weights -= t.weight()
+			settled = false
+		}
+		open = rest
+	}
+	e.scratch.teams = open
+}
