Count what front doors refuse, and answers only while a caller waits

A change of holder burns most just when no holder sees it: what front doors refuse while a zone has none was in no summary. And since a new holder keeps the finished tasks that it finds at endpoints, each was counted as answered again: 7 requests before and 7 after a replacement made 21 answers.

Counting everything at front doors was ruled out, since each request would count twice. A front door now counts what its holder does not see: requests and tickets without any holder's answer, and the acceptance of jobs. It appends a summary only after a period with such events, in a quarter of the bound, marked so that it doesn't stand for the zone's data. Void by its epoch, it is appended again under the next. The holder counts an answer only if a caller waits for it. config_not_fresh is no cause any more, because the team of such a request isn't known.

Tests: refusals, lost answers and changes of epoch for the front door's recorder; with real processes, the holder is killed while the log is down, and the request refused meanwhile shows as burnt by failover.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -50,6 +50,7 @@
 // API serves callers. It is safe for concurrent use.
 type API struct {
 	guard    *auth.Guard
+	observer Observer
 	router   *router.Router
 	limits   Limits
 	log      *slog.Logger
@@ -58,8 +59,8 @@
 }
 
 // New returns the callers' interface.
-func New(guard *auth.Guard, r *router.Router, limits Limits, leaving func() bool, logger *slog.Logger) *API {
-	return &API{guard: guard, router: r, limits: limits, log: logger, leaving: leaving}
+func New(observer Observer, guard *auth.Guard, r *router.Router, limits Limits, leaving func() bool, logger *slog.Logger) *API {
+	return &API{observer: observer, guard: guard, router: r, limits: limits, log: logger, leaving: leaving}
 }
 
 // Handler returns the routes.
@@ -228,11 +229,13 @@
 	if err := json.Unmarshal(body, &wanted); err != nil {
 		return "", problem.Refuse(problem.BadRequest, `send {"queue": "name"}`, "the body is not JSON: %v", err)
 	}
-	if _, p := a.guard.Admit(secret(r.Request), wanted.Queue); p != nil {
+	grant, p := a.guard.Admit(secret(r.Request), wanted.Queue)
+	if p != nil {
 		return "", p
 	}
 	t, p := a.router.NewTicket(r.Context())
 	if p != nil {
+		a.observe(r, grant, p)
 		return "", p
 	}
 	writeJSON(w, http.StatusCreated, ticketBody{Ticket: t.String()})
@@ -251,6 +254,9 @@
 		text = answer.Ticket.String()
 	}
 	if answer.Problem != nil {
+		if answer.Unreached {
+			a.observer.Answered(call.Team, call.Queue.Name, answer.Problem.Verdict, answer.Problem.Code)
+		}
 		return text, answer.Problem
 	}
 	h := w.Header()
--- a/internal/api/jobs.go
+++ b/internal/api/jobs.go
@@ -91,6 +91,7 @@
 	}
 	t, p := a.jobTicket(r, &job)
 	if p != nil {
+		a.observe(r, grant, p)
 		return job.Ticket, p
 	}
 	idempotent := grant.Queue.Idempotent
@@ -108,6 +109,7 @@
 		Size:       job.size(grant.Queue.Runner),
 		RunTimeMs:  job.RunTimeMS,
 	})
+	a.observe(r, grant, p)
 	if p != nil {
 		return t.String(), p
 	}
--- a/internal/holder/request.go
+++ b/internal/holder/request.go
@@ -440,7 +440,7 @@
 	}
 	u.request.result = result
 	t.registry.settled(u.key, t.now())
-	if t.deps.Observer != nil && u.request.known {
+	if t.deps.Observer != nil && u.request.waiters > 0 {
 		code := problem.Code("")
 		if result.Problem != nil {
 			code = result.Problem.Code
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -224,6 +224,9 @@
 	EndMS   int64  `cbor:"4,keyasint"`
 	// Series is an encoded summary whose format the report package owns.
 	Series []byte `cbor:"5,keyasint"`
+	// FrontDoor is set if the summary is of what a front door saw and the
+	// holder did not. It doesn't show that the period is known.
+	FrontDoor bool `cbor:"6,keyasint,omitempty"`
 }
 
 // MaxBytes bounds an encoded record.
--- a/internal/report/cause.go
+++ b/internal/report/cause.go
@@ -49,5 +49,4 @@
 	problem.Internal:          CauseFailover,
 	problem.LogUnavailable:    CauseStore,
 	problem.LogOutcomeUnknown: CauseStore,
-	problem.ConfigNotFresh:    CauseStore,
 }
--- a/internal/report/encode.go
+++ b/internal/report/encode.go
@@ -202,7 +202,7 @@
 	if len(w.Rows) > maxRows || r.StartMS >= r.EndMS || r.StartMS < 0 {
 		return nil, errors.Errorf("summary of %d rows over %d ms to %d ms is out of bounds", len(w.Rows), r.StartMS, r.EndMS)
 	}
-	out := &Summary{Zone: r.Zone, StartMS: r.StartMS, EndMS: r.EndMS, Series: make(map[Key]*Series, len(w.Rows))}
+	out := &Summary{Zone: r.Zone, StartMS: r.StartMS, EndMS: r.EndMS, FrontDoor: r.FrontDoor, Series: make(map[Key]*Series, len(w.Rows))}
 	for _, row := range w.Rows {
 		if row.Team < 0 || row.Team >= len(w.Teams) || row.Queue < 0 || row.Queue >= len(w.Queues) {
 			return nil, errors.Errorf("summary row names team %d of %d and queue %d of %d", row.Team, len(w.Teams), row.Queue, len(w.Queues))
--- a/internal/report/log_test.go
+++ b/internal/report/log_test.go
@@ -23,6 +23,8 @@
 	lose, refuse int
 	// unread holds back what was written: the daemon doesn't read the log.
 	unread bool
+	// before runs once ahead of the next append.
+	before func()
 	offset uint64
 }
 
@@ -39,6 +41,10 @@
 		l.refuse--
 		return cell.Effect{}, journal.ErrNotAppended
 	}
+	if l.before != nil {
+		l.before()
+		l.before = nil
+	}
 	effect := l.write(id, e)
 	if l.lose > 0 || l.unread {
 		l.lose--
@@ -286,3 +292,59 @@
 		t.Errorf("rows %+v, want none for a period that is known", got.Rows)
 	}
 }
+
+// frontDoorOf returns a collector and recorder of a front door of zone a.
+func frontDoorOf(l *fakeLog, now time.Time) (*Collector, *Recorder) {
+	c := NewCollector(objectives)
+	current := func() (uint64, bool) {
+		claim, ok := l.state.Epoch("a")
+		return claim.Epoch, ok
+	}
+	r := NewFrontDoorRecorder("a", c, l, current, slog.New(slog.DiscardHandler), now)
+	l.fold.Confirm(r.Confirm)
+	return c, r
+}
+
+// TestFrontDoor checks that what a front door refuses while nobody holds the
+// zone counts once, whichever epoch it is recorded under, and that it does not
+// stand for the holder's data.
+func TestFrontDoor(t *testing.T) {
+	for name, fault := range map[string]func(*fakeLog, uint64){
+		"log at hand":       func(*fakeLog, uint64) {},
+		"refused":           func(l *fakeLog, _ uint64) { l.refuse = 1 },
+		"answer lost":       func(l *fakeLog, _ uint64) { l.lose = 1 },
+		"holder changes":    func(l *fakeLog, epoch uint64) { l.refuse = 1; l.claim("next", epoch) },
+		"behind a claim":    func(l *fakeLog, epoch uint64) { l.before = func() { l.claim("next", epoch) } },
+		"counts, then lost": func(l *fakeLog, _ uint64) { l.unread = true },
+	} {
+		now := begin
+		l, store := newReader(&now)
+		first := l.claim("d", 0)
+		c, r := frontDoorOf(l, now)
+		c.Answered("press", "urgent", problem.NotRun, problem.NoHolder)
+		now = now.Add(time.Minute)
+		fault(l, first)
+		_ = r.Record(t.Context(), now)
+		if l.unread {
+			l.unread = false
+			l.apply(l.records[1])
+			l.claim("next", first)
+		}
+		for range 3 {
+			now = now.Add(time.Minute)
+			if err := r.Record(t.Context(), now); err != nil {
+				t.Errorf("%s: %v", name, err)
+			}
+		}
+		view := store.Build(now, 1, []string{"a"}, objectives)
+		if got := totals(store, now); got != (Ratio{1, 1}) || view.Rows[0].Indicators[0].Causes[0].Cause != "failover" {
+			t.Errorf("%s: starts %+v, want one by failover", name, got)
+		}
+		if covered := view.Coverage[0].Windows[1].Covered; covered != 0 {
+			t.Errorf("%s: a front door's summary covers %v of the zone's hour", name, covered)
+		}
+		if quiet := len(l.records); r.Record(t.Context(), now.Add(time.Minute)) != nil || len(l.records) != quiet {
+			t.Errorf("%s: a front door without events appends", name)
+		}
+	}
+}
--- a/internal/report/recorder.go
+++ b/internal/report/recorder.go
@@ -16,6 +16,9 @@
 	// maxPending bounds the summaries that wait for the log. Beyond it the
 	// oldest are dropped and become a gap in the report.
 	maxPending = 360
+	// frontDoorShare divides a front door's part of the bound on summaries,
+	// so that those of a zone take no more together than its holder's.
+	frontDoorShare = 4
 	// maxAppends bounds the appends of one period, after a log outage.
 	maxAppends = 10
 )
@@ -42,7 +45,12 @@
 // An append whose fate is unknown is repeated under the same id and with the
 // same contents, so that it counts at most once. Once the log has passed the
 // offsets at which it could count, it is given a new id.
+//
+// The recorder of a front door belongs to no term: its summaries are appended
+// under the epoch that is current at that time, and only if there was an event.
 type Recorder struct {
+	// current tells the current epoch; it is nil but for a front door.
+	current   func() (epoch uint64, ok bool)
 	zone      string
 	collector *Collector
 	log       Log
@@ -62,6 +70,14 @@
 	return &Recorder{zone: zone, collector: collector, log: log, slog: logger}
 }
 
+// NewFrontDoorRecorder returns a recorder of what this daemon, as a front door
+// of its zone, sees and the zone's holder does not.
+func NewFrontDoorRecorder(zone string, collector *Collector, log Log, current func() (epoch uint64, ok bool), logger *slog.Logger, now time.Time) *Recorder {
+	r := NewRecorder(zone, collector, log, logger)
+	r.current, r.sinceMS = current, unixMS(now)
+	return r
+}
+
 // Follow tells the recorder under which epoch this daemon holds its zone, 0
 // if it does not. What was counted under another epoch and is not in the log
 // yet can no longer count and is dropped; the report shows a gap.
@@ -125,23 +141,32 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	endMS := unixMS(now)
-	if r.epoch == 0 || endMS <= r.sinceMS {
+	frontDoor := r.current != nil
+	if (r.epoch == 0 && !frontDoor) || endMS <= r.sinceMS {
+		return nil
+	}
+	budget := Budget(time.Duration(endMS-r.sinceMS) * time.Millisecond)
+	if frontDoor {
+		budget /= frontDoorShare
+	}
+	series, startMS := r.collector.Cut(), r.sinceMS
+	r.sinceMS = endMS
+	if frontDoor && len(series) == 0 {
 		return nil
 	}
-	period := time.Duration(endMS-r.sinceMS) * time.Millisecond
-	data, err := Encode(r.collector.Cut(), Budget(period))
+	data, err := Encode(series, budget)
 	if err != nil {
 		return err
 	}
 	metrics.ReportBytes.Set(int64(len(data)))
 	r.queue = append(r.queue, &pending{report: &record.Report{
-		Zone:    r.zone,
-		Epoch:   r.epoch,
-		StartMS: r.sinceMS,
-		EndMS:   endMS,
-		Series:  data,
+		Zone:      r.zone,
+		Epoch:     r.epoch,
+		StartMS:   startMS,
+		EndMS:     endMS,
+		Series:    data,
+		FrontDoor: frontDoor,
 	}})
-	r.sinceMS = endMS
 	r.drop(len(r.queue)-maxPending, "the log has not taken them in time")
 	return nil
 }
@@ -175,9 +200,17 @@
 	}
 	p := r.queue[0]
 	applied := r.log.Applied()
-	if !p.sent || applied > p.seen+record.SeenWindow {
-		p.id, p.seen, p.sent = journal.NewID(), applied, true
+	if p.sent && applied <= p.seen+record.SeenWindow {
+		return p
+	}
+	if r.current != nil {
+		epoch, ok := r.current()
+		if !ok {
+			return nil
+		}
+		p.report.Epoch = epoch
 	}
+	p.id, p.seen, p.sent = journal.NewID(), applied, true
 	return p
 }
 
@@ -187,13 +220,28 @@
 	if err != nil {
 		return err
 	}
-	if effect.Void == record.VoidEpoch {
-		r.Confirm(p.id)
-		metrics.ReportDropped.Add(1)
-		r.slog.Warn("summary of the report is void; the report shows a gap", "reason", effect.Reason)
-	}
 	if effect.Valid || effect.Void == record.VoidDuplicate {
 		r.Confirm(p.id)
 	}
+	if effect.Void == record.VoidEpoch {
+		r.supersede(p, effect.Reason)
+	}
 	return nil
 }
+
+// supersede deals with a summary whose epoch is over. Unless an earlier copy
+// counts, a holder's is given up and a front door's gets the new epoch.
+func (r *Recorder) supersede(p *pending, reason string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if p.settled {
+		return
+	}
+	if r.current != nil {
+		p.sent = false
+		return
+	}
+	p.settled = true
+	metrics.ReportDropped.Add(1)
+	r.slog.Warn("summary of the report is void; the report shows a gap", "reason", reason)
+}
--- a/internal/report/series.go
+++ b/internal/report/series.go
@@ -53,7 +53,9 @@
 	Zone string
 	// StartMS and EndMS bound the period.
 	StartMS, EndMS int64
-	Series         map[Key]*Series
+	// FrontDoor is set if a front door has made it, which doesn't see all.
+	FrontDoor bool
+	Series    map[Key]*Series
 }
 
 // at returns the series of a key and makes it if there is none.
--- a/internal/report/store.go
+++ b/internal/report/store.go
@@ -56,10 +56,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, known := s.zones[summary.Zone]; !known && len(s.zones) >= maxZones {
+	if !summary.FrontDoor && !s.cover(summary, horizon) {
 		return false
 	}
-	s.zones[summary.Zone] = s.zones[summary.Zone].add(Span{summary.StartMS, summary.EndMS}, horizon)
 	for _, r := range []*ring{s.fine, s.hours} {
 		s.foldInto(r.at(summary.EndMS-1), summary)
 	}
@@ -67,6 +66,17 @@
 	return true
 }
 
+// cover notes the period of a holder's summary, unless there are too many
+// zones.
+func (s *Store) cover(summary *Summary, horizonMS int64) bool {
+	spans, known := s.zones[summary.Zone]
+	if !known && len(s.zones) >= maxZones {
+		return false
+	}
+	s.zones[summary.Zone] = spans.add(Span{summary.StartMS, summary.EndMS}, horizonMS)
+	return true
+}
+
 // foldInto adds a summary to a bucket, which may be nil.
 func (s *Store) foldInto(b *bucket, summary *Summary) {
 	if b == nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -76,6 +76,9 @@
 	Output  []byte
 	Problem *problem.Problem
 	Queued  time.Duration
+	// Unreached is set if the problem was found here, since no holder gave
+	// an answer.
+	Unreached bool
 }
 
 // noHolder is the refusal when no holder was reached.
@@ -130,11 +133,11 @@
 	if c.Ticket != nil {
 		return r.runTicket(ctx, c, *c.Ticket, until)
 	}
-	last := Answer{Problem: noHolder(r.self.AvailabilityZone)}
+	last := Answer{Problem: noHolder(r.self.AvailabilityZone), Unreached: true}
 	for _, zone := range r.zones(c.Queue.Spill) {
 		t, p := r.mintUntil(ctx, zone, until)
 		if p != nil {
-			last = Answer{Problem: p}
+			last = Answer{Problem: p, Unreached: ctx.Err() == nil}
 			continue
 		}
 		last = r.runTicket(ctx, c, t, until)
@@ -211,7 +214,7 @@
 			}
 		}
 		if time.Now().After(until) || !pause(ctx) {
-			return Answer{Ticket: t, Problem: r.outOfTime(t, sent)}
+			return Answer{Ticket: t, Problem: r.outOfTime(t, sent), Unreached: ctx.Err() == nil}
 		}
 	}
 }
--- a/internal/server/report.go
+++ b/internal/server/report.go
@@ -24,9 +24,12 @@
 	server    *Server
 	collector *report.Collector
 	recorder  *report.Recorder
-	store     *report.Store
-	fold      *report.Fold
-	alarms    *report.Alarms
+	// doors and door count what this daemon sees as a front door.
+	doors  *report.Collector
+	door   *report.Recorder
+	store  *report.Store
+	fold   *report.Fold
+	alarms *report.Alarms
 }
 
 // newReporter returns a reporter over the server's journal.
@@ -34,8 +37,13 @@
 	r := &reporter{server: s, store: report.NewStore(), alarms: report.NewAlarms(s.log)}
 	r.collector = report.NewCollector(r.objective)
 	r.recorder = report.NewRecorder(s.self.AvailabilityZone, r.collector, reportLog{s.journal}, s.log)
+	r.doors = report.NewCollector(r.objective)
+	r.door = report.NewFrontDoorRecorder(s.self.AvailabilityZone, r.doors, reportLog{s.journal}, r.epoch, s.log, time.Now())
 	r.fold = report.NewFold(r.store, s.journal.State(), time.Now, s.log)
-	r.fold.Confirm(r.recorder.Confirm)
+	r.fold.Confirm(func(id string) {
+		r.recorder.Confirm(id)
+		r.door.Confirm(id)
+	})
 	return r
 }
 
@@ -59,6 +67,12 @@
 	return report.Objective{}, false
 }
 
+// epoch returns the current epoch of the daemon's zone.
+func (r *reporter) epoch() (uint64, bool) {
+	claim, ok := r.server.journal.State().Epoch(r.server.self.AvailabilityZone)
+	return claim.Epoch, ok
+}
+
 // observe folds summaries and counts lost tasks, in log order.
 func (r *reporter) observe(effect cell.Effect) {
 	r.fold.Observe(effect)
@@ -93,12 +107,15 @@
 	return r.store.Build(time.Now(), version, zones, r.objective)
 }
 
-// record ends the current period of the report, if this daemon holds its zone.
+// record ends the current period of the report: the holder's, if this daemon
+// holds its zone, and the front door's.
 func (r *reporter) record(ctx context.Context, timeout time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	if err := r.recorder.Record(ctx, time.Now()); err != nil {
-		r.server.log.Warn("summary of the report not confirmed; it is kept and tried again", "error", err)
+	for _, recorder := range []*report.Recorder{r.recorder, r.door} {
+		if err := recorder.Record(ctx, time.Now()); err != nil {
+			r.server.log.Warn("summary of the report not confirmed; it is kept and tried again", "error", err)
+		}
 	}
 }
 
--- a/internal/server/report_test.go
+++ b/internal/server/report_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"os"
 	"path/filepath"
 	"strings"
@@ -105,15 +106,22 @@
 
 // await waits until the report shows the given number of starts and answers.
 func (c *reportCell) await(want uint64) *report.View {
+	c.t.Helper()
+	return c.awaitRow(func(row *report.Row) bool {
+		return row.Indicators[0].Windows[4].Total == want && row.Indicators[1].Windows[4].Total == want
+	})
+}
+
+// awaitRow waits until the report has one row, for which holds is true.
+func (c *reportCell) awaitRow(holds func(*report.Row) bool) *report.View {
 	c.t.Helper()
 	var view report.View
 	if !harness.Eventually(harness.Within(c.t.Context(), reportBound), func() bool {
 		data, err := c.admin.Report(c.t.Context(), false)
 		view = report.View{}
-		return err == nil && json.Unmarshal(data, &view) == nil && len(view.Rows) == 1 &&
-			view.Rows[0].Indicators[0].Windows[4].Total == want && view.Rows[0].Indicators[1].Windows[4].Total == want
+		return err == nil && json.Unmarshal(data, &view) == nil && len(view.Rows) == 1 && holds(&view.Rows[0])
 	}) {
-		c.t.Fatalf("report %+v, want %d starts and answers", view, want)
+		c.t.Fatalf("the report stays %+v", view)
 	}
 	return &view
 }
@@ -166,3 +174,41 @@
 		}
 	}
 }
+
+// TestReportShowsRefusalsWithoutHolder kills the holder while its successor
+// can't claim the zone, and looks for what the front door refused meanwhile.
+func TestReportShowsRefusalsWithoutHolder(t *testing.T) {
+	c := startReportCell(t)
+	c.publish()
+	c.send()
+	holder, err := c.cell.Holder(t.Context(), "za")
+	if err != nil {
+		t.Fatal(err)
+	}
+	heal, err := c.cell.LogSwitch("down", true, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	restart := c.cell.KillDaemon(holder)
+	var front *client.Client
+	for id := range c.cell.Daemons {
+		if id == holder {
+			continue
+		}
+		front, err = client.New(client.Options{URLs: []string{c.cell.Entry(id).URL}, Key: "press-secret", Budget: client.Budget{Tries: 1}})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := front.Submit(t.Context(), client.Request{Queue: "labels", Command: "echo", Input: []byte("x"), Deadline: 2 * time.Second}); err == nil {
+		t.Fatal("a request was answered without a holder")
+	}
+	if err := errors.Join(heal(), restart()); err != nil {
+		t.Fatal(err)
+	}
+	c.replaceAll()
+	row := c.awaitRow(func(row *report.Row) bool { return row.Indicators[1].Windows[4].Bad > 0 }).Rows[0]
+	if causes := row.Indicators[1].Causes; len(causes) != 1 || causes[0].Cause != "failover" {
+		t.Errorf("causes %+v, want failover alone", causes)
+	}
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -148,7 +148,7 @@
 		MaxWaiting:     s.waitingLimit,
 		RequestTimeout: s.settings.Limits.RequestTimeout,
 	}
-	callers := api.New(s.guard, s.router, limits, s.leaving.Load, s.log)
+	callers := api.New(s.report.doors, s.guard, s.router, limits, s.leaving.Load, s.log)
 	s.api.http = &http.Server{
 		Handler:           callers.Handler(),
 		ReadHeaderTimeout: headerTimeout,
