Let 'not run' stand only with a proof, bound transfers, gather log records

The capacity measurement found one exchange per log record and reader, transfers bounded by nothing but rounds, group commits as often as the log answers, and heartbeats of all holders to all others every second. Ruled out: answering unknown in every log outage: a ticket that the front door made for one call and gave to nobody keeps its 'not run'.

--- a/internal/holder/adopt.go
+++ b/internal/holder/adopt.go
@@ -102,6 +102,10 @@
 	switch {
 	case u == nil || u.phase == phaseFinal:
 		t.discard(s, status)
+	case u.session == nil && u.mismatches(status.Task):
+		t.settle(u, failed(problem.Doubt(problem.TicketConflict, "get a new ticket for another request", "the ticket belongs to a different request, which may have run")))
+		delete(t.units, key)
+		t.bind(s, t.inheritUnit(key, status.Task), status)
 	case u.session == s && u.spec.ID == status.Task.ID:
 		u.ran = true
 		if u.phase == phaseStarting {
@@ -117,6 +121,13 @@
 	}
 }
 
+// mismatches reports whether a held request is another one than the task that
+// an endpoint reports under its ticket.
+func (u *unit) mismatches(spec endpoint.TaskSpec) bool {
+	return u.request != nil && u.request.known &&
+		u.request.digest != digestOf(spec.Team, spec.Queue, spec.Command, spec.Input)
+}
+
 // bind places a unit on the endpoint that reports it.
 func (t *Term) bind(s *session, u *unit, status endpoint.TaskStatus) {
 	if u.phase == phaseWaiting {
--- a/internal/holder/allotments.go
+++ b/internal/holder/allotments.go
@@ -25,6 +25,10 @@
 	excessGrace = 4 * time.Second
 	// transferTimeout bounds one request to another zone.
 	transferTimeout = 3 * time.Second
+	// transferRate and transferBurst bound the transfers that a holder appends,
+	// in transfers a second.
+	transferRate  = 2
+	transferBurst = 16
 	// maxTransfersPerRound bounds the teams served in one round, and with it
 	// the appends that transfers cause.
 	maxTransfersPerRound = 8
@@ -237,6 +241,9 @@
 // is appended and stays so until the record's effect is known, which goes on
 // after ctx has ended.
 func (t *Term) Give(ctx context.Context, name, to string, amount int64) (int64, *problem.Problem) {
+	if !t.transferLimit.Allow() {
+		return 0, nil
+	}
 	seen := t.deps.Journal.State().Applied()
 	id, amount := t.reserve(name, amount, seen)
 	if amount <= 0 {
--- a/internal/holder/jobs.go
+++ b/internal/holder/jobs.go
@@ -203,7 +203,6 @@
 // startJob queues all tasks of a newly accepted job.
 func (t *Term) startJob(j *record.Job) {
 	state := t.newJob(j)
-	t.noteTeam(j.Team)
 	for index := range j.Inputs {
 		t.newJobUnit(state, index)
 	}
@@ -213,6 +212,7 @@
 // enqueueJob hands a whole job to the engine.
 func (t *Term) enqueueJob(state *jobState) {
 	j := &state.spec
+	t.noteTeam(j.Team)
 	for _, u := range state.units {
 		u.work = j.ID
 		u.phase = phaseWaiting
--- a/internal/holder/request.go
+++ b/internal/holder/request.go
@@ -23,6 +23,8 @@
 	Command    string
 	Input      []byte
 	Size       endpoint.Resources
+	// Sole says that nobody else can send the ticket.
+	Sole bool
 	// Until is the caller's deadline; zero if there is none.
 	Until time.Time
 	// NotStartedEpoch is the epoch of a holder that declared that the request
@@ -67,6 +69,10 @@
 	// expireGrace is how long an expiring request waits for the endpoint's
 	// word on whether it ran.
 	expireGrace = 250 * time.Millisecond
+	// confirmTimeout bounds the wait for the proof that "not run" needs.
+	confirmTimeout = 900 * time.Millisecond
+	// confirmPoll is how often the proof is looked for.
+	confirmPoll = 20 * time.Millisecond
 	// retryHint is given with refusals for lack of room.
 	retryHint = 500 * time.Millisecond
 )
@@ -77,14 +83,37 @@
 	r.Until, _ = ctx.Deadline()
 	u, p := t.admit(r)
 	if p != nil {
-		return failed(p)
+		return t.confirm(ctx, r, failed(p))
 	}
 	select {
 	case <-u.request.done:
 	case <-ctx.Done():
 		t.expire(u, ctx.Err())
 	}
-	return t.deliver(u)
+	return t.confirm(ctx, r, t.deliver(u))
+}
+
+// confirm lets "not run" stand only if this daemon still held the zone when it
+// was decided: another holder may have run a second sending of the ticket. It
+// waits for the next proof from the log; without one the answer is a doubt. A
+// refusal as moved says for itself how far it reaches.
+func (t *Term) confirm(ctx context.Context, r *Request, result Result) Result {
+	if result.verdict() != problem.NotRun || r.Sole || result.Problem.Code == problem.Moved {
+		return result
+	}
+	decided := time.Now()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), confirmTimeout)
+	defer cancel()
+	for !t.provenSince(decided) {
+		select {
+		case <-ctx.Done():
+			doubt := *result.Problem
+			doubt.Verdict = problem.Unknown
+			return Result{Problem: &doubt, Queued: result.Queued}
+		case <-time.After(confirmPoll):
+		}
+	}
+	return result
 }
 
 // deliver hands the result to one waiter.
--- a/internal/holder/term.go
+++ b/internal/holder/term.go
@@ -19,6 +19,7 @@
 	"github.com/bluebellstile/bluebellstile/internal/team"
 	"github.com/bluebellstile/bluebellstile/internal/zone"
 	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
 	"gopkg.in/tomb.v2"
 )
 
@@ -93,12 +94,13 @@
 	moving    bool
 	teams     map[string]bool
 
-	ledger    *team.Ledger
-	registry  *registry
-	jobLog    *batcher[jobEntry]
-	outcomes  *batcher[outcomeEntry]
-	rosters   *batcher[rosterEntry]
-	transfers *batcher[*transferEntry]
+	ledger        *team.Ledger
+	registry      *registry
+	jobLog        *batcher[jobEntry]
+	outcomes      *batcher[outcomeEntry]
+	rosters       *batcher[rosterEntry]
+	transfers     *batcher[*transferEntry]
+	transferLimit *rate.Limiter
 }
 
 // ErrSuperseded ends a term when a higher epoch has been seen.
@@ -108,23 +110,24 @@
 // journal's state.
 func NewTerm(settings Settings, deps Dependencies, engine placement.Engine, claim zone.Claim) *Term {
 	t := &Term{
-		settings:  settings,
-		deps:      deps,
-		epoch:     claim.Epoch,
-		previous:  claim.Previous,
-		began:     time.Now(),
-		tomb:      new(tomb.Tomb),
-		log:       deps.Log.With("zone", settings.AvailabilityZone, "epoch", claim.Epoch),
-		wake:      make(chan struct{}, 1),
-		engine:    engine,
-		units:     make(map[string]*unit),
-		jobs:      make(map[string]*jobState),
-		sessions:  make(map[string]*session),
-		teams:     make(map[string]bool),
-		line:      newLine(),
-		paces:     make(map[lineKey]*pace),
-		overSince: make(map[string]time.Time),
-		registry:  newRegistry(),
+		settings:      settings,
+		deps:          deps,
+		epoch:         claim.Epoch,
+		previous:      claim.Previous,
+		began:         time.Now(),
+		tomb:          new(tomb.Tomb),
+		log:           deps.Log.With("zone", settings.AvailabilityZone, "epoch", claim.Epoch),
+		wake:          make(chan struct{}, 1),
+		engine:        engine,
+		units:         make(map[string]*unit),
+		jobs:          make(map[string]*jobState),
+		sessions:      make(map[string]*session),
+		teams:         make(map[string]bool),
+		line:          newLine(),
+		paces:         make(map[lineKey]*pace),
+		overSince:     make(map[string]time.Time),
+		registry:      newRegistry(),
+		transferLimit: rate.NewLimiter(transferRate, transferBurst),
 	}
 	t.ledger = team.NewLedger(func(name string) int64 {
 		return deps.Journal.State().Allotment(name, settings.AvailabilityZone)
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -46,6 +46,10 @@
 	ring      *ring
 	// first and end bound what the log keeps.
 	first, end uint64
+	// lastPage is the number of records of the last page, hurry ends the wait
+	// for further ones.
+	lastPage int
+	hurry    chan struct{}
 	// advanced is closed and replaced whenever a page has been applied.
 	advanced chan struct{}
 }
@@ -59,6 +63,7 @@
 		waiters:  make(map[string]chan cell.Effect),
 		ring:     newRing(ringBytes),
 		advanced: make(chan struct{}),
+		hurry:    make(chan struct{}, 1),
 	}
 }
 
@@ -102,6 +107,10 @@
 	j.mu.Lock()
 	j.waiters[id] = c
 	j.mu.Unlock()
+	select {
+	case j.hurry <- struct{}{}:
+	default:
+	}
 	return c
 }
 
--- a/internal/journal/tail.go
+++ b/internal/journal/tail.go
@@ -18,6 +18,8 @@
 	readWait = 500 * time.Millisecond
 	// readTimeout bounds one read including the network.
 	readTimeout = 3 * time.Second
+	// gatherTime is how long the tail waits between pages while records come.
+	gatherTime = 30 * time.Millisecond
 	// minBackoff and maxBackoff bound the pause after a failed read.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = time.Second
@@ -68,6 +70,7 @@
 	for t.Alive() {
 		if j.readOnce(t, choose()) {
 			backoff = minBackoff
+			j.gather(t)
 			continue
 		}
 		select {
@@ -79,6 +82,24 @@
 	return nil
 }
 
+// gather waits a little after a page with records, so that one read brings
+// several of the records that follow. It does not hold up appends of its own.
+func (j *Journal) gather(t *tomb.Tomb) {
+	j.mu.Lock()
+	wait := j.lastPage > 0 && len(j.waiters) == 0
+	j.mu.Unlock()
+	if !wait {
+		return
+	}
+	timer := time.NewTimer(gatherTime)
+	defer timer.Stop()
+	select {
+	case <-t.Dying():
+	case <-timer.C:
+	case <-j.hurry:
+	}
+}
+
 // readOnce reads and applies one page from the first source that answers.
 func (j *Journal) readOnce(t *tomb.Tomb, sources []Source) bool {
 	for _, source := range sources {
@@ -133,6 +154,9 @@
 		size += len(r.Data)
 	}
 	metrics.TailBytes.Add(source, int64(size))
+	j.mu.Lock()
+	j.lastPage = len(page.Records)
+	j.mu.Unlock()
 	j.noteKept(page.First, page.End)
 	if !page.AsOf.IsZero() {
 		j.Prove(page.AsOf, page.End)
--- a/internal/peer/heart.go
+++ b/internal/peer/heart.go
@@ -19,7 +19,7 @@
 	zoneInterval = 250 * time.Millisecond
 	// remoteInterval is the time between heartbeats of holders of different
 	// zones.
-	remoteInterval = time.Second
+	remoteInterval = 2500 * time.Millisecond
 	// beatTimeout bounds one heartbeat.
 	beatTimeout = time.Second
 )
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -178,6 +178,7 @@
 		Input:           m.Input,
 		Size:            SizeFromWire(m.Size),
 		NotStartedEpoch: m.NotStartedEpoch,
+		Sole:            m.Sole,
 	}, nil
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -301,6 +301,7 @@
 		Input:            c.Input,
 		Size:             peer.SizeToWire(c.Size),
 		ConfigVersion:    version,
+		Sole:             c.Ticket == nil,
 	}
 }
 
