Bar a ticket before a refusal says 'not run'

Change: the holder bars the ticket, bounded in number, and proves from the log that it holds the zone; a barred ticket is answered 'not run' for ever. Known: internal/holder's check of a broken rule (task started in two places) is flaky and is being made deterministic.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -275,10 +275,10 @@
 
 // truthful turns the refusal of a request that came with a ticket into a doubt,
 // since an earlier sending with the ticket may have run,
-// unless the zone's holder knows that none did.
+// unless the zone's holder knows that none did and bars the ticket.
 func (a *API) truthful(ctx context.Context, p *problem.Problem, ticketText string) *problem.Problem {
 	t, err := ticket.Parse(ticketText)
-	if err != nil || p.Verdict != problem.NotRun || !a.router.MayHaveRun(ctx, t) {
+	if err != nil || p.Verdict != problem.NotRun || a.router.Bar(ctx, t) {
 		return p
 	}
 	doubt := *p
--- a/internal/holder/registry.go
+++ b/internal/holder/registry.go
@@ -108,6 +108,9 @@
 	if tk, err := ticket.Parse(key); err == nil && tk.Epoch != t.epoch {
 		return
 	}
+	if u.barred {
+		t.barred--
+	}
 	delete(t.units, key)
 }
 
--- a/internal/holder/request.go
+++ b/internal/holder/request.go
@@ -101,19 +101,27 @@
 	if result.verdict() != problem.NotRun || r.Sole || result.Problem.Code == problem.Moved {
 		return result
 	}
-	decided := time.Now()
+	if t.heldAt(ctx, time.Now()) {
+		return result
+	}
+	doubt := *result.Problem
+	doubt.Verdict = problem.Unknown
+	return Result{Problem: &doubt, Queued: result.Queued}
+}
+
+// heldAt waits for proof from the log that this daemon held the zone at the
+// instant; it reports false if none comes in time.
+func (t *Term) heldAt(ctx context.Context, instant time.Time) bool {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), confirmTimeout)
 	defer cancel()
-	for !t.provenSince(decided) {
+	for !t.provenSince(instant) {
 		select {
 		case <-ctx.Done():
-			doubt := *result.Problem
-			doubt.Verdict = problem.Unknown
-			return Result{Problem: &doubt, Queued: result.Queued}
+			return false
 		case <-time.After(confirmPoll):
 		}
 	}
-	return result
+	return true
 }
 
 // deliver hands the result to one waiter.
@@ -204,18 +212,6 @@
 	return &doubt
 }
 
-// MayHaveRun reports whether a request with the ticket may have run, or may
-// run yet.
-func (t *Term) MayHaveRun(tk ticket.Ticket) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	r := &Request{Ticket: tk}
-	if u := t.units[tk.String()]; u != nil {
-		return u.request == nil || u.phase != phaseFinal || u.request.result.verdict() != problem.NotRun
-	}
-	return !t.neverStarted(r) || t.outOfDate(r) != nil
-}
-
 // restartable reports whether a unit ended without running and without anyone
 // having been told, as when the front door died while it waited.
 func (u *unit) restartable() bool {
--- a/internal/holder/term.go
+++ b/internal/holder/term.go
@@ -89,6 +89,8 @@
 	gate     gate
 	line     line
 	paces    map[lineKey]*pace
+	// barred counts the tickets that are barred.
+	barred int
 	// overSince is since when a team runs more than its bound.
 	overSince map[string]time.Time
 	moving    bool
--- a/internal/holder/unit.go
+++ b/internal/holder/unit.go
@@ -40,6 +40,8 @@
 	phase    phase
 	attempts int
 	failures int
+	// barred is set for a ticket that was refused before it was known here.
+	barred bool
 	// ran is set once any attempt may have run.
 	ran      bool
 	session  *session
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -109,8 +109,8 @@
 	if term == nil {
 		return connect.NewResponse(runProblem(s.notHere(r.Msg.AvailabilityZone))), nil
 	}
-	if r.Msg.Lookup {
-		return connect.NewResponse(lookup(term, r.Msg.Ticket)), nil
+	if r.Msg.Bar {
+		return connect.NewResponse(bar(ctx, term, r.Msg.Ticket)), nil
 	}
 	request, err := s.requestOf(r.Msg)
 	if err != nil {
@@ -121,13 +121,13 @@
 	return connect.NewResponse(RunOn(ctx, term, request)), nil
 }
 
-// lookup says whether a ticket may have run.
-func lookup(term *holder.Term, text string) *peerv1.RunResponse {
+// bar bars a ticket that has not run.
+func bar(ctx context.Context, term *holder.Term, text string) *peerv1.RunResponse {
 	t, err := ticket.Parse(text)
 	if err != nil {
 		return runProblem(problem.From(err, problem.NotRun))
 	}
-	if term.MayHaveRun(t) {
+	if !term.Bar(ctx, t) {
 		return &peerv1.RunResponse{Verdict: peerv1.Verdict_VERDICT_UNKNOWN, Epoch: term.Epoch()}
 	}
 	return &peerv1.RunResponse{Verdict: peerv1.Verdict_VERDICT_NOT_RUN, Epoch: term.Epoch()}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -36,6 +36,8 @@
 	movedGrace = 300 * time.Millisecond
 	// previousTimeout bounds the question to the previous holder of a zone.
 	previousTimeout = 300 * time.Millisecond
+	// barTimeout bounds the barring of a ticket.
+	barTimeout = 1500 * time.Millisecond
 	// probeTimeout bounds a heartbeat that asks for the ticket generation.
 	probeTimeout = time.Second
 )
@@ -247,22 +249,22 @@
 	return Answer{}, false
 }
 
-// MayHaveRun reports whether a request with the ticket may have run. It is
-// true if the zone's holder can't be asked.
-func (r *Router) MayHaveRun(ctx context.Context, t ticket.Ticket) bool {
+// Bar reports whether a request with the ticket has certainly not run and never
+// will. It is false if the zone's holder can't be asked.
+func (r *Router) Bar(ctx context.Context, t ticket.Ticket) bool {
 	claim, ok := r.state.Epoch(t.AvailabilityZone)
 	if !ok {
-		return true
+		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, barTimeout)
 	defer cancel()
 	response, err := r.clients.To(r.address(claim)).Run(ctx, connect.NewRequest(&peerv1.RunRequest{
 		Ticket:           t.String(),
 		Epoch:            t.Epoch,
 		AvailabilityZone: t.AvailabilityZone,
-		Lookup:           true,
+		Bar:              true,
 	}))
-	return err != nil || response.Msg.Verdict != peerv1.Verdict_VERDICT_NOT_RUN || response.Msg.Problem != nil
+	return err == nil && response.Msg.Verdict == peerv1.Verdict_VERDICT_NOT_RUN && response.Msg.Problem == nil
 }
 
 // answerOf converts a holder's response.
