--- a/internal/placement/endpoints.go
+++ b/internal/placement/endpoints.go
@@ -23,7 +23,7 @@
 	grown bool
 }
 
-// fleet is all endpoints of the zone, by kind, in the order of their ids.
+// fleet is all endpoints of the zone, by kind.
 type fleet struct {
 	byID    map[string]*endpoint
 	workers []*endpoint
@@ -64,23 +64,38 @@
 	return &f.workers
 }
 
+// insert adds ep to the list of its kind.
 func (f *fleet) insert(ep *endpoint) {
 	list := f.list(ep.Runner)
 	at, _ := slices.BinarySearchFunc(*list, ep, compareEndpoints)
 	*list = slices.Insert(*list, at, ep)
-	f.byID[ep.ID] = ep
 }
 
+// remove takes ep out of the list of its kind.
 func (f *fleet) remove(ep *endpoint) {
 	list := f.list(ep.Runner)
 	if at, found := slices.BinarySearchFunc(*list, ep, compareEndpoints); found {
 		*list = slices.Delete(*list, at, at+1)
 	}
+}
+
+// forget removes all traces of ep.
+func (f *fleet) forget(ep *endpoint) {
+	f.remove(ep)
 	delete(f.byID, ep.ID)
 	f.grown = slices.DeleteFunc(f.grown, func(g *endpoint) bool { return g == ep })
 }
 
-func compareEndpoints(a, b *endpoint) int { return cmp.Compare(a.ID, b.ID) }
+// compareEndpoints orders endpoints without accelerators first, then by id.
+func compareEndpoints(a, b *endpoint) int {
+	if x, y := a.Capacity.Accelerators > 0, b.Capacity.Accelerators > 0; x != y {
+		if x {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Compare(a.ID, b.ID)
+}
 
 // noteGrown makes the next Schedule look at blocked work again.
 func (f *fleet) noteGrown(ep *endpoint) {
@@ -109,16 +124,18 @@
 		e.RemoveEndpoint(spec.ID)
 		known = false
 	}
-	if !known {
+	if known {
+		e.fleet.remove(ep)
+	} else {
 		ep = &endpoint{available: true}
-		ep.ID, ep.Runner = spec.ID, spec.Runner
-		e.fleet.insert(ep)
+		e.fleet.byID[spec.ID] = ep
 		defer e.attachOrphans(ep)
 	}
 	ep.free = ep.free.add(spec.Capacity).sub(ep.Capacity)
 	ep.Endpoint = spec
 	ep.rack = e.fleet.rackNumber(spec.Rack)
 	ep.scale = inverse(spec.Capacity)
+	e.fleet.insert(ep)
 	e.fleet.noteGrown(ep)
 	e.capacityChanged()
 }
@@ -157,7 +174,7 @@
 		e.orphans[id] = append(e.orphans[id], tk)
 	}
 	ep.tasks = nil
-	e.fleet.remove(ep)
+	e.fleet.forget(ep)
 	e.capacityChanged()
 }
 
--- a/internal/placement/health.go
+++ b/internal/placement/health.go
@@ -56,8 +56,6 @@
 // health is an endpoint's record of failures.
 type health struct {
 	suspicion float64
-	works     [recentWorks]string
-	nextWork  int
 	// until is the end of the quarantine, 0 for none.
 	until   time.Duration
 	backoff time.Duration
@@ -65,7 +63,9 @@
 	// quarantine, 0 if there is no such limit.
 	probation int
 	// running counts the tasks started on probation.
-	running int
+	running  int
+	works    [recentWorks]string
+	nextWork int
 }
 
 // admits reports whether the endpoint may take another task.
--- a/internal/placement/policy_test.go
+++ b/internal/placement/policy_test.go
@@ -254,6 +254,27 @@
 	}
 }
 
+func TestAcceleratorsAreKeptBehindManyEndpoints(t *testing.T) {
+	d := newDriver(t, 0, ink())
+	for i := range 2 * maxScored {
+		fast := worker(fmt.Sprintf("a%02d", i))
+		fast.Capacity.Accelerators = 1
+		d.e.SetEndpoint(fast)
+	}
+	d.e.SetEndpoint(worker("z0"))
+	d.submit(Work{ID: "plain", Team: "ink", Class: ClassBatch, Size: oneCore()}, 5, time.Hour)
+	d.step()
+	kept := 0
+	for _, ep := range d.where {
+		if ep == "z0" {
+			kept++
+		}
+	}
+	if kept != 4 || len(d.where) != 5 {
+		t.Fatalf("tasks went to %v, want 4 on z0 and the fifth beside an accelerator", d.where)
+	}
+}
+
 func TestCancelRemovesAWaveAtOnce(t *testing.T) {
 	d := newDriver(t, 1, ink())
 	d.submit(Work{ID: "wave", Team: "ink", Class: ClassBatch, Size: oneCore()}, 10000, time.Hour)
--- a/internal/placement/score.go
+++ b/internal/placement/score.go
@@ -1,7 +1,14 @@
 package placement
 
+import "math"
+
+// maxScored is the number of endpoints with room that are compared for a task,
+// those without accelerators first; the search then ends, which also leaves the
+// endpoints after them empty for large work. Spread work and service runners are compared with all.
+const maxScored = 16
+
 // scorer is the extension point that ranks the endpoints left by the filters;
-// the largest weighted sum wins, the first endpoint by id among equals.
+// the largest weighted sum wins, the first endpoint of the list among equals.
 // Scorers that are not relevant to the candidate are left out.
 type scorer interface {
 	relevant(e *engine, c *candidate) bool
@@ -17,7 +24,7 @@
 	return []weightedScorer{
 		{bestFit{}, 1},
 		{balance{}, 0.5},
-		{keepAccelerators{}, 4},
+		{keepAccelerators{}, 8},
 		{spreadRacks{}, 10},
 		{avoidSuspects{}, 2},
 	}
@@ -88,10 +95,17 @@
 	e.selectPlugins(c)
 	var best *endpoint
 	bestScore := 0.0
+	left := maxScored
+	if c.racks != nil || c.item.Runner {
+		left = math.MaxInt
+	}
 	for _, ep := range e.fleet.kind(c.item.Runner) {
 		if !e.admits(c, ep) {
 			continue
 		}
+		if left--; left < 0 {
+			break
+		}
 		if score := e.score(c, ep); best == nil || score > bestScore {
 			best, bestScore = ep, score
 		}
