--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,15 @@
 	PATH=$(BIN):$$PATH $(BIN)/buf generate
 	./scripts/proto-sums.sh > proto/SUMS
 
+# matrix runs every fault at every step with real processes, prints one row a
+# cell and writes docs/FAULTS.md.
+matrix:
+	./scripts/matrix.sh
+
+# bench-capacity measures the slopes of docs/CAPACITY.md, about ten minutes.
+bench-capacity: build
+	./scripts/bench-capacity.sh
+
 # bench-policy measures the placement policy beside its baselines.
 bench-policy:
 	./scripts/bench-policy.sh
--- a/internal/endpoint/wire.go
+++ b/internal/endpoint/wire.go
@@ -34,7 +34,9 @@
 }
 
 // AttachRequest makes Epoch the only epoch whose commands the endpoint obeys,
-// unless a higher one has attached already.
+// unless a higher one has attached already. It neither grants nor shortens a
+// lease, since its sender can't know how long it was under way: tasks start
+// only after the first heartbeat with the returned token.
 type AttachRequest struct {
 	AvailabilityZone string `json:"availability_zone"`
 	Holder           string `json:"holder"`
@@ -58,6 +60,10 @@
 	// that a delayed heartbeat can't extend a lease for longer than its
 	// sender can know.
 	LeaseToken uint64 `json:"lease_token"`
+	// Session is new for each attach. A lapsed lease ends the session, and
+	// commands of an ended session are refused, so that a delayed command
+	// can't take effect after its sender has counted the lease as lapsed.
+	Session uint64 `json:"session"`
 	// Leaving says that the endpoint accepts no new task.
 	Leaving bool `json:"leaving"`
 }
@@ -100,13 +106,17 @@
 	// Command names the program that the endpoint runs on Input.
 	Command string `json:"command"`
 	Input   []byte `json:"input,omitempty"`
+	// ResumeMS is the run time, in milliseconds, that a checkpoint of an
+	// earlier attempt has saved.
+	ResumeMS int64 `json:"resume_ms,omitempty"`
 }
 
 // StartRequest starts tasks. Starting a task whose ID the endpoint knows
 // already has no effect and is not an error. Refused tasks have not run.
 type StartRequest struct {
-	Epoch uint64     `json:"epoch"`
-	Tasks []TaskSpec `json:"tasks"`
+	Session uint64     `json:"session"`
+	Epoch   uint64     `json:"epoch"`
+	Tasks   []TaskSpec `json:"tasks"`
 }
 
 // StartResponse names the tasks that were refused and why; all others run.
@@ -122,6 +132,7 @@
 
 // HeartbeatRequest renews the lease that all tasks on the endpoint share.
 type HeartbeatRequest struct {
+	Session    uint64 `json:"session"`
 	Epoch      uint64 `json:"epoch"`
 	LeaseToken uint64 `json:"lease_token"`
 	LeaseMS    int64  `json:"lease_ms"`
@@ -156,9 +167,10 @@
 // StopRequest stops, checkpoints and stops, or throttles tasks. A stop of an
 // unknown ID bars that ID from starting later.
 type StopRequest struct {
-	Epoch  uint64     `json:"epoch"`
-	Action StopAction `json:"action"`
-	IDs    []string   `json:"ids"`
+	Session uint64     `json:"session"`
+	Epoch   uint64     `json:"epoch"`
+	Action  StopAction `json:"action"`
+	IDs     []string   `json:"ids"`
 }
 
 // StopResponse reports the state of each named task after the action.
@@ -176,11 +188,19 @@
 }
 
 // EventsRequest polls for events with a sequence above After, waiting up to
-// WaitMS milliseconds for the first.
+// WaitMS milliseconds for the first. It renews the lease at its begin, so that
+// an idle endpoint costs its holder one exchange per wait.
 type EventsRequest struct {
-	Epoch  uint64 `json:"epoch"`
-	After  uint64 `json:"after"`
-	WaitMS int64  `json:"wait_ms"`
+	Session uint64 `json:"session"`
+	Epoch   uint64 `json:"epoch"`
+	After   uint64 `json:"after"`
+	WaitMS  int64  `json:"wait_ms"`
+	// LeaseToken and LeaseMS renew the lease as a heartbeat does; LeaseMS 0
+	// renews nothing.
+	LeaseToken uint64 `json:"lease_token,omitempty"`
+	LeaseMS    int64  `json:"lease_ms,omitempty"`
+	// Leaving is what the holder knows; a poll returns at once if it is wrong.
+	Leaving bool `json:"leaving,omitempty"`
 }
 
 // EventsResponse returns events in any order, possibly again after a lost
@@ -190,6 +210,11 @@
 	Events      []Event `json:"events"`
 	// Next is the After value of the next poll.
 	Next uint64 `json:"next"`
+	// LeaseToken, Leaving and Usage are as in a HeartbeatResponse. Usage comes
+	// with polls that returned no event.
+	LeaseToken uint64      `json:"lease_token,omitempty"`
+	Leaving    bool        `json:"leaving,omitempty"`
+	Usage      []TaskUsage `json:"usage,omitempty"`
 }
 
 // Event is a part of an answer or the end of a task.
@@ -209,8 +234,9 @@
 
 // AckRequest lets the endpoint forget finished tasks.
 type AckRequest struct {
-	Epoch uint64   `json:"epoch"`
-	IDs   []string `json:"ids"`
+	Session uint64   `json:"session"`
+	Epoch   uint64   `json:"epoch"`
+	IDs     []string `json:"ids"`
 }
 
 // Status codes of the interface beyond the usual ones.
@@ -218,7 +244,8 @@
 	// StatusFenced (409) means that a higher epoch has attached; the body is
 	// a FencedBody.
 	StatusFenced = 409
-	// StatusNotAttached (412) means that this epoch has not attached yet.
+	// StatusNotAttached (412) means that this epoch has not attached yet or
+	// that the session has ended; attach again.
 	StatusNotAttached = 412
 )
 
--- /dev/null
+++ b/internal/history/stop.go
@@ -0,0 +1,115 @@
+package history
+
+import "fmt"
+
+// StopCutsNothing checks that no request in flight while a daemon stops as
+// planned is cut off: answered by a broken connection, by "unknown" or by the
+// caller's timeout. Requests count that were sent before or during the stop,
+// through any daemon: the stopping one may hold the zone of another's request.
+// Those that were sent before must not be refused by one of the StopCodes
+// either; new ones may be.
+// Requests that overlap another fault don't count, nor do those that were
+// answered as cancelled after their caller had cancelled them.
+func StopCutsNothing(events []Event, opts Options) []Violation {
+	ordered := sorted(events)
+	stops := plannedStops(ordered)
+	faults := faultTimes(ordered)
+	sent := map[string]Event{}
+	cancelled := map[string]bool{}
+	var found []Violation
+	for _, e := range ordered {
+		switch e.Kind {
+		case RequestCancelled:
+			cancelled[e.Ticket] = true
+		case RequestSent:
+			sent[e.Request] = e
+		case RequestAnswered:
+			request, known := sent[e.Request]
+			if !known || e.Code == CodeCancelled && cancelled[e.Ticket] || overlaps(faults, request.UnixNano, e.UnixNano) {
+				continue
+			}
+			for _, s := range stops {
+				if s.covers(request, e) && cutOff(e, opts, request.UnixNano < s.begin.UnixNano) {
+					found = append(found, Violation{
+						Promise: PromiseStop,
+						Detail:  fmt.Sprintf("request %s through %s was cut off (%s %s) by the planned stop of %s", e.Request, request.Daemon, e.Verdict, e.Code, s.begin.Daemon),
+						Events:  []Event{s.begin, request, e},
+					})
+				}
+			}
+		}
+	}
+	return found
+}
+
+// CodeCancelled is the code of an answer to work that its caller cancelled.
+const CodeCancelled = "cancelled"
+
+type plannedStop struct {
+	begin Event
+	end   int64
+}
+
+// covers reports whether the request was in flight during the stop.
+func (s plannedStop) covers(request, answer Event) bool {
+	return answer.UnixNano >= s.begin.UnixNano && request.UnixNano <= s.end
+}
+
+// plannedStops returns the times from DrainStarted to DaemonDown.
+func plannedStops(ordered []Event) []plannedStop {
+	var out []plannedStop
+	for _, e := range ordered {
+		switch e.Kind {
+		case DrainStarted:
+			out = append(out, plannedStop{e, forever})
+		case DaemonDown:
+			for i := range out {
+				if out[i].begin.Daemon == e.Daemon && out[i].end == forever {
+					out[i].end = e.UnixNano
+				}
+			}
+		}
+	}
+	return out
+}
+
+// cutOff reports whether an answer cuts its request off, which was in flight
+// when the stop began or came later.
+func cutOff(answer Event, opts Options, inFlight bool) bool {
+	switch answer.Code {
+	case CodeRefused:
+		return false
+	case CodeLost, CodeTimeout:
+		return true
+	}
+	return answer.Verdict == VerdictUnknown || inFlight && opts.StopCodes[answer.Code]
+}
+
+// faultTimes returns the times of injected faults, which the fault and the
+// process that it struck identify.
+func faultTimes(ordered []Event) []pause {
+	var out []pause
+	open := map[[3]string]int{}
+	for _, e := range ordered {
+		id := [3]string{e.Fault, e.Endpoint, e.Daemon}
+		switch e.Kind {
+		case FaultInjected:
+			open[id] = len(out)
+			out = append(out, pause{e.UnixNano, forever})
+		case FaultHealed:
+			if i, known := open[id]; known {
+				out[i].to = e.UnixNano
+			}
+		}
+	}
+	return out
+}
+
+func overlaps(list []pause, from, to int64) bool {
+	for _, p := range list {
+		if p.from <= to && from <= p.to {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/membership/directory.go
@@ -0,0 +1,161 @@
+// Package membership knows which instances exist, from the platform's lagging
+// list, and which daemons are alive, from heartbeats.
+package membership
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/bluebellstile/bluebellstile/internal/platform"
+	"gopkg.in/tomb.v2"
+)
+
+const (
+	// listInterval is the time between two reads of the platform's list.
+	listInterval = time.Second
+	// listTimeout bounds one read of the list.
+	listTimeout = 2 * time.Second
+)
+
+// Directory holds the latest list of instances: all daemons, and the endpoints
+// of the own availability zone. It is safe for concurrent use.
+type Directory struct {
+	lister platform.Lister
+	zone   string
+	slog   *slog.Logger
+
+	mu      sync.Mutex
+	entries map[string]entry
+	// firstRead and lastRead are the first and the latest successful read.
+	firstRead time.Time
+	lastRead  time.Time
+}
+
+// entry is an instance and since when the list has lacked it.
+type entry struct {
+	instance    platform.Instance
+	absentSince time.Time
+}
+
+// NewDirectory returns a directory for a zone that is empty until Run has read the list.
+func NewDirectory(lister platform.Lister, zone string, logger *slog.Logger) *Directory {
+	return &Directory{lister: lister, zone: zone, slog: logger, entries: make(map[string]entry)}
+}
+
+// Run polls the list until t dies.
+func (d *Directory) Run(t *tomb.Tomb) error {
+	ticker := time.NewTicker(listInterval)
+	defer ticker.Stop()
+	for {
+		d.refresh(t.Context(context.Background()))
+		select {
+		case <-t.Dying():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// refresh reads the list once; on failure the last one stays.
+func (d *Directory) refresh(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	entries, err := d.lister.Instances(ctx, platform.Filter{Role: platform.RoleEntry})
+	if err != nil {
+		d.slog.Debug("read of the instance list failed", "error", err)
+		return
+	}
+	own, err := d.lister.Instances(ctx, platform.Filter{AvailabilityZone: d.zone})
+	if err != nil {
+		d.slog.Debug("read of the zone's instance list failed", "error", err)
+		return
+	}
+	d.replace(slices.Concat(entries.Instances, own.Instances), time.Now())
+}
+
+// replace takes over a list that was read at now.
+func (d *Directory) replace(list []platform.Instance, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.firstRead.IsZero() {
+		d.firstRead = now
+	}
+	d.lastRead = now
+	listed := make(map[string]bool, len(list))
+	for _, i := range list {
+		listed[i.ID] = true
+		d.entries[i.ID] = entry{instance: i}
+	}
+	for id, e := range d.entries {
+		if listed[id] || !e.absentSince.IsZero() {
+			continue
+		}
+		e.absentSince = now
+		d.entries[id] = e
+	}
+}
+
+// Ready reports whether the list has been read at least once.
+func (d *Directory) Ready() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.firstRead.IsZero()
+}
+
+// Listed returns the listed instances for which keep holds, in order of id.
+func (d *Directory) Listed(keep func(platform.Instance) bool) []platform.Instance {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []platform.Instance
+	for _, e := range d.entries {
+		if e.absentSince.IsZero() && keep(e.instance) {
+			out = append(out, e.instance)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+// Instance returns the listed instance with the given id.
+func (d *Directory) Instance(id string) (platform.Instance, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e, ok := d.entries[id]
+	return e.instance, ok && e.absentSince.IsZero()
+}
+
+// Gone reports whether successful reads of the list have lacked the instance
+// over a period of at least bound. For an instance that was never listed the
+// period begins with the first read, but no earlier than since, when the
+// caller began to ask. A time without reads proves nothing.
+func (d *Directory) Gone(id string, bound time.Duration, since time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.firstRead.IsZero() {
+		return false
+	}
+	absentSince := later(d.firstRead, since)
+	if e, known := d.entries[id]; known {
+		if e.absentSince.IsZero() {
+			return false
+		}
+		absentSince = e.absentSince
+	}
+	return d.lastRead.Sub(absentSince) >= bound
+}
+
+// Resolve returns the address that the list gives for an instance, or fallback
+// if the list lacks it. holder may be the name under which the instance claims
+// its zone, "id/incarnation".
+func (d *Directory) Resolve(holder, fallback string) string {
+	id, _, _ := strings.Cut(holder, "/")
+	if i, ok := d.Instance(id); ok {
+		return i.Address
+	}
+	return fallback
+}
--- /dev/null
+++ b/internal/platform/read.go
@@ -0,0 +1,70 @@
+package platform
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Read implements Log. Reading below the first kept offset fails with
+// KindTrimmed, and the Error's First says where to go on.
+func (c *Client) Read(ctx context.Context, from uint64, limit int, wait time.Duration) (*ReadResponse, error) {
+	page, err := retry(ctx, c, opRead, func() (*ReadResponse, error) {
+		return c.readOnce(ctx, from, limit, wait)
+	})
+	if err != nil {
+		return nil, c.failure(opRead, kindOfAttempt(err), err)
+	}
+	return page, nil
+}
+
+// pageShrink divides the limit of a read whose page was too large.
+const pageShrink = 8
+
+// readOnce makes one attempt at a read, with a lower limit each time that the
+// page exceeds MaxResponseBytes.
+func (c *Client) readOnce(ctx context.Context, from uint64, limit int, wait time.Duration) (*ReadResponse, error) {
+	query := url.Values{
+		"from":    {strconv.FormatUint(from, 10)},
+		"limit":   {strconv.Itoa(limit)},
+		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
+	}
+	r := request{op: opRead, method: http.MethodGet, url: c.logURL + PathRecords + "?" + query.Encode(), wait: wait}
+	var page ReadResponse
+	err := c.exchange(ctx, r, &page)
+	if errors.Is(err, errResponseTooLarge) && limit > 1 {
+		return c.readOnce(ctx, from, max(limit/pageShrink, 1), wait)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if err := page.check(from); err != nil {
+		return nil, &attemptError{kind: KindUnavailable, cause: err}
+	}
+	if from > 0 && page.First > from {
+		cause := errors.Errorf("offset %d is below the first kept offset %d", from, page.First)
+		return nil, &attemptError{kind: KindTrimmed, permanent: true, first: page.First, cause: cause}
+	}
+	c.sawEnd(page.End)
+	return &page, nil
+}
+
+// check reports a page that no log can have sent in answer to a read at from:
+// its records must lie between from and the end, in ascending order.
+func (p *ReadResponse) check(from uint64) error {
+	if p.First == 0 || p.End < p.First {
+		return errors.Errorf("page from %d to %d is malformed", p.First, p.End)
+	}
+	next := max(from, p.First)
+	for _, record := range p.Records {
+		if record.Offset < next || record.Offset >= p.End {
+			return errors.Errorf("record at offset %d is out of place in a page from %d to %d", record.Offset, next, p.End)
+		}
+		next = record.Offset + 1
+	}
+	return nil
+}
--- a/internal/platform/wire.go
+++ b/internal/platform/wire.go
@@ -12,6 +12,10 @@
 	PathInstances = "/v1/instances"
 )
 
+// StatusTrimmed (410) answers a read below the first kept offset; the body is
+// a ReadResponse without records.
+const StatusTrimmed = 410
+
 // AppendRequest appends one record. ID is chosen by the writer so that a lost
 // answer can be resolved by reading back; the log itself may hold the same ID
 // twice when an append was retried.
@@ -25,6 +29,27 @@
 	Offset uint64 `json:"offset"`
 }
 
+// Filter narrows the list; empty fields match everything.
+type Filter struct {
+	Role             Role
+	AvailabilityZone string
+}
+
+// Parameters of a filtered list. A platform that doesn't know them answers the
+// whole list, which the client narrows itself.
+const (
+	ParamRole             = "role"
+	ParamAvailabilityZone = "availability_zone"
+)
+
+// Matches reports whether an instance passes the filter.
+func (f Filter) Matches(i Instance) bool {
+	if f.Role != "" && i.Role != f.Role {
+		return false
+	}
+	return f.AvailabilityZone == "" || i.AvailabilityZone == f.AvailabilityZone
+}
+
 // Record is one entry of the log.
 type Record struct {
 	Offset uint64 `json:"offset"`
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -22,6 +22,7 @@
 	KindSnapshot Kind = 7
 	KindAudit    Kind = 8
 	KindReport   Kind = 9
+	KindProbe    Kind = 10
 )
 
 // Envelope is one log record.
@@ -36,29 +37,58 @@
 	Snapshot *Snapshot `cbor:"8,keyasint,omitempty"`
 	Audit    *Audit    `cbor:"9,keyasint,omitempty"`
 	Report   *Report   `cbor:"10,keyasint,omitempty"`
+	Probe    *Probe    `cbor:"12,keyasint,omitempty"`
+	// Seen is the offset that the writer had applied when it made the record.
+	// Roster, Transfer, Jobs, Outcomes and Report records count only at
+	// offsets up to Seen+SeenWindow, so that a writer whose append got no
+	// answer knows after that offset that the record is void.
+	Seen uint64 `cbor:"11,keyasint,omitempty"`
 }
 
+// SeenWindow is the number of offsets over which a holder's record may still
+// take effect and over which the ids of such records are remembered.
+const SeenWindow = 1 << 14
+
 // Config publishes a configuration. It is in force only if Expected is the
 // version in force where it stands in the log; its own offset is its version.
+// Inside a Snapshot, Base is the version in force.
 type Config struct {
 	Text     string `cbor:"1,keyasint"`
 	Expected uint64 `cbor:"2,keyasint"`
 	// Author names the operator's key, for the audit.
 	Author string `cbor:"3,keyasint,omitempty"`
-	// Base is set when an older version is appended again ahead of
-	// retention; the version stays Base.
+	// Base is set when the version in force is appended again; the version
+	// stays Base.
 	Base uint64 `cbor:"4,keyasint,omitempty"`
+	// Patch makes the text from that of version Expected; Text is empty then.
+	Patch *ConfigPatch `cbor:"5,keyasint,omitempty"`
+}
+
+// ConfigPatch makes a text from another one.
+type ConfigPatch struct {
+	Runs []PatchRun `cbor:"1,keyasint"`
+	// Sum is the begin of the SHA-256 of the text that results.
+	Sum []byte `cbor:"2,keyasint"`
+}
+
+// PatchRun is Text, followed by Count sections of the base from Start on.
+type PatchRun struct {
+	Start int    `cbor:"1,keyasint,omitempty"`
+	Count int    `cbor:"2,keyasint,omitempty"`
+	Text  string `cbor:"3,keyasint,omitempty"`
 }
 
 // Claim makes Holder the holder of a zone if Previous is the current epoch
 // where the record stands. The epoch of a valid claim is its own offset.
+// Inside a Snapshot, Base is the current epoch and Previous the one that it
+// ended.
 type Claim struct {
 	Zone     string `cbor:"1,keyasint"`
 	Holder   string `cbor:"2,keyasint"`
 	Address  string `cbor:"3,keyasint"`
 	Previous uint64 `cbor:"4,keyasint"`
-	// Base is set when the holder renews its claim ahead of retention: the
-	// record counts only if Base is the current epoch, which it keeps.
+	// Base is set when the holder renews its claim: the record counts only if
+	// Base is the current epoch, which it keeps.
 	Base uint64 `cbor:"5,keyasint,omitempty"`
 }
 
@@ -67,7 +97,8 @@
 	Zone      string   `cbor:"1,keyasint"`
 	Epoch     uint64   `cbor:"2,keyasint"`
 	Endpoints []string `cbor:"3,keyasint"`
-	// Removed endpoints are certainly gone.
+	// Removed endpoints are certainly gone. Those added again behind the
+	// offset that the writer had seen stay.
 	Removed []string `cbor:"4,keyasint,omitempty"`
 }
 
@@ -109,6 +140,12 @@
 	Ticket string `cbor:"13,keyasint,omitempty"`
 	// Cancelled is set when a job is recorded again after its cancellation.
 	Cancelled bool `cbor:"14,keyasint,omitempty"`
+	// Tasks is the number of tasks of a finished job, whose inputs a snapshot
+	// leaves out.
+	Tasks int `cbor:"15,keyasint,omitempty"`
+	// Digest identifies what the job asks for, so that a ticket can't be used
+	// for another job even when the inputs are no longer kept.
+	Digest []byte `cbor:"16,keyasint,omitempty"`
 }
 
 // Outcomes is a group commit of finished tasks of durable jobs. A task is
@@ -127,19 +164,63 @@
 	State  string `cbor:"3,keyasint"`
 	Output []byte `cbor:"4,keyasint,omitempty"`
 	Reason string `cbor:"5,keyasint,omitempty"`
+	// Truncated says that Output was left out because it passed the bound on
+	// the outputs that the log keeps for one job.
+	Truncated bool `cbor:"6,keyasint,omitempty"`
 }
 
-// Snapshot carries one zone's durable state past the log's retention. It
-// replaces what stands before it for that zone.
+// Snapshot carries state past the log's retention: that of one zone, or, if
+// Zone is empty, the state that all zones share (configuration, claims and
+// allotments). It is what every reader derives from the records up to and
+// including Through, so any daemon may write it, and it changes nothing for a
+// reader that has read those records.
 type Snapshot struct {
 	Zone  string `cbor:"1,keyasint"`
 	Epoch uint64 `cbor:"2,keyasint"`
 	// Through is the offset of the last record that the snapshot covers.
-	Through    uint64           `cbor:"3,keyasint"`
-	Roster     []string         `cbor:"4,keyasint,omitempty"`
-	Allotments map[string]int64 `cbor:"5,keyasint,omitempty"`
-	Jobs       []Job            `cbor:"6,keyasint,omitempty"`
-	Outcomes   []Outcome        `cbor:"7,keyasint,omitempty"`
+	Through uint64   `cbor:"3,keyasint"`
+	Roster  []string `cbor:"4,keyasint,omitempty"`
+	// Key 5 is retired.
+
+	// Jobs are the open jobs in the order in which they were accepted.
+	Jobs     []Job     `cbor:"6,keyasint,omitempty"`
+	Outcomes []Outcome `cbor:"7,keyasint,omitempty"`
+	// Part numbers the records of one snapshot from 0 to Parts-1.
+	Part  int `cbor:"8,keyasint,omitempty"`
+	Parts int `cbor:"9,keyasint,omitempty"`
+	// Finished are the finished jobs that are still kept for reads, in the
+	// order in which they finished.
+	Finished []Job `cbor:"10,keyasint,omitempty"`
+	// Recent are the ids of the holder's records not older than SeenWindow.
+	Recent []RecentID `cbor:"11,keyasint,omitempty"`
+	// Claims is the claim of the zone, or of every zone if Zone is empty.
+	Claims []Claim       `cbor:"12,keyasint,omitempty"`
+	Config *Config       `cbor:"13,keyasint,omitempty"`
+	Teams  []TeamBalance `cbor:"14,keyasint,omitempty"`
+	// Added holds the offset at which each endpoint of Roster was last added.
+	Added []uint64 `cbor:"15,keyasint,omitempty"`
+}
+
+// RecentID is the id of a record and where it stands.
+type RecentID struct {
+	ID     string `cbor:"1,keyasint"`
+	Offset uint64 `cbor:"2,keyasint"`
+}
+
+// TeamBalance is how the upper limit of a team is allotted to the zones.
+type TeamBalance struct {
+	Team     string           `cbor:"1,keyasint"`
+	Limit    int64            `cbor:"2,keyasint"`
+	Balances map[string]int64 `cbor:"3,keyasint,omitempty"`
+	// Unplaced is the part that no zone has, because none is configured.
+	Unplaced int64 `cbor:"4,keyasint,omitempty"`
+}
+
+// Probe asks the holder of a zone for a sign of life: a holder that reads it
+// renews its claim. It changes nothing by itself.
+type Probe struct {
+	Zone  string `cbor:"1,keyasint"`
+	Epoch uint64 `cbor:"2,keyasint"`
 }
 
 // Audit records an operator's action.
@@ -159,6 +240,9 @@
 	EndMS   int64  `cbor:"4,keyasint"`
 	// Series is an encoded summary whose format the report package owns.
 	Series []byte `cbor:"5,keyasint"`
+	// FrontDoor is set if the summary is of what a front door saw and the
+	// holder did not. It doesn't show that the period is known.
+	FrontDoor bool `cbor:"6,keyasint,omitempty"`
 }
 
 // MaxBytes bounds an encoded record.
@@ -213,6 +297,8 @@
 		return e.Audit != nil
 	case KindReport:
 		return e.Report != nil
+	case KindProbe:
+		return e.Probe != nil
 	}
 	return false
 }
