--- a/internal/harness/faults.go
+++ b/internal/harness/faults.go
@@ -1,6 +1,7 @@
 package harness
 
 import (
+	"context"
 	"time"
 
 	"github.com/pkg/errors"
@@ -159,9 +160,10 @@
 
 // CutLinks applies a fault to the links that match until the returned
 // function heals them. Links that carry no connection can't show anything, so
-// that it is an error if none of them does.
+// that it is an error if none of them does within linkTimeout.
 func (c *Cell) CutLinks(name string, match func(Link) bool, fault testrelay.Fault) (func() error, error) {
-	if !c.inUse(match) {
+	inUse := func() bool { return c.inUse(match) }
+	if !Eventually(Within(context.Background(), linkTimeout), inUse) {
 		return nil, errors.Errorf("no connection to cut for %q", name)
 	}
 	healed := c.inject(history.Event{Fault: name})
@@ -173,6 +175,9 @@
 	}, nil
 }
 
+// linkTimeout bounds the wait for a connection that can be cut.
+const linkTimeout = 3 * time.Second
+
 // inUse reports whether a link that matches carries a connection.
 func (c *Cell) inUse(match func(Link) bool) bool {
 	c.mu.Lock()
