--- a/Makefile
+++ b/Makefile
@@ -44,3 +44,7 @@
 # bench-capacity measures the slopes of docs/CAPACITY.md, about ten minutes.
 bench-capacity: build
 	./scripts/bench-capacity.sh
+
+# bench-policy measures the placement policy beside its baselines.
+bench-policy:
+	./scripts/bench-policy.sh
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -50,6 +50,7 @@
 // API serves callers. It is safe for concurrent use.
 type API struct {
 	guard    *auth.Guard
+	observer Observer
 	router   *router.Router
 	limits   Limits
 	log      *slog.Logger
@@ -58,8 +59,8 @@
 }
 
 // New returns the callers' interface.
-func New(guard *auth.Guard, r *router.Router, limits Limits, leaving func() bool, logger *slog.Logger) *API {
-	return &API{guard: guard, router: r, limits: limits, log: logger, leaving: leaving}
+func New(observer Observer, guard *auth.Guard, r *router.Router, limits Limits, leaving func() bool, logger *slog.Logger) *API {
+	return &API{observer: observer, guard: guard, router: r, limits: limits, log: logger, leaving: leaving}
 }
 
 // Handler returns the routes.
@@ -135,7 +136,9 @@
 	limit := int64(a.limits.MaxWaiting())
 	if a.inFlight.Add(1) > limit {
 		a.inFlight.Add(-1)
-		return "", problem.Refuse(problem.QueueFull, "retry after the hint, with backoff", "%d requests are being answered already", limit).After(time.Second)
+		text := r.Header.Get(HeaderTicket)
+		p := problem.Refuse(problem.QueueFull, "retry after the hint, with backoff", "%d requests are being answered already", limit).After(time.Second)
+		return text, a.truthful(r.Context(), p, text)
 	}
 	defer a.inFlight.Add(-1)
 	return h(w, r)
@@ -228,11 +231,13 @@
 	if err := json.Unmarshal(body, &wanted); err != nil {
 		return "", problem.Refuse(problem.BadRequest, `send {"queue": "name"}`, "the body is not JSON: %v", err)
 	}
-	if _, p := a.guard.Admit(secret(r.Request), wanted.Queue); p != nil {
+	grant, p := a.guard.Admit(secret(r.Request), wanted.Queue)
+	if p != nil {
 		return "", p
 	}
 	t, p := a.router.NewTicket(r.Context())
 	if p != nil {
+		a.observe(r, grant, p)
 		return "", p
 	}
 	writeJSON(w, http.StatusCreated, ticketBody{Ticket: t.String()})
@@ -243,7 +248,8 @@
 func (a *API) postRequest(w http.ResponseWriter, r bunrouter.Request) (string, *problem.Problem) {
 	call, p := a.callOf(w, r)
 	if p != nil {
-		return r.Header.Get(HeaderTicket), p
+		text := r.Header.Get(HeaderTicket)
+		return text, a.truthful(r.Context(), p, text)
 	}
 	answer := a.router.Run(r.Context(), call)
 	text := ""
@@ -251,6 +257,9 @@
 		text = answer.Ticket.String()
 	}
 	if answer.Problem != nil {
+		if answer.Unreached {
+			a.observer.Answered(call.Team, call.Queue.Name, answer.Problem.Verdict, answer.Problem.Code)
+		}
 		return text, answer.Problem
 	}
 	h := w.Header()
@@ -264,6 +273,19 @@
 	return text, nil
 }
 
+// truthful turns the refusal of a request that came with a ticket into a doubt,
+// since an earlier sending with the ticket may have run,
+// unless the zone's holder knows that none did.
+func (a *API) truthful(ctx context.Context, p *problem.Problem, ticketText string) *problem.Problem {
+	t, err := ticket.Parse(ticketText)
+	if err != nil || p.Verdict != problem.NotRun || !a.router.MayHaveRun(ctx, t) {
+		return p
+	}
+	doubt := *p
+	doubt.Verdict = problem.Unknown
+	return &doubt
+}
+
 // callOf checks a request and converts it.
 func (a *API) callOf(w http.ResponseWriter, r bunrouter.Request) (*router.Call, *problem.Problem) {
 	grant, p := a.guard.Admit(secret(r.Request), r.Param("queue"))
--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -21,14 +22,18 @@
 	listTimeout = 2 * time.Second
 )
 
-// Directory holds the latest list of instances. It is safe for concurrent use.
+// Directory holds the latest list of instances: all daemons, and the endpoints
+// of the own availability zone. It is safe for concurrent use.
 type Directory struct {
 	lister platform.Lister
+	zone   string
 	slog   *slog.Logger
 
 	mu      sync.Mutex
 	entries map[string]entry
-	read    bool
+	// firstRead and lastRead are the first and the latest successful read.
+	firstRead time.Time
+	lastRead  time.Time
 }
 
 // entry is an instance and since when the list has lacked it.
@@ -37,9 +42,9 @@
 	absentSince time.Time
 }
 
-// NewDirectory returns a directory that is empty until Run has read the list.
-func NewDirectory(lister platform.Lister, logger *slog.Logger) *Directory {
-	return &Directory{lister: lister, slog: logger, entries: make(map[string]entry)}
+// NewDirectory returns a directory for a zone that is empty until Run has read the list.
+func NewDirectory(lister platform.Lister, zone string, logger *slog.Logger) *Directory {
+	return &Directory{lister: lister, zone: zone, slog: logger, entries: make(map[string]entry)}
 }
 
 // Run polls the list until t dies.
@@ -60,19 +65,27 @@
 func (d *Directory) refresh(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	list, err := d.lister.Instances(ctx)
+	entries, err := d.lister.Instances(ctx, platform.Filter{Role: platform.RoleEntry})
 	if err != nil {
 		d.slog.Debug("read of the instance list failed", "error", err)
 		return
 	}
-	d.replace(list.Instances, time.Now())
+	own, err := d.lister.Instances(ctx, platform.Filter{AvailabilityZone: d.zone})
+	if err != nil {
+		d.slog.Debug("read of the zone's instance list failed", "error", err)
+		return
+	}
+	d.replace(slices.Concat(entries.Instances, own.Instances), time.Now())
 }
 
 // replace takes over a list that was read at now.
 func (d *Directory) replace(list []platform.Instance, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.read = true
+	if d.firstRead.IsZero() {
+		d.firstRead = now
+	}
+	d.lastRead = now
 	listed := make(map[string]bool, len(list))
 	for _, i := range list {
 		listed[i.ID] = true
@@ -91,7 +104,7 @@
 func (d *Directory) Ready() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.read
+	return !d.firstRead.IsZero()
 }
 
 // Listed returns the listed instances for which keep holds, in order of id.
@@ -117,19 +130,23 @@
 }
 
 // Gone reports whether successful reads of the list have lacked the instance
-// for at least bound. An instance that was never listed counts as gone once
-// the list has been read for bound; since is when the caller began to ask.
+// over a period of at least bound. For an instance that was never listed the
+// period begins with the first read, but no earlier than since, when the
+// caller began to ask. A time without reads proves nothing.
 func (d *Directory) Gone(id string, bound time.Duration, since time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.read {
+	if d.firstRead.IsZero() {
 		return false
 	}
-	e, known := d.entries[id]
-	if !known {
-		return time.Since(since) >= bound
+	absentSince := later(d.firstRead, since)
+	if e, known := d.entries[id]; known {
+		if e.absentSince.IsZero() {
+			return false
+		}
+		absentSince = e.absentSince
 	}
-	return !e.absentSince.IsZero() && time.Since(e.absentSince) >= bound
+	return d.lastRead.Sub(absentSince) >= bound
 }
 
 // Resolve returns the address that the list gives for an instance, or fallback
--- a/internal/placement/hold.go
+++ b/internal/placement/hold.go
@@ -12,15 +12,23 @@
 	ep    *endpoint
 	size  Resources
 	count int64
+	// firm holds yield to urgent work only, others to any higher class.
+	firm bool
 	// ready is when the owner is expected to use the room.
 	ready   time.Duration
 	expires time.Duration
 }
 
-// yieldsTo reports whether c may use the held room: its owner, and urgent work
-// where the owner isn't urgent.
+// yieldsTo reports whether c may use the held room: its owner, and work of a
+// higher class.
 func (h *hold) yieldsTo(c *candidate) bool {
-	return h.owner == c.item || c.variant == variantUrgent && h.owner.Class != ClassUrgent
+	if h.owner == c.item {
+		return true
+	}
+	if h.firm && c.variant != variantUrgent {
+		return false
+	}
+	return c.item.Class < h.owner.Class
 }
 
 // held returns the number of tasks of it that have room held.
@@ -72,9 +80,7 @@
 	for len(it.holds) > 0 {
 		e.dropHold(it.holds[len(it.holds)-1])
 	}
-	if e.reservation != nil && e.reservation.owner == it {
-		e.reservation = nil
-	}
+	e.reservations = slices.DeleteFunc(e.reservations, func(r *reservation) bool { return r.owner == it })
 }
 
 // consume gives back the hold of one task of it, on ep if there is one there.
@@ -90,6 +96,7 @@
 	}
 	used.count--
 	it.bucket.team.held--
+	e.fleet.noteGrown(used.ep)
 	if used.count == 0 {
 		e.dropHold(used)
 	}
@@ -105,7 +112,7 @@
 		if it.holds[0].expires > e.now {
 			continue
 		}
-		if e.reservation != nil && e.reservation.owner == it {
+		if e.reservationOf(it) != nil {
 			limit := e.holdLimit(it)
 			it.holdLimit = 2 * limit
 			it.reserveAt = e.now + limit/2
