Stop in order while the log is down

Cause: matrix, log down/handing over: a daemon told to stop went on accepting new requests until its drain timeout and then closed them (connection lost, 7 requests), and it did not try the hand-over again when the log came back. Ruled out: ending at once, which leaves the zone without a holder. Change: new requests are refused once the balancer has had a second; the term goes on placing between attempts to hand over; a second before the drain timeout requests in flight are answered with what is known of them.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -47,6 +47,14 @@
 	RequestTimeout time.Duration
 }
 
+// Stopping says how far a planned stop of the daemon has come.
+type Stopping struct {
+	// Leaving is set from the begin: the balancer is told.
+	Leaving func() bool
+	// Refusing is set when the balancer has had time: new requests are refused.
+	Refusing func() bool
+}
+
 // API serves callers. It is safe for concurrent use.
 type API struct {
 	guard    *auth.Guard
@@ -55,12 +63,12 @@
 	limits   Limits
 	log      *slog.Logger
 	inFlight atomic.Int64
-	leaving  func() bool
+	stopping Stopping
 }
 
 // New returns the callers' interface.
-func New(observer Observer, guard *auth.Guard, r *router.Router, limits Limits, leaving func() bool, logger *slog.Logger) *API {
-	return &API{observer: observer, guard: guard, router: r, limits: limits, log: logger, leaving: leaving}
+func New(observer Observer, guard *auth.Guard, r *router.Router, limits Limits, stopping Stopping, logger *slog.Logger) *API {
+	return &API{observer: observer, guard: guard, router: r, limits: limits, log: logger, stopping: stopping}
 }
 
 // Handler returns the routes.
@@ -130,9 +138,14 @@
 
 // admitted runs a handler unless too many requests are being answered.
 func (a *API) admitted(w http.ResponseWriter, r bunrouter.Request, h handler) (string, *problem.Problem) {
-	if a.leaving() {
+	if a.stopping.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
+	if a.stopping.Refusing() {
+		text := r.Header.Get(HeaderTicket)
+		p := problem.Refuse(problem.ShuttingDown, "send it to another instance", "this instance is shutting down").After(time.Second)
+		return text, a.truthful(r.Context(), p, text)
+	}
 	limit := int64(a.limits.MaxWaiting())
 	if a.inFlight.Add(1) > limit {
 		a.inFlight.Add(-1)
--- a/internal/api/jobs.go
+++ b/internal/api/jobs.go
@@ -222,7 +222,7 @@
 	var sent *peerv1.JobStatusResponse
 	for {
 		written := proto.Equal(sent, status) || writeLine(w, status)
-		if !written || status.State != "running" || a.leaving() {
+		if !written || status.State != "running" || a.stopping.Leaving() {
 			return "", nil
 		}
 		sent = status
--- a/internal/holder/quiesce.go
+++ b/internal/holder/quiesce.go
@@ -20,6 +20,14 @@
 	t.deps.Log.Info("term is quiet", "epoch", t.epoch, "after", time.Since(t.began))
 }
 
+// Resume starts tasks again after a hand-over that did not come about.
+func (t *Term) Resume() {
+	t.mu.Lock()
+	t.moving = false
+	t.mu.Unlock()
+	t.kick()
+}
+
 // starting reports whether a start has not been answered yet.
 func (t *Term) starting() bool {
 	t.mu.Lock()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -53,11 +53,16 @@
 	term      peer.TermOf
 	log       *slog.Logger
 	claims    claimWatch
+	// closing ends when requests in flight have to be answered with what is
+	// known of them; Close ends it.
+	closing context.Context
+	Close   context.CancelFunc
 }
 
 // New returns a router for the daemon self.
 func New(self peer.Identity, state *cell.State, directory *membership.Directory, table *membership.Table, clients *peer.Clients, heart *peer.Heart, term peer.TermOf, logger *slog.Logger) *Router {
-	return &Router{self: self, state: state, directory: directory, table: table, clients: clients, heart: heart, term: term, log: logger}
+	closing, end := context.WithCancel(context.Background())
+	return &Router{self: self, state: state, directory: directory, table: table, clients: clients, heart: heart, term: term, log: logger, closing: closing, Close: end}
 }
 
 // Call is a synchronous request that has been admitted.
@@ -221,7 +226,7 @@
 				request.NotStartedEpoch, sent = a.response.NotStartedEpoch, false
 			}
 		}
-		if time.Now().After(until) || !pause(ctx) {
+		if time.Now().After(until) || !r.pause(ctx) {
 			return Answer{Ticket: t, Problem: outOfTime(t, sent, reached), Unreached: !reached && ctx.Err() == nil}
 		}
 	}
@@ -316,6 +321,7 @@
 	request.DeadlineMs = max(time.Until(until).Milliseconds(), 1)
 	ctx, cancel := context.WithDeadline(ctx, until.Add(answerGrace))
 	defer cancel()
+	defer context.AfterFunc(r.closing, cancel)()
 	defer context.AfterFunc(r.claims.until(claim), func() { time.AfterFunc(movedGrace, cancel) })()
 	response, err := r.clients.To(r.address(claim)).Run(ctx, connect.NewRequest(request))
 	if err != nil {
@@ -339,6 +345,15 @@
 	return r.term()
 }
 
+// pause waits between two attempts; it reports false if ctx or the router ends
+// first.
+func (r *Router) pause(ctx context.Context) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(r.closing, cancel)()
+	return pause(ctx)
+}
+
 // pause waits between two attempts; it reports false if ctx ends first.
 func pause(ctx context.Context) bool {
 	timer := time.NewTimer(retryPause)
--- a/internal/server/keeper.go
+++ b/internal/server/keeper.go
@@ -9,6 +9,7 @@
 	"github.com/bluebellstile/bluebellstile/internal/claimant"
 	"github.com/bluebellstile/bluebellstile/internal/endpoint"
 	"github.com/bluebellstile/bluebellstile/internal/holder"
+	"github.com/bluebellstile/bluebellstile/internal/membership"
 	"github.com/bluebellstile/bluebellstile/internal/placement"
 	"github.com/bluebellstile/bluebellstile/internal/record"
 	"github.com/bluebellstile/bluebellstile/internal/zone"
@@ -17,6 +18,10 @@
 const (
 	// liveWithin is the silence after which a daemon is no successor.
 	liveWithin = time.Second
+	// handOverTimeout bounds one attempt to hand the zone over.
+	handOverTimeout = 2 * time.Second
+	// handOverPause is the pause between two attempts.
+	handOverPause = 300 * time.Millisecond
 )
 
 // keeper runs a term while the log says that this daemon holds its zone.
@@ -126,27 +131,50 @@
 }
 
 // handOver claims the zone for another daemon of it, so that there is no gap,
-// and waits until the log shows that. Without a successor the zone stays
-// with this daemon until it ends.
+// and waits until the log shows that. While the log does not take the claim
+// the term goes on placing. Without a successor the zone stays with this
+// daemon until it ends.
 func (k *keeper) handOver(ctx context.Context) {
-	term := k.current()
-	if term == nil {
+	if k.current() == nil {
 		return
 	}
+	k.server.report.record(ctx, reportGrace)
+	for term := k.current(); term != nil && ctx.Err() == nil; term = k.current() {
+		successor, ok := k.successor()
+		if !ok || k.pass(ctx, term, successor) {
+			return
+		}
+		waitFor(ctx, handOverPause)
+	}
+}
+
+// successor is a live daemon of the zone that does not stop itself.
+func (k *keeper) successor() (membership.Member, bool) {
 	s := k.server
-	s.report.record(ctx, reportGrace)
 	for _, m := range s.table.Live(s.self.AvailabilityZone, liveWithin) {
-		if m.Instance == s.self.Instance || m.Address == "" {
-			continue
-		}
-		term.Quiesce(ctx)
-		successor := m.Instance + "/" + m.Incarnation
-		effect, err := s.journal.Append(ctx, claimant.Envelope(s.self.AvailabilityZone, successor, m.Address, term.Epoch()))
-		s.log.Info("zone handed over", "to", successor, "epoch", effect.Offset, "valid", effect.Valid, "error", err)
-		if err == nil {
-			return
+		if m.Instance != s.self.Instance && m.Address != "" {
+			return m, true
 		}
 	}
+	return membership.Member{}, false
+}
+
+// pass quiets the term and appends the successor's claim; it reports whether
+// the claim's effect is known.
+func (k *keeper) pass(ctx context.Context, term *holder.Term, m membership.Member) bool {
+	s := k.server
+	term.Quiesce(ctx)
+	name := m.Instance + "/" + m.Incarnation
+	appendCtx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	effect, err := s.journal.Append(appendCtx, claimant.Envelope(s.self.AvailabilityZone, name, m.Address, term.Epoch()))
+	if err != nil {
+		s.log.Warn("hand-over not confirmed; the term goes on", "to", name, "error", err)
+		term.Resume()
+		return false
+	}
+	s.log.Info("zone handed over", "to", name, "epoch", effect.Offset, "valid", effect.Valid)
+	return true
 }
 
 // stop ends the running term, if any, and waits for all terms to end.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -38,6 +38,9 @@
 	// lameDuck is how long a stopping daemon that reports itself not ready
 	// still takes callers, for the balancer to notice.
 	lameDuck = time.Second
+	// lastWords is how long before the drain timeout requests in flight are
+	// answered with what is known.
+	lastWords = time.Second
 	// peerGrace is how long a stopping daemon waits for its answers to other
 	// daemons to go out.
 	peerGrace = 500 * time.Millisecond
@@ -65,6 +68,8 @@
 	claimant   *claimant.Claimant
 	maxWaiting atomic.Int64
 	leaving    atomic.Bool
+	// refusing is set once the balancer has had time to notice the leaving.
+	refusing atomic.Bool
 
 	api   *listener
 	peer  *listener
@@ -148,7 +153,7 @@
 		MaxWaiting:     s.waitingLimit,
 		RequestTimeout: s.settings.Limits.RequestTimeout,
 	}
-	callers := api.New(s.report.doors, s.guard, s.router, limits, s.leaving.Load, s.log)
+	callers := api.New(s.report.doors, s.guard, s.router, limits, api.Stopping{Leaving: s.leaving.Load, Refusing: s.refusing.Load}, s.log)
 	s.api.http = &http.Server{
 		Handler:           callers.Handler(),
 		ReadHeaderTimeout: headerTimeout,
@@ -214,9 +219,12 @@
 	s.log.Info("daemon stops", "drain_timeout", s.settings.Limits.DrainTimeout)
 	ctx, cancel := context.WithTimeout(ctx, s.settings.Limits.DrainTimeout)
 	defer cancel()
+	noticed := time.AfterFunc(lameDuck, func() { s.refusing.Store(true) })
+	defer noticed.Stop()
+	began := time.Now()
 	s.keeper.handOver(ctx)
-	waitFor(ctx, lameDuck)
-	err := s.api.http.Shutdown(ctx)
+	waitFor(ctx, lameDuck-time.Since(began))
+	err := s.finishCallers(ctx)
 	s.report.record(ctx, reportGrace)
 	s.keeper.stop()
 	s.tomb.Kill(nil)
@@ -231,6 +239,19 @@
 	return errors.Wrap(err, "graceful shutdown")
 }
 
+// finishCallers lets the requests in flight end by themselves. Those that have
+// not when the drain timeout is near are answered with what is known of them.
+func (s *Server) finishCallers(ctx context.Context) error {
+	deadline, _ := ctx.Deadline()
+	patience, cancel := context.WithDeadline(ctx, deadline.Add(-lastWords))
+	defer cancel()
+	if err := s.api.http.Shutdown(patience); err == nil {
+		return nil
+	}
+	s.router.Close()
+	return s.api.http.Shutdown(ctx)
+}
+
 // closePeers lets answers to other daemons go out, then closes their
 // connections, which they keep open for as long as they can.
 func (s *Server) closePeers(ctx context.Context) {
