Take back no more than a share and measure deficits after placement

A team that took its share back preempted the whole cell in one call, since room held for it and tasks that were stopping were not counted; and deficits were updated before placement, so that a moment in which many tasks had ended counted as one in which nobody was entitled to anything, which wiped out the repayment. Both are mended; the deficit is now updated after placement.

A wake-up of blocked work that could never be needed is gone again.

--- a/internal/placement/benchpolicy/plot.go
+++ b/internal/placement/benchpolicy/plot.go
@@ -34,7 +34,7 @@
 
 func (t *table) plotMeasure(m measure, dir string) error {
 	p := plot.New()
-	p.Title.Text = m.name + " (less is better)"
+	p.Title.Text = m.name + " (less is better; no bar where not measured)"
 	p.Y.Min = 0
 	p.Legend.Top = true
 	for j, c := range t.contenders {
--- a/internal/placement/hold.go
+++ b/internal/placement/hold.go
@@ -96,7 +96,6 @@
 	}
 	used.count--
 	it.bucket.team.held--
-	e.fleet.noteGrown(used.ep)
 	if used.count == 0 {
 		e.dropHold(used)
 	}
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -23,20 +23,29 @@
 func (e *engine) preempt(tk *task) {
 	tk.preempted = true
 	tk.preemptedAt = e.now
+	tk.team.leaving = tk.team.leaving.add(tk.charged)
 	e.preempting = append(e.preempting, tk)
 	e.out = append(e.out, Decision{Work: tk.Work, Task: tk.Task, Endpoint: tk.Endpoint, Preempt: true})
 }
 
+// endPreemption notes that tk has stopped, or was not stopped in time.
+func (e *engine) endPreemption(tk *task) {
+	if tk.preempted {
+		tk.preempted = false
+		tk.team.leaving = tk.team.leaving.sub(tk.charged)
+	}
+}
+
 // expirePreemptions lets tasks that did not stop in time be chosen again.
 func (e *engine) expirePreemptions() {
 	e.preempting = slices.DeleteFunc(e.preempting, func(tk *task) bool {
-		if tk.ep == nil {
+		if !tk.preempted {
 			return true
 		}
 		if e.now-tk.preemptedAt < e.policy.PreemptTimeout {
 			return false
 		}
-		tk.preempted = false
+		e.endPreemption(tk)
 		return true
 	})
 }
@@ -59,15 +68,17 @@
 
 // overShare admits victims for a claimant whose share per weight is well below
 // the mean of all teams with work; the victim's team must stay above that mean,
-// so that a preemption is never followed by its reverse.
+// so that a preemption is never followed by its reverse. Room that is held for
+// the claimant counts as its own, and tasks that are being preempted as gone.
 func (e *engine) overShare(it *item) func(*task) bool {
 	claimant := it.bucket.team
-	short := claimant.share < reclaimBelow*e.activeLevel*claimant.weight()
+	own := claimant.used.add(it.Size.times(int64(claimant.held)))
+	short := dominant(own, e.fleet.scale) < reclaimBelow*e.activeLevel*claimant.weight()
 	return func(tk *task) bool {
 		if !short || tk.Class < it.Class || tk.team == claimant {
 			return false
 		}
-		left := tk.team.share - dominant(tk.charged, e.fleet.scale)
+		left := dominant(tk.team.used.sub(tk.team.leaving).sub(tk.charged), e.fleet.scale)
 		return left >= e.activeLevel*tk.team.weight()
 	}
 }
--- a/internal/placement/running.go
+++ b/internal/placement/running.go
@@ -64,6 +64,7 @@
 	}
 	delete(e.running, id)
 	t := tk.team
+	e.endPreemption(tk)
 	t.running--
 	t.used = t.used.sub(tk.charged)
 	e.rescore(t)
@@ -107,6 +108,9 @@
 	if grown == (Resources{}) {
 		return
 	}
+	if tk.preempted {
+		tk.team.leaving = tk.team.leaving.add(grown)
+	}
 	tk.charged = charged
 	tk.team.used = tk.team.used.add(grown)
 	e.rescore(tk.team)
--- a/internal/placement/schedule.go
+++ b/internal/placement/schedule.go
@@ -18,7 +18,6 @@
 	e.limit = limit
 	e.out = nil
 	e.misses = 0
-	e.accrue()
 	e.wake()
 	due := e.now-e.housekeptAt >= housekeepInterval || !e.housekept
 	if due {
@@ -40,6 +39,7 @@
 		e.preemptWaiting()
 		e.clearBackfill()
 	}
+	e.accrue()
 	return e.out
 }
 
--- a/internal/placement/share.go
+++ b/internal/placement/share.go
@@ -33,6 +33,8 @@
 	// held counts the waiting tasks that have room held.
 	held int
 	used Resources
+	// leaving sums what the tasks that are being preempted are charged.
+	leaving Resources
 	// queued sums the sizes of the waiting tasks.
 	queued Resources
 	// share is the dominant share s of used.
@@ -76,7 +78,8 @@
 }
 
 // accrue adds what each team was short of its entitlement since the last time
-// to its deficit.
+// to its deficit. It runs after placement, when the room of ended tasks has
+// been given out again.
 //
 // Only teams that wait for room take part, so usage of idle room is not held
 // against anyone later. The sum P of their shares is divided by water filling:
