--- a/internal/capacity/budget.go
+++ b/internal/capacity/budget.go
@@ -6,14 +6,14 @@
 	Value    string
 	Budget   float64
 	Computed float64
-	Unit     string
 }
 
-// Units of the table.
+// Values of the table, with their units.
 const (
-	unitCPU   = "% of a core"
-	unitMB    = "MB"
-	unitBytes = "bytes/s"
+	rowCPU     = "CPU, % of a core"
+	rowMB      = "memory, MB"
+	rowBytes   = "bytes/s"
+	rowAppends = "appends/s"
 )
 
 // part is one cause of a daemon's spending: the slope of a series at a size of
@@ -33,10 +33,11 @@
 	return []part{
 		{"zone holder: sessions of idle endpoints", "holder-endpoints", designWorkersAZone, []string{valueEndpoint}, 1},
 		{"zone holder: starts at the peak", "holder-starts-idle", designStartsAZone, []string{valueEndpoint, valuePeer}, 1},
+		{"zone holder: answered requests remembered", "holder-retained", designStartsAZone * retainedSeconds, nil, 1},
 		{"front door: a zone's requests over its daemons", "front-door-idle", designStartsAZone / designDaemonsAZone, []string{valuePeer}, 1},
 		{"directory: platform's whole list", "directory", designWorkers + designDaemons, []string{valueList}, 1},
-		{"membership: daemons of the zone", "peers-zone", designDaemonsAZone, []string{valuePeer}, 2},
-		{"membership: holders of other zones", "peers-zones", designZones, []string{valuePeer}, 2},
+		{"membership: daemons of the zone", "peers-zone", designDaemonsAZone - 1, []string{valuePeer}, 2},
+		{"membership: holders of other zones", "peers-zones", designZones - 1, []string{valuePeer}, 2},
 		{"log tail by relay at the appends' budget", "tail-relay", budgetAppends, []string{valuePeer, valueLog}, 1},
 	}
 }
@@ -45,30 +46,71 @@
 // measured; rows whose series is missing are left out.
 func (r *Results) Budgets() []Row {
 	b := &book{results: r}
-	b.add("daemon without any load", valueCPU, budgetCPUPercent, b.base(valueCPU), unitCPU)
-	b.add("daemon without any load", valueRSS, budgetMB, b.base(valueRSS), unitMB)
-	cpu, mb, bytes := b.base(valueCPU), b.base(valueRSS), 0.0
-	for _, p := range holderParts() {
-		c, m, n := b.part(p)
-		cpu, mb, bytes = cpu+c, mb+m, bytes+n
-	}
-	b.add("sum: a holder that is a front door as well", valueCPU, budgetCPUPercent, cpu, unitCPU)
-	b.add("sum: a holder that is a front door as well", valueRSS, budgetMB, mb, unitMB)
-	b.add("sum: a holder that is a front door as well", "bytes_s", budgetBytes, bytes, unitBytes)
+	b.daemon()
+	b.appends()
 	b.times()
 	return b.rows
 }
 
+// daemon adds the rows of each cause, and their sum if all were measured.
+func (b *book) daemon() {
+	baseCPU, whole := b.fit("directory", valueCPU)
+	baseMB, _ := b.fit("directory", valueRSS)
+	if whole {
+		b.add("daemon without any load", rowCPU, budgetCPUPercent, baseCPU.Intercept)
+		b.add("daemon without any load", rowMB, budgetMB, baseMB.Intercept)
+	}
+	cpu, mb, bytes := baseCPU.Intercept, baseMB.Intercept, 0.0
+	for _, p := range holderParts() {
+		c, m, n, ok := b.part(p)
+		cpu, mb, bytes, whole = cpu+c, mb+m, bytes+n, whole && ok
+	}
+	n, ok := b.config()
+	bytes, whole = bytes+n, whole && ok
+	if !whole {
+		return
+	}
+	b.add("sum: a holder that is a front door as well", rowCPU, budgetCPUPercent, cpu)
+	b.add("sum: a holder that is a front door as well", rowMB, budgetMB, mb)
+	b.add("sum: a holder that is a front door as well", rowBytes, budgetBytes, bytes)
+}
+
+// config adds the bytes of configuration that each reader of the log takes in
+// over a day, and returns their mean.
+func (b *book) config() (mean float64, ok bool) {
+	f, ok := b.fit("config-direct", "log_bytes_per_change")
+	if !ok {
+		return 0, false
+	}
+	mean = f.Slope * designConfigADay / secondsADay
+	b.add("configuration: whole text in each change", rowBytes, budgetBytes, mean)
+	return mean, true
+}
+
+// appends adds the log appends of jobs over all zones.
+func (b *book) appends() {
+	f, ok := b.fit("holder-jobs", valueAppends)
+	if !ok {
+		return
+	}
+	b.add("log appends of jobs, mean of a day", rowAppends, budgetAppends, f.Slope*designJobsADay/secondsADay)
+	b.add("log appends of jobs, all starts of the peak", rowAppends, budgetAppends, f.Slope*designJobsAtPeak)
+}
+
 // times adds the rows of delays.
 func (b *book) times() {
-	for _, way := range []string{"config-relay", "config-direct"} {
-		if f, ok := b.fit(way, "max_ms"); ok {
-			b.add(way+": last daemon has a change in force", "max_ms", float64(budgetConfig.Milliseconds()), f.At(designDaemons), "ms")
+	for _, way := range []string{"relay", "direct"} {
+		if f, ok := b.fit("config-"+way, "max_ms"); ok {
+			b.add("last daemon has a change in force, by "+way, "delay, ms", float64(budgetConfig.Milliseconds()), f.At(designDaemons))
 		}
 	}
-	for _, value := range []string{"first_start_s", "full_s", "max_wait_s"} {
-		if f, ok := b.fit("failover", value); ok {
-			b.add("death of a holder", value, budgetStart.Seconds(), f.At(designWorkersAZone), "s")
+	for _, delay := range []struct{ role, value string }{
+		{"first start after a holder's death", "first_start_s"},
+		{"all endpoints attached after a holder's death", "full_s"},
+		{"longest wait of a request through a holder's death", "max_wait_s"},
+	} {
+		if f, ok := b.fit("failover", delay.value); ok {
+			b.add(delay.role, "delay, s", budgetStart.Seconds(), f.At(designWorkersAZone))
 		}
 	}
 }
@@ -88,34 +130,30 @@
 	return s.Fit(value)
 }
 
-// base is a value of a daemon that has nothing to do.
-func (b *book) base(value string) float64 {
-	f, _ := b.fit("directory", value)
-	return f.Intercept
-}
-
 // part adds the rows of one cause and returns what it spends.
-func (b *book) part(p part) (cpu, mb, bytes float64) {
+func (b *book) part(p part) (cpu, mb, bytes float64, ok bool) {
 	f, ok := b.fit(p.series, valueCPU)
 	if !ok {
-		return 0, 0, 0
+		return 0, 0, 0, false
 	}
-	cpu = f.Slope * p.size
-	b.add(p.role, valueCPU, budgetCPUPercent, cpu, unitCPU)
+	cpu = max(f.Slope, 0) * p.size
+	b.add(p.role, rowCPU, budgetCPUPercent, cpu)
 	if f, ok = b.fit(p.series, valueRSS); ok {
 		mb = max(f.Slope, 0) * p.size
-		b.add(p.role, valueRSS, budgetMB, mb, unitMB)
+		b.add(p.role, rowMB, budgetMB, mb)
 	}
 	for _, value := range p.bytes {
 		if f, ok = b.fit(p.series, value); ok {
 			bytes += max(f.Slope, 0) * p.size * p.ends
 		}
 	}
-	b.add(p.role, "bytes_s", budgetBytes, bytes, unitBytes)
-	return cpu, mb, bytes
+	if len(p.bytes) > 0 {
+		b.add(p.role, rowBytes, budgetBytes, bytes)
+	}
+	return cpu, mb, bytes, true
 }
 
 // add appends a row.
-func (b *book) add(role, value string, budget, computed float64, unit string) {
-	b.rows = append(b.rows, Row{Role: role, Value: value, Budget: budget, Computed: computed, Unit: unit})
+func (b *book) add(role, value string, budget, computed float64) {
+	b.rows = append(b.rows, Row{Role: role, Value: value, Budget: budget, Computed: computed})
 }
