--- a/internal/api/jobs.go
+++ b/internal/api/jobs.go
@@ -18,6 +18,8 @@
 	maxMilliCores   = 1 << 20
 	maxMemoryMB     = 1 << 26
 	maxAccelerators = 1 << 10
+	// maxRunTime bounds a declared run time.
+	maxRunTime = 30 * 24 * time.Hour
 	// watchPoll is how often a watched job is looked at.
 	watchPoll = 100 * time.Millisecond
 )
@@ -74,10 +76,6 @@
 
 // postJob accepts a durable job.
 func (a *API) postJob(w http.ResponseWriter, r bunrouter.Request) (string, *problem.Problem) {
-	grant, p := a.guard.Admit(secret(r.Request), r.Param("queue"))
-	if p != nil {
-		return "", p
-	}
 	body, p := a.readBody(w, r.Request)
 	if p != nil {
 		return "", p
@@ -86,11 +84,16 @@
 	if err := json.Unmarshal(body, &job); err != nil {
 		return "", problem.Refuse(problem.BadRequest, "send a job as JSON", "the body is not a job: %v", err)
 	}
-	if p := job.check(); p != nil {
-		return job.Ticket, p
+	grant, p := a.guard.Admit(secret(r.Request), r.Param("queue"))
+	if p == nil {
+		p = job.check(grant.Queue.Runner)
+	}
+	if p != nil {
+		return job.Ticket, jobTruthful(p, job.Ticket)
 	}
 	t, p := a.jobTicket(r, &job)
 	if p != nil {
+		a.observe(r, grant, p)
 		return job.Ticket, p
 	}
 	idempotent := grant.Queue.Idempotent
@@ -108,6 +111,7 @@
 		Size:       job.size(grant.Queue.Runner),
 		RunTimeMs:  job.RunTimeMS,
 	})
+	a.observe(r, grant, p)
 	if p != nil {
 		return t.String(), p
 	}
@@ -116,6 +120,17 @@
 	return t.String(), nil
 }
 
+// jobTruthful turns the refusal of a job that came with a ticket into a doubt
+// if a job under the ticket may have been accepted.
+func jobTruthful(p *problem.Problem, ticketText string) *problem.Problem {
+	if _, err := ticket.Parse(ticketText); err != nil || p.Verdict != problem.NotRun {
+		return p
+	}
+	doubt := *p
+	doubt.Verdict = problem.Unknown
+	return &doubt
+}
+
 // jobTicket returns the caller's ticket or makes one.
 func (a *API) jobTicket(r bunrouter.Request, job *jobBody) (ticket.Ticket, *problem.Problem) {
 	if job.Ticket == "" {
@@ -140,22 +155,25 @@
 	}
 }
 
-// check refuses a job that makes no sense.
-func (j *jobBody) check() *problem.Problem {
+// check refuses a job that makes no sense; the tasks of service runners have
+// no size of their own.
+func (j *jobBody) check(runner bool) *problem.Problem {
 	const remedy = "correct the job and submit it again"
 	switch {
 	case j.Command == "":
 		return problem.Refuse(problem.BadRequest, remedy, "no command is given")
 	case len(j.Inputs) == 0:
 		return problem.Refuse(problem.BadRequest, remedy, "inputs is empty; each input makes one task")
+	case !runner && j.Size.MilliCores == 0:
+		return problem.Refuse(problem.BadRequest, remedy, "size.milli_cores is missing; state what each task needs")
 	case j.Size.MilliCores < 0 || j.Size.MilliCores > maxMilliCores:
 		return problem.Refuse(problem.BadRequest, remedy, "milli_cores %d is not from 0 to %d", j.Size.MilliCores, maxMilliCores)
 	case j.Size.MemoryMB < 0 || j.Size.MemoryMB > maxMemoryMB:
 		return problem.Refuse(problem.BadRequest, remedy, "memory_mb %d is not from 0 to %d", j.Size.MemoryMB, maxMemoryMB)
 	case j.Size.Accelerators < 0 || j.Size.Accelerators > maxAccelerators:
 		return problem.Refuse(problem.BadRequest, remedy, "accelerators %d is not from 0 to %d", j.Size.Accelerators, maxAccelerators)
-	case j.RunTimeMS < 0:
-		return problem.Refuse(problem.BadRequest, remedy, "run_time_ms %d is negative", j.RunTimeMS)
+	case j.RunTimeMS < 0 || j.RunTimeMS > maxRunTime.Milliseconds():
+		return problem.Refuse(problem.BadRequest, remedy, "run_time_ms %d is not from 0 to %d", j.RunTimeMS, maxRunTime.Milliseconds())
 	}
 	return nil
 }
@@ -204,7 +222,7 @@
 	var sent *peerv1.JobStatusResponse
 	for {
 		written := proto.Equal(sent, status) || writeLine(w, status)
-		if !written || status.State != "running" || a.leaving() {
+		if !written || status.State != "running" || a.stopping.Leaving() {
 			return "", nil
 		}
 		sent = status
--- a/internal/harness/cell.go
+++ b/internal/harness/cell.go
@@ -28,6 +28,8 @@
 	TakeoverAfter  time.Duration
 	DrainTimeout   time.Duration
 	ListLag        time.Duration
+	// LogRetention is the number of records that the log keeps; 0 keeps all.
+	LogRetention int
 	// Dir receives settings, logs and histories; empty means a temporary one.
 	Dir string
 }
@@ -85,7 +87,10 @@
 		Daemons: map[string]*Daemon{}, Endpoints: map[string]*EndpointNode{},
 		relays: map[Link]*testrelay.Relay{},
 	}
-	t.Cleanup(c.close)
+	t.Cleanup(func() {
+		c.close()
+		c.reportCrashes(t)
+	})
 	if err := c.start(); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/holder/allotments.go
+++ b/internal/holder/allotments.go
@@ -12,14 +12,23 @@
 	"github.com/bluebellstile/bluebellstile/internal/problem"
 	"github.com/bluebellstile/bluebellstile/internal/record"
 	"github.com/bluebellstile/bluebellstile/internal/team"
+	"github.com/pkg/errors"
 )
 
 const (
 	// allotmentInterval is how often teams that wait at their bound are looked
 	// for.
 	allotmentInterval = 200 * time.Millisecond
+	// excessGrace is how long a team may run more than its lowered bound before
+	// tasks are stopped. It leaves half of the time in which a configuration
+	// has to be in force for the stop itself.
+	excessGrace = 4 * time.Second
 	// transferTimeout bounds one request to another zone.
 	transferTimeout = 3 * time.Second
+	// transferRate and transferBurst bound the transfers that a holder appends,
+	// in transfers a second.
+	transferRate  = 2
+	transferBurst = 16
 	// maxTransfersPerRound bounds the teams served in one round, and with it
 	// the appends that transfers cause.
 	maxTransfersPerRound = 8
@@ -80,7 +89,6 @@
 	switch effect.Kind {
 	case record.KindConfig, record.KindSnapshot:
 		t.refreshBounds()
-		t.stopExcess()
 	case record.KindTransfer:
 		if name := effect.Envelope.Transfer.Team; t.teams[name] {
 			t.setTeam(name)
@@ -91,40 +99,53 @@
 	t.kick()
 }
 
-// stopExcess stops the newest tasks of teams whose limit was lowered below
-// what they run: checkpointed if they may be started again, else stopped.
-func (t *Term) stopExcess() {
+// stopExcess stops the newest tasks of teams that have been running more than
+// their bound for excessGrace, as after their limit was lowered: first those
+// that may be started again, which are checkpointed, then the others. Until
+// then tasks may end by themselves, and other zones may give allotment.
+func (t *Term) stopExcess(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	for name := range t.teams {
-		running := int64(t.engine.RunningTasks(name))
-		excess := running - t.bound(name)
+		excess := int64(t.engine.RunningTasks(name)) - t.bound(name)
 		if excess <= 0 || !t.gate.passed() {
+			delete(t.overSince, name)
+			continue
+		}
+		since, known := t.overSince[name]
+		if !known {
+			t.overSince[name] = now
 			continue
 		}
-		for _, task := range team.Newest(t.runningOf(name), excess) {
+		if now.Sub(since) >= excessGrace {
+			t.stopNewest(name, excess)
+			t.overSince[name] = now
+		}
+	}
+}
+
+// stopNewest stops a number of a team's tasks.
+func (t *Term) stopNewest(name string, excess int64) {
+	for _, idempotent := range []bool{true, false} {
+		tasks := team.Newest(t.runningOf(name, idempotent), excess)
+		for _, task := range tasks {
 			t.stopOver(t.units[task.ID])
 		}
+		excess -= int64(len(tasks))
 	}
 }
 
-// runningOf lists a team's running tasks.
-func (t *Term) runningOf(name string) []team.Task {
+// runningOf lists a team's running tasks, idempotent ones or the others.
+func (t *Term) runningOf(name string, idempotent bool) []team.Task {
 	var tasks []team.Task
 	for _, u := range t.units {
-		if u.spec.Team == name && u.session != nil {
-			tasks = append(tasks, team.Task{ID: u.key, Started: u.enqueued + u.queuedFor()})
+		if u.spec.Team == name && u.session != nil && u.spec.Idempotent == idempotent {
+			tasks = append(tasks, team.Task{ID: u.key, Started: u.begun})
 		}
 	}
 	return tasks
 }
 
-// queuedFor is how long the unit waited, as far as it is known.
-func (u *unit) queuedFor() time.Duration {
-	if u.request == nil {
-		return 0
-	}
-	return u.request.queued
-}
-
 // stopOver stops a task over its team's bound.
 func (t *Term) stopOver(u *unit) {
 	action := endpoint.ActionStop
@@ -147,6 +168,7 @@
 		case <-ticker.C:
 		}
 		t.expireReservations()
+		t.stopExcess(time.Now())
 		for _, need := range t.shortTeams() {
 			t.acquire(need)
 		}
@@ -176,7 +198,7 @@
 	var out []shortage
 	for name := range t.teams {
 		waiting, running := int64(t.engine.Waiting(name)), int64(t.engine.RunningTasks(name))
-		if need := running + waiting - t.bound(name); waiting > 0 && need > 0 {
+		if need := running + waiting - t.bound(name); need > 0 {
 			out = append(out, shortage{team: name, amount: need})
 		}
 		if len(out) == maxTransfersPerRound {
@@ -216,13 +238,18 @@
 
 // Give transfers at most amount of a team's unused allotment to another zone
 // and returns how much was given. The own bound is lowered before the record
-// is appended and stays so until the record's effect is known.
+// is appended and stays so until the record's effect is known, which goes on
+// after ctx has ended.
 func (t *Term) Give(ctx context.Context, name, to string, amount int64) (int64, *problem.Problem) {
-	id, amount := t.reserve(name, amount)
+	if !t.transferLimit.Allow() {
+		return 0, nil
+	}
+	seen := t.deps.Journal.State().Applied()
+	id, amount := t.reserve(name, amount, seen)
 	if amount <= 0 {
 		return 0, nil
 	}
-	envelope := &record.Envelope{Kind: record.KindTransfer, Transfer: &record.Transfer{
+	envelope := &record.Envelope{Kind: record.KindTransfer, Seen: seen, Transfer: &record.Transfer{
 		ID:     id,
 		Team:   name,
 		From:   t.settings.AvailabilityZone,
@@ -230,27 +257,69 @@
 		Amount: amount,
 		Epoch:  t.epoch,
 	}}
-	envelope.Seen = t.deps.Journal.State().Applied()
-	effect, err := t.deps.Journal.AppendID(ctx, id, envelope)
-	if err != nil && !errorsIsNotAppended(err) {
-		return 0, appendProblem(err)
+	entry := &transferEntry{id: id, team: name, envelope: envelope, done: make(chan *problem.Problem, 1)}
+	t.transfers.add(entry)
+	select {
+	case p := <-entry.done:
+		if p != nil {
+			return 0, p
+		}
+		return amount, nil
+	case <-ctx.Done():
+		return 0, problem.Doubt(problem.LogOutcomeUnknown, "ask again", "the log did not confirm the transfer in time")
 	}
-	t.resolve(id, name)
-	if err != nil {
-		return 0, appendProblem(err)
+}
+
+// transferEntry is a transfer on its way to the log.
+type transferEntry struct {
+	id       string
+	team     string
+	envelope *record.Envelope
+	// doubt is set once an attempt may have been appended. From then on only
+	// the effect of a copy ends the reservation.
+	doubt bool
+	done  chan *problem.Problem
+}
+
+// size implements sized.
+func (e *transferEntry) size() int { return len(e.id) + len(e.team) + 64 }
+
+// commitTransfers appends transfers, each until its fate is known. All copies
+// have one id, so that the first one in the log decides.
+func (t *Term) commitTransfers(group []*transferEntry) (again []*transferEntry) {
+	for _, e := range group {
+		ctx, cancel := context.WithTimeout(t.tomb.Context(context.Background()), appendTimeout)
+		effect, err := t.deps.Journal.AppendID(ctx, e.id, e.envelope)
+		cancel()
+		if err != nil && (e.doubt || !errors.Is(err, journal.ErrNotAppended)) {
+			e.doubt = true
+			again = append(again, e)
+			continue
+		}
+		t.resolve(e.id, e.team)
+		e.done <- transferProblem(effect, err)
 	}
-	if !effect.Valid {
-		return 0, problem.Refuse(problem.Moved, "ask again", "the transfer is void: %s", effect.Reason)
+	if len(again) > 0 {
+		t.pause(appendPause)
 	}
-	return amount, nil
+	return again
 }
 
-// errorsIsNotAppended reports whether the record certainly isn't in the log.
-func errorsIsNotAppended(err error) bool { return appendProblem(err).Verdict == problem.NotRun }
+// transferProblem says why a transfer did not count. One that is a duplicate
+// counted as an earlier copy, or was void as one.
+func transferProblem(effect cell.Effect, err error) *problem.Problem {
+	switch {
+	case err != nil:
+		return appendProblem(err)
+	case !effect.Valid:
+		return problem.Refuse(problem.Moved, "ask again", "the transfer is void: %s", effect.Reason)
+	}
+	return nil
+}
 
 // reserve lowers the bound for a transfer of at most half of what is free
 // beyond the team's own waiting work.
-func (t *Term) reserve(name string, amount int64) (id string, reserved int64) {
+func (t *Term) reserve(name string, amount int64, seen uint64) (id string, reserved int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.noteTeam(name)
@@ -258,7 +327,7 @@
 	spare := t.ledger.Bound(name) - used - int64(t.engine.Waiting(name))
 	amount = min(amount, (spare+1)/2)
 	id = journal.NewID()
-	if amount <= 0 || !t.ledger.Reserve(id, name, amount, used, t.deps.Journal.State().Applied()) {
+	if amount <= 0 || !t.ledger.Reserve(id, name, amount, used, seen) {
 		return "", 0
 	}
 	t.setTeam(name)
--- a/internal/holder/gate.go
+++ b/internal/holder/gate.go
@@ -16,20 +16,29 @@
 	return fmt.Sprintf("%s@%s@%d", response.Endpoint, response.Incarnation, capacityOf(response).Slots)
 }
 
-// parseRosterID splits a roster id; an id that can't be read counts as an
-// endpoint of workerSlots tasks.
+// parseRosterID splits a roster id from its end, since the endpoint's id may
+// hold anything. One that can't be read counts as an endpoint of workerSlots
+// tasks.
 func parseRosterID(id string) (endpointID string, tasks int64) {
-	fields := strings.Split(id, "@")
-	if len(fields) != 3 {
+	last := strings.LastIndexByte(id, '@')
+	if last < 0 {
 		return id, workerSlots
 	}
-	tasks, err := strconv.ParseInt(fields[2], 10, 64)
-	if err != nil {
+	middle := strings.LastIndexByte(id[:last], '@')
+	if middle < 0 {
+		return id, workerSlots
+	}
+	tasks, err := strconv.ParseInt(id[last+1:], 10, 64)
+	if err != nil || tasks < 0 {
 		tasks = workerSlots
 	}
-	return fields[0], tasks
+	return id[:middle], min(tasks, maxRosterTasks)
 }
 
+// maxRosterTasks bounds what one roster id charges, so that sums can't
+// overflow.
+const maxRosterTasks = 1 << 20
+
 // gate holds back the previous terms' work until it is known what the
 // endpoints of those terms run. The term's lock guards it.
 type gate struct {
@@ -39,6 +48,9 @@
 	// lost is set when an incarnation ended without giving its inventory, so
 	// that non-idempotent work which is found nowhere may have run there.
 	lost bool
+	// gone are the lost incarnations that are still on the roster. They leave
+	// it only when everything held back has been decided about.
+	gone []string
 }
 
 // open begins with the roster of the log at the start of the term.
@@ -82,9 +94,14 @@
 }
 
 // expireGate accounts for rostered endpoints that the platform has removed.
+// The list may be wrong, so it counts only once every lease that the previous
+// holder granted before this term has lapsed as well.
 func (t *Term) expireGate() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if time.Since(t.gate.since) < lapseBound(t.settings.Lease) {
+		return
+	}
 	for id := range t.gate.pending {
 		name, _ := parseRosterID(id)
 		if !t.deps.Directory.Gone(name, goneBound, t.gate.since) {
@@ -99,8 +116,8 @@
 func (t *Term) accountLost(lost []string) {
 	for _, id := range lost {
 		t.log.Warn("endpoint incarnation ended unseen", "roster", id)
-		t.rosters.add(rosterEntry{removed: id})
 	}
+	t.gate.gone = append(t.gate.gone, lost...)
 	t.refreshBounds()
 	if t.gate.passed() {
 		t.passGate()
@@ -109,17 +126,31 @@
 
 // passGate decides about the work that was held back.
 func (t *Term) passGate() {
+	for _, state := range t.jobs {
+		if state.spec.Gang && state.untouched() {
+			t.enqueueJob(state)
+		}
+	}
 	for _, u := range t.units {
 		if u.phase == phaseHeld {
 			t.resolveHeld(u)
 		}
 	}
+	for _, id := range t.gate.gone {
+		t.removeFromRoster(id)
+	}
+	t.gate.gone = nil
 	t.kick()
 }
 
 // resolveHeld queues held work that was found on no endpoint, unless it is
 // non-idempotent and may have run on one that was lost.
 func (t *Term) resolveHeld(u *unit) {
+	if u.cancelled {
+		t.settle(u, failed(cancelledWaiting()))
+		return
+	}
+	u.ran = u.ran || (u.job != nil && u.spec.Idempotent)
 	if u.spec.Idempotent || (u.job != nil && !t.gate.lost) {
 		t.enqueue(u)
 		return
--- a/internal/holder/jobs.go
+++ b/internal/holder/jobs.go
@@ -1,7 +1,9 @@
 package holder
 
 import (
+	"bytes"
 	"context"
+	"crypto/sha256"
 	"fmt"
 	"time"
 
@@ -37,6 +39,9 @@
 	return n
 }
 
+// maxWaitingTasks bounds the tasks of jobs that wait in one zone.
+const maxWaitingTasks = 100_000
+
 // JobID derives a job's id from the ticket of its submission, so that the same
 // submission is the same job wherever and however often it is made.
 func JobID(ticketText string) string { return "j-" + ticketText }
@@ -44,8 +49,9 @@
 // SubmitJob accepts a job once its record counts in the log, and returns its
 // id. Submitting the same ticket again returns the same job.
 func (t *Term) SubmitJob(ctx context.Context, j record.Job, queue operator.Queue) (string, *problem.Problem) {
+	j.Digest = jobDigest(&j)
 	if known, ok := t.deps.Journal.State().JobByTicket(j.Team, j.Ticket); ok {
-		return known.Spec.ID, nil
+		return known.Spec.ID, sameJob(&known.Spec, &j)
 	}
 	if err := job.Validate(&j); err != nil {
 		return "", problem.Refuse(problem.BadRequest, "correct the job and submit it again", "%v", err)
@@ -57,28 +63,60 @@
 	t.jobLog.add(entry)
 	select {
 	case err := <-entry.done:
-		return j.ID, acceptance(err)
+		return j.ID, t.acceptance(&j, err)
 	case <-ctx.Done():
 	case <-t.tomb.Dying():
 	}
 	return "", problem.Doubt(problem.LogOutcomeUnknown, "submit it again with the same ticket", "the log did not confirm the job in time")
 }
 
-// acceptance converts the outcome of a group commit.
-func acceptance(err error) *problem.Problem {
-	if err == nil {
+// acceptance converts the outcome of a group commit. What stands in the log
+// under the ticket may be another job, submitted at the same time.
+func (t *Term) acceptance(j *record.Job, err error) *problem.Problem {
+	if err != nil {
+		return problem.From(err, problem.Unknown)
+	}
+	if known, ok := t.deps.Journal.State().Job(j.ID); ok {
+		return sameJob(&known.Spec, j)
+	}
+	return nil
+}
+
+// jobDigest identifies a job by what it asks for.
+func jobDigest(j *record.Job) []byte {
+	h := sha256.New()
+	_, _ = fmt.Fprintf(h, "%q %q %q %t %t %d %d %d %d %d\n", j.Team, j.Queue, j.Command, j.Idempotent, j.Gang,
+		j.MilliCores, j.MemoryMB, j.Accelerators, j.Slots, j.RunTimeMS)
+	for _, input := range j.Inputs {
+		_, _ = fmt.Fprintf(h, "%d\n", len(input))
+		h.Write(input)
+	}
+	return h.Sum(nil)[:jobDigestBytes]
+}
+
+// jobDigestBytes is the length of the digest that the log keeps of a job.
+const jobDigestBytes = 16
+
+// sameJob refuses a ticket that was used for another job.
+func sameJob(known, j *record.Job) *problem.Problem {
+	if len(known.Digest) == 0 || bytes.Equal(known.Digest, j.Digest) {
 		return nil
 	}
-	return problem.From(err, problem.Unknown)
+	return problem.Doubt(problem.TicketConflict, "get a new ticket for another job", "the ticket belongs to a different job, which may have run")
 }
 
 // refuseJob says why a job can't be taken.
 func (t *Term) refuseJob(j *record.Job, queue operator.Queue) *problem.Problem {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	limit := t.deps.MaxWaiting()
-	if t.waiting+len(j.Inputs) > limit+job.MaxTasks {
-		return problem.Refuse(problem.QueueFull, "retry after the hint, with backoff", "%d tasks wait in the zone already", t.waiting).After(retryHint)
+	if p := t.draining(); p != nil {
+		return p
+	}
+	if j.Slots <= 0 && j.MilliCores <= 0 {
+		return problem.Refuse(problem.BadRequest, "state the milli_cores that each task needs", "a task of no size can't be placed")
+	}
+	if t.line.tasks > 0 && t.line.tasks+len(j.Inputs) > maxWaitingTasks {
+		return problem.Refuse(problem.QueueFull, "retry after the hint, with backoff", "%d tasks of jobs wait in the zone already", t.line.tasks).After(retryHint)
 	}
 	if !t.gate.passed() || len(t.sessions) == 0 {
 		return nil
@@ -100,8 +138,12 @@
 		Epoch: t.epoch,
 		Jobs:  make([]record.Job, 0, len(group)),
 	}}
+	listed := make(map[string]bool, len(group))
 	for _, e := range group {
-		envelope.Jobs.Jobs = append(envelope.Jobs.Jobs, e.job)
+		if !listed[e.job.ID] {
+			listed[e.job.ID] = true
+			envelope.Jobs.Jobs = append(envelope.Jobs.Jobs, e.job)
+		}
 	}
 	effect, err := t.append(envelope)
 	for _, e := range group {
@@ -137,11 +179,8 @@
 	switch {
 	case effect.Zone != t.settings.AvailabilityZone:
 	case effect.Kind == record.KindJobs:
-		for i := range effect.Envelope.Jobs.Jobs {
-			j := &effect.Envelope.Jobs.Jobs[i]
-			if effect.Rejected[j.ID] == nil && t.jobs[j.ID] == nil {
-				t.startJob(j)
-			}
+		for _, j := range effect.Envelope.Jobs.Jobs {
+			t.observeJob(j.ID)
 		}
 	case effect.Kind == record.KindOutcomes:
 		for _, o := range effect.Envelope.Outcomes.Outcomes {
@@ -150,20 +189,49 @@
 	}
 }
 
+// observeJob starts a job that a record of this term has just accepted. The
+// state decides: the record may hold the job twice, or may be a later copy.
+func (t *Term) observeJob(id string) {
+	known, ok := t.deps.Journal.State().Job(id)
+	if !ok || known.Finished() || t.jobs[id] != nil {
+		return
+	}
+	spec := known.Spec
+	t.startJob(&spec)
+}
+
 // startJob queues all tasks of a newly accepted job.
 func (t *Term) startJob(j *record.Job) {
 	state := t.newJob(j)
-	t.noteTeam(j.Team)
 	for index := range j.Inputs {
-		u := t.newJobUnit(state, index)
+		t.newJobUnit(state, index)
+	}
+	t.enqueueJob(state)
+}
+
+// enqueueJob hands a whole job to the engine.
+func (t *Term) enqueueJob(state *jobState) {
+	j := &state.spec
+	t.noteTeam(j.Team)
+	for _, u := range state.units {
 		u.work = j.ID
 		u.phase = phaseWaiting
+		t.line.add(u)
 	}
-	t.waiting += len(j.Inputs)
 	t.engine.Submit(jobWork(j, t.queue(j.Queue), t.now()))
 	t.kick()
 }
 
+// untouched reports whether no task of the job has begun or ended.
+func (s *jobState) untouched() bool {
+	for _, u := range s.units {
+		if u.phase != phaseHeld || u.cancelled {
+			return false
+		}
+	}
+	return len(s.units) == len(s.spec.Inputs)
+}
+
 // inheritJob holds the unfinished tasks of a job from an earlier term.
 func (t *Term) inheritJob(j *job.Job) {
 	spec := j.Spec
@@ -172,10 +240,7 @@
 		if _, ended := j.Outcome(index); ended {
 			continue
 		}
-		u := t.newJobUnit(state, index)
-		if t.gate.passed() {
-			t.resolveHeld(u)
-		}
+		t.newJobUnit(state, index)
 	}
 }
 
@@ -187,7 +252,7 @@
 }
 
 // newJobUnit registers one task of a job as held.
-func (t *Term) newJobUnit(state *jobState, index int) *unit {
+func (t *Term) newJobUnit(state *jobState, index int) {
 	j := &state.spec
 	u := &unit{
 		key: taskKey(j.ID, index),
@@ -209,7 +274,6 @@
 	u.applyQueue(t.queue(j.Queue))
 	state.units[index] = u
 	t.units[u.key] = u
-	return u
 }
 
 // taskKey names one task of a job.
--- a/internal/holder/request.go
+++ b/internal/holder/request.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/bluebellstile/bluebellstile/internal/endpoint"
-	"github.com/bluebellstile/bluebellstile/internal/metrics"
 	"github.com/bluebellstile/bluebellstile/internal/placement"
 	"github.com/bluebellstile/bluebellstile/internal/problem"
 	"github.com/bluebellstile/bluebellstile/internal/ticket"
@@ -24,6 +23,10 @@
 	Command    string
 	Input      []byte
 	Size       endpoint.Resources
+	// Sole says that nobody else can send the ticket.
+	Sole bool
+	// Until is the caller's deadline; zero if there is none.
+	Until time.Time
 	// NotStartedEpoch is the epoch of a holder that declared that the request
 	// has not started up to and including its own term; 0 if none did.
 	NotStartedEpoch uint64
@@ -31,12 +34,17 @@
 
 // digest identifies what the ticket was used for.
 func (r *Request) digest() [sha256.Size]byte {
+	return digestOf(r.Team, r.Queue.Name, r.Command, r.Input)
+}
+
+// digestOf identifies a request by what it asks for.
+func digestOf(team, queue, command string, input []byte) [sha256.Size]byte {
 	h := sha256.New()
-	for _, part := range []string{r.Team, r.Queue.Name, r.Command} {
+	for _, part := range []string{team, queue, command} {
 		h.Write([]byte(part))
 		h.Write([]byte{0})
 	}
-	h.Write(r.Input)
+	h.Write(input)
 	return [sha256.Size]byte(h.Sum(nil))
 }
 
@@ -61,6 +69,10 @@
 	// expireGrace is how long an expiring request waits for the endpoint's
 	// word on whether it ran.
 	expireGrace = 250 * time.Millisecond
+	// confirmTimeout bounds the wait for the proof that "not run" needs.
+	confirmTimeout = 900 * time.Millisecond
+	// confirmPoll is how often the proof is looked for.
+	confirmPoll = 20 * time.Millisecond
 	// retryHint is given with refusals for lack of room.
 	retryHint = 500 * time.Millisecond
 )
@@ -68,16 +80,48 @@
 // Run places a request and waits for its outcome, until ctx ends. The same
 // ticket joins the request that has it already.
 func (t *Term) Run(ctx context.Context, r *Request) Result {
+	r.Until, _ = ctx.Deadline()
 	u, p := t.admit(r)
 	if p != nil {
-		return failed(p)
+		return t.confirm(ctx, r, failed(p))
 	}
 	select {
 	case <-u.request.done:
 	case <-ctx.Done():
 		t.expire(u, ctx.Err())
 	}
-	return t.deliver(u)
+	return t.confirm(ctx, r, t.deliver(u))
+}
+
+// confirm lets "not run" stand only if this daemon still held the zone when it
+// was decided: another holder may have run a second sending of the ticket. It
+// waits for the next proof from the log; without one the answer is a doubt. A
+// refusal as moved says for itself how far it reaches.
+func (t *Term) confirm(ctx context.Context, r *Request, result Result) Result {
+	if result.verdict() != problem.NotRun || r.Sole || result.Problem.Code == problem.Moved {
+		return result
+	}
+	if t.heldAt(ctx, time.Now()) {
+		return result
+	}
+	doubt := *result.Problem
+	doubt.Verdict = problem.Unknown
+	return Result{Problem: &doubt, Queued: result.Queued}
+}
+
+// heldAt waits for proof from the log that this daemon held the zone at the
+// instant; it reports false if none comes in time.
+func (t *Term) heldAt(ctx context.Context, instant time.Time) bool {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), confirmTimeout)
+	defer cancel()
+	for !t.provenSince(instant) {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(confirmPoll):
+		}
+	}
+	return true
 }
 
 // deliver hands the result to one waiter.
@@ -103,13 +147,19 @@
 	if u != nil && !u.restartable() {
 		return t.join(u, r)
 	}
+	if p := t.outOfDate(r); p != nil {
+		return nil, p
+	}
 	if r.Ticket.Epoch > t.epoch || !t.tomb.Alive() || t.moving {
 		return nil, problem.Refuse(problem.Moved, "the front door tries the next holder", "this daemon no longer holds the zone").After(retryHint)
 	}
 	if p := t.refuse(r); p != nil {
+		p = t.truthful(r, p)
+		t.observeRefusal(r, p)
 		return nil, p
 	}
 	u = t.newRequestUnit(key, r)
+	u.ran = !t.neverStarted(r)
 	t.units[key] = u
 	u.request.waiters++
 	if t.neverStarted(r) {
@@ -128,14 +178,40 @@
 
 // Declares returns the epoch that a "moved" refusal of the request declares:
 // it has not started up to and including this term. It is 0 if that is not
-// known.
+// known, as when the ticket may have been forgotten.
 func (t *Term) Declares(r *Request) uint64 {
-	if t.neverStarted(r) {
+	if t.neverStarted(r) && t.outOfDate(r) == nil {
 		return t.epoch
 	}
 	return 0
 }
 
+// outOfDate refuses a ticket of this term that may have been forgotten, or
+// that this term can't have given out yet.
+func (t *Term) outOfDate(r *Request) *problem.Problem {
+	now := t.now()
+	switch {
+	case r.Ticket.Epoch != t.epoch:
+		return nil
+	case t.registry.expired(r.Ticket.Generation, now):
+		return problem.Doubt(problem.TicketExpired, "check the effect of the request, then send it with a new ticket", "the ticket is too old for its outcome to be known")
+	case r.Ticket.Generation > t.registry.generation(now):
+		return problem.Refuse(problem.TicketInvalid, "get a ticket from POST /v1/tickets", "the ticket was not given out by this zone")
+	}
+	return nil
+}
+
+// truthful turns the refusal of a request that an earlier term may have run
+// into a doubt.
+func (t *Term) truthful(r *Request, p *problem.Problem) *problem.Problem {
+	if t.neverStarted(r) {
+		return p
+	}
+	doubt := *p
+	doubt.Verdict = problem.Unknown
+	return &doubt
+}
+
 // restartable reports whether a unit ended without running and without anyone
 // having been told, as when the front door died while it waited.
 func (u *unit) restartable() bool {
@@ -146,28 +222,25 @@
 // join adds a caller to a request that has the same ticket.
 func (t *Term) join(u *unit, r *Request) (*unit, *problem.Problem) {
 	if u.request == nil {
-		return nil, problem.Refuse(problem.TicketConflict, "get a new ticket for another request", "the ticket belongs to a job")
+		return nil, problem.Doubt(problem.TicketConflict, "get a new ticket for another request", "the ticket belongs to a job, which may have run")
 	}
 	digest := r.digest()
 	if u.request.known && u.request.digest != digest {
-		return nil, problem.Refuse(problem.TicketConflict, "get a new ticket for another request", "the ticket was used for a different request")
+		return nil, problem.Doubt(problem.TicketConflict, "get a new ticket for another request", "the ticket belongs to a different request, which may have run")
 	}
 	u.request.digest, u.request.known = digest, true
 	u.request.waiters++
+	u.until = max(u.until, t.untilOf(r))
 	return u, nil
 }
 
 // refuse says why a new request can't be taken.
 func (t *Term) refuse(r *Request) *problem.Problem {
-	if r.Ticket.Epoch == t.epoch && t.registry.expired(r.Ticket.Generation, t.now()) {
-		return problem.Doubt(problem.TicketExpired, "check the effect of the request, then send it with a new ticket", "the ticket is too old for its outcome to be known")
+	if p := t.draining(); p != nil {
+		return p
 	}
-	limit := t.deps.MaxWaiting()
-	if r.Queue.MaxWaiting > 0 {
-		limit = min(limit, r.Queue.MaxWaiting)
-	}
-	if t.waiting >= limit && !t.shed(r) {
-		return problem.Refuse(problem.QueueFull, "retry after the hint, with backoff", "%d requests wait in the zone already", t.waiting).After(retryHint)
+	if p := t.crowded(r); p != nil {
+		return p
 	}
 	if !t.gate.passed() {
 		return nil
@@ -179,21 +252,80 @@
 	return nil
 }
 
+// draining refuses new work while the operators drain the zone.
+func (t *Term) draining() *problem.Problem {
+	cfg, _ := t.deps.Journal.State().Config()
+	if cfg == nil {
+		return nil
+	}
+	for _, z := range cfg.Zones {
+		if z.Name == t.settings.AvailabilityZone && z.Drain {
+			return problem.Refuse(problem.ZoneDraining, "send it to another zone", "the operators drain zone %q", z.Name)
+		}
+	}
+	return nil
+}
+
+// crowded refuses a request beyond the bound of its team in the queue or that
+// of the zone.
+func (t *Term) crowded(r *Request) *problem.Problem {
+	waiting := t.line.of(r.Queue.Name, r.Team)
+	if r.Queue.MaxWaiting > 0 && waiting >= r.Queue.MaxWaiting {
+		return problem.Refuse(problem.QueueFull, "retry after the hint, with backoff", "%d requests of the team wait in queue %q already", waiting, r.Queue.Name).After(retryHint)
+	}
+	if t.line.requests >= t.deps.MaxWaiting() && !t.shed(r) {
+		return problem.Refuse(problem.QueueFull, "retry after the hint, with backoff", "%d requests wait in the zone already", t.line.requests).After(retryHint)
+	}
+	return t.hopeless(r, waiting)
+}
+
+// hopeless refuses a request that would wait past its deadline at the pace at
+// which its team is served in the queue.
+func (t *Term) hopeless(r *Request, waiting int) *problem.Problem {
+	p := t.paces[lineKey{queue: r.Queue.Name, team: r.Team}]
+	until := t.untilOf(r)
+	if p == nil || until == 0 {
+		return nil
+	}
+	now := t.now()
+	wait, ok := p.wait(now, waiting)
+	if !ok || now+wait+p.needed() <= until {
+		return nil
+	}
+	return problem.Refuse(problem.QueueFull, "retry after the hint, with backoff, or with a longer deadline", "%d requests of the team wait in queue %q, about %s", waiting, r.Queue.Name, wait.Round(time.Millisecond)).After(wait)
+}
+
+// untilOf is the deadline of a request on the term's clock, 0 if it has none.
+func (t *Term) untilOf(r *Request) time.Duration {
+	if r.Until.IsZero() {
+		return 0
+	}
+	return max(r.Until.Sub(t.began), 1)
+}
+
+// paceOf returns the pace at which a request's team is served in its queue.
+func (t *Term) paceOf(u *unit) *pace {
+	key := keyOfUnit(u)
+	if t.paces[key] == nil {
+		t.paces[key] = &pace{}
+	}
+	return t.paces[key]
+}
+
+// observeRefusal tells the observer of a request that was never queued.
+func (t *Term) observeRefusal(r *Request, p *problem.Problem) {
+	if t.deps.Observer != nil {
+		t.deps.Observer.Answered(r.Team, r.Queue.Name, p.Verdict, p.Code)
+	}
+}
+
 // shed makes room for an urgent request by refusing the batch request that
 // came last.
 func (t *Term) shed(r *Request) bool {
 	if r.Queue.Class != operator.ClassUrgent {
 		return false
 	}
-	var victim *unit
-	for _, u := range t.units {
-		if u.request == nil || u.phase != phaseWaiting || u.class != placement.ClassBatch {
-			continue
-		}
-		if victim == nil || u.enqueued > victim.enqueued {
-			victim = u
-		}
-	}
+	victim := t.line.newest()
 	if victim == nil {
 		return false
 	}
@@ -218,6 +350,7 @@
 		},
 		keyID:    r.KeyID,
 		enqueued: t.now(),
+		until:    t.untilOf(r),
 		request:  newRequest(),
 	}
 	u.applyQueue(r.Queue)
@@ -249,8 +382,7 @@
 // withdraw takes a waiting unit out of the queue.
 func (t *Term) withdraw(u *unit) {
 	t.engine.Withdraw(u.work, u.key)
-	t.waiting--
-	metrics.Waiting.Set(int64(t.waiting))
+	t.line.remove(u)
 	u.phase = phaseHeld
 }
 
@@ -345,7 +477,7 @@
 	}
 	u.request.result = result
 	t.registry.settled(u.key, t.now())
-	if t.deps.Observer != nil && u.request.known {
+	if t.deps.Observer != nil && u.request.waiters > 0 {
 		code := problem.Code("")
 		if result.Problem != nil {
 			code = result.Problem.Code
--- a/internal/holder/term.go
+++ b/internal/holder/term.go
@@ -19,6 +19,7 @@
 	"github.com/bluebellstile/bluebellstile/internal/team"
 	"github.com/bluebellstile/bluebellstile/internal/zone"
 	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
 	"gopkg.in/tomb.v2"
 )
 
@@ -86,15 +87,22 @@
 	jobs     map[string]*jobState
 	sessions map[string]*session
 	gate     gate
-	waiting  int
-	moving   bool
-	teams    map[string]bool
-
-	ledger   *team.Ledger
-	registry *registry
-	jobLog   *batcher[jobEntry]
-	outcomes *batcher[outcomeEntry]
-	rosters  *batcher[rosterEntry]
+	line     line
+	paces    map[lineKey]*pace
+	// barred counts the tickets that are barred.
+	barred int
+	// overSince is since when a team runs more than its bound.
+	overSince map[string]time.Time
+	moving    bool
+	teams     map[string]bool
+
+	ledger        *team.Ledger
+	registry      *registry
+	jobLog        *batcher[jobEntry]
+	outcomes      *batcher[outcomeEntry]
+	rosters       *batcher[rosterEntry]
+	transfers     *batcher[*transferEntry]
+	transferLimit *rate.Limiter
 }
 
 // ErrSuperseded ends a term when a higher epoch has been seen.
@@ -104,27 +112,32 @@
 // journal's state.
 func NewTerm(settings Settings, deps Dependencies, engine placement.Engine, claim zone.Claim) *Term {
 	t := &Term{
-		settings: settings,
-		deps:     deps,
-		epoch:    claim.Epoch,
-		previous: claim.Previous,
-		began:    time.Now(),
-		tomb:     new(tomb.Tomb),
-		log:      deps.Log.With("zone", settings.AvailabilityZone, "epoch", claim.Epoch),
-		wake:     make(chan struct{}, 1),
-		engine:   engine,
-		units:    make(map[string]*unit),
-		jobs:     make(map[string]*jobState),
-		sessions: make(map[string]*session),
-		teams:    make(map[string]bool),
-		registry: newRegistry(),
+		settings:      settings,
+		deps:          deps,
+		epoch:         claim.Epoch,
+		previous:      claim.Previous,
+		began:         time.Now(),
+		tomb:          new(tomb.Tomb),
+		log:           deps.Log.With("zone", settings.AvailabilityZone, "epoch", claim.Epoch),
+		wake:          make(chan struct{}, 1),
+		engine:        engine,
+		units:         make(map[string]*unit),
+		jobs:          make(map[string]*jobState),
+		sessions:      make(map[string]*session),
+		teams:         make(map[string]bool),
+		line:          newLine(),
+		paces:         make(map[lineKey]*pace),
+		overSince:     make(map[string]time.Time),
+		registry:      newRegistry(),
+		transferLimit: rate.NewLimiter(transferRate, transferBurst),
 	}
 	t.ledger = team.NewLedger(func(name string) int64 {
 		return deps.Journal.State().Allotment(name, settings.AvailabilityZone)
 	})
-	t.jobLog = newBatcher(t.commitJobs)
-	t.outcomes = newBatcher(t.commitOutcomes)
-	t.rosters = newBatcher(t.commitRoster)
+	t.jobLog = newBatcher(jobsGap, t.commitJobs)
+	t.outcomes = newBatcher(outcomesGap, t.commitOutcomes)
+	t.rosters = newBatcher(0, t.commitRoster)
+	t.transfers = newBatcher(0, t.commitTransfers)
 	return t
 }
 
@@ -137,6 +150,9 @@
 	for _, j := range state.Jobs(t.settings.AvailabilityZone) {
 		t.inheritJob(j)
 	}
+	if t.gate.passed() {
+		t.passGate()
+	}
 	t.mu.Unlock()
 	metrics.HolderEpoch.Set(int64(t.epoch))
 	t.log.Info("term begins", "roster", len(t.gate.pending))
@@ -145,6 +161,7 @@
 		func() error { return t.jobLog.run(t.tomb) },
 		func() error { return t.outcomes.run(t.tomb) },
 		func() error { return t.rosters.run(t.tomb) },
+		func() error { return t.transfers.run(t.tomb) },
 	} {
 		t.tomb.Go(run)
 	}
--- a/internal/holder/unit.go
+++ b/internal/holder/unit.go
@@ -40,11 +40,17 @@
 	phase    phase
 	attempts int
 	failures int
+	// barred is set for a ticket that was refused before it was known here.
+	barred bool
 	// ran is set once any attempt may have run.
 	ran      bool
 	session  *session
 	answer   assembly
 	enqueued time.Duration
+	// begun is when the current attempt was sent.
+	begun time.Duration
+	// until is the latest deadline of those who wait, 0 if there is none.
+	until time.Duration
 
 	// request is nil for tasks of jobs, job is nil for requests.
 	request *request
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -46,16 +46,24 @@
 	ring      *ring
 	// first and end bound what the log keeps.
 	first, end uint64
+	// lastPage is the number of records of the last page, hurry ends the wait
+	// for further ones.
+	lastPage int
+	hurry    chan struct{}
+	// advanced is closed and replaced whenever a page has been applied.
+	advanced chan struct{}
 }
 
 // New returns a journal over log that fills state.
 func New(log platform.Log, state *cell.State, logger *slog.Logger) *Journal {
 	return &Journal{
-		log:     log,
-		state:   state,
-		slog:    logger,
-		waiters: make(map[string]chan cell.Effect),
-		ring:    newRing(ringBytes),
+		log:      log,
+		state:    state,
+		slog:     logger,
+		waiters:  make(map[string]chan cell.Effect),
+		ring:     newRing(ringBytes),
+		advanced: make(chan struct{}),
+		hurry:    make(chan struct{}, 1),
 	}
 }
 
@@ -99,6 +107,10 @@
 	j.mu.Lock()
 	j.waiters[id] = c
 	j.mu.Unlock()
+	select {
+	case j.hurry <- struct{}{}:
+	default:
+	}
 	return c
 }
 
--- /dev/null
+++ b/internal/placement/property_test.go
@@ -0,0 +1,201 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+func (m *model) schedule(t *rapid.T) {
+	m.now += time.Duration(rapid.IntRange(0, 40000).Draw(t, "ms")) * time.Millisecond
+	limit := rapid.IntRange(1, 30).Draw(t, "limit")
+	got := m.engines[0].Schedule(m.now, limit)
+	if diff := cmp.Diff(got, m.engines[1].Schedule(m.now, limit)); diff != "" {
+		m.t.Fatalf("two engines with the same past decide differently:\n%s", diff)
+	}
+	m.checkLimit(got, limit)
+	defer m.checkNothingLeftOut(len(got), limit)
+	gangs := map[string]int{}
+	for _, d := range got {
+		if d.Preempt {
+			m.checkPreempt(d)
+			continue
+		}
+		m.checkStart(d)
+		if m.works[d.Work].Gang {
+			gangs[d.Work]++
+		}
+	}
+	for id, started := range gangs {
+		if len(m.waiting[id]) != 0 {
+			m.t.Fatalf("gang %s started %d tasks and left %d", id, started, len(m.waiting[id]))
+		}
+	}
+}
+
+// checkNothingLeftOut looks for a task that waits although its team is below
+// its bound and it fits, while no room is held and the limit was not reached.
+func (m *model) checkNothingLeftOut(decisions, limit int) {
+	e := m.engines[0].(*engine)
+	// Room gained by the call's own last steps is looked at by the next call.
+	if decisions >= limit || len(e.owners) > 0 || len(e.fleet.grown) > 0 {
+		return
+	}
+	for id, tasks := range m.waiting {
+		w := m.works[id]
+		if len(tasks) == 0 || w.Gang || int64(e.RunningTasks(w.Team)) >= m.bounds[w.Team] {
+			continue
+		}
+		for _, ep := range e.fleet.kind(w.Runner) {
+			if ep.open(m.now) && w.Size.fits(ep.free) {
+				m.t.Fatalf("work %s of size %+v waits beside free room %+v on %s", id, w.Size, ep.free, ep.ID)
+			}
+		}
+	}
+}
+
+// checkLimit admits decisions beyond the limit only as the rest of a group
+// that began within it: one gang, or preemptions.
+func (m *model) checkLimit(got []Decision, limit int) {
+	if len(got) <= limit {
+		return
+	}
+	last := got[limit-1]
+	for _, d := range got[limit:] {
+		sameGang := !d.Preempt && d.Work == last.Work && m.works[d.Work].Gang
+		if !sameGang && (!d.Preempt || !last.Preempt) {
+			m.t.Fatalf("%d decisions for limit %d: %+v", len(got), limit, got)
+		}
+	}
+}
+
+func (m *model) checkPreempt(d Decision) {
+	r, ok := m.running[d.Task]
+	if !ok || r.Endpoint != d.Endpoint {
+		m.t.Fatalf("preempts %+v, which does not run there", d)
+	}
+	if !r.Idempotent || !r.Preemptible {
+		m.t.Fatalf("preempts %+v, which must not be stopped", r)
+	}
+}
+
+func (m *model) checkStart(d Decision) {
+	w, ep := m.works[d.Work], m.capacity[d.Endpoint]
+	if !m.waiting[d.Work][d.Task] {
+		m.t.Fatalf("starts %+v, which does not wait", d)
+	}
+	if w.Runner != ep.Runner || m.closed[ep.ID] {
+		m.t.Fatalf("starts %+v on %+v (closed: %v)", w, ep, m.closed[ep.ID])
+	}
+	delete(m.waiting[d.Work], d.Task)
+	m.running[d.Task] = Running{
+		Task: d.Task, Endpoint: d.Endpoint, Team: w.Team, Size: w.Size, Idempotent: w.Idempotent, Preemptible: w.Preemptible,
+	}
+	used := Resources{}
+	count := int64(0)
+	for _, r := range m.running {
+		if r.Endpoint == d.Endpoint {
+			used = used.add(r.Size)
+		}
+		if r.Team == w.Team {
+			count++
+		}
+	}
+	if !used.fits(ep.Capacity) {
+		m.t.Fatalf("endpoint %s has %+v on %+v", ep.ID, used, ep.Capacity)
+	}
+	if count > m.bounds[w.Team] {
+		m.t.Fatalf("team %s runs %d, bound %d", w.Team, count, m.bounds[w.Team])
+	}
+}
+
+// removeEndpoint forgets an endpoint on which nothing runs.
+func (m *model) removeEndpoint(t *rapid.T) {
+	id := fmt.Sprintf("e%d", rapid.IntRange(0, 7).Draw(t, "endpoint"))
+	for _, r := range m.running {
+		if r.Endpoint == id {
+			return
+		}
+	}
+	delete(m.capacity, id)
+	delete(m.closed, id)
+	m.each(func(e Engine) { e.RemoveEndpoint(id) })
+}
+
+// conserved compares the counts of waiting and running tasks.
+func (m *model) conserved(t *rapid.T) {
+	for _, team := range modelTeams {
+		waiting, running := 0, 0
+		for id, tasks := range m.waiting {
+			if m.works[id].Team == team {
+				waiting += len(tasks)
+			}
+		}
+		for _, r := range m.running {
+			if r.Team == team {
+				running++
+			}
+		}
+		m.each(func(e Engine) {
+			if e.Waiting(team) != waiting || e.RunningTasks(team) != running {
+				t.Fatalf("team %s: %d waiting and %d running, want %d and %d", team, e.Waiting(team), e.RunningTasks(team), waiting, running)
+			}
+		})
+	}
+}
+
+// TestPromisesHold drives two engines through the same random past and checks
+// capacity, bounds, whole gangs, conservation and determinism at each step.
+func TestPromisesHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+		for range 4 {
+			m.setEndpoint(t)
+		}
+		for range 3 {
+			m.setTeam(t)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"team": m.setTeam, "endpoint": m.setEndpoint, "available": m.setAvailable, "remove": m.removeEndpoint, "submit": m.submit, "submit2": m.submit,
+			"resubmit": m.resubmit, "withdraw": m.withdraw, "cancel": m.cancel, "adopt": m.adopt, "finish": m.finish,
+			"schedule": m.schedule, "schedule2": m.schedule, "": m.conserved,
+		})
+	})
+}
+
+// TestMoreRoomNeverStartsLess holds for works of one size per call, without
+// reservations, on endpoints that are alike.
+func TestMoreRoomNeverStartsLess(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		works := rapid.SliceOfN(rapid.IntRange(1, 5), 1, 20).Draw(t, "works")
+		gangs := rapid.Bool().Draw(t, "gangs")
+		small := rapid.IntRange(0, 8).Draw(t, "endpoints")
+		extra := rapid.IntRange(0, 4).Draw(t, "extra")
+		count := func(endpoints int) int {
+			e := New()
+			e.SetTeam(Team{Name: "ink", Share: 1, Bound: 1000})
+			for i := range endpoints {
+				e.SetEndpoint(worker(fmt.Sprintf("w%d", i)))
+			}
+			for i, tasks := range works {
+				w := Work{ID: fmt.Sprint(i), Team: "ink", Class: ClassBatch, Size: oneCore()}
+				// Gangs of one size, so that a larger one can't take the place of two.
+				w.Gang = gangs
+				if gangs {
+					tasks = works[0]
+				}
+				for j := range tasks {
+					w.Tasks = append(w.Tasks, fmt.Sprintf("%d-%d", i, j))
+				}
+				e.Submit(w)
+			}
+			return len(e.Schedule(0, 1000))
+		}
+		if before, after := count(small), count(small+extra); after < before {
+			t.Fatalf("%d endpoints start %d, %d start %d", small, before, small+extra, after)
+		}
+	})
+}
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -22,6 +22,7 @@
 	KindSnapshot Kind = 7
 	KindAudit    Kind = 8
 	KindReport   Kind = 9
+	KindProbe    Kind = 10
 )
 
 // Envelope is one log record.
@@ -36,6 +37,7 @@
 	Snapshot *Snapshot `cbor:"8,keyasint,omitempty"`
 	Audit    *Audit    `cbor:"9,keyasint,omitempty"`
 	Report   *Report   `cbor:"10,keyasint,omitempty"`
+	Probe    *Probe    `cbor:"12,keyasint,omitempty"`
 	// Seen is the offset that the writer had applied when it made the record.
 	// Roster, Transfer, Jobs, Outcomes and Report records count only at
 	// offsets up to Seen+SeenWindow, so that a writer whose append got no
@@ -58,11 +60,28 @@
 	// Base is set when the version in force is appended again; the version
 	// stays Base.
 	Base uint64 `cbor:"4,keyasint,omitempty"`
+	// Patch makes the text from that of version Expected; Text is empty then.
+	Patch *ConfigPatch `cbor:"5,keyasint,omitempty"`
+}
+
+// ConfigPatch makes a text from another one.
+type ConfigPatch struct {
+	Runs []PatchRun `cbor:"1,keyasint"`
+	// Sum is the begin of the SHA-256 of the text that results.
+	Sum []byte `cbor:"2,keyasint"`
+}
+
+// PatchRun is Text, followed by Count sections of the base from Start on.
+type PatchRun struct {
+	Start int    `cbor:"1,keyasint,omitempty"`
+	Count int    `cbor:"2,keyasint,omitempty"`
+	Text  string `cbor:"3,keyasint,omitempty"`
 }
 
 // Claim makes Holder the holder of a zone if Previous is the current epoch
 // where the record stands. The epoch of a valid claim is its own offset.
-// Inside a Snapshot, Base is the current epoch.
+// Inside a Snapshot, Base is the current epoch and Previous the one that it
+// ended.
 type Claim struct {
 	Zone     string `cbor:"1,keyasint"`
 	Holder   string `cbor:"2,keyasint"`
@@ -78,7 +97,8 @@
 	Zone      string   `cbor:"1,keyasint"`
 	Epoch     uint64   `cbor:"2,keyasint"`
 	Endpoints []string `cbor:"3,keyasint"`
-	// Removed endpoints are certainly gone.
+	// Removed endpoints are certainly gone. Those added again behind the
+	// offset that the writer had seen stay.
 	Removed []string `cbor:"4,keyasint,omitempty"`
 }
 
@@ -123,6 +143,9 @@
 	// Tasks is the number of tasks of a finished job, whose inputs a snapshot
 	// leaves out.
 	Tasks int `cbor:"15,keyasint,omitempty"`
+	// Digest identifies what the job asks for, so that a ticket can't be used
+	// for another job even when the inputs are no longer kept.
+	Digest []byte `cbor:"16,keyasint,omitempty"`
 }
 
 // Outcomes is a group commit of finished tasks of durable jobs. A task is
@@ -174,6 +197,8 @@
 	Claims []Claim       `cbor:"12,keyasint,omitempty"`
 	Config *Config       `cbor:"13,keyasint,omitempty"`
 	Teams  []TeamBalance `cbor:"14,keyasint,omitempty"`
+	// Added holds the offset at which each endpoint of Roster was last added.
+	Added []uint64 `cbor:"15,keyasint,omitempty"`
 }
 
 // RecentID is the id of a record and where it stands.
@@ -191,6 +216,13 @@
 	Unplaced int64 `cbor:"4,keyasint,omitempty"`
 }
 
+// Probe asks the holder of a zone for a sign of life: a holder that reads it
+// renews its claim. It changes nothing by itself.
+type Probe struct {
+	Zone  string `cbor:"1,keyasint"`
+	Epoch uint64 `cbor:"2,keyasint"`
+}
+
 // Audit records an operator's action.
 type Audit struct {
 	Author string `cbor:"1,keyasint"`
@@ -208,6 +240,9 @@
 	EndMS   int64  `cbor:"4,keyasint"`
 	// Series is an encoded summary whose format the report package owns.
 	Series []byte `cbor:"5,keyasint"`
+	// FrontDoor is set if the summary is of what a front door saw and the
+	// holder did not. It doesn't show that the period is known.
+	FrontDoor bool `cbor:"6,keyasint,omitempty"`
 }
 
 // MaxBytes bounds an encoded record.
@@ -262,6 +297,8 @@
 		return e.Audit != nil
 	case KindReport:
 		return e.Report != nil
+	case KindProbe:
+		return e.Probe != nil
 	}
 	return false
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -34,6 +34,10 @@
 	// movedGrace is how long a call goes on after another claim was read, for
 	// the old holder to declare what it has not started.
 	movedGrace = 300 * time.Millisecond
+	// previousTimeout bounds the question to the previous holder of a zone.
+	previousTimeout = 300 * time.Millisecond
+	// barTimeout bounds the barring of a ticket.
+	barTimeout = 1500 * time.Millisecond
 	// probeTimeout bounds a heartbeat that asks for the ticket generation.
 	probeTimeout = time.Second
 )
@@ -49,11 +53,16 @@
 	term      peer.TermOf
 	log       *slog.Logger
 	claims    claimWatch
+	// closing ends when requests in flight have to be answered with what is
+	// known of them; Close ends it.
+	closing context.Context
+	Close   context.CancelFunc
 }
 
 // New returns a router for the daemon self.
 func New(self peer.Identity, state *cell.State, directory *membership.Directory, table *membership.Table, clients *peer.Clients, heart *peer.Heart, term peer.TermOf, logger *slog.Logger) *Router {
-	return &Router{self: self, state: state, directory: directory, table: table, clients: clients, heart: heart, term: term, log: logger}
+	closing, end := context.WithCancel(context.Background())
+	return &Router{self: self, state: state, directory: directory, table: table, clients: clients, heart: heart, term: term, log: logger, closing: closing, Close: end}
 }
 
 // Call is a synchronous request that has been admitted.
@@ -76,6 +85,9 @@
 	Output  []byte
 	Problem *problem.Problem
 	Queued  time.Duration
+	// Unreached is set if the problem was found here, since no holder gave
+	// an answer.
+	Unreached bool
 }
 
 // noHolder is the refusal when no holder was reached.
@@ -130,11 +142,11 @@
 	if c.Ticket != nil {
 		return r.runTicket(ctx, c, *c.Ticket, until)
 	}
-	last := Answer{Problem: noHolder(r.self.AvailabilityZone)}
+	last := Answer{Problem: noHolder(r.self.AvailabilityZone), Unreached: true}
 	for _, zone := range r.zones(c.Queue.Spill) {
 		t, p := r.mintUntil(ctx, zone, until)
 		if p != nil {
-			last = Answer{Problem: p}
+			last = Answer{Problem: p, Unreached: ctx.Err() == nil}
 			continue
 		}
 		last = r.runTicket(ctx, c, t, until)
@@ -194,13 +206,17 @@
 	sent bool
 }
 
-// runTicket brings a ticket to its outcome at whoever holds its zone.
+// runTicket brings a ticket to its outcome at whoever holds its zone. A ticket
+// that the caller brought may have been sent before.
 func (r *Router) runTicket(ctx context.Context, c *Call, t ticket.Ticket, until time.Time) Answer {
 	request := r.request(c, t)
-	sent := false
+	sent, reached := c.Ticket != nil && *c.Ticket == t, false
+	if answer, answered := r.askPrevious(ctx, t, request); answered {
+		return answer
+	}
 	for {
 		a := r.attempt(ctx, request, until)
-		sent = sent || a.sent
+		sent, reached = sent || a.sent, reached || a.response != nil
 		if a.response != nil {
 			answer := answerOf(t, a.response)
 			if answer.Problem == nil || answer.Problem.Code != problem.Moved {
@@ -210,12 +226,52 @@
 				request.NotStartedEpoch, sent = a.response.NotStartedEpoch, false
 			}
 		}
-		if time.Now().After(until) || !pause(ctx) {
-			return Answer{Ticket: t, Problem: r.outOfTime(t, sent)}
+		if time.Now().After(until) || !r.pause(ctx) {
+			return Answer{Ticket: t, Problem: outOfTime(t, sent, reached), Unreached: !reached && ctx.Err() == nil}
 		}
 	}
 }
 
+// askPrevious asks the previous holder of the zone about a ticket of its term:
+// it may have the answer, or declare that the request has not started.
+func (r *Router) askPrevious(ctx context.Context, t ticket.Ticket, request *peerv1.RunRequest) (answer Answer, answered bool) {
+	claim, ok := r.claims.previous(t.AvailabilityZone, t.Epoch)
+	if !ok {
+		return Answer{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, previousTimeout)
+	defer cancel()
+	request.DeadlineMs = previousTimeout.Milliseconds()
+	response, err := r.clients.To(r.address(claim)).Run(ctx, connect.NewRequest(request))
+	if err != nil {
+		return Answer{}, false
+	}
+	answer = answerOf(t, response.Msg)
+	if answer.Problem == nil {
+		return answer, true
+	}
+	request.NotStartedEpoch = response.Msg.NotStartedEpoch
+	return Answer{}, false
+}
+
+// Bar reports whether a request with the ticket has certainly not run and never
+// will. It is false if the zone's holder can't be asked.
+func (r *Router) Bar(ctx context.Context, t ticket.Ticket) bool {
+	claim, ok := r.state.Epoch(t.AvailabilityZone)
+	if !ok {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, barTimeout)
+	defer cancel()
+	response, err := r.clients.To(r.address(claim)).Run(ctx, connect.NewRequest(&peerv1.RunRequest{
+		Ticket:           t.String(),
+		Epoch:            t.Epoch,
+		AvailabilityZone: t.AvailabilityZone,
+		Bar:              true,
+	}))
+	return err == nil && response.Msg.Verdict == peerv1.Verdict_VERDICT_NOT_RUN && response.Msg.Problem == nil
+}
+
 // answerOf converts a holder's response.
 func answerOf(t ticket.Ticket, m *peerv1.RunResponse) Answer {
 	return Answer{
@@ -227,11 +283,14 @@
 }
 
 // outOfTime is the truthful answer when the deadline passes here.
-func (r *Router) outOfTime(t ticket.Ticket, sent bool) *problem.Problem {
-	if !sent {
-		return noHolder(t.AvailabilityZone)
+func outOfTime(t ticket.Ticket, sent, reached bool) *problem.Problem {
+	switch {
+	case sent:
+		return problem.Doubt(problem.OutcomeLost, "ask again with the same ticket", "the holder of zone %q did not answer before the deadline", t.AvailabilityZone)
+	case reached:
+		return problem.Refuse(problem.DeadlineQueued, "retry later or with a longer deadline", "the deadline passed before the work could start").After(retryPause)
 	}
-	return problem.Doubt(problem.OutcomeLost, "ask again with the same ticket", "the holder of zone %q did not answer before the deadline", t.AvailabilityZone)
+	return noHolder(t.AvailabilityZone)
 }
 
 // request converts a call for the wire.
@@ -249,6 +308,7 @@
 		Input:            c.Input,
 		Size:             peer.SizeToWire(c.Size),
 		ConfigVersion:    version,
+		Sole:             c.Ticket == nil,
 	}
 }
 
@@ -261,6 +321,7 @@
 	request.DeadlineMs = max(time.Until(until).Milliseconds(), 1)
 	ctx, cancel := context.WithDeadline(ctx, until.Add(answerGrace))
 	defer cancel()
+	defer context.AfterFunc(r.closing, cancel)()
 	defer context.AfterFunc(r.claims.until(claim), func() { time.AfterFunc(movedGrace, cancel) })()
 	response, err := r.clients.To(r.address(claim)).Run(ctx, connect.NewRequest(request))
 	if err != nil {
@@ -284,6 +345,15 @@
 	return r.term()
 }
 
+// pause waits between two attempts; it reports false if ctx or the router ends
+// first.
+func (r *Router) pause(ctx context.Context) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(r.closing, cancel)()
+	return pause(ctx)
+}
+
 // pause waits between two attempts; it reports false if ctx ends first.
 func pause(ctx context.Context) bool {
 	timer := time.NewTimer(retryPause)
--- a/internal/server/keeper.go
+++ b/internal/server/keeper.go
@@ -9,17 +9,19 @@
 	"github.com/bluebellstile/bluebellstile/internal/claimant"
 	"github.com/bluebellstile/bluebellstile/internal/endpoint"
 	"github.com/bluebellstile/bluebellstile/internal/holder"
+	"github.com/bluebellstile/bluebellstile/internal/membership"
 	"github.com/bluebellstile/bluebellstile/internal/placement"
 	"github.com/bluebellstile/bluebellstile/internal/record"
 	"github.com/bluebellstile/bluebellstile/internal/zone"
-	"gopkg.in/tomb.v2"
 )
 
 const (
 	// liveWithin is the silence after which a daemon is no successor.
 	liveWithin = time.Second
-	// handOverPoll is how often a hand-over looks whether it has been applied.
-	handOverPoll = 20 * time.Millisecond
+	// handOverTimeout bounds one attempt to hand the zone over.
+	handOverTimeout = 2 * time.Second
+	// handOverPause is the pause between two attempts.
+	handOverPause = 300 * time.Millisecond
 )
 
 // keeper runs a term while the log says that this daemon holds its zone.
@@ -28,6 +30,9 @@
 
 	mu   sync.Mutex
 	term *holder.Term
+	// last is the latest term that has ended here. It answers for its tickets
+	// until it is replaced.
+	last *holder.Term
 	// ended are terms that are being stopped.
 	ended sync.WaitGroup
 }
@@ -42,6 +47,16 @@
 	return k.term
 }
 
+// endedTerm returns the latest ended term if it has the given epoch.
+func (k *keeper) endedTerm(epoch uint64) *holder.Term {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.last == nil || k.last.Epoch() != epoch {
+		return nil
+	}
+	return k.last
+}
+
 // observe follows the claims on the zone in log order and passes every effect
 // to the running term.
 func (k *keeper) observe(effect cell.Effect) {
@@ -66,15 +81,19 @@
 		k.end(holder.ErrSuperseded)
 	}
 	if mine && k.term == nil && !k.server.leaving.Load() {
+		k.server.report.recorder.Follow(claim.Epoch, time.Now())
 		k.term = k.newTerm(claim)
 		k.term.Start()
+		term := k.term
+		k.ended.Go(func() { k.watch(term) })
 	}
 }
 
 // end stops the running term in the background; the caller holds the lock.
 func (k *keeper) end(reason error) {
 	term := k.term
-	k.term = nil
+	k.term, k.last = nil, term
+	k.server.report.recorder.Follow(0, time.Now())
 	k.ended.Go(func() { term.Stop(reason) })
 }
 
@@ -95,54 +114,67 @@
 			return s.router.RequestTransfer(ctx, from, team, amount)
 		},
 		MaxWaiting: s.waitingLimit,
+		Observer:   s.report.collector,
 		Log:        s.log,
 	}, placement.New(), claim)
 }
 
-// run drops a term that has ended by itself, as when an endpoint showed a
-// higher epoch.
-func (k *keeper) run(t *tomb.Tomb) error {
-	ticker := time.NewTicker(handOverPoll)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-t.Dying():
-			return nil
-		case <-ticker.C:
-		}
-		k.mu.Lock()
-		if k.term != nil {
-			select {
-			case <-k.term.Dying():
-				k.end(holder.ErrSuperseded)
-			default:
-			}
-		}
-		k.mu.Unlock()
+// watch drops a term that ends by itself, as when an endpoint showed a higher
+// epoch.
+func (k *keeper) watch(term *holder.Term) {
+	<-term.Dying()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.term == term {
+		k.end(holder.ErrSuperseded)
 	}
 }
 
 // handOver claims the zone for another daemon of it, so that there is no gap,
-// and waits until the log shows that. Without a successor the zone stays
-// with this daemon until it ends.
+// and waits until the log shows that. While the log does not take the claim
+// the term goes on placing. Without a successor the zone stays with this
+// daemon until it ends.
 func (k *keeper) handOver(ctx context.Context) {
-	term := k.current()
-	if term == nil {
+	if k.current() == nil {
 		return
 	}
+	k.server.report.record(ctx, reportGrace)
+	for term := k.current(); term != nil && ctx.Err() == nil; term = k.current() {
+		successor, ok := k.successor()
+		if !ok || k.pass(ctx, term, successor) {
+			return
+		}
+		waitFor(ctx, handOverPause)
+	}
+}
+
+// successor is a live daemon of the zone that does not stop itself.
+func (k *keeper) successor() (membership.Member, bool) {
 	s := k.server
 	for _, m := range s.table.Live(s.self.AvailabilityZone, liveWithin) {
-		if m.Instance == s.self.Instance || m.Address == "" {
-			continue
-		}
-		term.Quiesce(ctx)
-		successor := m.Instance + "/" + m.Incarnation
-		effect, err := s.journal.Append(ctx, claimant.Envelope(s.self.AvailabilityZone, successor, m.Address, term.Epoch()))
-		s.log.Info("zone handed over", "to", successor, "epoch", effect.Offset, "valid", effect.Valid, "error", err)
-		if err == nil {
-			return
+		if m.Instance != s.self.Instance && m.Address != "" {
+			return m, true
 		}
 	}
+	return membership.Member{}, false
+}
+
+// pass quiets the term and appends the successor's claim; it reports whether
+// the claim's effect is known.
+func (k *keeper) pass(ctx context.Context, term *holder.Term, m membership.Member) bool {
+	s := k.server
+	term.Quiesce(ctx)
+	name := m.Instance + "/" + m.Incarnation
+	appendCtx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	effect, err := s.journal.Append(appendCtx, claimant.Envelope(s.self.AvailabilityZone, name, m.Address, term.Epoch()))
+	if err != nil {
+		s.log.Warn("hand-over not confirmed; the term goes on", "to", name, "error", err)
+		term.Resume()
+		return false
+	}
+	s.log.Info("zone handed over", "to", name, "epoch", effect.Offset, "valid", effect.Valid)
+	return true
 }
 
 // stop ends the running term, if any, and waits for all terms to end.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -38,6 +38,9 @@
 	// lameDuck is how long a stopping daemon that reports itself not ready
 	// still takes callers, for the balancer to notice.
 	lameDuck = time.Second
+	// lastWords is how long before the drain timeout requests in flight are
+	// answered with what is known.
+	lastWords = time.Second
 	// peerGrace is how long a stopping daemon waits for its answers to other
 	// daemons to go out.
 	peerGrace = 500 * time.Millisecond
@@ -61,9 +64,12 @@
 	router     *router.Router
 	guard      *auth.Guard
 	keeper     *keeper
+	report     *reporter
 	claimant   *claimant.Claimant
 	maxWaiting atomic.Int64
 	leaving    atomic.Bool
+	// refusing is set once the balancer has had time to notice the leaving.
+	refusing atomic.Bool
 
 	api   *listener
 	peer  *listener
@@ -123,18 +129,21 @@
 // compose makes the parts and connects them.
 func (s *Server) compose(tlsClient *tls.Config) {
 	s.platform = platform.NewClient(s.settings.Platform.LogURL, s.settings.Platform.ListURL)
-	s.directory = membership.NewDirectory(s.platform, s.log)
+	s.directory = membership.NewDirectory(s.platform, s.self.AvailabilityZone, s.log)
 	s.table = membership.NewTable()
 	s.journal = journal.New(s.platform, cell.New(), s.log)
 	s.clients = peer.NewClients(tlsClient, s.linkOf)
 	s.heart = peer.NewHeart(s.self, s.journal, s.table, s.directory, s.clients, s.standing)
 	s.relay = peer.NewRelay(s.self, s.platform, s.clients, s.table, s.directory, relayStale, s.journal.Fresh)
 	s.guard = auth.NewGuard(s.journal.State(), s.doubt, s.settings.Freshness.KeyBound)
+	s.report = newReporter(s)
 	s.keeper = newKeeper(s)
 	s.router = router.New(s.self, s.journal.State(), s.directory, s.table, s.clients, s.heart, s.keeper.current, s.log)
 	s.claimant = claimant.New(s.self, s.settings.Zone.TakeoverAfter, s.journal, s.table, s.standing, s.log)
 	s.journal.Observe(s.keeper.observe)
 	s.journal.Observe(s.router.Observe)
+	s.journal.Observe(s.claimant.Observe)
+	s.journal.Observe(s.report.observe)
 }
 
 // serve makes the HTTP servers.
@@ -144,7 +153,7 @@
 		MaxWaiting:     s.waitingLimit,
 		RequestTimeout: s.settings.Limits.RequestTimeout,
 	}
-	callers := api.New(s.guard, s.router, limits, s.leaving.Load, s.log)
+	callers := api.New(s.report.doors, s.guard, s.router, limits, api.Stopping{Leaving: s.leaving.Load, Refusing: s.refusing.Load}, s.log)
 	s.api.http = &http.Server{
 		Handler:           callers.Handler(),
 		ReadHeaderTimeout: headerTimeout,
@@ -153,7 +162,7 @@
 		MaxHeaderBytes:    s.settings.Limits.MaxHeaderBytes,
 	}
 	mux := http.NewServeMux()
-	mux.Handle(peer.NewServer(s.heart, s.table, s.journal, s.keeper.current, s.self.AvailabilityZone, s.router.LocalJob).Handler())
+	mux.Handle(peer.NewServer(s.heart, s.table, s.journal, s.keeper.current, s.keeper.endedTerm, s.self.AvailabilityZone, s.router.LocalJob).Handler())
 	s.peer.http = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, Protocols: peerProtocols(tlsServer), TLSConfig: tlsServer}
 	operators := admin.New(admin.Dependencies{
 		Self:      s.self,
@@ -162,6 +171,7 @@
 		Directory: s.directory,
 		Clients:   s.clients,
 		Ready:     s.notReady,
+		Report:    s.report.view,
 		Level:     s.level,
 		Log:       s.log,
 	})
@@ -184,9 +194,9 @@
 		func() error { return s.journal.Run(s.tomb, s.relay.Choose) },
 		func() error { return s.heart.Run(s.tomb) },
 		func() error { return s.claimant.Run(s.tomb) },
-		func() error { return s.keeper.run(s.tomb) },
 		func() error { return s.runGauges(s.tomb) },
 		func() error { return s.runSnapshots(s.tomb) },
+		func() error { return s.runReport(s.tomb) },
 		s.api.serve, s.peer.serve, s.admin.serve,
 	} {
 		s.tomb.Go(run)
@@ -209,9 +219,13 @@
 	s.log.Info("daemon stops", "drain_timeout", s.settings.Limits.DrainTimeout)
 	ctx, cancel := context.WithTimeout(ctx, s.settings.Limits.DrainTimeout)
 	defer cancel()
+	noticed := time.AfterFunc(lameDuck, func() { s.refusing.Store(true) })
+	defer noticed.Stop()
+	began := time.Now()
 	s.keeper.handOver(ctx)
-	waitFor(ctx, lameDuck)
-	err := s.api.http.Shutdown(ctx)
+	waitFor(ctx, lameDuck-time.Since(began))
+	err := s.finishCallers(ctx)
+	s.report.record(ctx, reportGrace)
 	s.keeper.stop()
 	s.tomb.Kill(nil)
 	s.closePeers(ctx)
@@ -225,6 +239,19 @@
 	return errors.Wrap(err, "graceful shutdown")
 }
 
+// finishCallers lets the requests in flight end by themselves. Those that have
+// not when the drain timeout is near are answered with what is known of them.
+func (s *Server) finishCallers(ctx context.Context) error {
+	deadline, _ := ctx.Deadline()
+	patience, cancel := context.WithDeadline(ctx, deadline.Add(-lastWords))
+	defer cancel()
+	if err := s.api.http.Shutdown(patience); err == nil {
+		return nil
+	}
+	s.router.Close()
+	return s.api.http.Shutdown(ctx)
+}
+
 // closePeers lets answers to other daemons go out, then closes their
 // connections, which they keep open for as long as they can.
 func (s *Server) closePeers(ctx context.Context) {
