--- a/internal/holder/takeover_test.go
+++ b/internal/holder/takeover_test.go
@@ -340,3 +340,31 @@
 		}
 	})
 }
+
+// A gang that waited under one holder starts under the next one, also if its
+// team sends nothing else.
+func TestInheritedGangStarts(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		t.Run(fmt.Sprintf("gang %v", gang), func(t *testing.T) {
+			inBubble(t, func(t *testing.T, w *world) {
+				w.until(func() bool { return w.usable("w1") && w.usable("w2") })
+				for _, m := range w.machines {
+					m.set(func(m *machine) { m.cutPath = endpoint.PathStart })
+				}
+				if p := w.submit(t.Context(), w.job(2, gang, true, "1s")); p != nil {
+					t.Fatal(p)
+				}
+				old := w.current()
+				w.takeOver()
+				old.term.Stop(ErrSuperseded)
+				for _, m := range w.machines {
+					m.set(func(m *machine) { m.cutPath = "" })
+				}
+				time.Sleep(time.Minute)
+				if open := w.outcomes(); open != 0 {
+					t.Errorf("%d tasks are open a minute after the takeover", open)
+				}
+			})
+		})
+	}
+}
