--- /dev/null
+++ b/internal/holder/judge_test.go
@@ -0,0 +1,37 @@
+package holder
+
+import (
+	"errors"
+	"strings"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/bluebellstile/bluebellstile/internal/history"
+	"github.com/bluebellstile/bluebellstile/internal/history/linear"
+)
+
+// judge checks the promises over a history, by the word of callers and
+// endpoints only.
+func judge(events []history.Event) error {
+	if found := complaints(events); found != "" {
+		return errors.New(found)
+	}
+	return nil
+}
+
+// complaints lists the first violation of each promise, "" if there is none.
+func complaints(events []history.Event) string {
+	options := history.Options{Healed: true, OpenQueues: map[string]bool{queueName: true}}
+	var out []string
+	for _, c := range history.Checkers() {
+		if found := c.Check(events, options); len(found) > 0 {
+			out = append(out, c.Promise+": "+found[0].Detail)
+		}
+	}
+	const searchBound = 10 * time.Second
+	if porcupine.CheckOperationsTimeout(linear.TicketModel(), linear.TicketOperations(events), searchBound) != porcupine.Ok {
+		out = append(out, "ticket: the history of a ticket is not linearizable")
+	}
+	return strings.Join(out, "; ")
+}
--- a/internal/holder/model_test.go
+++ b/internal/holder/model_test.go
@@ -2,19 +2,15 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"slices"
-	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/anishathalye/porcupine"
 	"pgregory.net/rapid"
 
 	"github.com/bluebellstile/bluebellstile/internal/history"
-	"github.com/bluebellstile/bluebellstile/internal/history/linear"
 	"github.com/bluebellstile/bluebellstile/internal/record"
 )
 
@@ -288,31 +284,6 @@
 	return seen
 }
 
-// judge checks the promises over a history, by the word of callers and
-// endpoints only.
-func judge(events []history.Event) error {
-	if found := complaints(events); found != "" {
-		return errors.New(found)
-	}
-	return nil
-}
-
-// complaints lists the first violation of each promise, "" if there is none.
-func complaints(events []history.Event) string {
-	options := history.Options{Healed: true, OpenQueues: map[string]bool{queueName: true}}
-	var out []string
-	for _, c := range history.Checkers() {
-		if found := c.Check(events, options); len(found) > 0 {
-			out = append(out, c.Promise+": "+found[0].Detail)
-		}
-	}
-	const searchBound = 10 * time.Second
-	if porcupine.CheckOperationsTimeout(linear.TicketModel(), linear.TicketOperations(events), searchBound) != porcupine.Ok {
-		out = append(out, "ticket: the history of a ticket is not linearizable")
-	}
-	return strings.Join(out, "; ")
-}
-
 // TestTermsKeepThePromises lets one term after another serve requests and jobs
 // under random faults.
 func TestTermsKeepThePromises(t *testing.T) {
