--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -174,30 +174,9 @@
 	return wanted, nil
 }
 
-// document is the body of a problem.
-type document struct {
-	Type    string          `json:"type"`
-	Title   string          `json:"title"`
-	Status  int             `json:"status"`
-	Code    problem.Code    `json:"code"`
-	Detail  string          `json:"detail"`
-	Remedy  string          `json:"remedy"`
-	Verdict problem.Verdict `json:"verdict"`
-}
-
 // writeProblem writes a problem document.
 func writeProblem(w http.ResponseWriter, p *problem.Problem) {
-	w.Header().Set("Content-Type", "application/problem+json")
-	w.WriteHeader(p.Status())
-	_ = json.NewEncoder(w).Encode(document{
-		Type:    "urn:bluebellstile:problem:" + string(p.Code),
-		Title:   http.StatusText(p.Status()),
-		Status:  p.Status(),
-		Code:    p.Code,
-		Detail:  p.Detail,
-		Remedy:  p.Remedy,
-		Verdict: p.Verdict,
-	})
+	problem.Write(w, p, p.Status(), "")
 }
 
 // writeJSON writes a body.
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -34,9 +34,6 @@
 	HeaderQueued     = "Bluebellstile-Queued-Ms"
 )
 
-// problemType is the content type of problem documents.
-const problemType = "application/problem+json"
-
 // Limits of what a caller may send.
 type Limits struct {
 	// MaxBodyBytes bounds a request body.
@@ -157,42 +154,13 @@
 	return h(w, r)
 }
 
-// document is the body of a problem.
-type document struct {
-	Type         string          `json:"type"`
-	Title        string          `json:"title"`
-	Status       int             `json:"status"`
-	Code         problem.Code    `json:"code"`
-	Detail       string          `json:"detail"`
-	Remedy       string          `json:"remedy"`
-	Verdict      problem.Verdict `json:"verdict"`
-	RetryAfterMS int64           `json:"retry_after_ms,omitempty"`
-	Ticket       string          `json:"ticket,omitempty"`
-}
-
-// writeProblem writes a problem document.
+// writeProblem writes a problem document with the headers of the interface.
 func writeProblem(w http.ResponseWriter, p *problem.Problem, status int, ticketText string) {
-	h := w.Header()
-	h.Set("Content-Type", problemType)
-	h.Set(HeaderVerdict, string(p.Verdict))
+	w.Header().Set(HeaderVerdict, string(p.Verdict))
 	if ticketText != "" {
-		h.Set(HeaderTicket, ticketText)
-	}
-	if p.RetryAfter > 0 {
-		h.Set("Retry-After", strconv.Itoa(int((p.RetryAfter+time.Second-1)/time.Second)))
+		w.Header().Set(HeaderTicket, ticketText)
 	}
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(document{
-		Type:         "urn:bluebellstile:problem:" + string(p.Code),
-		Title:        http.StatusText(status),
-		Status:       status,
-		Code:         p.Code,
-		Detail:       p.Detail,
-		Remedy:       p.Remedy,
-		Verdict:      p.Verdict,
-		RetryAfterMS: p.RetryAfter.Milliseconds(),
-		Ticket:       ticketText,
-	})
+	problem.Write(w, p, status, ticketText)
 }
 
 // writeJSON writes a body.
