Tell what a planned stop cut off from what callers and faults ended

Most were repetitions, after a fault, of requests that the fault had struck; some were requests whose own deadline of some 40 ms had passed. Neither was cut off by the stop. The cases of the checker's test show both, and beside each the request that still counts.

--- a/internal/harness/caller.go
+++ b/internal/harness/caller.go
@@ -94,7 +94,7 @@
 
 // Send sends a request once and records both ends of it.
 func (c *Caller) Send(ctx context.Context, at Entry, r Request) Answer {
-	e := history.Event{Queue: r.Queue, Ticket: r.Ticket, Idempotent: r.Idempotent, InputSum: history.Sum(r.Input)}
+	e := history.Event{Queue: r.Queue, Ticket: r.Ticket, Idempotent: r.Idempotent, InputSum: history.Sum(r.Input), DeadlineMS: r.Deadline.Milliseconds()}
 	if r.Want != nil {
 		e.ExpectSum = history.Sum(r.Want)
 	}
--- a/internal/history/edge_test.go
+++ b/internal/history/edge_test.go
@@ -172,6 +172,22 @@
 	{"connection refused by the stopping daemon", StopCutsNothing, []Event{
 		{UnixNano: at(0), Kind: DrainStarted, Daemon: "d1"}, sent(s, "r1"), answered(2*s, "r1", VerdictUnknown, CodeRefused),
 	}, 0},
+	{"repetition of a request that a fault struck", StopCutsNothing, []Event{
+		{UnixNano: at(0), Kind: DrainStarted, Daemon: "d1"}, sent(s, "r1"), {UnixNano: at(2 * s), Kind: FaultInjected, Fault: "kill", Daemon: "d2"},
+		{UnixNano: at(3 * s), Kind: FaultHealed, Fault: "kill", Daemon: "d2"}, sent(4*s, "r2"), answered(5*s, "r2", VerdictUnknown, "outcome_lost"),
+	}, 0},
+	{"request after a fault cut off by the stop", StopCutsNothing, []Event{
+		{UnixNano: at(0), Kind: FaultInjected, Fault: "kill", Daemon: "d2"}, {UnixNano: at(s), Kind: FaultHealed, Fault: "kill", Daemon: "d2"},
+		{UnixNano: at(2 * s), Kind: DrainStarted, Daemon: "d1"}, sent(3*s, "r1"), answered(4*s, "r1", VerdictUnknown, "outcome_lost"),
+	}, 1},
+	{"deadline passed during the stop", StopCutsNothing, []Event{
+		{UnixNano: at(0), Kind: DrainStarted, Daemon: "d1"},
+		{UnixNano: at(s), Kind: RequestSent, Request: "r1", Ticket: "t1", DeadlineMS: 40}, answered(s+41*ms, "r1", VerdictUnknown, CodeCancelled),
+	}, 0},
+	{"deadline not passed during the stop", StopCutsNothing, []Event{
+		{UnixNano: at(0), Kind: DrainStarted, Daemon: "d1"},
+		{UnixNano: at(s), Kind: RequestSent, Request: "r1", Ticket: "t1", DeadlineMS: 40}, answered(s+39*ms, "r1", VerdictUnknown, CodeCancelled),
+	}, 1},
 	{"request after the stop", StopCutsNothing, []Event{
 		{UnixNano: at(0), Kind: DrainStarted, Daemon: "d1"}, {UnixNano: at(s), Kind: DaemonDown, Daemon: "d1"},
 		sent(2*s, "r1"), answered(3*s, "r1", VerdictUnknown, CodeLost),
--- a/internal/history/event.go
+++ b/internal/history/event.go
@@ -84,6 +84,8 @@
 	ExpectSum string `json:"expect_sum,omitempty"`
 	// Request names one sending of a request; its answer carries it too.
 	Request string `json:"request,omitempty"`
+	// DeadlineMS bounds the wait that a caller asked for, in milliseconds.
+	DeadlineMS int64 `json:"deadline_ms,omitempty"`
 	// Job is the durable job of an event and Tasks the number of its tasks,
 	// which is 0 for requests.
 	Job   string `json:"job,omitempty"`
