Publish patches in the capacity measurement and read levelling costs between points

The measurement of configuration appended whole texts to the log, while the administration interface publishes patches since then; it now publishes the first text whole and the others as patches, as the interface does. Costs that level off, since group commits and the log's tail gather, are no straight lines: a line through them understates small sizes. A daemon's idle bytes and the report's benchmark count in the sum, which makes it larger. The tests of the table have the rows that came in addition and check their values; costs between points have a test of their own.

--- a/internal/capacity/budget.go
+++ b/internal/capacity/budget.go
@@ -26,19 +26,22 @@
 	// spends as many again as the server of others.
 	bytes []string
 	ends  float64
+	// levels is whether the series levels off, so that its rise from zero is
+	// read between its points instead of from a line through all.
+	levels bool
 }
 
 // holderParts are what a daemon spends that holds its zone at the peak.
 func holderParts() []part {
 	return []part{
-		{"zone holder: sessions of idle endpoints", "holder-endpoints", designWorkersAZone, []string{valueEndpoint}, 1},
-		{"zone holder: starts at the peak", "holder-starts-idle", designStartsAZone, []string{valueEndpoint, valuePeer}, 1},
-		{"zone holder: answered requests remembered", "holder-retained", designStartsAZone * retainedSeconds, nil, 1},
-		{"front door: a zone's requests over its daemons", "front-door-idle", designStartsAZone / designDaemonsAZone, []string{valuePeer}, 1},
-		{"directory: platform's whole list", "directory", designWorkers + designDaemons, []string{valueList}, 1},
-		{"membership: daemons of the zone", "peers-zone", designDaemonsAZone - 1, []string{valuePeer}, 2},
-		{"membership: holders of other zones", "peers-zones", designZones - 1, []string{valuePeer}, 2},
-		{"log tail by relay at the appends' budget", "tail-relay", budgetAppends, []string{valuePeer, valueLog}, 1},
+		{"zone holder: sessions of idle endpoints", "holder-endpoints", designWorkersAZone, []string{valueEndpoint}, 1, false},
+		{"zone holder: starts at the peak", "holder-starts-idle", designStartsAZone, []string{valueEndpoint, valuePeer}, 1, false},
+		{"zone holder: answered requests remembered", "holder-retained", designStartsAZone * retainedSeconds, nil, 1, false},
+		{"front door: a zone's requests over its daemons", "front-door-idle", designStartsAZone / designDaemonsAZone, []string{valuePeer}, 1, false},
+		{"directory: platform's whole list", "directory", designWorkers + designDaemons, []string{valueList}, 1, false},
+		{"membership: daemons of the zone", "peers-zone", designDaemonsAZone - 1, []string{valuePeer}, 2, false},
+		{"membership: holders of other zones", "peers-zones", designZones - 1, []string{valuePeer}, 2, false},
+		{"log tail by relay at the appends' budget", "tail-relay", budgetAppends, []string{valuePeer, valueLog}, 1, true},
 	}
 }
 
@@ -60,7 +63,11 @@
 		b.add("daemon without any load", rowCPU, budgetCPUPercent, baseCPU.Intercept)
 		b.add("daemon without any load", rowMB, budgetMB, baseMB.Intercept)
 	}
-	cpu, mb, bytes := baseCPU.Intercept, baseMB.Intercept, 0.0
+	idle := b.idleBytes()
+	if whole {
+		b.add("daemon without any load", rowBytes, budgetBytes, idle)
+	}
+	cpu, mb, bytes := baseCPU.Intercept, baseMB.Intercept, idle
 	for _, p := range holderParts() {
 		c, m, n, ok := b.part(p)
 		cpu, mb, bytes, whole = cpu+c, mb+m, bytes+n, whole && ok
@@ -70,11 +77,27 @@
 	if !whole {
 		return
 	}
+	cpu, mb, bytes = cpu+reportCPUPercent, mb+reportMB, bytes+reportBytes
+	b.add("service-level report, by its benchmark", rowCPU, budgetCPUPercent, reportCPUPercent)
+	b.add("service-level report, by its benchmark", rowMB, budgetMB, reportMB)
+	b.add("service-level report, by its benchmark", rowBytes, budgetBytes, reportBytes)
 	b.add("sum: a holder that is a front door as well", rowCPU, budgetCPUPercent, cpu)
 	b.add("sum: a holder that is a front door as well", rowMB, budgetMB, mb)
 	b.add("sum: a holder that is a front door as well", rowBytes, budgetBytes, bytes)
 }
 
+// idleBytes is what a daemon exchanges with the log and the platform's list
+// when there is nothing to tell.
+func (b *book) idleBytes() float64 {
+	sum := 0.0
+	for _, value := range []string{valueList, valueLog} {
+		if f, ok := b.fit("directory", value); ok {
+			sum += max(f.Intercept, 0)
+		}
+	}
+	return sum
+}
+
 // config adds the bytes of configuration that each reader of the log takes in
 // over a day, and returns their mean.
 func (b *book) config() (mean float64, ok bool) {
@@ -83,18 +106,24 @@
 		return 0, false
 	}
 	mean = f.Slope * designConfigADay / secondsADay
-	b.add("configuration: whole text in each change", rowBytes, budgetBytes, mean)
+	b.add("configuration: a patch in each change", rowBytes, budgetBytes, mean)
 	return mean, true
 }
 
-// appends adds the log appends of jobs over all zones.
+// appends adds the log appends of jobs over all zones. A batcher groups what
+// comes within its interval: at the mean of a day hardly anything, so that a
+// job costs what it does at the lowest rate; at the peak what is read between
+// the points for a zone's share.
 func (b *book) appends() {
-	f, ok := b.fit("holder-jobs", valueAppends)
-	if !ok {
+	s := b.results.series("holder-jobs")
+	if s == nil || len(s.Points) == 0 || s.Points[0].X == 0 {
 		return
 	}
-	b.add("log appends of jobs, mean of a day", rowAppends, budgetAppends, f.Slope*designJobsADay/secondsADay)
-	b.add("log appends of jobs, all starts of the peak", rowAppends, budgetAppends, f.Slope*designJobsAtPeak)
+	job := s.Points[0].Values[valueAppends] / s.Points[0].X
+	b.add("log appends of jobs, mean of a day", rowAppends, budgetAppends, job*designJobsADay/secondsADay)
+	if zone, ok := s.Between(valueAppends, designJobsAtPeak/designZones); ok {
+		b.add("log appends of jobs, all starts of the peak", rowAppends, budgetAppends, zone*designZones)
+	}
 }
 
 // times adds the rows of delays.
@@ -130,21 +159,41 @@
 	return s.Fit(value)
 }
 
+// rise is what a value grows by from size zero to the part's size; a value that
+// falls counts as none.
+func (b *book) rise(p part, value string) (float64, bool) {
+	if p.levels {
+		return b.riseBetween(p, value)
+	}
+	f, ok := b.fit(p.series, value)
+	return max(f.Slope, 0) * p.size, ok
+}
+
+// riseBetween is rise for a series that levels off.
+func (b *book) riseBetween(p part, value string) (float64, bool) {
+	s := b.results.series(p.series)
+	if s == nil {
+		return 0, false
+	}
+	from, begun := s.Between(value, 0)
+	to, ended := s.Between(value, p.size)
+	return max(to-from, 0), begun && ended
+}
+
 // part adds the rows of one cause and returns what it spends.
 func (b *book) part(p part) (cpu, mb, bytes float64, ok bool) {
-	f, ok := b.fit(p.series, valueCPU)
+	cpu, ok = b.rise(p, valueCPU)
 	if !ok {
 		return 0, 0, 0, false
 	}
-	cpu = max(f.Slope, 0) * p.size
 	b.add(p.role, rowCPU, budgetCPUPercent, cpu)
-	if f, ok = b.fit(p.series, valueRSS); ok {
-		mb = max(f.Slope, 0) * p.size
+	if more, ok := b.rise(p, valueRSS); ok {
+		mb = more
 		b.add(p.role, rowMB, budgetMB, mb)
 	}
 	for _, value := range p.bytes {
-		if f, ok = b.fit(p.series, value); ok {
-			bytes += max(f.Slope, 0) * p.size * p.ends
+		if more, ok := b.rise(p, value); ok {
+			bytes += more * p.ends
 		}
 	}
 	if len(p.bytes) > 0 {
--- a/internal/capacity/cell.go
+++ b/internal/capacity/cell.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/bluebellstile/bluebellstile/internal/config"
 	"github.com/bluebellstile/bluebellstile/internal/endpoint"
 	"github.com/bluebellstile/bluebellstile/internal/platform"
 	"github.com/bluebellstile/bluebellstile/internal/record"
@@ -68,8 +69,12 @@
 	daemons       []*process
 	listAddress   string
 	logAddresses  map[string]string
-	version       uint64
-	errorLog      io.WriteCloser
+	// version and text are the configuration that was published last.
+	version uint64
+	text    string
+	// published is the length of its record.
+	published int
+	errorLog  io.WriteCloser
 }
 
 // startCell runs a cell and waits until every zone has a holder that has
@@ -237,20 +242,23 @@
 	}, err
 }
 
-// publish appends a configuration to the log, as an operator does.
-func (c *testCell) publish(config *operator.Config) error {
-	text, err := operator.Print(config)
+// publish appends a configuration to the log as the administration interface
+// does: the first as a whole text, the others as patches of the last one.
+func (c *testCell) publish(wanted *operator.Config) error {
+	text, err := operator.Print(wanted)
 	if err != nil {
 		return err
 	}
-	data, err := record.Encode(&record.Envelope{
-		Kind:   record.KindConfig,
-		Config: &record.Config{Text: text, Expected: c.version, Author: "capacity"},
-	})
+	out := &record.Config{Text: text, Expected: c.version, Author: "capacity"}
+	if c.version > 0 {
+		out.Text, out.Patch = "", config.NewPatch(c.text, text)
+	}
+	data, err := record.Encode(&record.Envelope{Kind: record.KindConfig, Config: out})
 	if err != nil {
 		return err
 	}
-	c.version = c.log.Append(fmt.Sprintf("config-%d", c.version), data)
+	c.version, c.text = c.log.Append(fmt.Sprintf("config-%d", c.version), data), text
+	c.published = len(data)
 	return nil
 }
 
--- a/internal/capacity/design.go
+++ b/internal/capacity/design.go
@@ -41,3 +41,11 @@
 
 // designDaemons is the number of daemons.
 const designDaemons = designZones * designDaemonsAZone
+
+// What the service-level report takes at the size to design for, from the
+// benchmarks of package report (docs/design/report.md).
+const (
+	reportCPUPercent = 0.17
+	reportMB         = 20.4
+	reportBytes      = 1300
+)
--- a/internal/capacity/fit.go
+++ b/internal/capacity/fit.go
@@ -51,6 +51,21 @@
 	return line(xs, ys)
 }
 
+// Between is the value of a series at x on the straight lines between its
+// points, for values that level off; ok is false outside of what was measured.
+func (s *Series) Between(value string, x float64) (y float64, ok bool) {
+	for i := 1; i < len(s.Points); i++ {
+		a, b := s.Points[i-1], s.Points[i]
+		ya, foundA := a.Values[value]
+		yb, foundB := b.Values[value]
+		if !foundA || !foundB || x < a.X || x > b.X || a.X == b.X {
+			continue
+		}
+		return ya + (yb-ya)*(x-a.X)/(b.X-a.X), true
+	}
+	return 0, false
+}
+
 // line is the least-squares line; ok is false if all xs are equal.
 func line(xs, ys []float64) (f Fit, ok bool) {
 	mx, my := mean(xs), mean(ys)
--- a/internal/capacity/fit_test.go
+++ b/internal/capacity/fit_test.go
@@ -47,3 +47,23 @@
 		t.Error("a line of a value that was not measured")
 	}
 }
+
+func TestBetweenFollowsThePoints(t *testing.T) {
+	s := Series{}
+	for _, p := range [][2]float64{{0, 1}, {10, 5}, {30, 7}} {
+		s.Points = append(s.Points, Point{X: p[0], Values: map[string]float64{"v": p[1]}})
+	}
+	for x, want := range map[float64]float64{0: 1, 5: 3, 10: 5, 20: 6, 30: 7} {
+		if got, ok := s.Between("v", x); !ok || got != want {
+			t.Errorf("at %v: %v, %v; want %v", x, got, ok, want)
+		}
+	}
+	for _, x := range []float64{-1, 31} {
+		if got, ok := s.Between("v", x); ok {
+			t.Errorf("at %v, which was not measured: %v", x, got)
+		}
+	}
+	if _, ok := s.Between("other", 5); ok {
+		t.Error("a value that no point has")
+	}
+}
--- a/internal/capacity/measure_peers.go
+++ b/internal/capacity/measure_peers.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/bluebellstile/bluebellstile/internal/record"
-	"github.com/bluebellstile/bluebellstile/operator"
 )
 
 // Peers measures idle daemons over the daemons of a zone and over the zones.
@@ -176,10 +175,10 @@
 	}
 	sort.Float64s(delays)
 	idle, busy := average(before), average(during)
-	text, _ := operator.Print(c.options.config)
 	daemons := float64(len(c.daemons))
 	s.add(b, daemons, map[string]float64{
-		"config_bytes":           float64(len(text)),
+		"config_bytes":           float64(len(c.text)),
+		"record_bytes":           float64(c.published),
 		"p50_ms":                 delays[len(delays)/2],
 		"max_ms":                 delays[len(delays)-1],
 		valueCPU:                 busy[valueCPU],
--- a/internal/capacity/measure_work.go
+++ b/internal/capacity/measure_work.go
@@ -21,7 +21,7 @@
 		holder, front := c.holder("zone-a"), c.frontDoor()
 		calls := newCaller(front)
 		defer calls.close()
-		for _, rate := range []float64{5, 10, 20, 40, 80} {
+		for _, rate := range []float64{1, 5, 10, 20, 40, 80} {
 			failed := 0.0
 			values, err := c.window(b.Window, func() {
 				result, err := calls.make(rate, b.Window, func(ctx context.Context) error {
--- a/internal/capacity/results_test.go
+++ b/internal/capacity/results_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -14,7 +16,7 @@
 func TestBudgetsExtrapolate(t *testing.T) {
 	s := Series{Name: "directory", X: "instances"}
 	for _, x := range []float64{0, 1000, 2000, 3000} {
-		s.Points = append(s.Points, Point{X: x, Values: map[string]float64{valueList: 100 * x, valueCPU: 1 + x/1000}})
+		s.Points = append(s.Points, Point{X: x, Values: map[string]float64{valueList: 50 + 100*x, valueCPU: 1 + x/1000}})
 	}
 	var r Results
 	r.Merge([]Series{{Name: "directory"}})
@@ -23,13 +25,14 @@
 	for _, row := range r.Budgets() {
 		got[row.Role+" "+row.Value] = row
 	}
-	const base, directory = 2, 2
+	const base, directory = 3, 2
 	if len(got) != base+directory {
 		t.Errorf("rows of series that were not measured: %v", got)
 	}
 	const instances = designWorkers + designDaemons
 	for name, want := range map[string]float64{
 		"daemon without any load CPU, % of a core":          1,
+		"daemon without any load bytes/s":                   50,
 		"directory: platform's whole list CPU, % of a core": instances / 1000.0,
 		"directory: platform's whole list bytes/s":          100 * instances,
 	} {
@@ -45,14 +48,14 @@
 
 func TestSumNeedsEveryCause(t *testing.T) {
 	var r Results
-	want := 0.0
+	want := reportCPUPercent
 	names := map[string]float64{"config-direct": 0}
 	for _, p := range holderParts() {
 		names[p.series] += p.size
 	}
 	for name, size := range names {
 		s := Series{Name: name}
-		for _, x := range []float64{0, 1, 2} {
+		for _, x := range []float64{0, 1, 1000} {
 			s.Points = append(s.Points, Point{X: x, Values: map[string]float64{valueCPU: x, valueRSS: 5, "log_bytes_per_change": x}})
 		}
 		r.Merge([]Series{s})
@@ -75,6 +78,35 @@
 	}
 }
 
+func TestCausesThatLevelOffAreReadBetweenPoints(t *testing.T) {
+	tail, jobs := Series{Name: "tail-relay"}, Series{Name: "holder-jobs"}
+	for x, cpu := range map[float64]float64{0: 2, 100: 6, 200: 6, 400: 8} {
+		tail.Points = append(tail.Points, Point{X: x, Values: map[string]float64{valueCPU: cpu}})
+	}
+	slices.SortFunc(tail.Points, func(a, b Point) int { return cmp.Compare(a.X, b.X) })
+	for _, p := range [][2]float64{{2, 6}, {20, 10}, {80, 10}} {
+		jobs.Points = append(jobs.Points, Point{X: p[0], Values: map[string]float64{valueAppends: p[1]}})
+	}
+	var r Results
+	r.Merge([]Series{tail, jobs})
+	want := map[string]float64{
+		"log tail by relay at the appends' budget":    5,
+		"log appends of jobs, mean of a day":          3.0 * designJobsADay / secondsADay,
+		"log appends of jobs, all starts of the peak": 10 * designZones,
+	}
+	for _, row := range r.Budgets() {
+		if w, ok := want[row.Role]; ok && row.Value != rowBytes {
+			if row.Computed < w*0.999 || row.Computed > w*1.001 {
+				t.Errorf("%s is %v, want %v", row.Role, row.Computed, w)
+			}
+			delete(want, row.Role)
+		}
+	}
+	if len(want) > 0 {
+		t.Errorf("no rows for %v", want)
+	}
+}
+
 // TestPageShowsWhatWasMeasured compares the page's table with the one that
 // the kept results give.
 func TestPageShowsWhatWasMeasured(t *testing.T) {
