--- a/internal/capacity/budget.go
+++ b/internal/capacity/budget.go
@@ -38,7 +38,7 @@
 		{"zone holder: starts at the peak", "holder-starts-idle", designStartsAZone, []string{valueEndpoint, valuePeer}, 1, false},
 		{"zone holder: answered requests remembered", "holder-retained", designStartsAZone * retainedSeconds, nil, 1, false},
 		{"front door: a zone's requests over its daemons", "front-door-idle", designStartsAZone / designDaemonsAZone, []string{valuePeer}, 1, false},
-		{"directory: platform's whole list", "directory", designWorkers + designDaemons, []string{valueList}, 1, false},
+		{"directory: instances in the platform's list", "directory", designWorkers + designDaemons, []string{valueList}, 1, false},
 		{"membership: daemons of the zone", "peers-zone", designDaemonsAZone - 1, []string{valuePeer}, 2, false},
 		{"membership: holders of other zones", "peers-zones", designZones - 1, []string{valuePeer}, 2, false},
 		{"log tail by relay at the appends' budget", "tail-relay", budgetAppends, []string{valuePeer, valueLog}, 1, true},
--- a/internal/capacity/results_test.go
+++ b/internal/capacity/results_test.go
@@ -31,17 +31,17 @@
 	}
 	const instances = designWorkers + designDaemons
 	for name, want := range map[string]float64{
-		"daemon without any load CPU, % of a core":          1,
-		"daemon without any load bytes/s":                   50,
-		"directory: platform's whole list CPU, % of a core": instances / 1000.0,
-		"directory: platform's whole list bytes/s":          100 * instances,
+		"daemon without any load CPU, % of a core":                     1,
+		"daemon without any load bytes/s":                              50,
+		"directory: instances in the platform's list CPU, % of a core": instances / 1000.0,
+		"directory: instances in the platform's list bytes/s":          100 * instances,
 	} {
 		if c := got[name].Computed; c < want*0.999 || c > want*1.001 {
 			t.Errorf("%s is %v, want %v", name, c, want)
 		}
 	}
 	var out bytes.Buffer
-	if err := r.Print(&out); err != nil || !strings.Contains(out.String(), "directory: platform's whole list") {
+	if err := r.Print(&out); err != nil || !strings.Contains(out.String(), "directory: instances in the platform's list") {
 		t.Errorf("printed %q, %v", out.String(), err)
 	}
 }
