Bring declarations to the barring of tickets, use every setting

Three settings were read and not used, and the counters of the log's client and of the endpoint connections were not served. Ruled out: 'not run' without barring. Change: the previous holder's declaration goes to the new one with the request to bar; requests with a ticket are served until the drain timeout is near; the hand-over takes at most 60% of it; append_timeout and read_wait have effect, schedule_interval is gone; counters are served as platform and endpoint_pool.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -48,7 +48,8 @@
 type Stopping struct {
 	// Leaving is set from the begin: the balancer is told.
 	Leaving func() bool
-	// Refusing is set when the balancer has had time: new requests are refused.
+	// Refusing is set when the balancer has had time: new requests are refused
+	// but for those with a ticket, whose refusal could not say "not run".
 	Refusing func() bool
 }
 
@@ -138,10 +139,8 @@
 	if a.stopping.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
-	if a.stopping.Refusing() {
-		text := r.Header.Get(HeaderTicket)
-		p := problem.Refuse(problem.ShuttingDown, "send it to another instance", "this instance is shutting down").After(time.Second)
-		return text, a.truthful(r.Context(), p, text)
+	if a.stopping.Refusing() && r.Header.Get(HeaderTicket) == "" {
+		return "", problem.Refuse(problem.ShuttingDown, "send it to another instance", "this instance is shutting down").After(time.Second)
 	}
 	limit := int64(a.limits.MaxWaiting())
 	if a.inFlight.Add(1) > limit {
--- a/internal/holder/bar.go
+++ b/internal/holder/bar.go
@@ -16,20 +16,35 @@
 // Bar reports whether a ticket has certainly not run, and makes sure that it
 // never will. A front door that refuses a request with a ticket asks for it
 // before it answers "not run": another sending may be on its way.
-func (t *Term) Bar(ctx context.Context, tk ticket.Ticket) bool {
-	return t.bar(tk) && t.heldAt(ctx, time.Now())
+//
+// notStarted is the epoch of the previous holder if that has declared that the
+// request has not started, as in Request.
+func (t *Term) Bar(ctx context.Context, tk ticket.Ticket, notStarted uint64) bool {
+	return t.bar(&Request{Ticket: tk, NotStartedEpoch: notStarted}) && t.heldAt(ctx, time.Now())
+}
+
+// NotStarted returns the epoch that an ended term declares for a ticket, as
+// Declares does; 0 if the ticket may have run.
+func (t *Term) NotStarted(tk ticket.Ticket) uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := &Request{Ticket: tk}
+	u := t.units[tk.String()]
+	if u != nil && (u.request == nil || u.phase != phaseFinal || u.ran || u.request.result.verdict() != problem.NotRun) {
+		return 0
+	}
+	return t.Declares(r)
 }
 
 // bar is Bar as far as this term knows.
-func (t *Term) bar(tk ticket.Ticket) bool {
+func (t *Term) bar(r *Request) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	key := tk.String()
+	key := r.Ticket.String()
 	if u := t.units[key]; u != nil {
 		return u.request != nil && u.phase == phaseFinal && u.request.result.verdict() == problem.NotRun && u.close()
 	}
-	r := &Request{Ticket: tk}
-	if !t.neverStarted(r) || t.outOfDate(r) != nil || t.barred >= maxBarred || !t.tomb.Alive() {
+	if !t.neverStarted(r) || t.outOfDate(r) != nil || t.moving || t.barred >= maxBarred || !t.tomb.Alive() {
 		return false
 	}
 	t.barred++
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -44,6 +44,7 @@
 	waiters   map[string]chan cell.Effect
 	fresh     freshness
 	ring      *ring
+	readWait  time.Duration
 	// first and end bound what the log keeps.
 	first, end uint64
 	// lastPage is the number of records of the last page, hurry ends the wait
@@ -54,9 +55,16 @@
 	advanced chan struct{}
 }
 
+// Option changes a default of a Journal.
+type Option func(*Journal)
+
+// WithReadWait sets how long a read of the log waits for new records. It
+// bounds how old the proof of freshness gets while nothing is written.
+func WithReadWait(d time.Duration) Option { return func(j *Journal) { j.readWait = d } }
+
 // New returns a journal over log that fills state.
-func New(log platform.Log, state *cell.State, logger *slog.Logger) *Journal {
-	return &Journal{
+func New(log platform.Log, state *cell.State, logger *slog.Logger, options ...Option) *Journal {
+	j := &Journal{
 		log:      log,
 		state:    state,
 		slog:     logger,
@@ -64,7 +72,12 @@
 		ring:     newRing(ringBytes),
 		advanced: make(chan struct{}),
 		hurry:    make(chan struct{}, 1),
+		readWait: defaultReadWait,
+	}
+	for _, option := range options {
+		option(j)
 	}
+	return j
 }
 
 // Observe registers f; it must be called before the tail starts.
--- a/internal/journal/tail.go
+++ b/internal/journal/tail.go
@@ -13,9 +13,8 @@
 const (
 	// readLimit bounds the records of one read.
 	readLimit = 512
-	// readWait is how long one read waits for new records. It bounds how old
-	// the proof of freshness gets while nothing is written.
-	readWait = 500 * time.Millisecond
+	// defaultReadWait is how long one read waits for new records.
+	defaultReadWait = 500 * time.Millisecond
 	// readTimeout bounds one read including the network.
 	readTimeout = 3 * time.Second
 	// gatherTime is how long the tail waits between pages while records come.
@@ -107,7 +106,7 @@
 			return false
 		}
 		ctx, cancel := context.WithTimeout(t.Context(context.Background()), readTimeout)
-		page, err := source.Read(ctx, max(j.state.Applied()+1, j.floor), readWait)
+		page, err := source.Read(ctx, max(j.state.Applied()+1, j.floor), j.readWait)
 		cancel()
 		if err != nil {
 			j.slog.Debug("read of the log failed", "source", source.Name(), "error", err)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -6,6 +6,7 @@
 import (
 	"expvar"
 	"sort"
+	"sync"
 )
 
 // Description documents one metric.
@@ -14,7 +15,7 @@
 	Help string
 }
 
-var descriptions []Description
+var descriptions = []Description{{Name: poolName, Help: "connections and commands to endpoints: open, in use, failures"}}
 
 // counter declares an integer metric.
 func counter(name, help string) *expvar.Int {
@@ -58,6 +59,25 @@
 	ReportBurn    = group("report_burn_1h_milli", "highest burn rate of the last hour in thousandths, by indicator")
 )
 
+// Platform holds the counters of the client of the log and the list.
+var Platform = group("platform", "calls of the platform's log and list: appends, reads, retries, breakers and bytes")
+
+// poolName is the metric of the connections to endpoints.
+const poolName = "endpoint_pool"
+
+// PublishPool publishes the counters of the connections to endpoints, which
+// all daemons of a process share.
+func PublishPool(pool *expvar.Map) {
+	publishing.Lock()
+	defer publishing.Unlock()
+	if expvar.Get(poolName) == nil {
+		expvar.Publish(poolName, pool)
+	}
+}
+
+// publishing makes daemons that start together in one process take turns.
+var publishing sync.Mutex
+
 // Descriptions lists all metrics in order of name.
 func Descriptions() []Description {
 	out := append([]Description(nil), descriptions...)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -110,7 +110,7 @@
 		return connect.NewResponse(runProblem(s.notHere(r.Msg.AvailabilityZone))), nil
 	}
 	if r.Msg.Bar {
-		return connect.NewResponse(bar(ctx, term, r.Msg.Ticket)), nil
+		return connect.NewResponse(bar(ctx, term, r.Msg)), nil
 	}
 	request, err := s.requestOf(r.Msg)
 	if err != nil {
@@ -122,13 +122,13 @@
 }
 
 // bar bars a ticket that has not run.
-func bar(ctx context.Context, term *holder.Term, text string) *peerv1.RunResponse {
-	t, err := ticket.Parse(text)
+func bar(ctx context.Context, term *holder.Term, m *peerv1.RunRequest) *peerv1.RunResponse {
+	t, err := ticket.Parse(m.Ticket)
 	if err != nil {
 		return runProblem(problem.From(err, problem.NotRun))
 	}
-	if !term.Bar(ctx, t) {
-		return &peerv1.RunResponse{Verdict: peerv1.Verdict_VERDICT_UNKNOWN, Epoch: term.Epoch()}
+	if !term.Bar(ctx, t, m.NotStartedEpoch) {
+		return &peerv1.RunResponse{Verdict: peerv1.Verdict_VERDICT_UNKNOWN, Epoch: term.Epoch(), NotStartedEpoch: term.NotStarted(t)}
 	}
 	return &peerv1.RunResponse{Verdict: peerv1.Verdict_VERDICT_NOT_RUN, Epoch: term.Epoch()}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -254,24 +254,6 @@
 	return Answer{}, false
 }
 
-// Bar reports whether a request with the ticket has certainly not run and never
-// will. It is false if the zone's holder can't be asked.
-func (r *Router) Bar(ctx context.Context, t ticket.Ticket) bool {
-	claim, ok := r.state.Epoch(t.AvailabilityZone)
-	if !ok {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(ctx, barTimeout)
-	defer cancel()
-	response, err := r.clients.To(r.address(claim)).Run(ctx, connect.NewRequest(&peerv1.RunRequest{
-		Ticket:           t.String(),
-		Epoch:            t.Epoch,
-		AvailabilityZone: t.AvailabilityZone,
-		Bar:              true,
-	}))
-	return err == nil && response.Msg.Verdict == peerv1.Verdict_VERDICT_NOT_RUN && response.Msg.Problem == nil
-}
-
 // answerOf converts a holder's response.
 func answerOf(t ticket.Ticket, m *peerv1.RunResponse) Answer {
 	return Answer{
@@ -285,6 +267,8 @@
 // outOfTime is the truthful answer when the deadline passes here.
 func outOfTime(t ticket.Ticket, sent, reached bool) *problem.Problem {
 	switch {
+	case sent && reached:
+		return problem.Doubt(problem.DeadlineRunning, "ask again with the same ticket", "the deadline passed while the outcome was not known")
 	case sent:
 		return problem.Doubt(problem.OutcomeLost, "ask again with the same ticket", "the holder of zone %q did not answer before the deadline", t.AvailabilityZone)
 	case reached:
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -15,8 +15,10 @@
 	"github.com/bluebellstile/bluebellstile/internal/auth"
 	"github.com/bluebellstile/bluebellstile/internal/cell"
 	"github.com/bluebellstile/bluebellstile/internal/claimant"
+	"github.com/bluebellstile/bluebellstile/internal/endpoint"
 	"github.com/bluebellstile/bluebellstile/internal/journal"
 	"github.com/bluebellstile/bluebellstile/internal/membership"
+	"github.com/bluebellstile/bluebellstile/internal/metrics"
 	"github.com/bluebellstile/bluebellstile/internal/peer"
 	"github.com/bluebellstile/bluebellstile/internal/platform"
 	"github.com/bluebellstile/bluebellstile/internal/router"
@@ -41,6 +43,9 @@
 	// lastWords is how long before the drain timeout requests in flight are
 	// answered with what is known.
 	lastWords = time.Second
+	// handOverPart is the part of the drain timeout, in percent, that a
+	// hand-over may take.
+	handOverPart = 60
 	// peerGrace is how long a stopping daemon waits for its answers to other
 	// daemons to go out.
 	peerGrace = 500 * time.Millisecond
@@ -128,10 +133,12 @@
 
 // compose makes the parts and connects them.
 func (s *Server) compose(tlsClient *tls.Config) {
-	s.platform = platform.NewClient(s.settings.Platform.LogURL, s.settings.Platform.ListURL)
+	s.platform = platform.NewClient(s.settings.Platform.LogURL, s.settings.Platform.ListURL,
+		platform.WithTimeout(s.settings.Platform.AppendTimeout), platform.WithMetrics(metrics.Platform))
+	metrics.PublishPool(endpoint.SharedPool().Metrics())
 	s.directory = membership.NewDirectory(s.platform, s.self.AvailabilityZone, s.log)
 	s.table = membership.NewTable()
-	s.journal = journal.New(s.platform, cell.New(), s.log)
+	s.journal = journal.New(s.platform, cell.New(), s.log, journal.WithReadWait(s.settings.Platform.ReadWait))
 	s.clients = peer.NewClients(tlsClient, s.linkOf)
 	s.heart = peer.NewHeart(s.self, s.journal, s.table, s.directory, s.clients, s.standing)
 	s.relay = peer.NewRelay(s.self, s.platform, s.clients, s.table, s.directory, relayStale, s.journal.Fresh)
@@ -222,7 +229,7 @@
 	noticed := time.AfterFunc(lameDuck, func() { s.refusing.Store(true) })
 	defer noticed.Stop()
 	began := time.Now()
-	s.keeper.handOver(ctx)
+	s.handOver(ctx)
 	waitFor(ctx, lameDuck-time.Since(began))
 	err := s.finishCallers(ctx)
 	s.report.record(ctx, reportGrace)
@@ -239,6 +246,13 @@
 	return errors.Wrap(err, "graceful shutdown")
 }
 
+// handOver hands the zone over in time for the requests in flight to end.
+func (s *Server) handOver(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, s.settings.Limits.DrainTimeout*handOverPart/100)
+	defer cancel()
+	s.keeper.handOver(ctx)
+}
+
 // finishCallers lets the requests in flight end by themselves. Those that have
 // not when the drain timeout is near are answered with what is known of them.
 func (s *Server) finishCallers(ctx context.Context) error {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -56,8 +56,6 @@
 	// TakeoverAfter is how long another daemon misses the holder before it
 	// claims the zone.
 	TakeoverAfter time.Duration
-	// ScheduleInterval is the pause between two scheduling rounds.
-	ScheduleInterval time.Duration
 }
 
 // Limits bounds what callers may ask of the daemon.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -88,7 +88,6 @@
 lease = 5s
 heartbeat = 20ms
 takeover_after = 60ms
-schedule_interval = 1ms
 [limits]
 max_waiting = 5
 max_body_bytes = 2048
@@ -116,7 +115,7 @@
 		Instance:  Instance{"e", "z", "r"},
 		Listen:    Listen{"127.0.0.1:1", "127.0.0.1:2", "[::1]:3"},
 		Platform:  Platform{"http://a", "https://b/base", time.Second, 90 * time.Millisecond},
-		Zone:      Zone{5 * time.Second, 20 * time.Millisecond, 60 * time.Millisecond, time.Millisecond},
+		Zone:      Zone{5 * time.Second, 20 * time.Millisecond, 60 * time.Millisecond},
 		Limits:    Limits{5, 2048, 8192, time.Minute, 2 * time.Minute},
 		Freshness: Freshness{100 * time.Millisecond},
 		Log:       Log{slog.LevelDebug, LogJSON},
@@ -165,7 +164,7 @@
 		"relative path":       {"# cert =", "cert = cert.pem", KindBadValue, "tls.cert"},
 		"heartbeat and lease": {"lease = 30s", "lease = 1s", KindConflict, "zone.heartbeat"},
 		"heartbeat, takeover": {"takeover_after = 1.5s", "takeover_after = 700ms", KindConflict, "zone.heartbeat"},
-		"long read":           {"read_wait = 1s", "read_wait = 4s", KindConflict, "platform.read_wait"},
+		"long read":           {"read_wait = 500ms", "read_wait = 4s", KindConflict, "platform.read_wait"},
 		"not a line of INI":   {"lease = 30s", "lease 30s", KindSyntax, "."},
 		"behind the end":      {"[end]", "[end]\n[zone]", KindDuplicateSection, "zone."},
 		"key in the end":      {"[end]", "[end]\nx = 1", KindUnknownKey, "end.x"},
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -77,7 +77,7 @@
 	duration("platform", "append_timeout", 2*time.Second, 10*time.Millisecond, time.Minute,
 		"Longest wait for the answer to an append, after which its outcome is looked up in the log.",
 		func(s *Settings) *time.Duration { return &s.Platform.AppendTimeout }),
-	duration("platform", "read_wait", time.Second, 10*time.Millisecond, 30*time.Second,
+	duration("platform", "read_wait", 500*time.Millisecond, 10*time.Millisecond, 30*time.Second,
 		"How long a read at the end of the log waits for a new record. Must be shorter than freshness.key_bound.",
 		func(s *Settings) *time.Duration { return &s.Platform.ReadWait }),
 
@@ -90,9 +90,6 @@
 	duration("zone", "takeover_after", 1500*time.Millisecond, 50*time.Millisecond, time.Minute,
 		"How long the holder of a zone goes unheard before another daemon claims it.",
 		func(s *Settings) *time.Duration { return &s.Zone.TakeoverAfter }),
-	duration("zone", "schedule_interval", 2*time.Millisecond, 100*time.Microsecond, time.Second,
-		"Pause between two scheduling rounds while work is waiting.",
-		func(s *Settings) *time.Duration { return &s.Zone.ScheduleInterval }),
 
 	reloadable(count("limits", "max_waiting", "requests", 2500, 1, 1_000_000,
 		"Most requests that wait in this daemon over all queues; more are refused as not run.",
