Fit idle links into the control budget, resume the tail sooner

Cause: measured again: idle endpoint sessions 17.8 KB/s at 258 (budget 15), job and transfer records 322 a second as an upper bound (300 taken), connection checks between the slower heartbeats of holders. Ruled out: a longer lease, which delays restarts after a lost endpoint. Change: polls wait up to 7.5 s, jobs are committed every 200 ms, connections are checked after 3 s of silence; a dying term proves nothing any more; barring may take 2.5 s; the tail tries again after at most 0.3 s.

--- a/internal/holder/commit.go
+++ b/internal/holder/commit.go
@@ -17,7 +17,7 @@
 	appendTimeout = 4 * time.Second
 	// jobsGap and outcomesGap are the least times between two group commits of
 	// accepted jobs and of outcomes.
-	jobsGap     = 100 * time.Millisecond
+	jobsGap     = 200 * time.Millisecond
 	outcomesGap = 200 * time.Millisecond
 	// appendPause is the pause after a failed append that is tried again.
 	appendPause = 250 * time.Millisecond
--- a/internal/holder/request.go
+++ b/internal/holder/request.go
@@ -117,6 +117,8 @@
 		select {
 		case <-ctx.Done():
 			return false
+		case <-t.tomb.Dying():
+			return false
 		case <-time.After(confirmPoll):
 		}
 	}
--- a/internal/holder/session.go
+++ b/internal/holder/session.go
@@ -23,7 +23,7 @@
 	pollsPerLease = 4
 	// maxPollWait bounds the wait of a poll. It bounds how late an endpoint
 	// that stopped without closing its connections is noticed.
-	maxPollWait = 5 * time.Second
+	maxPollWait = 7500 * time.Millisecond
 	// clockDrift is the rate by which two monotonic clocks may differ.
 	clockDrift = 0.01
 	// callTimeout bounds a command other than a poll.
--- a/internal/journal/tail.go
+++ b/internal/journal/tail.go
@@ -21,7 +21,7 @@
 	gatherTime = 30 * time.Millisecond
 	// minBackoff and maxBackoff bound the pause after a failed read.
 	minBackoff = 50 * time.Millisecond
-	maxBackoff = time.Second
+	maxBackoff = 300 * time.Millisecond
 )
 
 // Page is a run of records from a source and the proof that comes with it.
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -19,7 +19,7 @@
 	// dialTimeout bounds the time to connect to another daemon.
 	dialTimeout = time.Second
 	// pingInterval is after how much silence a connection is checked.
-	pingInterval = time.Second
+	pingInterval = 3 * time.Second
 	// pingTimeout closes a connection whose check is not answered.
 	pingTimeout = time.Second
 	// maxMessageBytes bounds what one message may carry.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -37,7 +37,7 @@
 	// previousTimeout bounds the question to the previous holder of a zone.
 	previousTimeout = 300 * time.Millisecond
 	// barTimeout bounds the barring of a ticket.
-	barTimeout = 1500 * time.Millisecond
+	barTimeout = 2500 * time.Millisecond
 	// probeTimeout bounds a heartbeat that asks for the ticket generation.
 	probeTimeout = time.Second
 )
