--- a/internal/holder/term.go
+++ b/internal/holder/term.go
@@ -30,7 +30,8 @@
 	Holder string
 	// Lease is how long tasks run on without a heartbeat from their holder.
 	Lease time.Duration
-	// Heartbeat is the interval of heartbeats to each endpoint.
+	// Heartbeat is the interval at which silent endpoints are looked for and
+	// sent a heartbeat; polls for events renew the lease otherwise.
 	Heartbeat time.Duration
 }
 
@@ -68,9 +69,9 @@
 
 // Term is one period of holding the zone. It is safe for concurrent use.
 //
-// Locks: mu guards the engine, the units, the ledger and the gate; each session and the
-// registry has its own. A goroutine that holds mu may
-// take a session's lock, never the reverse.
+// Locks: mu guards the engine, the units, the ledger and the gate; each session
+// and the registry has its own. A goroutine that holds mu may take a session's
+// lock, never the reverse.
 type Term struct {
 	settings Settings
 	deps     Dependencies
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -85,7 +85,7 @@
 		"How long endpoints run tasks without a heartbeat. Longer survives longer pauses of the holder; shorter frees the tasks of a lost zone sooner.",
 		func(s *Settings) *time.Duration { return &s.Zone.Lease }),
 	duration("zone", "heartbeat", 500*time.Millisecond, 10*time.Millisecond, 10*time.Second,
-		"Interval of heartbeats to endpoints and between daemons of a zone. Must be at most a third of zone.lease and half of zone.takeover_after.",
+		"Interval at which the holder looks for silent endpoints and sends them a heartbeat; polls for events renew the lease otherwise. Must be at most a third of zone.lease and half of zone.takeover_after.",
 		func(s *Settings) *time.Duration { return &s.Zone.Heartbeat }),
 	duration("zone", "takeover_after", 1500*time.Millisecond, 50*time.Millisecond, time.Minute,
 		"How long the holder of a zone goes unheard before another daemon claims it.",
