--- a/internal/holder/describe.go
+++ b/internal/holder/describe.go
@@ -30,15 +30,23 @@
 	sort.Slice(status.Teams, func(i, j int) bool { return status.Teams[i].Team < status.Teams[j].Team })
 }
 
+// States of a session as operators see them.
+const (
+	stateAttaching = "attaching"
+	stateLeaving   = "leaving"
+	stateUsable    = "usable"
+	stateSilent    = "silent"
+)
+
 // stateName names the state of a session; the caller holds the term's lock.
 func (s *session) stateName() string {
 	switch {
 	case s.rosterID == "":
-		return "attaching"
+		return stateAttaching
 	case s.leaving || s.listed:
-		return "leaving"
+		return stateLeaving
 	case s.usable:
-		return "usable"
+		return stateUsable
 	}
-	return "silent"
+	return stateSilent
 }
--- a/internal/holder/sessions.go
+++ b/internal/holder/sessions.go
@@ -54,7 +54,19 @@
 			t.applyUsable(s)
 		}
 	}
-	metrics.Endpoints.Set("sessions", countOf(len(t.sessions)))
+	t.countSessions()
+}
+
+// countSessions publishes how many endpoints are in each state; the caller
+// holds the term's lock.
+func (t *Term) countSessions() {
+	counts := map[string]int{stateAttaching: 0, stateLeaving: 0, stateUsable: 0, stateSilent: 0}
+	for _, s := range t.sessions {
+		counts[s.stateName()]++
+	}
+	for state, n := range counts {
+		metrics.Endpoints.Set(state, countOf(n))
+	}
 }
 
 // setUsable says whether the endpoint answers heartbeats.
--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/bluebellstile/bluebellstile/internal/metrics"
 	"github.com/bluebellstile/bluebellstile/internal/platform"
 	"gopkg.in/tomb.v2"
 )
@@ -67,11 +68,13 @@
 	defer cancel()
 	entries, err := d.lister.Instances(ctx, platform.Filter{Role: platform.RoleEntry})
 	if err != nil {
+		metrics.ListFailures.Add(1)
 		d.slog.Debug("read of the instance list failed", "error", err)
 		return
 	}
 	own, err := d.lister.Instances(ctx, platform.Filter{AvailabilityZone: d.zone})
 	if err != nil {
+		metrics.ListFailures.Add(1)
 		d.slog.Debug("read of the zone's instance list failed", "error", err)
 		return
 	}
