--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -51,7 +51,7 @@
 	PeerFailures  = counter("peer_failures_total", "calls to other daemons that failed")
 	Transfers     = group("allotment_transfers_total", "transfers of upper-limit allotment, by result")
 	Endpoints     = group("endpoints", "endpoints of the held zone, by state: attaching, usable, silent, leaving")
-	ListFailures  = counter("list_failures_total", "reads of the platform\'s list that failed; the last list stays in use")
+	ListFailures  = counter("list_failures_total", "reads of the platform's list that failed; the last list stays in use")
 	Decisions     = counter("placement_decisions_total", "placement decisions taken")
 	DecisionNS    = counter("placement_ns_total", "nanoseconds spent in placement")
 	ReportBytes   = counter("report_summary_bytes", "bytes of the last service-level summary made here")
