Give parts of the daemon the field's usual names

Cause: reading as a newcomer, several names were our own metaphors or said little: heart, keeper, line, pace, crowded, hopeless, truthful, doubt, moving, gate.open for its closing. Change: Heartbeater, termManager, backlog, serviceRate, overBound, missesDeadline, adjustVerdict, configStaleness, handingOver, gate.begin and isOpen. No behaviour changes.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -147,7 +147,7 @@
 		a.inFlight.Add(-1)
 		text := r.Header.Get(HeaderTicket)
 		p := problem.Refuse(problem.QueueFull, "retry after the hint, with backoff", "%d requests are being answered already", limit).After(time.Second)
-		return text, a.truthful(r.Context(), p, text)
+		return text, a.adjustVerdict(r.Context(), p, text)
 	}
 	defer a.inFlight.Add(-1)
 	return h(w, r)
@@ -229,7 +229,7 @@
 	call, p := a.callOf(w, r)
 	if p != nil {
 		text := r.Header.Get(HeaderTicket)
-		return text, a.truthful(r.Context(), p, text)
+		return text, a.adjustVerdict(r.Context(), p, text)
 	}
 	answer := a.router.Run(r.Context(), call)
 	text := ""
@@ -253,10 +253,10 @@
 	return text, nil
 }
 
-// truthful turns the refusal of a request that came with a ticket into a doubt,
+// adjustVerdict turns the refusal of a request that came with a ticket into a doubt,
 // since an earlier sending with the ticket may have run,
 // unless the zone's holder knows that none did and bars the ticket.
-func (a *API) truthful(ctx context.Context, p *problem.Problem, ticketText string) *problem.Problem {
+func (a *API) adjustVerdict(ctx context.Context, p *problem.Problem, ticketText string) *problem.Problem {
 	t, err := ticket.Parse(ticketText)
 	if err != nil || p.Verdict != problem.NotRun || a.router.Bar(ctx, t) {
 		return p
--- a/internal/api/jobs.go
+++ b/internal/api/jobs.go
@@ -89,7 +89,7 @@
 		p = job.check(grant.Queue.Runner)
 	}
 	if p != nil {
-		return job.Ticket, jobTruthful(p, job.Ticket)
+		return job.Ticket, adjustJobVerdict(p, job.Ticket)
 	}
 	t, p := a.jobTicket(r, &job)
 	if p != nil {
@@ -120,9 +120,9 @@
 	return t.String(), nil
 }
 
-// jobTruthful turns the refusal of a job that came with a ticket into a doubt
+// adjustJobVerdict turns the refusal of a job that came with a ticket into a doubt
 // if a job under the ticket may have been accepted.
-func jobTruthful(p *problem.Problem, ticketText string) *problem.Problem {
+func adjustJobVerdict(p *problem.Problem, ticketText string) *problem.Problem {
 	if _, err := ticket.Parse(ticketText); err != nil || p.Verdict != problem.NotRun {
 		return p
 	}
--- a/internal/auth/auth.go
+++ b/internal/auth/auth.go
@@ -19,8 +19,8 @@
 	Config() (*operator.Config, uint64)
 }
 
-// Doubt is how long ago the configuration was last proven current.
-type Doubt func() time.Duration
+// Staleness is how long ago the configuration was last proven current.
+type Staleness func() time.Duration
 
 // Grant is what a caller may do.
 type Grant struct {
@@ -32,9 +32,9 @@
 // Guard checks keys against the configuration in force. It is safe for
 // concurrent use.
 type Guard struct {
-	config Configuration
-	doubt  Doubt
-	// bound is the doubt beyond which keyed work is refused.
+	config    Configuration
+	staleness Staleness
+	// bound is the staleness beyond which keyed work is refused.
 	bound time.Duration
 
 	mu   sync.Mutex
@@ -48,9 +48,9 @@
 	byID    map[string]operator.Key
 }
 
-// NewGuard returns a guard that refuses keyed work once doubt exceeds bound.
-func NewGuard(config Configuration, doubt Doubt, bound time.Duration) *Guard {
-	return &Guard{config: config, doubt: doubt, bound: bound}
+// NewGuard returns a guard that refuses keyed work once staleness exceeds bound.
+func NewGuard(config Configuration, staleness Staleness, bound time.Duration) *Guard {
+	return &Guard{config: config, staleness: staleness, bound: bound}
 }
 
 // ring returns the configuration in force and its keys.
@@ -121,14 +121,14 @@
 	if len(queue.Teams) > 0 && !slices.Contains(queue.Teams, key.Team) {
 		return problem.Refuse(problem.TeamNotAllowed, "use a queue that lists the team", "queue %q does not admit team %q", queue.Name, key.Team)
 	}
-	if doubt := g.doubt(); doubt > max(g.bound, queue.KeyGrace) {
-		return problem.Refuse(problem.ConfigNotFresh, "retry later or use an open queue", "the configuration has not been proven current for %s", doubt.Round(time.Millisecond)).After(g.bound)
+	if staleness := g.staleness(); staleness > max(g.bound, queue.KeyGrace) {
+		return problem.Refuse(problem.ConfigNotFresh, "retry later or use an open queue", "the configuration has not been proven current for %s", staleness.Round(time.Millisecond)).After(g.bound)
 	}
 	return nil
 }
 
 // Operator checks an operator's secret and returns the key's id. It is not
-// subject to freshness: operators must be able to act on doubt.
+// subject to freshness: operators must be able to act on staleness.
 func (g *Guard) Operator(secret string) (string, *problem.Problem) {
 	_, ring := g.ring()
 	key, ok := ring.find(secret)
@@ -140,7 +140,7 @@
 
 // Stale reports whether the configuration has not been proven current within
 // the bound.
-func (g *Guard) Stale() bool { return g.doubt() > g.bound }
+func (g *Guard) Stale() bool { return g.staleness() > g.bound }
 
 // Empty reports whether no operator key is in force, so that the first
 // configuration can be published with the bootstrap key of the settings.
--- a/internal/auth/auth_test.go
+++ b/internal/auth/auth_test.go
@@ -50,10 +50,10 @@
 	}
 }
 
-// guard returns a guard with the configuration and a doubt that can be set.
+// guard returns a guard with the configuration and a staleness that can be set.
 func guard() (*Guard, *published, *time.Duration) {
-	p, doubt := &published{config: configuration(), version: 1}, new(time.Duration)
-	return NewGuard(p, func() time.Duration { return *doubt }, bound), p, doubt
+	p, staleness := &published{config: configuration(), version: 1}, new(time.Duration)
+	return NewGuard(p, func() time.Duration { return *staleness }, bound), p, staleness
 }
 
 // codeOf is the code of a refusal, "" if there is none.
@@ -67,7 +67,7 @@
 func TestAdmit(t *testing.T) {
 	for _, test := range []struct {
 		name, secret, queue string
-		doubt               time.Duration
+		staleness           time.Duration
 		code                problem.Code
 		team, keyID         string
 	}{
@@ -75,24 +75,24 @@
 		{name: "queue of every team", secret: "linen-secret", queue: "any", team: "linen", keyID: "linen"},
 		{name: "other team", secret: "linen-secret", queue: "labels", code: problem.TeamNotAllowed},
 		{name: "withdrawn", secret: "old-secret", queue: "labels", code: problem.KeyRefused},
-		{name: "withdrawn in the grace", secret: "old-secret", queue: "patient", doubt: grace, code: problem.KeyRefused},
+		{name: "withdrawn in the grace", secret: "old-secret", queue: "patient", staleness: grace, code: problem.KeyRefused},
 		{name: "unknown key", secret: "nosuch", queue: "labels", code: problem.KeyRefused},
 		{name: "the hash in place of the secret", secret: operator.HashSecret("ink-secret"), queue: "labels", code: problem.KeyRefused},
 		{name: "no key", queue: "labels", code: problem.KeyMissing},
 		{name: "unknown queue", secret: "ink-secret", queue: "nosuch", code: problem.UnknownQueue},
 		{name: "unknown queue without a key", queue: "nosuch", code: problem.UnknownQueue},
 		{name: "open queue", queue: "open", team: "public"},
-		{name: "open queue in doubt", queue: "open", doubt: time.Hour, team: "public"},
+		{name: "open queue in staleness", queue: "open", staleness: time.Hour, team: "public"},
 		{name: "open queue with a key", secret: "ink-secret", queue: "open", team: "ink", keyID: "ink"},
 		{name: "open queue with a withdrawn key", secret: "old-secret", queue: "open", code: problem.KeyRefused},
-		{name: "at the bound", secret: "ink-secret", queue: "labels", doubt: bound, team: "ink", keyID: "ink"},
-		{name: "past the bound", secret: "ink-secret", queue: "labels", doubt: bound + 1, code: problem.ConfigNotFresh},
-		{name: "in the grace", secret: "ink-secret", queue: "patient", doubt: grace, team: "ink", keyID: "ink"},
-		{name: "past the grace", secret: "ink-secret", queue: "patient", doubt: grace + 1, code: problem.ConfigNotFresh},
+		{name: "at the bound", secret: "ink-secret", queue: "labels", staleness: bound, team: "ink", keyID: "ink"},
+		{name: "past the bound", secret: "ink-secret", queue: "labels", staleness: bound + 1, code: problem.ConfigNotFresh},
+		{name: "in the grace", secret: "ink-secret", queue: "patient", staleness: grace, team: "ink", keyID: "ink"},
+		{name: "past the grace", secret: "ink-secret", queue: "patient", staleness: grace + 1, code: problem.ConfigNotFresh},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			g, _, doubt := guard()
-			*doubt = test.doubt
+			g, _, staleness := guard()
+			*staleness = test.staleness
 			grant, p := g.Admit(test.secret, test.queue)
 			if codeOf(p) != test.code || grant.Team != test.team || grant.KeyID != test.keyID {
 				t.Errorf("granted %+v, %v", grant, p)
@@ -110,12 +110,12 @@
 	for _, k := range configuration().Keys {
 		for _, queue := range []string{"labels", "patient", "any", "open", "nosuch"} {
 			for _, d := range []time.Duration{0, bound, bound + 1, grace, grace + 1} {
-				g, _, doubt := guard()
-				*doubt = d
+				g, _, staleness := guard()
+				*staleness = d
 				_, admitted := g.Admit(k.ID+"-secret", queue)
 				rechecked := g.Recheck(k.ID, k.Team, queue)
 				if codeOf(admitted) != codeOf(rechecked) {
-					t.Errorf("key %s, queue %s, doubt %s: admitted %v, rechecked %v", k.ID, queue, d, admitted, rechecked)
+					t.Errorf("key %s, queue %s, staleness %s: admitted %v, rechecked %v", k.ID, queue, d, admitted, rechecked)
 				}
 			}
 		}
@@ -166,8 +166,8 @@
 }
 
 func TestOperatorsAndTeams(t *testing.T) {
-	g, _, doubt := guard()
-	*doubt = time.Hour
+	g, _, staleness := guard()
+	*staleness = time.Hour
 	for secret, want := range map[string]string{"ops-secret": "ops", "oldops-secret": "", "ink-secret": "", "": "", "nosuch": ""} {
 		if id, p := g.Operator(secret); id != want || (p == nil) != (want != "") {
 			t.Errorf("operator %q: %q, %v", secret, id, p)
@@ -179,6 +179,6 @@
 		}
 	}
 	if !g.Stale() {
-		t.Error("a doubt past the bound is not stale")
+		t.Error("a staleness past the bound is not stale")
 	}
 }
--- a/internal/claimant/takeover_test.go
+++ b/internal/claimant/takeover_test.go
@@ -47,15 +47,15 @@
 
 // member is one daemon of the zone, as far as claims go.
 type member struct {
-	id      peer.Identity
-	journal *journal.Journal
-	table   *membership.Table
-	heart   *peer.Heart
-	tomb    tomb.Tomb
-	dead    atomic.Bool
+	id          peer.Identity
+	journal     *journal.Journal
+	table       *membership.Table
+	heartbeater *peer.Heartbeater
+	tomb        tomb.Tomb
+	dead        atomic.Bool
 }
 
-// standing is what the daemon's keeper would say.
+// standing is what the daemon's term manager would say.
 func (m *member) standing() peer.Standing {
 	claim, ok := m.journal.State().Epoch(zoneName)
 	if ok && claim.Holder == m.id.Holder() {
@@ -94,7 +94,7 @@
 		journal: journal.New(z.log, cell.New(), logger),
 		table:   membership.NewTable(),
 	}
-	m.heart = peer.NewHeart(m.id, m.journal, m.table, nil, nil, m.standing)
+	m.heartbeater = peer.NewHeartbeater(m.id, m.journal, m.table, nil, nil, m.standing)
 	c := New(m.id, silence, m.journal, m.table, m.standing, logger)
 	m.journal.Observe(c.Observe)
 	source := []journal.Source{journal.LogSource{Log: z.log}}
@@ -120,7 +120,7 @@
 				if i == k || from.dead.Load() || to.dead.Load() || z.cut(i, k) {
 					continue
 				}
-				b := from.heart.Beat()
+				b := from.heartbeater.Beat()
 				b.FreshAgeMS, b.AllZonesAgeMS = -1, -1
 				to.table.Hear(b, time.Now())
 			}
--- a/internal/holder/admit.go
+++ b/internal/holder/admit.go
@@ -19,11 +19,11 @@
 	if p := t.outOfDate(r); p != nil {
 		return nil, p
 	}
-	if r.Ticket.Epoch > t.epoch || !t.tomb.Alive() || t.moving {
+	if r.Ticket.Epoch > t.epoch || !t.tomb.Alive() || t.handingOver {
 		return nil, problem.Refuse(problem.Moved, "the front door tries the next holder", "this daemon no longer holds the zone").After(retryHint)
 	}
 	if p := t.refuse(r); p != nil {
-		p = t.truthful(r, p)
+		p = t.adjustVerdict(r, p)
 		t.observeRefusal(r, p)
 		return nil, p
 	}
@@ -33,7 +33,7 @@
 	u.request.waiters++
 	if t.neverStarted(r) {
 		t.enqueue(u)
-	} else if t.gate.passed() {
+	} else if t.gate.isOpen() {
 		t.resolveHeld(u)
 	}
 	return u, nil
@@ -70,9 +70,9 @@
 	return nil
 }
 
-// truthful turns the refusal of a request that an earlier term may have run
+// adjustVerdict turns the refusal of a request that an earlier term may have run
 // into a doubt.
-func (t *Term) truthful(r *Request, p *problem.Problem) *problem.Problem {
+func (t *Term) adjustVerdict(r *Request, p *problem.Problem) *problem.Problem {
 	if t.neverStarted(r) {
 		return p
 	}
@@ -108,10 +108,10 @@
 	if p := t.draining(); p != nil {
 		return p
 	}
-	if p := t.crowded(r); p != nil {
+	if p := t.overBound(r); p != nil {
 		return p
 	}
-	if !t.gate.passed() {
+	if !t.gate.isOpen() {
 		return nil
 	}
 	verdict := t.engine.Check(t.newRequestUnit("check", r).engineWork())
@@ -135,23 +135,23 @@
 	return nil
 }
 
-// crowded refuses a request beyond the bound of its team in the queue or that
+// overBound refuses a request beyond the bound of its team in the queue or that
 // of the zone.
-func (t *Term) crowded(r *Request) *problem.Problem {
-	waiting := t.line.of(r.Queue.Name, r.Team)
+func (t *Term) overBound(r *Request) *problem.Problem {
+	waiting := t.backlog.of(r.Queue.Name, r.Team)
 	if r.Queue.MaxWaiting > 0 && waiting >= r.Queue.MaxWaiting {
 		return problem.Refuse(problem.QueueFull, "retry after the hint, with backoff", "%d requests of the team wait in queue %q already", waiting, r.Queue.Name).After(retryHint)
 	}
-	if t.line.requests >= t.deps.MaxWaiting() && !t.shed(r) {
-		return problem.Refuse(problem.QueueFull, "retry after the hint, with backoff", "%d requests wait in the zone already", t.line.requests).After(retryHint)
+	if t.backlog.requests >= t.deps.MaxWaiting() && !t.shed(r) {
+		return problem.Refuse(problem.QueueFull, "retry after the hint, with backoff", "%d requests wait in the zone already", t.backlog.requests).After(retryHint)
 	}
-	return t.hopeless(r, waiting)
+	return t.missesDeadline(r, waiting)
 }
 
-// hopeless refuses a request that would wait past its deadline at the pace at
+// missesDeadline refuses a request that would wait past its deadline at the pace at
 // which its team is served in the queue.
-func (t *Term) hopeless(r *Request, waiting int) *problem.Problem {
-	p := t.paces[lineKey{queue: r.Queue.Name, team: r.Team}]
+func (t *Term) missesDeadline(r *Request, waiting int) *problem.Problem {
+	p := t.rates[backlogKey{queue: r.Queue.Name, team: r.Team}]
 	until := t.untilOf(r)
 	if p == nil || until == 0 {
 		return nil
@@ -172,13 +172,13 @@
 	return max(r.Until.Sub(t.began), 1)
 }
 
-// paceOf returns the pace at which a request's team is served in its queue.
-func (t *Term) paceOf(u *unit) *pace {
+// rateOf returns the pace at which a request's team is served in its queue.
+func (t *Term) rateOf(u *unit) *serviceRate {
 	key := keyOfUnit(u)
-	if t.paces[key] == nil {
-		t.paces[key] = &pace{}
+	if t.rates[key] == nil {
+		t.rates[key] = &serviceRate{}
 	}
-	return t.paces[key]
+	return t.rates[key]
 }
 
 // observeRefusal tells the observer of a request that was never queued.
@@ -194,7 +194,7 @@
 	if r.Queue.Class != operator.ClassUrgent {
 		return false
 	}
-	victim := t.line.newest()
+	victim := t.backlog.newest()
 	if victim == nil {
 		return false
 	}
--- a/internal/holder/allotments.go
+++ b/internal/holder/allotments.go
@@ -108,7 +108,7 @@
 	defer t.mu.Unlock()
 	for name := range t.teams {
 		excess := int64(t.engine.RunningTasks(name)) - t.bound(name)
-		if excess <= 0 || !t.gate.passed() {
+		if excess <= 0 || !t.gate.isOpen() {
 			delete(t.overSince, name)
 			continue
 		}
--- a/internal/holder/bar.go
+++ b/internal/holder/bar.go
@@ -44,7 +44,7 @@
 	if u := t.units[key]; u != nil {
 		return u.request != nil && u.phase == phaseFinal && u.request.result.verdict() == problem.NotRun && u.close()
 	}
-	if !t.neverStarted(r) || t.outOfDate(r) != nil || t.moving || t.barred >= maxBarred || !t.tomb.Alive() {
+	if !t.neverStarted(r) || t.outOfDate(r) != nil || t.handingOver || t.barred >= maxBarred || !t.tomb.Alive() {
 		return false
 	}
 	t.barred++
--- a/internal/holder/gate.go
+++ b/internal/holder/gate.go
@@ -53,8 +53,8 @@
 	gone []string
 }
 
-// open begins with the roster of the log at the start of the term.
-func (g *gate) open(roster []string, now time.Time) {
+// begin starts with the roster of the log at the start of the term.
+func (g *gate) begin(roster []string, now time.Time) {
 	g.pending = make(map[string]bool, len(roster))
 	g.since = now
 	for _, id := range roster {
@@ -62,8 +62,8 @@
 	}
 }
 
-// passed reports whether every endpoint has been accounted for.
-func (g *gate) passed() bool { return len(g.pending) == 0 }
+// isOpen reports whether every endpoint has been accounted for.
+func (g *gate) isOpen() bool { return len(g.pending) == 0 }
 
 // charge is the most tasks of one team that may run on endpoints which have
 // not been accounted for.
@@ -119,13 +119,13 @@
 	}
 	t.gate.gone = append(t.gate.gone, lost...)
 	t.refreshBounds()
-	if t.gate.passed() {
-		t.passGate()
+	if t.gate.isOpen() {
+		t.openGate()
 	}
 }
 
-// passGate decides about the work that was held back.
-func (t *Term) passGate() {
+// openGate decides about the work that was held back.
+func (t *Term) openGate() {
 	for _, state := range t.jobs {
 		if state.spec.Gang && state.untouched() {
 			t.enqueueJob(state)
--- a/internal/holder/jobs.go
+++ b/internal/holder/jobs.go
@@ -115,10 +115,10 @@
 	if j.Slots <= 0 && j.MilliCores <= 0 {
 		return problem.Refuse(problem.BadRequest, "state the milli_cores that each task needs", "a task of no size can't be placed")
 	}
-	if t.line.tasks > 0 && t.line.tasks+len(j.Inputs) > maxWaitingTasks {
-		return problem.Refuse(problem.QueueFull, "retry after the hint, with backoff", "%d tasks of jobs wait in the zone already", t.line.tasks).After(retryHint)
+	if t.backlog.tasks > 0 && t.backlog.tasks+len(j.Inputs) > maxWaitingTasks {
+		return problem.Refuse(problem.QueueFull, "retry after the hint, with backoff", "%d tasks of jobs wait in the zone already", t.backlog.tasks).After(retryHint)
 	}
-	if !t.gate.passed() || len(t.sessions) == 0 {
+	if !t.gate.isOpen() || len(t.sessions) == 0 {
 		return nil
 	}
 	verdict := t.engine.Check(jobWork(j, queue, t.now()))
@@ -216,7 +216,7 @@
 	for _, u := range state.units {
 		u.work = j.ID
 		u.phase = phaseWaiting
-		t.line.add(u)
+		t.backlog.add(u)
 	}
 	t.engine.Submit(jobWork(j, t.queue(j.Queue), t.now()))
 	t.kick()
--- a/internal/holder/quiesce.go
+++ b/internal/holder/quiesce.go
@@ -12,7 +12,7 @@
 // the next holder finds every started task in an inventory.
 func (t *Term) Quiesce(ctx context.Context) {
 	t.mu.Lock()
-	t.moving = true
+	t.handingOver = true
 	t.mu.Unlock()
 	for ctx.Err() == nil && t.tomb.Alive() && t.starting() {
 		t.pause(quiescePoll)
@@ -23,7 +23,7 @@
 // Resume starts tasks again after a hand-over that did not come about.
 func (t *Term) Resume() {
 	t.mu.Lock()
-	t.moving = false
+	t.handingOver = false
 	t.mu.Unlock()
 	t.kick()
 }
--- a/internal/holder/schedule.go
+++ b/internal/holder/schedule.go
@@ -40,7 +40,7 @@
 func (t *Term) scheduleOnce() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.moving {
+	if t.handingOver {
 		return false
 	}
 	began := time.Now()
@@ -65,7 +65,7 @@
 		s.queueStop(endpoint.ActionCheckpoint, u.spec.ID)
 		return
 	}
-	t.line.remove(u)
+	t.backlog.remove(u)
 	if p := t.recheck(u); p != nil {
 		t.engine.Finish(u.key, t.now(), placement.ResultStopped)
 		u.phase = phaseHeld
@@ -81,7 +81,7 @@
 	if u.request == nil {
 		return nil
 	}
-	if u.until > 0 && t.now()+t.paceOf(u).needed() > u.until {
+	if u.until > 0 && t.now()+t.rateOf(u).needed() > u.until {
 		return problem.Refuse(problem.DeadlineQueued, "retry later or with a longer deadline", "too little time was left when the work's turn came").After(retryHint)
 	}
 	if u.keyID == "" {
@@ -101,7 +101,7 @@
 	u.begun = t.now()
 	if u.request != nil {
 		u.request.queued = waited
-		t.paceOf(u).started(u.begun)
+		t.rateOf(u).started(u.begun)
 	}
 	if t.deps.Observer != nil && u.attempts == 1 {
 		t.deps.Observer.Started(u.spec.Team, u.spec.Queue, waited, t.waitCause(u))
@@ -128,10 +128,10 @@
 // enqueue hands a unit to the engine.
 func (t *Term) enqueue(u *unit) {
 	u.phase = phaseWaiting
-	if u.request != nil && t.line.of(u.spec.Queue, u.spec.Team) == 0 {
-		t.paceOf(u).begin(t.now())
+	if u.request != nil && t.backlog.of(u.spec.Queue, u.spec.Team) == 0 {
+		t.rateOf(u).begin(t.now())
 	}
-	t.line.add(u)
+	t.backlog.add(u)
 	t.noteTeam(u.spec.Team)
 	t.engine.Submit(u.engineWork())
 	t.kick()
@@ -139,7 +139,7 @@
 
 // requeue queues a unit again after an attempt that came to nothing.
 func (t *Term) requeue(u *unit) {
-	if t.moving && u.request != nil {
+	if t.handingOver && u.request != nil {
 		u.phase = phaseHeld
 		t.settle(u, failed(problem.Refuse(problem.Moved, "the front door tries the next holder", "the zone's holder changed before the work started")))
 		return
@@ -231,7 +231,7 @@
 // ackStray lets the endpoint forget the end of a task that nobody waits for.
 // The outcome of a unit that is final is acknowledged by whoever ended it.
 func (t *Term) ackStray(s *session, e endpoint.Event, u *unit) {
-	if u == nil && e.State != endpoint.TaskRunning && t.gate.passed() {
+	if u == nil && e.State != endpoint.TaskRunning && t.gate.isOpen() {
 		s.queueAck(e.ID)
 	}
 }
@@ -247,7 +247,7 @@
 	switch {
 	case u.answer.state == endpoint.TaskDone:
 		if u.request != nil && u.begun > 0 {
-			t.paceOf(u).finished(t.now() - u.begun)
+			t.rateOf(u).finished(t.now() - u.begun)
 		}
 		t.settleDone(s, u, attempt)
 	case u.cancelled:
--- a/internal/holder/settle.go
+++ b/internal/holder/settle.go
@@ -12,7 +12,7 @@
 // withdraw takes a waiting unit out of the queue.
 func (t *Term) withdraw(u *unit) {
 	t.engine.Withdraw(u.work, u.key)
-	t.line.remove(u)
+	t.backlog.remove(u)
 	u.phase = phaseHeld
 }
 
@@ -44,7 +44,7 @@
 	}
 }
 
-// expired is the truthful refusal of work that waited too long.
+// expired is the adjustVerdict refusal of work that waited too long.
 func expired(cause error) *problem.Problem {
 	if errors.Is(cause, context.DeadlineExceeded) {
 		return problem.Refuse(problem.DeadlineQueued, "retry later or with a longer deadline", "the deadline passed before the work could start").After(retryHint)
@@ -100,7 +100,7 @@
 		t.withdraw(u)
 	}
 	u.phase = phaseFinal
-	result = u.truthful(result)
+	result = u.adjustVerdict(result)
 	if u.job != nil {
 		t.settleTask(u, result)
 		return
@@ -117,9 +117,9 @@
 	close(u.request.done)
 }
 
-// truthful turns "not run" into "unknown" for a unit that may have run in an
+// adjustVerdict turns "not run" into "unknown" for a unit that may have run in an
 // earlier attempt.
-func (u *unit) truthful(result Result) Result {
+func (u *unit) adjustVerdict(result Result) Result {
 	if !u.ran || result.verdict() != problem.NotRun {
 		return result
 	}
--- a/internal/holder/term.go
+++ b/internal/holder/term.go
@@ -88,14 +88,14 @@
 	jobs     map[string]*jobState
 	sessions map[string]*session
 	gate     gate
-	line     line
-	paces    map[lineKey]*pace
+	backlog  backlog
+	rates    map[backlogKey]*serviceRate
 	// barred counts the tickets that are barred.
 	barred int
 	// overSince is since when a team runs more than its bound.
-	overSince map[string]time.Time
-	moving    bool
-	teams     map[string]bool
+	overSince   map[string]time.Time
+	handingOver bool
+	teams       map[string]bool
 
 	ledger        *team.Ledger
 	registry      *registry
@@ -126,8 +126,8 @@
 		jobs:          make(map[string]*jobState),
 		sessions:      make(map[string]*session),
 		teams:         make(map[string]bool),
-		line:          newLine(),
-		paces:         make(map[lineKey]*pace),
+		backlog:       newBacklog(),
+		rates:         make(map[backlogKey]*serviceRate),
 		overSince:     make(map[string]time.Time),
 		registry:      newRegistry(),
 		transferLimit: rate.NewLimiter(transferRate, transferBurst),
@@ -146,13 +146,13 @@
 func (t *Term) Start() {
 	state := t.deps.Journal.State()
 	t.mu.Lock()
-	t.gate.open(state.Roster(t.settings.AvailabilityZone), t.began)
+	t.gate.begin(state.Roster(t.settings.AvailabilityZone), t.began)
 	t.refreshBounds()
 	for _, j := range state.Jobs(t.settings.AvailabilityZone) {
 		t.inheritJob(j)
 	}
-	if t.gate.passed() {
-		t.passGate()
+	if t.gate.isOpen() {
+		t.openGate()
 	}
 	t.mu.Unlock()
 	metrics.HolderEpoch.Set(int64(t.epoch))
@@ -223,7 +223,7 @@
 func (t *Term) release() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.moving = true
+	t.handingOver = true
 	for _, u := range t.units {
 		if u.request == nil || u.phase == phaseFinal {
 			continue
--- a/internal/peer/fuzz_test.go
+++ b/internal/peer/fuzz_test.go
@@ -81,11 +81,11 @@
 func newHandler(t testing.TB) http.Handler {
 	j := newJournal(t)
 	table := membership.NewTable()
-	heart := NewHeart(Identity{Instance: "d1", AvailabilityZone: "a"}, j, table, nil, nil, func() Standing { return Standing{} })
+	heartbeater := NewHeartbeater(Identity{Instance: "d1", AvailabilityZone: "a"}, j, table, nil, nil, func() Standing { return Standing{} })
 	jobs := func(id, _ string) (*peerv1.JobStatusResponse, *problem.Problem) {
 		return nil, problem.Refuse(problem.UnknownJob, "check the job id", "no job %q", id)
 	}
-	_, handler := NewServer(heart, table, j, func() *holder.Term { return nil }, func(uint64) *holder.Term { return nil }, "a", jobs).Handler()
+	_, handler := NewServer(heartbeater, table, j, func() *holder.Term { return nil }, func(uint64) *holder.Term { return nil }, "a", jobs).Handler()
 	return handler
 }
 
--- a/internal/peer/heart.go
+++ b/internal/peer/heartbeater.go
@@ -45,9 +45,9 @@
 	Leaving    bool
 }
 
-// Heart sends heartbeats and composes the daemon's own. It is safe for
+// Heartbeater sends heartbeats and composes the daemon's own. It is safe for
 // concurrent use.
-type Heart struct {
+type Heartbeater struct {
 	self      Identity
 	journal   *journal.Journal
 	table     *membership.Table
@@ -59,13 +59,13 @@
 	flying map[string]bool
 }
 
-// NewHeart returns a heart that beats once Run is called.
-func NewHeart(self Identity, j *journal.Journal, table *membership.Table, directory *membership.Directory, clients *Clients, standing func() Standing) *Heart {
-	return &Heart{self: self, journal: j, table: table, directory: directory, clients: clients, standing: standing, flying: make(map[string]bool)}
+// NewHeartbeater returns a heartbeater that beats once Run is called.
+func NewHeartbeater(self Identity, j *journal.Journal, table *membership.Table, directory *membership.Directory, clients *Clients, standing func() Standing) *Heartbeater {
+	return &Heartbeater{self: self, journal: j, table: table, directory: directory, clients: clients, standing: standing, flying: make(map[string]bool)}
 }
 
 // Run sends heartbeats until t dies.
-func (h *Heart) Run(t *tomb.Tomb) error {
+func (h *Heartbeater) Run(t *tomb.Tomb) error {
 	zone := time.NewTicker(zoneInterval)
 	defer zone.Stop()
 	remote := time.NewTicker(remoteInterval)
@@ -83,7 +83,7 @@
 }
 
 // beatZone sends heartbeats to the other daemons of the zone.
-func (h *Heart) beatZone(t *tomb.Tomb) {
+func (h *Heartbeater) beatZone(t *tomb.Tomb) {
 	others := h.directory.Listed(func(i platform.Instance) bool {
 		return i.Role == platform.RoleEntry && i.AvailabilityZone == h.self.AvailabilityZone && i.ID != h.self.Instance
 	})
@@ -94,7 +94,7 @@
 
 // beatHolders sends heartbeats to the holders of the other zones, if this
 // daemon is a holder itself, and notes when all of them had been heard.
-func (h *Heart) beatHolders(t *tomb.Tomb) {
+func (h *Heartbeater) beatHolders(t *tomb.Tomb) {
 	if h.standing().Epoch == 0 {
 		return
 	}
@@ -108,7 +108,7 @@
 
 // noteAllZones records the instant by which every other configured zone's
 // holder had been heard.
-func (h *Heart) noteAllZones() {
+func (h *Heartbeater) noteAllZones() {
 	cfg, _ := h.journal.State().Config()
 	if cfg == nil {
 		return
@@ -134,7 +134,7 @@
 }
 
 // send sends one heartbeat unless the last one to the address is under way.
-func (h *Heart) send(t *tomb.Tomb, address string) {
+func (h *Heartbeater) send(t *tomb.Tomb, address string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.flying[address] || !t.Alive() {
@@ -158,7 +158,7 @@
 
 // Exchange sends one heartbeat and takes in the answer. What the answer says
 // was true no earlier than the request was sent.
-func (h *Heart) Exchange(ctx context.Context, address string) error {
+func (h *Heartbeater) Exchange(ctx context.Context, address string) error {
 	sent := time.Now()
 	b := h.Beat()
 	response, err := h.clients.To(address).Heartbeat(ctx, connect.NewRequest(&peerv1.HeartbeatRequest{
@@ -182,14 +182,14 @@
 }
 
 // takeProof applies the latest proof of freshness heard to the journal.
-func (h *Heart) takeProof() {
+func (h *Heartbeater) takeProof() {
 	if at, offset := h.table.Proof(); !at.IsZero() {
 		h.journal.Prove(at, offset)
 	}
 }
 
 // Beat composes the daemon's heartbeat.
-func (h *Heart) Beat() membership.Beat {
+func (h *Heartbeater) Beat() membership.Beat {
 	standing := h.standing()
 	b := membership.Beat{
 		Instance:         h.self.Instance,
@@ -214,7 +214,7 @@
 }
 
 // claim says who holds the zone and when that daemon was last heard.
-func (h *Heart) claim(standing Standing) *peerv1.Claim {
+func (h *Heartbeater) claim(standing Standing) *peerv1.Claim {
 	current, ok := h.journal.State().Epoch(h.self.AvailabilityZone)
 	if !ok {
 		return nil
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -35,12 +35,12 @@
 // Server answers the other daemons.
 type Server struct {
 	peerv1connect.UnimplementedPeerServiceHandler
-	heart   *Heart
-	table   *membership.Table
-	journal *journal.Journal
-	term    TermOf
-	ended   EndedOf
-	zone    string
+	heartbeater *Heartbeater
+	table       *membership.Table
+	journal     *journal.Journal
+	term        TermOf
+	ended       EndedOf
+	zone        string
 	// jobs reads a job of a team from the state here.
 	jobs JobReader
 }
@@ -49,8 +49,8 @@
 type JobReader func(id, team string) (*peerv1.JobStatusResponse, *problem.Problem)
 
 // NewServer returns a server for the daemon of the given zone.
-func NewServer(heart *Heart, table *membership.Table, j *journal.Journal, term TermOf, ended EndedOf, zone string, jobs JobReader) *Server {
-	return &Server{heart: heart, table: table, journal: j, term: term, ended: ended, zone: zone, jobs: jobs}
+func NewServer(heartbeater *Heartbeater, table *membership.Table, j *journal.Journal, term TermOf, ended EndedOf, zone string, jobs JobReader) *Server {
+	return &Server{heartbeater: heartbeater, table: table, journal: j, term: term, ended: ended, zone: zone, jobs: jobs}
 }
 
 // Handler returns the path and handler to mount.
@@ -73,7 +73,7 @@
 		Leaving:          m.Leaving,
 		Claims:           m.Claims,
 	}, time.Now())
-	b := s.heart.Beat()
+	b := s.heartbeater.Beat()
 	return connect.NewResponse(&peerv1.HeartbeatResponse{
 		Instance:         b.Instance,
 		Incarnation:      b.Incarnation,
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -44,15 +44,15 @@
 
 // Router routes requests. It is safe for concurrent use.
 type Router struct {
-	self      peer.Identity
-	state     *cell.State
-	directory *membership.Directory
-	table     *membership.Table
-	clients   *peer.Clients
-	heart     *peer.Heart
-	term      peer.TermOf
-	log       *slog.Logger
-	claims    claimWatch
+	self        peer.Identity
+	state       *cell.State
+	directory   *membership.Directory
+	table       *membership.Table
+	clients     *peer.Clients
+	heartbeater *peer.Heartbeater
+	term        peer.TermOf
+	log         *slog.Logger
+	claims      claimWatch
 	// closing ends when requests in flight have to be answered with what is
 	// known of them; Close ends it.
 	closing context.Context
@@ -60,9 +60,9 @@
 }
 
 // New returns a router for the daemon self.
-func New(self peer.Identity, state *cell.State, directory *membership.Directory, table *membership.Table, clients *peer.Clients, heart *peer.Heart, term peer.TermOf, logger *slog.Logger) *Router {
+func New(self peer.Identity, state *cell.State, directory *membership.Directory, table *membership.Table, clients *peer.Clients, heartbeater *peer.Heartbeater, term peer.TermOf, logger *slog.Logger) *Router {
 	closing, end := context.WithCancel(context.Background())
-	return &Router{self: self, state: state, directory: directory, table: table, clients: clients, heart: heart, term: term, log: logger, closing: closing, Close: end}
+	return &Router{self: self, state: state, directory: directory, table: table, clients: clients, heartbeater: heartbeater, term: term, log: logger, closing: closing, Close: end}
 }
 
 // Call is a synchronous request that has been admitted.
@@ -128,7 +128,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	if err := r.heart.Exchange(ctx, r.address(claim)); err != nil {
+	if err := r.heartbeater.Exchange(ctx, r.address(claim)); err != nil {
 		return ticket.Ticket{}, false
 	}
 	_, generation, ok := r.table.Holder(zone, claim.Epoch)
--- a/internal/server/report.go
+++ b/internal/server/report.go
@@ -132,6 +132,6 @@
 		case <-ticker.C:
 		}
 		s.report.record(t.Context(context.Background()), reportTimeout)
-		s.report.alarms.Update(s.report.view(), s.keeper.current() != nil)
+		s.report.alarms.Update(s.report.view(), s.termManager.current() != nil)
 	}
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -40,9 +40,9 @@
 	// lameDuck is how long a stopping daemon that reports itself not ready
 	// still takes callers, for the balancer to notice.
 	lameDuck = time.Second
-	// lastWords is how long before the drain timeout requests in flight are
+	// finalAnswerMargin is how long before the drain timeout requests in flight are
 	// answered with what is known.
-	lastWords = time.Second
+	finalAnswerMargin = time.Second
 	// handOverPart is the part of the drain timeout, in percent, that a
 	// hand-over may take.
 	handOverPart = 60
@@ -59,20 +59,20 @@
 	self     peer.Identity
 	tomb     *tomb.Tomb
 
-	platform   *platform.Client
-	journal    *journal.Journal
-	directory  *membership.Directory
-	table      *membership.Table
-	clients    *peer.Clients
-	heart      *peer.Heart
-	relay      *peer.Relay
-	router     *router.Router
-	guard      *auth.Guard
-	keeper     *keeper
-	report     *reporter
-	claimant   *claimant.Claimant
-	maxWaiting atomic.Int64
-	leaving    atomic.Bool
+	platform    *platform.Client
+	journal     *journal.Journal
+	directory   *membership.Directory
+	table       *membership.Table
+	clients     *peer.Clients
+	heartbeater *peer.Heartbeater
+	relay       *peer.Relay
+	router      *router.Router
+	guard       *auth.Guard
+	termManager *termManager
+	report      *reporter
+	claimant    *claimant.Claimant
+	maxWaiting  atomic.Int64
+	leaving     atomic.Bool
 	// refusing is set once the balancer has had time to notice the leaving.
 	refusing atomic.Bool
 
@@ -140,14 +140,14 @@
 	s.table = membership.NewTable()
 	s.journal = journal.New(s.platform, cell.New(), s.log, journal.WithReadWait(s.settings.Platform.ReadWait))
 	s.clients = peer.NewClients(tlsClient, s.linkOf)
-	s.heart = peer.NewHeart(s.self, s.journal, s.table, s.directory, s.clients, s.standing)
+	s.heartbeater = peer.NewHeartbeater(s.self, s.journal, s.table, s.directory, s.clients, s.standing)
 	s.relay = peer.NewRelay(s.self, s.platform, s.clients, s.table, s.directory, relayStale, s.journal.Fresh)
-	s.guard = auth.NewGuard(s.journal.State(), s.doubt, s.settings.Freshness.KeyBound)
+	s.guard = auth.NewGuard(s.journal.State(), s.configStaleness, s.settings.Freshness.KeyBound)
 	s.report = newReporter(s)
-	s.keeper = newKeeper(s)
-	s.router = router.New(s.self, s.journal.State(), s.directory, s.table, s.clients, s.heart, s.keeper.current, s.log)
+	s.termManager = newTermManager(s)
+	s.router = router.New(s.self, s.journal.State(), s.directory, s.table, s.clients, s.heartbeater, s.termManager.current, s.log)
 	s.claimant = claimant.New(s.self, s.settings.Zone.TakeoverAfter, s.journal, s.table, s.standing, s.log)
-	s.journal.Observe(s.keeper.observe)
+	s.journal.Observe(s.termManager.observe)
 	s.journal.Observe(s.router.Observe)
 	s.journal.Observe(s.claimant.Observe)
 	s.journal.Observe(s.report.observe)
@@ -169,7 +169,7 @@
 		MaxHeaderBytes:    s.settings.Limits.MaxHeaderBytes,
 	}
 	mux := http.NewServeMux()
-	mux.Handle(peer.NewServer(s.heart, s.table, s.journal, s.keeper.current, s.keeper.endedTerm, s.self.AvailabilityZone, s.router.LocalJob).Handler())
+	mux.Handle(peer.NewServer(s.heartbeater, s.table, s.journal, s.termManager.current, s.termManager.endedTerm, s.self.AvailabilityZone, s.router.LocalJob).Handler())
 	s.peer.http = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, Protocols: peerProtocols(tlsServer), TLSConfig: tlsServer}
 	operators := admin.New(admin.Dependencies{
 		Self:      s.self,
@@ -199,7 +199,7 @@
 	for _, run := range []func() error{
 		func() error { return s.directory.Run(s.tomb) },
 		func() error { return s.journal.Run(s.tomb, s.relay.Choose) },
-		func() error { return s.heart.Run(s.tomb) },
+		func() error { return s.heartbeater.Run(s.tomb) },
 		func() error { return s.claimant.Run(s.tomb) },
 		func() error { return s.runGauges(s.tomb) },
 		func() error { return s.runSnapshots(s.tomb) },
@@ -233,7 +233,7 @@
 	waitFor(ctx, lameDuck-time.Since(began))
 	err := s.finishCallers(ctx)
 	s.report.record(ctx, reportGrace)
-	s.keeper.stop()
+	s.termManager.stop()
 	s.tomb.Kill(nil)
 	s.closePeers(ctx)
 	_ = s.admin.http.Close()
@@ -250,14 +250,14 @@
 func (s *Server) handOver(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, s.settings.Limits.DrainTimeout*handOverPart/100)
 	defer cancel()
-	s.keeper.handOver(ctx)
+	s.termManager.handOver(ctx)
 }
 
 // finishCallers lets the requests in flight end by themselves. Those that have
 // not when the drain timeout is near are answered with what is known of them.
 func (s *Server) finishCallers(ctx context.Context) error {
 	deadline, _ := ctx.Deadline()
-	patience, cancel := context.WithDeadline(ctx, deadline.Add(-lastWords))
+	patience, cancel := context.WithDeadline(ctx, deadline.Add(-finalAnswerMargin))
 	defer cancel()
 	if err := s.api.http.Shutdown(patience); err == nil {
 		return nil
--- a/internal/server/snapshots.go
+++ b/internal/server/snapshots.go
@@ -44,7 +44,7 @@
 			return nil
 		case <-ticker.C:
 		}
-		if s.keeper.current() == nil {
+		if s.termManager.current() == nil {
 			continue
 		}
 		waitFor(t.Context(context.Background()), delay)
--- a/internal/server/standing.go
+++ b/internal/server/standing.go
@@ -15,7 +15,7 @@
 // standing is the daemon's part in its zone at present.
 func (s *Server) standing() peer.Standing {
 	out := peer.Standing{Leaving: s.leaving.Load()}
-	if term := s.keeper.current(); term != nil {
+	if term := s.termManager.current(); term != nil {
 		out.Epoch, out.Generation = term.Epoch(), term.Generation()
 	}
 	return out
@@ -24,12 +24,12 @@
 // neverProven is the doubt before the first proof.
 const neverProven = 1000 * time.Hour
 
-// doubt is how long ago the configuration applied here was last proven to be
+// configStaleness is how long ago the configuration applied here was last proven to be
 // the latest that anyone can have been told is accepted. That is so when the
 // log was read to its end, here or by a daemon that was heard; and also when
 // the holders of all other zones were heard and none has read further, since
 // a publication is reported accepted only after a daemon has read it.
-func (s *Server) doubt() time.Duration {
+func (s *Server) configStaleness() time.Duration {
 	doubt := neverProven
 	if age, _, ok := s.journal.Fresh(); ok {
 		doubt = age
@@ -84,7 +84,7 @@
 		case <-t.Dying():
 			return nil
 		case <-ticker.C:
-			metrics.FreshAgeMS.Set(s.doubt().Milliseconds())
+			metrics.FreshAgeMS.Set(s.configStaleness().Milliseconds())
 		}
 	}
 }
--- a/internal/server/keeper.go
+++ b/internal/server/term_manager.go
@@ -24,8 +24,8 @@
 	handOverPause = 300 * time.Millisecond
 )
 
-// keeper runs a term while the log says that this daemon holds its zone.
-type keeper struct {
+// termManager runs a term while the log says that this daemon holds its zone.
+type termManager struct {
 	server *Server
 
 	mu   sync.Mutex
@@ -37,18 +37,18 @@
 	ended sync.WaitGroup
 }
 
-// newKeeper returns a keeper without a term.
-func newKeeper(s *Server) *keeper { return &keeper{server: s} }
+// newTermManager returns a manager without a term.
+func newTermManager(s *Server) *termManager { return &termManager{server: s} }
 
 // current returns the running term, nil if there is none.
-func (k *keeper) current() *holder.Term {
+func (k *termManager) current() *holder.Term {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.term
 }
 
 // endedTerm returns the latest ended term if it has the given epoch.
-func (k *keeper) endedTerm(epoch uint64) *holder.Term {
+func (k *termManager) endedTerm(epoch uint64) *holder.Term {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.last == nil || k.last.Epoch() != epoch {
@@ -59,7 +59,7 @@
 
 // observe follows the claims on the zone in log order and passes every effect
 // to the running term.
-func (k *keeper) observe(effect cell.Effect) {
+func (k *termManager) observe(effect cell.Effect) {
 	if effect.Kind == record.KindClaim && effect.Zone == k.server.self.AvailabilityZone && effect.Valid {
 		k.follow()
 	}
@@ -72,7 +72,7 @@
 }
 
 // follow starts or ends the term that the current claim asks for.
-func (k *keeper) follow() {
+func (k *termManager) follow() {
 	claim, held := k.server.journal.State().Epoch(k.server.self.AvailabilityZone)
 	mine := held && claim.Holder == k.server.self.Holder()
 	k.mu.Lock()
@@ -90,7 +90,7 @@
 }
 
 // end stops the running term in the background; the caller holds the lock.
-func (k *keeper) end(reason error) {
+func (k *termManager) end(reason error) {
 	term := k.term
 	k.term, k.last = nil, term
 	k.server.report.recorder.Follow(0, time.Now())
@@ -98,7 +98,7 @@
 }
 
 // newTerm makes a term under a claim.
-func (k *keeper) newTerm(claim zone.Claim) *holder.Term {
+func (k *termManager) newTerm(claim zone.Claim) *holder.Term {
 	s := k.server
 	return holder.NewTerm(holder.Settings{
 		AvailabilityZone: s.self.AvailabilityZone,
@@ -121,7 +121,7 @@
 
 // watch drops a term that ends by itself, as when an endpoint showed a higher
 // epoch.
-func (k *keeper) watch(term *holder.Term) {
+func (k *termManager) watch(term *holder.Term) {
 	<-term.Dying()
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -134,7 +134,7 @@
 // and waits until the log shows that. While the log does not take the claim
 // the term goes on placing. Without a successor the zone stays with this
 // daemon until it ends.
-func (k *keeper) handOver(ctx context.Context) {
+func (k *termManager) handOver(ctx context.Context) {
 	if k.current() == nil {
 		return
 	}
@@ -149,7 +149,7 @@
 }
 
 // successor is a live daemon of the zone that does not stop itself.
-func (k *keeper) successor() (membership.Member, bool) {
+func (k *termManager) successor() (membership.Member, bool) {
 	s := k.server
 	for _, m := range s.table.Live(s.self.AvailabilityZone, liveWithin) {
 		if m.Instance != s.self.Instance && m.Address != "" {
@@ -161,7 +161,7 @@
 
 // pass quiets the term and appends the successor's claim; it reports whether
 // the claim's effect is known.
-func (k *keeper) pass(ctx context.Context, term *holder.Term, m membership.Member) bool {
+func (k *termManager) pass(ctx context.Context, term *holder.Term, m membership.Member) bool {
 	s := k.server
 	term.Quiesce(ctx)
 	name := m.Instance + "/" + m.Incarnation
@@ -178,7 +178,7 @@
 }
 
 // stop ends the running term, if any, and waits for all terms to end.
-func (k *keeper) stop() {
+func (k *termManager) stop() {
 	k.mu.Lock()
 	if k.term != nil {
 		k.end(holder.ErrSuperseded)
