--- a/Makefile
+++ b/Makefile
@@ -41,7 +41,7 @@
 matrix:
 	./scripts/matrix.sh
 
-# bench-capacity measures the slopes of docs/CAPACITY.md, about thirteen minutes.
+# bench-capacity measures the slopes of docs/CAPACITY.md, about ten minutes.
 bench-capacity: build
 	./scripts/bench-capacity.sh
 
