Bar a caller's ticket before its deadline is answered 'not run'

Cause: by reading: a front door that had a holder's declaration, and whose deadline passed before it reached the next holder, answered 'not run' for the caller's own ticket, while another sending of it could still be carried on. Ruled out: answering unknown always, which tells callers less than is known. Change: the ticket is barred first; where that fails the answer is a doubt.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -207,10 +207,12 @@
 }
 
 // runTicket brings a ticket to its outcome at whoever holds its zone. A ticket
-// that the caller brought may have been sent before.
+// that the caller brought may have been sent before, and another sending may be
+// on its way: it is barred before "not run" is said of it.
 func (r *Router) runTicket(ctx context.Context, c *Call, t ticket.Ticket, until time.Time) Answer {
 	request := r.request(c, t)
-	sent, reached := c.Ticket != nil && *c.Ticket == t, false
+	callers := c.Ticket != nil && *c.Ticket == t
+	sent, reached := callers, false
 	if answer, answered := r.askPrevious(ctx, t, request); answered {
 		return answer
 	}
@@ -227,6 +229,7 @@
 			}
 		}
 		if time.Now().After(until) || !r.pause(ctx) {
+			sent = sent || callers && !r.Bar(context.WithoutCancel(ctx), t)
 			return Answer{Ticket: t, Problem: outOfTime(t, sent, reached), Unreached: !reached && ctx.Err() == nil}
 		}
 	}
