Lose what ran on an endpoint that restarts before its roster record

Cause: by reading the adoption as a newcomer: whether an endpoint had restarted was told by the roster id that stands in the log. One that was adopted with a running task, and restarted before its new roster record was confirmed, counted as never started there; the task was queued again, and a late confirmation of the old incarnation's record opened the new one for work. Ruled out: waiting for the roster before adopting, which leaves running tasks uncharged. Change: incarnations are compared as they were taken in; a confirmation counts for the incarnation it names; a task that ran, is not idempotent and is no longer reported is answered as unknown.

--- a/internal/holder/adopt.go
+++ b/internal/holder/adopt.go
@@ -26,17 +26,19 @@
 func (t *Term) adopt(s *session, response *endpoint.AttachResponse) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	previous := s.rosterID
+	restarted := s.adoptedIncarnation != "" && s.adoptedIncarnation != response.Incarnation
+	previous, last := s.rosterID, s.adopted
 	s.kind = response.Kind
 	s.leaving = response.Leaving
 	s.usable = true
 	s.rosterID = ""
 	current := rosterID(response)
+	s.adopted, s.adoptedIncarnation = current, response.Incarnation
 	t.engine.SetEndpoint(engineEndpoint(s, response))
 	t.engine.SetAvailable(s.id, false)
-	if previous != "" && previous != current {
+	if restarted {
 		t.loseUnits(s, "the endpoint restarted")
-		t.removeFromRoster(previous)
+		t.removeFromRoster(last)
 	}
 	t.adoptTasks(s, response.Tasks)
 	t.accountLost(t.gate.account(s.id, current))
@@ -85,11 +87,14 @@
 	t.engine.Finish(u.key, t.now(), placement.ResultStopped)
 	delete(s.units, u.key)
 	u.session = nil
-	if u.cancelled {
+	switch {
+	case u.cancelled:
 		t.settle(u, failed(cancelledWaiting()))
-		return
+	case u.ran && !u.spec.Idempotent:
+		t.settle(u, failed(outcomeLost("the endpoint no longer reports the task")))
+	default:
+		t.requeue(u)
 	}
-	t.requeue(u)
 }
 
 // adoptTask takes in one task of an inventory.
--- a/internal/holder/commit.go
+++ b/internal/holder/commit.go
@@ -163,7 +163,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, e := range group {
-		if e.session != nil {
+		if e.session != nil && e.session.adopted == e.added {
 			e.session.rosterID = e.added
 			t.applyUsable(e.session)
 		}
--- a/internal/holder/jobs_test.go
+++ b/internal/holder/jobs_test.go
@@ -102,3 +102,39 @@
 		})
 	}
 }
+
+// An endpoint may restart before the incarnation that was taken in stands in
+// the roster; what ran on it is lost all the same and not queued again.
+func TestRestartBeforeTheRosterLosesWork(t *testing.T) {
+	inBubble(t, func(t *testing.T, w *world) {
+		w.until(func() bool { return w.usable("w1") && w.usable("w2") })
+		if p := w.submit(t.Context(), w.job(1, false, false, "30s")); p != nil {
+			t.Fatal(p)
+		}
+		w.running(1)
+		alterAll(w, func(_ *machine, _ string, _, response any) {
+			if r, ok := response.(*endpoint.AttachResponse); ok {
+				r.Capacity.Slots += workerSlots + 1
+			}
+		})
+		w.log.setFate(func(e *record.Envelope) appendFate {
+			if e.Kind == record.KindRoster {
+				return fateRefused
+			}
+			return fateAnswered
+		})
+		old := w.current()
+		w.takeOver()
+		old.term.Stop(ErrSuperseded)
+		time.Sleep(2 * time.Second)
+		for _, id := range []string{"w1", "w2"} {
+			w.machines[id].restart()
+		}
+		time.Sleep(2 * time.Second)
+		w.log.setFate(nil)
+		time.Sleep(10 * time.Second)
+		if w.started() != 1 {
+			t.Errorf("a non-idempotent task was started %d times", w.started())
+		}
+	})
+}
--- a/internal/holder/session.go
+++ b/internal/holder/session.go
@@ -50,7 +50,11 @@
 	id       string
 	kind     endpoint.Kind
 	rosterID string
-	usable   bool
+	// adopted is the roster id of the last inventory taken in, which may not
+	// stand in the roster yet; rosterID is empty until it does.
+	adopted            string
+	adoptedIncarnation string
+	usable             bool
 	// leaving is what the endpoint itself said last, listed what the list says.
 	leaving bool
 	listed  bool
--- a/internal/holder/sessions.go
+++ b/internal/holder/sessions.go
@@ -136,9 +136,9 @@
 func (t *Term) forgetEndpoint(s *session) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s.rosterID != "" {
+	if s.adopted != "" {
 		t.engine.RemoveEndpoint(s.id)
-		t.removeFromRoster(s.rosterID)
+		t.removeFromRoster(s.adopted)
 	}
 	delete(t.sessions, s.id)
 }
