--- a/internal/holder/jobs_test.go
+++ b/internal/holder/jobs_test.go
@@ -19,7 +19,7 @@
 		if p := w.submit(t.Context(), w.job(1, false, false, "30s")); p != nil {
 			t.Fatal(p)
 		}
-		w.running(1)
+		w.running()
 		w.log.setFate(func(e *record.Envelope) appendFate {
 			if e.Kind == record.KindOutcomes {
 				return fateRefused
@@ -111,7 +111,7 @@
 		if p := w.submit(t.Context(), w.job(1, false, false, "30s")); p != nil {
 			t.Fatal(p)
 		}
-		w.running(1)
+		w.running()
 		alterAll(w, func(_ *machine, _ string, _, response any) {
 			if r, ok := response.(*endpoint.AttachResponse); ok {
 				r.Capacity.Slots += workerSlots + 1
--- a/internal/holder/takeover_test.go
+++ b/internal/holder/takeover_test.go
@@ -23,8 +23,8 @@
 }
 
 // running waits until an endpoint has started the work.
-func (w *world) running(n int) {
-	w.until(func() bool { return w.started() >= n })
+func (w *world) running() {
+	w.until(func() bool { return w.started() > 0 })
 }
 
 // started counts the starts that endpoints report.
@@ -52,7 +52,7 @@
 		r := runnerRequest(w.mint(), "sleep", "3s", false)
 		done := make(chan Result, 1)
 		go func() { done <- w.frontDoor(t.Context(), *r, 20*time.Second) }()
-		w.running(1)
+		w.running()
 		first := w.current()
 		w.takeOver()
 		first.term.Stop(ErrSuperseded)
@@ -97,7 +97,7 @@
 			inBubble(t, func(t *testing.T, w *world) {
 				r := runnerRequest(w.mint(), "sleep", "20s", idempotent)
 				w.callers.Go(func() { w.frontDoor(t.Context(), *r, time.Second) })
-				w.running(1)
+				w.running()
 				for _, m := range w.machines {
 					m.set(func(m *machine) { m.cut = true })
 				}
