--- a/internal/holder/request.go
+++ b/internal/holder/request.go
@@ -114,9 +114,6 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), confirmTimeout)
 	defer cancel()
 	for !t.provenSince(instant) {
-		if t.deps.Journal.Confirm(ctx, instant) == nil && t.provenSince(instant) {
-			return true
-		}
 		select {
 		case <-ctx.Done():
 			return false
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -39,9 +39,6 @@
 	// known. Only the tail uses it.
 	floor uint64
 
-	// confirming makes confirmations take turns.
-	confirming sync.Mutex
-
 	mu        sync.Mutex
 	observers []Observer
 	waiters   map[string]chan cell.Effect
--- a/internal/journal/tail.go
+++ b/internal/journal/tail.go
@@ -19,8 +19,6 @@
 	readTimeout = 3 * time.Second
 	// gatherTime is how long the tail waits between pages while records come.
 	gatherTime = 30 * time.Millisecond
-	// fallbackWait is how long a read of a fallback source waits.
-	fallbackWait = 100 * time.Millisecond
 	// minBackoff and maxBackoff bound the pause after a failed read.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 300 * time.Millisecond
@@ -103,12 +101,12 @@
 
 // readOnce reads and applies one page from the first source that answers.
 func (j *Journal) readOnce(t *tomb.Tomb, sources []Source) bool {
-	for i, source := range sources {
+	for _, source := range sources {
 		if !t.Alive() {
 			return false
 		}
 		ctx, cancel := context.WithTimeout(t.Context(context.Background()), readTimeout)
-		page, err := source.Read(ctx, max(j.state.Applied()+1, j.floor), j.waitAt(i, source))
+		page, err := source.Read(ctx, max(j.state.Applied()+1, j.floor), j.readWait)
 		cancel()
 		if err != nil {
 			j.slog.Debug("read of the log failed", "source", source.Name(), "error", err)
@@ -121,15 +119,6 @@
 	return false
 }
 
-// waitAt is how long a read of the i-th source waits. Another daemon that is
-// asked because the better sources failed is left soon, to try those again.
-func (j *Journal) waitAt(i int, source Source) time.Duration {
-	if _, log := source.(LogSource); i > 0 && !log {
-		return min(fallbackWait, j.readWait)
-	}
-	return j.readWait
-}
-
 // noteKept records what the log keeps.
 func (j *Journal) noteKept(first, end uint64) {
 	j.mu.Lock()
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -34,11 +34,6 @@
 	idleTimeout = 2 * time.Minute
 	// bodyTimeout bounds the reading of a request's body.
 	bodyTimeout = 30 * time.Second
-	// breakerFailures and breakerCooldown are after how many failures calls of
-	// the platform fail at once, and for how long. A short time makes the
-	// proof of freshness return soon after an outage.
-	breakerFailures = 5
-	breakerCooldown = 250 * time.Millisecond
 	// relayStale is the age of freshness at which a daemon reads the log
 	// itself instead of through another.
 	relayStale = 2 * time.Second
@@ -139,7 +134,7 @@
 // compose makes the parts and connects them.
 func (s *Server) compose(tlsClient *tls.Config) {
 	s.platform = platform.NewClient(s.settings.Platform.LogURL, s.settings.Platform.ListURL,
-		platform.WithTimeout(s.settings.Platform.AppendTimeout), platform.WithBreaker(breakerFailures, breakerCooldown), platform.WithMetrics(metrics.Platform))
+		platform.WithTimeout(s.settings.Platform.AppendTimeout), platform.WithMetrics(metrics.Platform))
 	metrics.PublishPool(endpoint.SharedPool().Metrics())
 	s.directory = membership.NewDirectory(s.platform, s.self.AvailabilityZone, s.log)
 	s.table = membership.NewTable()
