--- a/internal/holder/fakes_test.go
+++ b/internal/holder/fakes_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/bluebellstile/bluebellstile/internal/endpoint"
@@ -108,7 +109,7 @@
 type machine struct {
 	options standin.EndpointOptions
 	// alter changes commands and answers on their way, in mutants.
-	alter func(path string, request, response any)
+	alter atomic.Pointer[func(path string, request, response any)]
 
 	mu      sync.Mutex
 	process *standin.Endpoint
@@ -175,8 +176,8 @@
 	if cut {
 		return nil, &endpoint.Error{Kind: endpoint.KindUnreachable, Op: path}
 	}
-	if m.alter != nil {
-		m.alter(path, request, nil)
+	if alter := m.alter.Load(); alter != nil {
+		(*alter)(path, request, nil)
 	}
 	body, err := json.Marshal(request)
 	if err != nil {
@@ -196,8 +197,8 @@
 	if err := understand(path, answer, response); err != nil {
 		return nil, err
 	}
-	if m.alter != nil {
-		m.alter(path, request, response)
+	if alter := m.alter.Load(); alter != nil {
+		(*alter)(path, request, response)
 	}
 	return response, nil
 }
--- a/internal/holder/mutants_test.go
+++ b/internal/holder/mutants_test.go
@@ -34,7 +34,8 @@
 // alterAll changes commands and answers of every endpoint.
 func alterAll(w *world, alter func(m *machine, path string, request, response any)) {
 	for _, m := range w.machines {
-		m.alter = func(path string, request, response any) { alter(m, path, request, response) }
+		altered := func(path string, request, response any) { alter(m, path, request, response) }
+		m.alter.Store(&altered)
 	}
 }
 
