--- a/internal/admin/zones.go
+++ b/internal/admin/zones.go
@@ -8,7 +8,7 @@
 
 	"connectrpc.com/connect"
 	peerv1 "github.com/bluebellstile/bluebellstile/internal/gen/peer/v1"
-	"github.com/bluebellstile/bluebellstile/internal/platform"
+	"github.com/bluebellstile/bluebellstile/internal/loglist"
 	"github.com/bluebellstile/bluebellstile/internal/problem"
 	"github.com/bluebellstile/bluebellstile/operator"
 )
@@ -76,7 +76,7 @@
 
 // force asks every listed daemon which version it has.
 func (a *Admin) force(ctx context.Context, cfg *operator.Config, version uint64) (zones []zoneBody, everywhere bool) {
-	daemons := a.deps.Directory.Listed(func(i platform.Instance) bool { return i.Role == platform.RoleEntry })
+	daemons := a.deps.Directory.Listed(func(i loglist.Instance) bool { return i.Role == loglist.RoleEntry })
 	versions := make([]*peerv1.ZoneStatusResponse, len(daemons))
 	var wait sync.WaitGroup
 	for i, d := range daemons {
@@ -100,7 +100,7 @@
 }
 
 // ask asks one daemon for its state; nil if it does not answer.
-func (a *Admin) ask(ctx context.Context, d platform.Instance) *peerv1.ZoneStatusResponse {
+func (a *Admin) ask(ctx context.Context, d loglist.Instance) *peerv1.ZoneStatusResponse {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	response, err := a.deps.Clients.To(d.Address).ZoneStatus(ctx, connect.NewRequest(&peerv1.ZoneStatusRequest{AvailabilityZone: d.AvailabilityZone}))
@@ -128,7 +128,7 @@
 	var wait sync.WaitGroup
 	for i, claim := range claims {
 		wait.Go(func() {
-			instance := platform.Instance{Address: a.deps.Directory.Resolve(claim.Holder, claim.Address), AvailabilityZone: claim.Zone}
+			instance := loglist.Instance{Address: a.deps.Directory.Resolve(claim.Holder, claim.Address), AvailabilityZone: claim.Zone}
 			out[i] = statusOf(claim.Zone, a.ask(ctx, instance))
 		})
 	}
--- a/internal/capacity/cell.go
+++ b/internal/capacity/cell.go
@@ -14,7 +14,7 @@
 
 	"github.com/bluebellstile/bluebellstile/internal/config"
 	"github.com/bluebellstile/bluebellstile/internal/endpoint"
-	"github.com/bluebellstile/bluebellstile/internal/platform"
+	"github.com/bluebellstile/bluebellstile/internal/loglist"
 	"github.com/bluebellstile/bluebellstile/internal/record"
 	"github.com/bluebellstile/bluebellstile/internal/standin"
 	"github.com/bluebellstile/bluebellstile/operator"
@@ -103,7 +103,7 @@
 		return errors.Wrap(err, "make a file for the daemons' logs")
 	}
 	c.errorLog = errorLog
-	var instances []platform.Instance
+	var instances []loglist.Instance
 	for _, z := range c.options.zones {
 		more, err := c.startZone(z)
 		if err != nil {
@@ -127,12 +127,12 @@
 }
 
 // otherInstances are entries of zones that the cell does not run.
-func otherInstances(n int) []platform.Instance {
-	out := make([]platform.Instance, n)
+func otherInstances(n int) []loglist.Instance {
+	out := make([]loglist.Instance, n)
 	for i := range out {
-		out[i] = platform.Instance{
-			ID: fmt.Sprintf("elsewhere-worker-%05d", i), Role: platform.RoleWorker, Address: "192.0.2.1:7400",
-			Region: "elsewhere", AvailabilityZone: "elsewhere-1", Rack: "elsewhere-rack-1", State: platform.StateLive,
+		out[i] = loglist.Instance{
+			ID: fmt.Sprintf("elsewhere-worker-%05d", i), Role: loglist.RoleWorker, Address: "192.0.2.1:7400",
+			Region: "elsewhere", AvailabilityZone: "elsewhere-1", Rack: "elsewhere-rack-1", State: loglist.StateLive,
 		}
 	}
 	return out
@@ -150,7 +150,7 @@
 
 // startZone serves the zone's endpoints and its region's door to the log, and
 // chooses its daemons' addresses.
-func (c *testCell) startZone(z zoneSize) ([]platform.Instance, error) {
+func (c *testCell) startZone(z zoneSize) ([]loglist.Instance, error) {
 	if c.logMeters[z.region] == nil {
 		m := newMeter()
 		address, err := c.serve("log", c.log.Handler(), m)
@@ -159,7 +159,7 @@
 		}
 		c.logMeters[z.region], c.logAddresses[z.region] = m, address
 	}
-	var out []platform.Instance
+	var out []loglist.Instance
 	for i := range z.workers + z.runners {
 		instance, err := c.startEndpoint(z, i, i < z.workers)
 		if err != nil {
@@ -173,9 +173,9 @@
 			return nil, err
 		}
 		c.daemons = append(c.daemons, p)
-		out = append(out, platform.Instance{
-			ID: p.id, Role: platform.RoleEntry, Address: p.peer, Region: c.listedRegion(p),
-			AvailabilityZone: z.name, State: platform.StateLive,
+		out = append(out, loglist.Instance{
+			ID: p.id, Role: loglist.RoleEntry, Address: p.peer, Region: c.listedRegion(p),
+			AvailabilityZone: z.name, State: loglist.StateLive,
 		})
 	}
 	return out, nil
@@ -221,24 +221,24 @@
 }
 
 // startEndpoint serves one worker or service runner.
-func (c *testCell) startEndpoint(z zoneSize, i int, worker bool) (platform.Instance, error) {
+func (c *testCell) startEndpoint(z zoneSize, i int, worker bool) (loglist.Instance, error) {
 	o := standin.EndpointOptions{
 		ID: fmt.Sprintf("%s-runner-%03d", z.name, i), Kind: endpoint.KindRunner,
 		AvailabilityZone: z.name, Rack: fmt.Sprintf("%s-rack-%02d", z.name, i/8),
 		Capacity: endpoint.Resources{Slots: runnerSlots},
 	}
-	role := platform.RoleRunner
+	role := loglist.RoleRunner
 	if worker {
 		o.ID = fmt.Sprintf("%s-worker-%03d", z.name, i)
-		o.Kind, role = endpoint.KindWorker, platform.RoleWorker
+		o.Kind, role = endpoint.KindWorker, loglist.RoleWorker
 		o.Capacity = endpoint.Resources{MilliCores: workerCores * 1000, MemoryMB: workerMemoryMB}
 	}
 	e := standin.NewEndpoint(o)
 	c.endpoints = append(c.endpoints, e)
 	address, err := c.serve(o.ID, e.Handler(), c.endpointMeter)
-	return platform.Instance{
+	return loglist.Instance{
 		ID: o.ID, Role: role, Address: address, Region: z.region, AvailabilityZone: z.name,
-		Rack: o.Rack, State: platform.StateLive,
+		Rack: o.Rack, State: loglist.StateLive,
 	}, err
 }
 
--- a/internal/claimant/takeover_test.go
+++ b/internal/claimant/takeover_test.go
@@ -15,9 +15,9 @@
 
 	"github.com/bluebellstile/bluebellstile/internal/cell"
 	"github.com/bluebellstile/bluebellstile/internal/journal"
+	"github.com/bluebellstile/bluebellstile/internal/loglist"
 	"github.com/bluebellstile/bluebellstile/internal/membership"
 	"github.com/bluebellstile/bluebellstile/internal/peer"
-	"github.com/bluebellstile/bluebellstile/internal/platform"
 	"github.com/bluebellstile/bluebellstile/internal/record"
 	"github.com/bluebellstile/bluebellstile/internal/standin"
 )
@@ -32,16 +32,16 @@
 	withoutRenewals bool
 }
 
-// Append implements platform.Log.
+// Append implements loglist.Log.
 func (l sharedLog) Append(_ context.Context, id string, data []byte) (uint64, error) {
 	if e, err := record.Decode(data); err == nil && l.withoutRenewals && e.Kind == record.KindClaim && e.Claim.Base != 0 {
-		return 0, &platform.Error{Kind: platform.KindUnavailable, Op: "append"}
+		return 0, &loglist.Error{Kind: loglist.KindUnavailable, Op: "append"}
 	}
 	return l.Log.Append(id, data), nil
 }
 
-// Read implements platform.Log.
-func (l sharedLog) Read(ctx context.Context, from uint64, limit int, wait time.Duration) (*platform.ReadResponse, error) {
+// Read implements loglist.Log.
+func (l sharedLog) Read(ctx context.Context, from uint64, limit int, wait time.Duration) (*loglist.ReadResponse, error) {
 	return l.Log.Read(ctx, from, limit, wait), nil
 }
 
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/bluebellstile/bluebellstile/internal/endpoint"
-	"github.com/bluebellstile/bluebellstile/internal/platform"
+	"github.com/bluebellstile/bluebellstile/internal/loglist"
 	"github.com/bluebellstile/bluebellstile/internal/server"
 	"github.com/bluebellstile/bluebellstile/internal/settings"
 	"github.com/bluebellstile/bluebellstile/internal/standin"
@@ -82,13 +82,13 @@
 	}
 	daemons := daemonSettings(o, logURL, listURL)
 	for _, s := range daemons {
-		instances = append(instances, platform.Instance{
+		instances = append(instances, loglist.Instance{
 			ID:               s.Instance.ID,
-			Role:             platform.RoleEntry,
+			Role:             loglist.RoleEntry,
 			Address:          s.Listen.Peer,
 			Region:           s.Instance.Region,
 			AvailabilityZone: s.Instance.Zone,
-			State:            platform.StateLive,
+			State:            loglist.StateLive,
 		})
 	}
 	list.Set(instances)
@@ -106,8 +106,8 @@
 }
 
 // startEndpoints runs the workers and service runners of every zone.
-func (c *Cell) startEndpoints(o Options) ([]platform.Instance, error) {
-	var instances []platform.Instance
+func (c *Cell) startEndpoints(o Options) ([]loglist.Instance, error) {
+	var instances []loglist.Instance
 	for _, zone := range o.Zones {
 		for n := range o.Workers + o.Runners {
 			i, err := c.startEndpoint(zone, n, n < o.Workers)
@@ -121,7 +121,7 @@
 }
 
 // startEndpoint runs one worker or service runner.
-func (c *Cell) startEndpoint(zone string, n int, worker bool) (platform.Instance, error) {
+func (c *Cell) startEndpoint(zone string, n int, worker bool) (loglist.Instance, error) {
 	options := standin.EndpointOptions{
 		ID:               fmt.Sprintf("%s-runner-%d", zone, n),
 		Kind:             endpoint.KindRunner,
@@ -129,27 +129,27 @@
 		Rack:             fmt.Sprintf("%s-rack-%d", zone, n%2),
 		Capacity:         endpoint.Resources{Slots: runnerSlots},
 	}
-	role := platform.RoleRunner
+	role := loglist.RoleRunner
 	if worker {
 		options.ID = fmt.Sprintf("%s-worker-%d", zone, n)
-		options.Kind, role = endpoint.KindWorker, platform.RoleWorker
+		options.Kind, role = endpoint.KindWorker, loglist.RoleWorker
 		options.Capacity = endpoint.Resources{MilliCores: workerCores * 1000, MemoryMB: workerMemoryMB}
 	}
 	e := standin.NewEndpoint(options)
 	c.endpoints = append(c.endpoints, e)
 	s, err := standin.Serve(e, "127.0.0.1:0", "")
 	if err != nil {
-		return platform.Instance{}, err
+		return loglist.Instance{}, err
 	}
 	c.services = append(c.services, s)
-	return platform.Instance{
+	return loglist.Instance{
 		ID:               options.ID,
 		Role:             role,
 		Address:          s.Addr(),
 		Region:           zone,
 		AvailabilityZone: zone,
 		Rack:             options.Rack,
-		State:            platform.StateLive,
+		State:            loglist.StateLive,
 	}, nil
 }
 
--- a/internal/harness/cell.go
+++ b/internal/harness/cell.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/bluebellstile/bluebellstile/internal/history"
-	"github.com/bluebellstile/bluebellstile/internal/platform"
+	"github.com/bluebellstile/bluebellstile/internal/loglist"
 	"github.com/bluebellstile/bluebellstile/internal/testrelay"
 )
 
@@ -60,7 +60,7 @@
 	Options Options
 	Rec     *Recorder
 	// Log reads and appends to the platform's log past all relays.
-	Log *platform.Client
+	Log *loglist.Client
 
 	bins      Binaries
 	dir       string
--- a/internal/harness/daemon.go
+++ b/internal/harness/daemon.go
@@ -10,7 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bluebellstile/bluebellstile/internal/history"
-	"github.com/bluebellstile/bluebellstile/internal/platform"
+	"github.com/bluebellstile/bluebellstile/internal/loglist"
 	"github.com/bluebellstile/bluebellstile/internal/standin"
 )
 
@@ -71,8 +71,8 @@
 }
 
 // instancesFor returns the instances as d reaches them.
-func (c *Cell) instancesFor(d *Daemon) ([]platform.Instance, error) {
-	var out []platform.Instance
+func (c *Cell) instancesFor(d *Daemon) ([]loglist.Instance, error) {
+	var out []loglist.Instance
 	for _, other := range c.Daemons {
 		address := other.peer
 		if other != d {
@@ -82,7 +82,7 @@
 			}
 			address = r.Addr()
 		}
-		out = append(out, instance(other.ID, other.Zone, platform.RoleEntry, address))
+		out = append(out, instance(other.ID, other.Zone, loglist.RoleEntry, address))
 	}
 	for _, e := range c.Endpoints {
 		r, err := c.relay(Link{d.ID, e.ID}, e.address)
@@ -94,10 +94,10 @@
 	return out, nil
 }
 
-func instance(id, zone string, role platform.Role, address string) platform.Instance {
-	return platform.Instance{
+func instance(id, zone string, role loglist.Role, address string) loglist.Instance {
+	return loglist.Instance{
 		ID: id, Role: role, Address: address, Region: regionOf(zone),
-		AvailabilityZone: zone, Rack: zone + "-rack", State: platform.StateLive,
+		AvailabilityZone: zone, Rack: zone + "-rack", State: loglist.StateLive,
 	}
 }
 
--- a/internal/harness/matrix/judge.go
+++ b/internal/harness/matrix/judge.go
@@ -9,7 +9,7 @@
 
 	"github.com/bluebellstile/bluebellstile/internal/history"
 	"github.com/bluebellstile/bluebellstile/internal/history/linear"
-	"github.com/bluebellstile/bluebellstile/internal/platform"
+	"github.com/bluebellstile/bluebellstile/internal/loglist"
 )
 
 // evidence holds, by promise, whether a run gave its checker anything to
@@ -69,7 +69,7 @@
 const porcupineTimeout = 20 * time.Second
 
 // judgeObjects returns the rows on the linearizable objects.
-func judgeObjects(cell Row, events []history.Event, log []platform.Record) []Row {
+func judgeObjects(cell Row, events []history.Event, log []loglist.Record) []Row {
 	var rows []Row
 	add := func(object string, verdict Verdict, detail string) {
 		row := cell
--- a/internal/harness/matrix/run.go
+++ b/internal/harness/matrix/run.go
@@ -10,7 +10,7 @@
 
 	"github.com/bluebellstile/bluebellstile/internal/harness"
 	"github.com/bluebellstile/bluebellstile/internal/history"
-	"github.com/bluebellstile/bluebellstile/internal/platform"
+	"github.com/bluebellstile/bluebellstile/internal/loglist"
 	"github.com/bluebellstile/bluebellstile/internal/record"
 )
 
@@ -115,7 +115,7 @@
 }
 
 // keepLog writes the platform's log beside the logs of a cell.
-func keepLog(dir string, records []platform.Record) {
+func keepLog(dir string, records []loglist.Record) {
 	var out []keptRecord
 	for _, r := range records {
 		e, _ := record.Decode(r.Data)
--- a/internal/harness/operate.go
+++ b/internal/harness/operate.go
@@ -9,7 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bluebellstile/bluebellstile/internal/history"
-	"github.com/bluebellstile/bluebellstile/internal/platform"
+	"github.com/bluebellstile/bluebellstile/internal/loglist"
 	"github.com/bluebellstile/bluebellstile/internal/record"
 	"github.com/bluebellstile/bluebellstile/operator"
 )
@@ -21,8 +21,8 @@
 const logPage = 1000
 
 // Records reads the whole log.
-func (c *Cell) Records(ctx context.Context) ([]platform.Record, error) {
-	var out []platform.Record
+func (c *Cell) Records(ctx context.Context) ([]loglist.Record, error) {
+	var out []loglist.Record
 	for from := uint64(1); ; {
 		page, err := c.Log.Read(ctx, from, logPage, 0)
 		if err != nil {
@@ -38,7 +38,7 @@
 
 // inForce replays the configurations of a log: one is valid if it names the
 // version in force where it stands.
-func inForce(records []platform.Record) (version uint64, text string, accepted map[uint64]string) {
+func inForce(records []loglist.Record) (version uint64, text string, accepted map[uint64]string) {
 	accepted = map[uint64]string{}
 	for _, r := range records {
 		e, err := record.Decode(r.Data)
@@ -91,7 +91,7 @@
 	}
 	id := fmt.Sprintf("config-%s-%s", author, rand.Text())
 	c.propose(author, before, after)
-	if _, err := c.Log.Append(ctx, id, data); err != nil && !platform.MayBeAppended(err) {
+	if _, err := c.Log.Append(ctx, id, data); err != nil && !loglist.MayBeAppended(err) {
 		c.reject(author, before, after)
 		return 0, err
 	}
--- a/internal/harness/standins.go
+++ b/internal/harness/standins.go
@@ -13,7 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bluebellstile/bluebellstile/internal/history"
-	"github.com/bluebellstile/bluebellstile/internal/platform"
+	"github.com/bluebellstile/bluebellstile/internal/loglist"
 	"github.com/bluebellstile/bluebellstile/internal/standin"
 )
 
@@ -91,7 +91,7 @@
 	standinNode
 	ID      string
 	Zone    string
-	role    platform.Role
+	role    loglist.Role
 	history string
 }
 
@@ -103,7 +103,7 @@
 	if err := c.logNode.start(c.bins.Standin, c.path("log.out")); err != nil {
 		return err
 	}
-	c.Log = platform.NewClient("http://"+c.logNode.address, "http://"+c.logNode.address)
+	c.Log = loglist.NewClient("http://"+c.logNode.address, "http://"+c.logNode.address)
 	return nil
 }
 
@@ -118,20 +118,20 @@
 func (c *Cell) startEndpoints(zone string) error {
 	for i := range c.Options.WorkersPerZone {
 		size := []string{"-cores", strconv.Itoa(c.Options.WorkerCores), "-memory", strconv.Itoa(c.Options.WorkerMemoryMB)}
-		if err := c.addEndpoint(fmt.Sprintf("%s-w%d", zone, i+1), zone, platform.RoleWorker, size); err != nil {
+		if err := c.addEndpoint(fmt.Sprintf("%s-w%d", zone, i+1), zone, loglist.RoleWorker, size); err != nil {
 			return err
 		}
 	}
 	for i := range c.Options.RunnersPerZone {
 		size := []string{"-slots", strconv.Itoa(c.Options.RunnerSlots)}
-		if err := c.addEndpoint(fmt.Sprintf("%s-r%d", zone, i+1), zone, platform.RoleRunner, size); err != nil {
+		if err := c.addEndpoint(fmt.Sprintf("%s-r%d", zone, i+1), zone, loglist.RoleRunner, size); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (c *Cell) addEndpoint(id, zone string, role platform.Role, size []string) error {
+func (c *Cell) addEndpoint(id, zone string, role loglist.Role, size []string) error {
 	e := &EndpointNode{ID: id, Zone: zone, role: role, history: c.path(id + ".history")}
 	e.name = id
 	e.args = append([]string{
--- a/internal/history/linear/claim.go
+++ b/internal/history/linear/claim.go
@@ -4,7 +4,7 @@
 	"github.com/anishathalye/porcupine"
 
 	"github.com/bluebellstile/bluebellstile/internal/history"
-	"github.com/bluebellstile/bluebellstile/internal/platform"
+	"github.com/bluebellstile/bluebellstile/internal/loglist"
 	"github.com/bluebellstile/bluebellstile/internal/record"
 )
 
@@ -44,7 +44,7 @@
 // ClaimedEpochs replays the claims of a log as compare-and-swap operations on
 // one register per availability zone and returns the epochs that were valid:
 // a claim wins if it names the current epoch, and its epoch is its offset.
-func ClaimedEpochs(records []platform.Record) map[uint64]string {
+func ClaimedEpochs(records []loglist.Record) map[uint64]string {
 	current := map[string]uint64{}
 	valid := map[uint64]string{}
 	for _, r := range records {
--- a/internal/history/linear/linear_test.go
+++ b/internal/history/linear/linear_test.go
@@ -6,7 +6,7 @@
 	"github.com/anishathalye/porcupine"
 
 	"github.com/bluebellstile/bluebellstile/internal/history"
-	"github.com/bluebellstile/bluebellstile/internal/platform"
+	"github.com/bluebellstile/bluebellstile/internal/loglist"
 	"github.com/bluebellstile/bluebellstile/internal/record"
 )
 
@@ -78,14 +78,14 @@
 }
 
 func TestClaimedEpochs(t *testing.T) {
-	claim := func(offset uint64, holder string, previous uint64) platform.Record {
+	claim := func(offset uint64, holder string, previous uint64) loglist.Record {
 		data, err := record.Encode(&record.Envelope{Kind: record.KindClaim, Claim: &record.Claim{Zone: "z", Holder: holder, Previous: previous}})
 		if err != nil {
 			t.Fatal(err)
 		}
-		return platform.Record{Offset: offset, Data: data}
+		return loglist.Record{Offset: offset, Data: data}
 	}
-	valid := ClaimedEpochs([]platform.Record{claim(3, "a", 0), claim(5, "b", 3), claim(6, "c", 3), {Offset: 7, Data: []byte("?")}})
+	valid := ClaimedEpochs([]loglist.Record{claim(3, "a", 0), claim(5, "b", 3), claim(6, "c", 3), {Offset: 7, Data: []byte("?")}})
 	if len(valid) != 2 || valid[3] != "z" || valid[5] != "z" {
 		t.Fatalf("valid epochs %v, want 3 and 5", valid)
 	}
--- a/internal/holder/fakes_test.go
+++ b/internal/holder/fakes_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/bluebellstile/bluebellstile/internal/endpoint"
 	"github.com/bluebellstile/bluebellstile/internal/history"
-	"github.com/bluebellstile/bluebellstile/internal/platform"
+	"github.com/bluebellstile/bluebellstile/internal/loglist"
 	"github.com/bluebellstile/bluebellstile/internal/record"
 	"github.com/bluebellstile/bluebellstile/internal/standin"
 )
@@ -72,36 +72,36 @@
 	return l.fate(e)
 }
 
-// Append implements platform.Log.
+// Append implements loglist.Log.
 func (l *memoryLog) Append(_ context.Context, id string, data []byte) (uint64, error) {
 	fate := l.fateOf(data)
 	if fate == fateRefused {
-		return 0, &platform.Error{Kind: platform.KindUnavailable, Op: "append"}
+		return 0, &loglist.Error{Kind: loglist.KindUnavailable, Op: "append"}
 	}
 	offset := l.Log.Append(id, data)
 	if fate == fateAnswerLost {
-		return 0, &platform.Error{Kind: platform.KindAppendUnknown, Op: "append"}
+		return 0, &loglist.Error{Kind: loglist.KindAppendUnknown, Op: "append"}
 	}
 	return offset, nil
 }
 
-// Read implements platform.Log.
-func (l *memoryLog) Read(ctx context.Context, from uint64, limit int, wait time.Duration) (*platform.ReadResponse, error) {
+// Read implements loglist.Log.
+func (l *memoryLog) Read(ctx context.Context, from uint64, limit int, wait time.Duration) (*loglist.ReadResponse, error) {
 	l.mu.Lock()
 	down := l.down
 	l.mu.Unlock()
 	if down {
-		return nil, &platform.Error{Kind: platform.KindUnavailable, Op: "read"}
+		return nil, &loglist.Error{Kind: loglist.KindUnavailable, Op: "read"}
 	}
 	return l.Log.Read(ctx, from, limit, wait), nil
 }
 
 // fixedList is the platform's list of instances.
-type fixedList []platform.Instance
+type fixedList []loglist.Instance
 
-// Instances implements platform.Lister.
-func (l fixedList) Instances(context.Context, platform.Filter) (*platform.InstanceList, error) {
-	return &platform.InstanceList{Instances: l, AsOf: time.Now()}, nil
+// Instances implements loglist.Lister.
+func (l fixedList) Instances(context.Context, loglist.Filter) (*loglist.InstanceList, error) {
+	return &loglist.InstanceList{Instances: l, AsOf: time.Now()}, nil
 }
 
 // machine is the place of an endpoint, whose process may be replaced. It
--- a/internal/holder/session.go
+++ b/internal/holder/session.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/bluebellstile/bluebellstile/internal/endpoint"
-	"github.com/bluebellstile/bluebellstile/internal/platform"
+	"github.com/bluebellstile/bluebellstile/internal/loglist"
 	"github.com/pkg/errors"
 	"gopkg.in/tomb.v2"
 )
@@ -43,7 +43,7 @@
 // session is the holder's relation to one endpoint.
 type session struct {
 	term     *Term
-	instance platform.Instance
+	instance loglist.Instance
 	client   EndpointClient
 
 	// Guarded by the term's lock.
@@ -74,7 +74,7 @@
 }
 
 // newSession returns a session that has not attached yet.
-func newSession(t *Term, instance platform.Instance) *session {
+func newSession(t *Term, instance loglist.Instance) *session {
 	return &session{
 		term:     t,
 		instance: instance,
--- a/internal/holder/sessions.go
+++ b/internal/holder/sessions.go
@@ -4,9 +4,9 @@
 	"time"
 
 	"github.com/bluebellstile/bluebellstile/internal/endpoint"
+	"github.com/bluebellstile/bluebellstile/internal/loglist"
 	"github.com/bluebellstile/bluebellstile/internal/metrics"
 	"github.com/bluebellstile/bluebellstile/internal/placement"
-	"github.com/bluebellstile/bluebellstile/internal/platform"
 )
 
 const (
@@ -37,8 +37,8 @@
 // openSessions starts the sessions that are missing and notes which listed
 // endpoints are leaving.
 func (t *Term) openSessions() {
-	endpoints := t.deps.Directory.Listed(func(i platform.Instance) bool {
-		return i.AvailabilityZone == t.settings.AvailabilityZone && i.Role != platform.RoleEntry
+	endpoints := t.deps.Directory.Listed(func(i loglist.Instance) bool {
+		return i.AvailabilityZone == t.settings.AvailabilityZone && i.Role != loglist.RoleEntry
 	})
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -49,7 +49,7 @@
 			t.sessions[instance.ID] = s
 			t.tomb.Go(s.run)
 		}
-		if leaving := instance.State == platform.StateLeaving; leaving != s.listed {
+		if leaving := instance.State == loglist.StateLeaving; leaving != s.listed {
 			s.listed = leaving
 			t.applyUsable(s)
 		}
--- a/internal/holder/world_test.go
+++ b/internal/holder/world_test.go
@@ -14,9 +14,9 @@
 	"github.com/bluebellstile/bluebellstile/internal/endpoint"
 	"github.com/bluebellstile/bluebellstile/internal/history"
 	"github.com/bluebellstile/bluebellstile/internal/journal"
+	"github.com/bluebellstile/bluebellstile/internal/loglist"
 	"github.com/bluebellstile/bluebellstile/internal/membership"
 	"github.com/bluebellstile/bluebellstile/internal/placement"
-	"github.com/bluebellstile/bluebellstile/internal/platform"
 	"github.com/bluebellstile/bluebellstile/internal/problem"
 	"github.com/bluebellstile/bluebellstile/internal/record"
 	"github.com/bluebellstile/bluebellstile/internal/standin"
@@ -103,11 +103,11 @@
 func (w *world) addEndpoint(o standin.EndpointOptions) {
 	o.AvailabilityZone, o.History, o.PartBytes = zoneName, w.writer, 8
 	w.machines[o.ID] = newMachine(o)
-	role := platform.RoleWorker
+	role := loglist.RoleWorker
 	if o.Kind == endpoint.KindRunner {
-		role = platform.RoleRunner
+		role = loglist.RoleRunner
 	}
-	w.list = append(w.list, platform.Instance{ID: o.ID, Role: role, Address: o.ID, AvailabilityZone: zoneName, State: platform.StateLive})
+	w.list = append(w.list, loglist.Instance{ID: o.ID, Role: role, Address: o.ID, AvailabilityZone: zoneName, State: loglist.StateLive})
 }
 
 // append appends a record that no daemon makes.
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -14,8 +14,8 @@
 	"time"
 
 	"github.com/bluebellstile/bluebellstile/internal/cell"
+	"github.com/bluebellstile/bluebellstile/internal/loglist"
 	"github.com/bluebellstile/bluebellstile/internal/metrics"
-	"github.com/bluebellstile/bluebellstile/internal/platform"
 	"github.com/bluebellstile/bluebellstile/internal/record"
 	"github.com/pkg/errors"
 )
@@ -32,7 +32,7 @@
 
 // Journal is the daemon's view of the log. It is safe for concurrent use.
 type Journal struct {
-	log   platform.Log
+	log   loglist.Log
 	state *cell.State
 	slog  *slog.Logger
 	// floor is the first offset that the log still keeps, as far as it is
@@ -63,7 +63,7 @@
 func WithReadWait(d time.Duration) Option { return func(j *Journal) { j.readWait = d } }
 
 // New returns a journal over log that fills state.
-func New(log platform.Log, state *cell.State, logger *slog.Logger, options ...Option) *Journal {
+func New(log loglist.Log, state *cell.State, logger *slog.Logger, options ...Option) *Journal {
 	j := &Journal{
 		log:      log,
 		state:    state,
@@ -103,7 +103,7 @@
 	defer j.forget(id)
 	metrics.Appends.Add(e.Kind.String(), 1)
 	metrics.AppendBytes.Add(int64(len(data)))
-	if _, err = j.log.Append(ctx, id, data); err != nil && !platform.MayBeAppended(err) {
+	if _, err = j.log.Append(ctx, id, data); err != nil && !loglist.MayBeAppended(err) {
 		return cell.Effect{}, errors.Wrap(ErrNotAppended, err.Error())
 	}
 	select {
@@ -135,7 +135,7 @@
 }
 
 // apply applies one record and tells the observers and its waiter.
-func (j *Journal) apply(r platform.Record) {
+func (j *Journal) apply(r loglist.Record) {
 	if r.Offset <= j.state.Applied() {
 		return
 	}
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -13,7 +13,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/bluebellstile/bluebellstile/internal/cell"
-	"github.com/bluebellstile/bluebellstile/internal/platform"
+	"github.com/bluebellstile/bluebellstile/internal/loglist"
 	"github.com/bluebellstile/bluebellstile/internal/record"
 	"github.com/bluebellstile/bluebellstile/internal/standin"
 )
@@ -28,7 +28,7 @@
 	readDelay time.Duration
 }
 
-// Append implements platform.Log.
+// Append implements loglist.Log.
 func (l *logUnderTest) Append(_ context.Context, id string, data []byte) (uint64, error) {
 	l.mu.Lock()
 	override := l.append
@@ -39,27 +39,27 @@
 	return l.Log.Append(id, data), nil
 }
 
-// Read implements platform.Log.
-func (l *logUnderTest) Read(ctx context.Context, from uint64, limit int, wait time.Duration) (*platform.ReadResponse, error) {
+// Read implements loglist.Log.
+func (l *logUnderTest) Read(ctx context.Context, from uint64, limit int, wait time.Duration) (*loglist.ReadResponse, error) {
 	page := l.Log.Read(ctx, from, limit, wait)
 	l.mu.Lock()
 	delay := l.readDelay
 	l.mu.Unlock()
 	time.Sleep(delay)
 	if from > 0 && page.First > from {
-		return nil, &platform.Error{Kind: platform.KindTrimmed, Op: "read", First: page.First}
+		return nil, &loglist.Error{Kind: loglist.KindTrimmed, Op: "read", First: page.First}
 	}
 	return page, nil
 }
 
 // unknown is the error of an append that may have been made.
 func unknown() error {
-	return &platform.Error{Kind: platform.KindAppendUnknown, Op: "append"}
+	return &loglist.Error{Kind: loglist.KindAppendUnknown, Op: "append"}
 }
 
 // unavailable is the error of an append that was not made.
 func unavailable() error {
-	return &platform.Error{Kind: platform.KindUnavailable, Op: "append"}
+	return &loglist.Error{Kind: loglist.KindUnavailable, Op: "append"}
 }
 
 // running runs a journal in a bubble of fake time. Effects are collected.
--- a/internal/journal/property_test.go
+++ b/internal/journal/property_test.go
@@ -11,20 +11,20 @@
 	"pgregory.net/rapid"
 
 	"github.com/bluebellstile/bluebellstile/internal/cell"
-	"github.com/bluebellstile/bluebellstile/internal/platform"
+	"github.com/bluebellstile/bluebellstile/internal/loglist"
 	"github.com/bluebellstile/bluebellstile/internal/record"
 	"github.com/bluebellstile/bluebellstile/internal/standin"
 )
 
 // records returns n records that stand at offsets from 1 on.
-func records(t rapid.TB, n int) []platform.Record {
-	out := make([]platform.Record, n)
+func records(t rapid.TB, n int) []loglist.Record {
+	out := make([]loglist.Record, n)
 	for i := range out {
 		data, err := record.Encode(claim(fmt.Sprintf("z%d", i), "d"))
 		if err != nil {
 			t.Fatal(err)
 		}
-		out[i] = platform.Record{Offset: uint64(i + 1), ID: fmt.Sprint(i), Data: data}
+		out[i] = loglist.Record{Offset: uint64(i + 1), ID: fmt.Sprint(i), Data: data}
 	}
 	return out
 }
@@ -63,7 +63,7 @@
 		n := uint64(rapid.IntRange(0, 60).Draw(rt, "records"))
 		for offset := uint64(1); offset <= n; offset++ {
 			size := rapid.IntRange(0, 40).Draw(rt, "size")
-			r.add(platform.Record{Offset: offset, Data: make([]byte, size)})
+			r.add(loglist.Record{Offset: offset, Data: make([]byte, size)})
 			if r.size > limit && len(r.records)-r.start > 1 {
 				rt.Fatalf("%d bytes are kept, over %d", r.size, limit)
 			}
--- a/internal/journal/ring.go
+++ b/internal/journal/ring.go
@@ -3,7 +3,7 @@
 import (
 	"sort"
 
-	"github.com/bluebellstile/bluebellstile/internal/platform"
+	"github.com/bluebellstile/bluebellstile/internal/loglist"
 )
 
 // ringBytes bounds the recent records kept for relaying to other daemons.
@@ -14,7 +14,7 @@
 	limit int
 	size  int
 	// records from start on are kept.
-	records []platform.Record
+	records []loglist.Record
 	start   int
 }
 
@@ -22,23 +22,23 @@
 func newRing(limit int) *ring { return &ring{limit: limit} }
 
 // add appends a record and drops the oldest ones past the bound.
-func (r *ring) add(rec platform.Record) {
+func (r *ring) add(rec loglist.Record) {
 	r.records = append(r.records, rec)
 	r.size += len(rec.Data)
 	for r.size > r.limit && r.start < len(r.records)-1 {
 		r.size -= len(r.records[r.start].Data)
-		r.records[r.start] = platform.Record{}
+		r.records[r.start] = loglist.Record{}
 		r.start++
 	}
 	if 2*r.start > len(r.records) {
-		r.records = append([]platform.Record(nil), r.records[r.start:]...)
+		r.records = append([]loglist.Record(nil), r.records[r.start:]...)
 		r.start = 0
 	}
 }
 
 // from returns at most limit records from an offset on; ok is false if the
 // ring no longer reaches back to it.
-func (r *ring) from(offset uint64, limit int) (out []platform.Record, ok bool) {
+func (r *ring) from(offset uint64, limit int) (out []loglist.Record, ok bool) {
 	kept := r.records[r.start:]
 	if len(kept) == 0 || kept[0].Offset > offset {
 		return nil, false
@@ -49,7 +49,7 @@
 
 // Recent returns records from an offset on for relaying; ok is false if they
 // are no longer kept here and must be read from the log.
-func (j *Journal) Recent(from uint64, limit int) (records []platform.Record, ok bool) {
+func (j *Journal) Recent(from uint64, limit int) (records []loglist.Record, ok bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	return j.ring.from(from, limit)
--- a/internal/journal/tail.go
+++ b/internal/journal/tail.go
@@ -5,8 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/bluebellstile/bluebellstile/internal/loglist"
 	"github.com/bluebellstile/bluebellstile/internal/metrics"
-	"github.com/bluebellstile/bluebellstile/internal/platform"
 	"gopkg.in/tomb.v2"
 )
 
@@ -26,7 +26,7 @@
 
 // Page is a run of records from a source and the proof that comes with it.
 type Page struct {
-	Records []platform.Record
+	Records []loglist.Record
 	// End is the offset that the next append would have got at the instant
 	// AsOf. AsOf is zero if the source itself is in doubt.
 	End  uint64
@@ -45,7 +45,7 @@
 }
 
 // LogSource reads from the platform itself.
-type LogSource struct{ Log platform.Log }
+type LogSource struct{ Log loglist.Log }
 
 // Name implements Source.
 func (LogSource) Name() string { return "log" }
@@ -137,7 +137,7 @@
 
 // skipTrimmed moves on to what retention has kept.
 func (j *Journal) skipTrimmed(err error) {
-	first, trimmed := platform.TrimmedTo(err)
+	first, trimmed := loglist.TrimmedTo(err)
 	if !trimmed {
 		return
 	}
--- a/internal/platform/breaker_test.go
+++ b/internal/loglist/breaker_test.go
@@ -1,4 +1,4 @@
-package platform
+package loglist
 
 import (
 	"testing"
--- a/internal/platform/client_test.go
+++ b/internal/loglist/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package loglist_test
 
 import (
 	"context"
@@ -11,13 +11,13 @@
 	"github.com/pkg/errors"
 	"go.uber.org/goleak"
 
-	"github.com/bluebellstile/bluebellstile/internal/platform"
+	"github.com/bluebellstile/bluebellstile/internal/loglist"
 	"github.com/bluebellstile/bluebellstile/internal/standin"
 	"github.com/bluebellstile/bluebellstile/internal/testrelay"
 )
 
 // setUp returns a stand-in log and a client of it that retries quickly.
-func setUp(t *testing.T, opts standin.LogOptions, more ...platform.Option) (*standin.Log, *platform.Client) {
+func setUp(t *testing.T, opts standin.LogOptions, more ...loglist.Option) (*standin.Log, *loglist.Client) {
 	t.Helper()
 	log := standin.NewLog(opts)
 	server, err := standin.Serve(log, "127.0.0.1:0", "")
@@ -35,13 +35,13 @@
 	return log, client
 }
 
-func newClient(url string, more ...platform.Option) *platform.Client {
-	opts := []platform.Option{
-		platform.WithBackoff(time.Millisecond),
-		platform.WithRetryBudget(1000, 1000),
-		platform.WithBreaker(1000, time.Hour),
+func newClient(url string, more ...loglist.Option) *loglist.Client {
+	opts := []loglist.Option{
+		loglist.WithBackoff(time.Millisecond),
+		loglist.WithRetryBudget(1000, 1000),
+		loglist.WithBreaker(1000, time.Hour),
 	}
-	return platform.NewClient(url, url, append(opts, more...)...)
+	return loglist.NewClient(url, url, append(opts, more...)...)
 }
 
 func set(t *testing.T, faults *standin.Faults, name string, value any) {
@@ -52,14 +52,14 @@
 }
 
 // records returns what the log holds.
-func records(log *standin.Log) []platform.Record {
+func records(log *standin.Log) []loglist.Record {
 	return log.Read(context.Background(), 0, 0, 0).Records
 }
 
 func TestAppendAndRead(t *testing.T) {
 	root := new(expvar.Map).Init()
-	_, client := setUp(t, standin.LogOptions{}, platform.WithMetrics(root))
-	ctx := platform.WithRole(context.Background(), "claim")
+	_, client := setUp(t, standin.LogOptions{}, loglist.WithMetrics(root))
+	ctx := loglist.WithRole(context.Background(), "claim")
 	for i, id := range []string{"a", "b", "c"} {
 		offset, err := client.Append(ctx, id, []byte(id))
 		if err != nil || offset != uint64(i+1) {
@@ -73,14 +73,14 @@
 	if len(page.Records) != 1 || page.Records[0].ID != "b" || page.First != 1 || page.End != 4 {
 		t.Fatalf("page %+v", page)
 	}
-	if appends := root.Get(platform.MetricAppends).String(); appends != `{"claim": 3}` {
+	if appends := root.Get(loglist.MetricAppends).String(); appends != `{"claim": 3}` {
 		t.Fatalf("appends by role: %s", appends)
 	}
 }
 
 func TestReadWaitsForAppend(t *testing.T) {
 	log, client := setUp(t, standin.LogOptions{})
-	pages := make(chan *platform.ReadResponse, 1)
+	pages := make(chan *loglist.ReadResponse, 1)
 	go func() {
 		page, err := client.Read(context.Background(), 1, 10, time.Minute)
 		if err != nil {
@@ -96,7 +96,7 @@
 
 func TestLostAnswerIsResolvedByReadingBack(t *testing.T) {
 	root := new(expvar.Map).Init()
-	log, client := setUp(t, standin.LogOptions{}, platform.WithMetrics(root))
+	log, client := setUp(t, standin.LogOptions{}, loglist.WithMetrics(root))
 	log.Append("other", nil)
 	set(t, log.Faults(), "lose_answers", 1)
 	// The read that precedes the first append loses its answer instead.
@@ -111,7 +111,7 @@
 	if held := records(log); len(held) != 3 {
 		t.Fatalf("log holds %+v", held)
 	}
-	if resolved := root.Get(platform.MetricResolved).String(); resolved != "1" {
+	if resolved := root.Get(loglist.MetricResolved).String(); resolved != "1" {
 		t.Fatalf("resolved %s", resolved)
 	}
 }
@@ -128,7 +128,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	client := newClient("http://"+relay.Addr(), platform.WithTries(1000), platform.WithTimeout(time.Minute))
+	client := newClient("http://"+relay.Addr(), loglist.WithTries(1000), loglist.WithTimeout(time.Minute))
 	t.Cleanup(func() {
 		client.Close()
 		if err := errors.WithMessage(relay.Close(), "relay"); err != nil {
@@ -161,23 +161,23 @@
 		faults map[string]any
 		id     string
 		bytes  int
-		kind   platform.ErrorKind
+		kind   loglist.ErrorKind
 		held   int
 	}{
 		"answers and reads lost": {
-			faults: map[string]any{"lose_answers": -1}, id: "a", kind: platform.KindAppendUnknown, held: 1,
+			faults: map[string]any{"lose_answers": -1}, id: "a", kind: loglist.KindAppendUnknown, held: 1,
 		},
 		"reads refused": {
-			faults: map[string]any{"refuse_reads": true, "lose_answers": 2}, id: "a", kind: platform.KindAppendUnknown, held: 1,
+			faults: map[string]any{"refuse_reads": true, "lose_answers": 2}, id: "a", kind: loglist.KindAppendUnknown, held: 1,
 		},
 		"appends refused by 5xx": {
-			faults: map[string]any{"refuse_appends": true}, id: "a", kind: platform.KindAppendUnknown,
+			faults: map[string]any{"refuse_appends": true}, id: "a", kind: loglist.KindAppendUnknown,
 		},
 		"over the rate": {
-			opts: standin.LogOptions{AppendsPerSecond: 1e-9}, id: "a", kind: platform.KindUnavailable, held: 1,
+			opts: standin.LogOptions{AppendsPerSecond: 1e-9}, id: "a", kind: loglist.KindUnavailable, held: 1,
 		},
-		"too large": {id: "a", bytes: platform.MaxRecordBytes + 1, kind: platform.KindTooLarge},
-		"no id":     {kind: platform.KindBadRequest},
+		"too large": {id: "a", bytes: loglist.MaxRecordBytes + 1, kind: loglist.KindTooLarge},
+		"no id":     {kind: loglist.KindBadRequest},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -191,7 +191,7 @@
 				set(t, log.Faults(), fault, value)
 			}
 			_, err := client.Append(context.Background(), c.id, make([]byte, c.bytes))
-			if kind := platform.KindOf(err); kind != c.kind {
+			if kind := loglist.KindOf(err); kind != c.kind {
 				t.Fatalf("kind %q: %v", kind, err)
 			}
 			if held := records(log); len(held) != c.held {
@@ -206,7 +206,7 @@
 	server.Close()
 	client := newClient(server.URL)
 	defer client.Close()
-	if _, err := client.Append(context.Background(), "a", nil); platform.KindOf(err) != platform.KindUnavailable {
+	if _, err := client.Append(context.Background(), "a", nil); loglist.KindOf(err) != loglist.KindUnavailable {
 		t.Fatal(err)
 	}
 }
@@ -218,10 +218,10 @@
 			_, _ = w.Write([]byte(body))
 		}))
 		client := newClient(server.URL)
-		if page, err := client.Read(context.Background(), 1, 1, 0); platform.KindOf(err) != platform.KindUnavailable {
+		if page, err := client.Read(context.Background(), 1, 1, 0); loglist.KindOf(err) != loglist.KindUnavailable {
 			t.Errorf("read answered %s: %+v, %v", body, page, err)
 		}
-		if _, err := client.Append(context.Background(), "a", nil); platform.KindOf(err) != platform.KindAppendUnknown {
+		if _, err := client.Append(context.Background(), "a", nil); loglist.KindOf(err) != loglist.KindAppendUnknown {
 			t.Errorf("append answered %s: %v", body, err)
 		}
 		client.Close()
@@ -235,8 +235,8 @@
 		log.Append("a", nil)
 	}
 	_, err := client.Read(context.Background(), 3, 10, 0)
-	var trimmed *platform.Error
-	if !errors.As(err, &trimmed) || trimmed.Kind != platform.KindTrimmed || trimmed.First != 4 {
+	var trimmed *loglist.Error
+	if !errors.As(err, &trimmed) || trimmed.Kind != loglist.KindTrimmed || trimmed.First != 4 {
 		t.Fatalf("read below retention: %v", err)
 	}
 	page, err := client.Read(context.Background(), 0, 10, 0)
@@ -246,7 +246,7 @@
 }
 
 func TestInstances(t *testing.T) {
-	list := standin.NewList([]platform.Instance{{ID: "w1"}}, time.Hour)
+	list := standin.NewList([]loglist.Instance{{ID: "w1"}}, time.Hour)
 	server, err := standin.Serve(list, "127.0.0.1:0", "")
 	if err != nil {
 		t.Fatal(err)
@@ -259,13 +259,13 @@
 		}
 		goleak.VerifyNone(t)
 	})
-	list.Set([]platform.Instance{{ID: "w2"}})
-	got, err := client.Instances(context.Background(), platform.Filter{})
+	list.Set([]loglist.Instance{{ID: "w2"}})
+	got, err := client.Instances(context.Background(), loglist.Filter{})
 	if err != nil || len(got.Instances) != 1 || got.Instances[0].ID != "w1" {
 		t.Fatalf("lagging list %+v, %v", got, err)
 	}
 	set(t, list.Faults(), "lag", "0s")
-	got, err = client.Instances(context.Background(), platform.Filter{})
+	got, err = client.Instances(context.Background(), loglist.Filter{})
 	if err != nil || len(got.Instances) != 1 || got.Instances[0].ID != "w2" {
 		t.Fatalf("list %+v, %v", got, err)
 	}
--- a/internal/platform/limits_test.go
+++ b/internal/loglist/limits_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package loglist_test
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/bluebellstile/bluebellstile/internal/platform"
+	"github.com/bluebellstile/bluebellstile/internal/loglist"
 	"github.com/bluebellstile/bluebellstile/internal/standin"
 )
 
@@ -21,10 +21,10 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}))
 	defer server.Close()
-	client := newClient(server.URL, platform.WithBreaker(2, time.Hour), platform.WithTries(2))
+	client := newClient(server.URL, loglist.WithBreaker(2, time.Hour), loglist.WithTries(2))
 	defer client.Close()
 	for range 5 {
-		if _, err := client.Read(context.Background(), 1, 1, 0); platform.KindOf(err) != platform.KindUnavailable {
+		if _, err := client.Read(context.Background(), 1, 1, 0); loglist.KindOf(err) != loglist.KindUnavailable {
 			t.Fatal(err)
 		}
 	}
@@ -33,8 +33,8 @@
 	}
 	// Appends have a breaker of their own, which two attempts open. From then
 	// on nothing is sent, so that an append certainly has no effect.
-	for _, kind := range []platform.ErrorKind{platform.KindAppendUnknown, platform.KindAppendUnknown, platform.KindUnavailable} {
-		if _, err := client.Append(context.Background(), "a", nil); platform.KindOf(err) != kind {
+	for _, kind := range []loglist.ErrorKind{loglist.KindAppendUnknown, loglist.KindAppendUnknown, loglist.KindUnavailable} {
+		if _, err := client.Append(context.Background(), "a", nil); loglist.KindOf(err) != kind {
 			t.Fatal(err)
 		}
 	}
@@ -43,7 +43,7 @@
 // TestImpatientCallersDontOpenBreaker lets callers give up on a slow log long
 // before an attempt's timeout.
 func TestImpatientCallersDontOpenBreaker(t *testing.T) {
-	log, client := setUp(t, standin.LogOptions{}, platform.WithBreaker(1, time.Hour), platform.WithTimeout(time.Hour))
+	log, client := setUp(t, standin.LogOptions{}, loglist.WithBreaker(1, time.Hour), loglist.WithTimeout(time.Hour))
 	set(t, log.Faults(), "latency", "1h")
 	for range 3 {
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Millisecond)
@@ -52,7 +52,7 @@
 		}
 		cancel()
 	}
-	if state := client.BreakerState("read"); state != platform.BreakerClosed {
+	if state := client.BreakerState("read"); state != loglist.BreakerClosed {
 		t.Fatalf("breaker is %s", state)
 	}
 }
@@ -61,7 +61,7 @@
 func TestReadShrinksPage(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Query().Get("limit") != "1" {
-			_, _ = w.Write(make([]byte, platform.MaxResponseBytes+1))
+			_, _ = w.Write(make([]byte, loglist.MaxResponseBytes+1))
 			return
 		}
 		_, _ = w.Write([]byte(`{"first":1,"end":3,"records":[{"offset":1}]}`))
@@ -82,7 +82,7 @@
 	}))
 	defer server.Close()
 	const burst, reads = 3, 10
-	client := newClient(server.URL, platform.WithRetryBudget(0, burst))
+	client := newClient(server.URL, loglist.WithRetryBudget(0, burst))
 	defer client.Close()
 	for range reads {
 		if _, err := client.Read(context.Background(), 1, 1, 0); err == nil {
--- a/internal/platform/wire.go
+++ b/internal/loglist/wire.go
@@ -1,6 +1,6 @@
-// Package platform is the client side of the platform's append-only log and
+// Package loglist is the client side of the platform's append-only log and
 // of its lagging list of instances, both HTTP with JSON bodies.
-package platform
+package loglist
 
 import "time"
 
--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -11,8 +11,8 @@
 	"sync"
 	"time"
 
+	"github.com/bluebellstile/bluebellstile/internal/loglist"
 	"github.com/bluebellstile/bluebellstile/internal/metrics"
-	"github.com/bluebellstile/bluebellstile/internal/platform"
 	"gopkg.in/tomb.v2"
 )
 
@@ -26,7 +26,7 @@
 // Directory holds the latest list of instances: all daemons, and the endpoints
 // of the own availability zone. It is safe for concurrent use.
 type Directory struct {
-	lister platform.Lister
+	lister loglist.Lister
 	zone   string
 	slog   *slog.Logger
 
@@ -39,12 +39,12 @@
 
 // entry is an instance and since when the list has lacked it.
 type entry struct {
-	instance    platform.Instance
+	instance    loglist.Instance
 	absentSince time.Time
 }
 
 // NewDirectory returns a directory for a zone that is empty until Run has read the list.
-func NewDirectory(lister platform.Lister, zone string, logger *slog.Logger) *Directory {
+func NewDirectory(lister loglist.Lister, zone string, logger *slog.Logger) *Directory {
 	return &Directory{lister: lister, zone: zone, slog: logger, entries: make(map[string]entry)}
 }
 
@@ -66,13 +66,13 @@
 func (d *Directory) refresh(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	entries, err := d.lister.Instances(ctx, platform.Filter{Role: platform.RoleEntry})
+	entries, err := d.lister.Instances(ctx, loglist.Filter{Role: loglist.RoleEntry})
 	if err != nil {
 		metrics.ListFailures.Add(1)
 		d.slog.Debug("read of the instance list failed", "error", err)
 		return
 	}
-	own, err := d.lister.Instances(ctx, platform.Filter{AvailabilityZone: d.zone})
+	own, err := d.lister.Instances(ctx, loglist.Filter{AvailabilityZone: d.zone})
 	if err != nil {
 		metrics.ListFailures.Add(1)
 		d.slog.Debug("read of the zone's instance list failed", "error", err)
@@ -82,7 +82,7 @@
 }
 
 // replace takes over a list that was read at now.
-func (d *Directory) replace(list []platform.Instance, now time.Time) {
+func (d *Directory) replace(list []loglist.Instance, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.firstRead.IsZero() {
@@ -111,10 +111,10 @@
 }
 
 // Listed returns the listed instances for which keep holds, in order of id.
-func (d *Directory) Listed(keep func(platform.Instance) bool) []platform.Instance {
+func (d *Directory) Listed(keep func(loglist.Instance) bool) []loglist.Instance {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var out []platform.Instance
+	var out []loglist.Instance
 	for _, e := range d.entries {
 		if e.absentSince.IsZero() && keep(e.instance) {
 			out = append(out, e.instance)
@@ -125,7 +125,7 @@
 }
 
 // Instance returns the listed instance with the given id.
-func (d *Directory) Instance(id string) (platform.Instance, bool) {
+func (d *Directory) Instance(id string) (loglist.Instance, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	e, ok := d.entries[id]
--- a/internal/membership/directory_test.go
+++ b/internal/membership/directory_test.go
@@ -10,7 +10,7 @@
 
 	"gopkg.in/tomb.v2"
 
-	"github.com/bluebellstile/bluebellstile/internal/platform"
+	"github.com/bluebellstile/bluebellstile/internal/loglist"
 )
 
 // goneBound is the bound that the tests ask for.
@@ -18,22 +18,22 @@
 
 // scripted is a list of instances that changes with time.
 type scripted struct {
-	instances func() ([]platform.Instance, error)
+	instances func() ([]loglist.Instance, error)
 }
 
-// Instances implements platform.Lister.
-func (s scripted) Instances(context.Context, platform.Filter) (*platform.InstanceList, error) {
+// Instances implements loglist.Lister.
+func (s scripted) Instances(context.Context, loglist.Filter) (*loglist.InstanceList, error) {
 	list, err := s.instances()
-	return &platform.InstanceList{Instances: list}, err
+	return &loglist.InstanceList{Instances: list}, err
 }
 
 // inBubble runs a directory over a list that script gives by the time since
 // the start, and calls f with it.
-func inBubble(t *testing.T, script func(since time.Duration) ([]platform.Instance, error), f func(t *testing.T, d *Directory, start time.Time)) {
+func inBubble(t *testing.T, script func(since time.Duration) ([]loglist.Instance, error), f func(t *testing.T, d *Directory, start time.Time)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		start := time.Now()
-		d := NewDirectory(scripted{func() ([]platform.Instance, error) { return script(time.Since(start)) }}, "a", slog.New(slog.DiscardHandler))
+		d := NewDirectory(scripted{func() ([]loglist.Instance, error) { return script(time.Since(start)) }}, "a", slog.New(slog.DiscardHandler))
 		var running tomb.Tomb
 		running.Go(func() error { return d.Run(&running) })
 		f(t, d, start)
@@ -46,15 +46,15 @@
 var errDown = errors.New("the list is down")
 
 // w1 is the instance of the tests.
-var w1 = platform.Instance{ID: "w1", Role: platform.RoleWorker, Address: "w1:1", AvailabilityZone: "a", State: platform.StateLive}
+var w1 = loglist.Instance{ID: "w1", Role: loglist.RoleWorker, Address: "w1:1", AvailabilityZone: "a", State: loglist.StateLive}
 
 // between lists w1 except in a period.
-func between(from, to time.Duration) func(time.Duration) ([]platform.Instance, error) {
-	return func(since time.Duration) ([]platform.Instance, error) {
+func between(from, to time.Duration) func(time.Duration) ([]loglist.Instance, error) {
+	return func(since time.Duration) ([]loglist.Instance, error) {
 		if since >= from && since < to {
 			return nil, nil
 		}
-		return []platform.Instance{w1}, nil
+		return []loglist.Instance{w1}, nil
 	}
 }
 
@@ -92,10 +92,10 @@
 // TestOutageOfTheListProvesNothing: one read that lacks an instance, and then
 // none for long, is no proof that the list lacked it for the bound.
 func TestOutageOfTheListProvesNothing(t *testing.T) {
-	script := func(since time.Duration) ([]platform.Instance, error) {
+	script := func(since time.Duration) ([]loglist.Instance, error) {
 		switch {
 		case since < 5*time.Second:
-			return []platform.Instance{w1}, nil
+			return []loglist.Instance{w1}, nil
 		case since < 6*time.Second:
 			return nil, nil
 		}
@@ -112,7 +112,7 @@
 // TestNeverListedIsGoneOnlyAfterReads: the first read after a long outage does
 // not prove an instance gone that it doesn't list; the list lags.
 func TestNeverListedIsGoneOnlyAfterReads(t *testing.T) {
-	script := func(since time.Duration) ([]platform.Instance, error) {
+	script := func(since time.Duration) ([]loglist.Instance, error) {
 		if since < time.Minute {
 			return nil, errDown
 		}
@@ -138,15 +138,15 @@
 }
 
 func TestFailedReadKeepsTheList(t *testing.T) {
-	script := func(since time.Duration) ([]platform.Instance, error) {
+	script := func(since time.Duration) ([]loglist.Instance, error) {
 		if since > time.Second {
 			return nil, errDown
 		}
-		return []platform.Instance{w1}, nil
+		return []loglist.Instance{w1}, nil
 	}
 	inBubble(t, script, func(t *testing.T, d *Directory, _ time.Time) {
 		time.Sleep(time.Minute)
-		if got := d.Listed(func(platform.Instance) bool { return true }); len(got) != 1 || got[0] != w1 {
+		if got := d.Listed(func(loglist.Instance) bool { return true }); len(got) != 1 || got[0] != w1 {
 			t.Errorf("listed %v", got)
 		}
 		if d.Resolve("w1/incarnation", "else") != "w1:1" || d.Resolve("w2/incarnation", "else") != "else" {
--- a/internal/peer/fuzz_test.go
+++ b/internal/peer/fuzz_test.go
@@ -16,8 +16,8 @@
 	"github.com/bluebellstile/bluebellstile/internal/gen/peer/v1/peerv1connect"
 	"github.com/bluebellstile/bluebellstile/internal/holder"
 	"github.com/bluebellstile/bluebellstile/internal/journal"
+	"github.com/bluebellstile/bluebellstile/internal/loglist"
 	"github.com/bluebellstile/bluebellstile/internal/membership"
-	"github.com/bluebellstile/bluebellstile/internal/platform"
 	"github.com/bluebellstile/bluebellstile/internal/problem"
 	"github.com/bluebellstile/bluebellstile/internal/record"
 	"google.golang.org/protobuf/proto"
@@ -37,7 +37,7 @@
 }
 
 // page is a source that gives one page of audit records, then nothing.
-type page struct{ records []platform.Record }
+type page struct{ records []loglist.Record }
 
 // Name implements journal.Source.
 func (*page) Name() string { return "log" }
@@ -63,7 +63,7 @@
 		t.Fatal(err)
 	}
 	for offset := uint64(1); offset <= count; offset++ {
-		source.records = append(source.records, platform.Record{Offset: offset, ID: fmt.Sprint(offset), Data: data})
+		source.records = append(source.records, loglist.Record{Offset: offset, ID: fmt.Sprint(offset), Data: data})
 	}
 	j := journal.New(nil, cell.New(), slog.New(slog.DiscardHandler))
 	var tail tomb.Tomb
--- a/internal/peer/heartbeater.go
+++ b/internal/peer/heartbeater.go
@@ -8,9 +8,9 @@
 	"connectrpc.com/connect"
 	peerv1 "github.com/bluebellstile/bluebellstile/internal/gen/peer/v1"
 	"github.com/bluebellstile/bluebellstile/internal/journal"
+	"github.com/bluebellstile/bluebellstile/internal/loglist"
 	"github.com/bluebellstile/bluebellstile/internal/membership"
 	"github.com/bluebellstile/bluebellstile/internal/metrics"
-	"github.com/bluebellstile/bluebellstile/internal/platform"
 	"gopkg.in/tomb.v2"
 )
 
@@ -84,8 +84,8 @@
 
 // beatZone sends heartbeats to the other daemons of the zone.
 func (h *Heartbeater) beatZone(t *tomb.Tomb) {
-	others := h.directory.Listed(func(i platform.Instance) bool {
-		return i.Role == platform.RoleEntry && i.AvailabilityZone == h.self.AvailabilityZone && i.ID != h.self.Instance
+	others := h.directory.Listed(func(i loglist.Instance) bool {
+		return i.Role == loglist.RoleEntry && i.AvailabilityZone == h.self.AvailabilityZone && i.ID != h.self.Instance
 	})
 	for _, other := range others {
 		h.send(t, other.Address)
--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -8,8 +8,8 @@
 	"connectrpc.com/connect"
 	peerv1 "github.com/bluebellstile/bluebellstile/internal/gen/peer/v1"
 	"github.com/bluebellstile/bluebellstile/internal/journal"
+	"github.com/bluebellstile/bluebellstile/internal/loglist"
 	"github.com/bluebellstile/bluebellstile/internal/membership"
-	"github.com/bluebellstile/bluebellstile/internal/platform"
 	"github.com/pkg/errors"
 )
 
@@ -55,7 +55,7 @@
 		page.AsOf = sent.Add(-time.Duration(response.Msg.FreshAgeMs) * time.Millisecond)
 	}
 	for _, r := range response.Msg.Records {
-		page.Records = append(page.Records, platform.Record{Offset: r.Offset, ID: r.Id, Data: r.Data})
+		page.Records = append(page.Records, loglist.Record{Offset: r.Offset, ID: r.Id, Data: r.Data})
 	}
 	return page, nil
 }
@@ -65,7 +65,7 @@
 // the platform about once; whoever can't reach its parent reads for itself.
 type Relay struct {
 	self      Identity
-	log       platform.Log
+	log       loglist.Log
 	clients   *Clients
 	table     *membership.Table
 	directory *membership.Directory
@@ -75,7 +75,7 @@
 }
 
 // NewRelay returns a relay over the given log.
-func NewRelay(self Identity, log platform.Log, clients *Clients, table *membership.Table, directory *membership.Directory, stale time.Duration, fresh func() (time.Duration, uint64, bool)) *Relay {
+func NewRelay(self Identity, log loglist.Log, clients *Clients, table *membership.Table, directory *membership.Directory, stale time.Duration, fresh func() (time.Duration, uint64, bool)) *Relay {
 	return &Relay{self: self, log: log, clients: clients, table: table, directory: directory, stale: stale, fresh: fresh}
 }
 
@@ -100,29 +100,29 @@
 }
 
 // selfInstance is this daemon as the list would name it.
-func (r *Relay) selfInstance() platform.Instance {
-	return platform.Instance{ID: r.self.Instance, AvailabilityZone: r.self.AvailabilityZone}
+func (r *Relay) selfInstance() loglist.Instance {
+	return loglist.Instance{ID: r.self.Instance, AvailabilityZone: r.self.AvailabilityZone}
 }
 
 // line lists the region's other daemons that may be read from, in order.
 // Those of the own zone must have been heard of late.
-func (r *Relay) line() []platform.Instance {
+func (r *Relay) line() []loglist.Instance {
 	heard := make(map[string]bool)
 	for _, m := range r.table.Live(r.self.AvailabilityZone, relayWithin) {
 		heard[m.Instance] = true
 	}
-	line := r.directory.Listed(func(i platform.Instance) bool {
-		if i.Role != platform.RoleEntry || i.Region != r.self.Region || i.ID == r.self.Instance {
+	line := r.directory.Listed(func(i loglist.Instance) bool {
+		if i.Role != loglist.RoleEntry || i.Region != r.self.Region || i.ID == r.self.Instance {
 			return false
 		}
-		return i.State == platform.StateLive && (i.AvailabilityZone != r.self.AvailabilityZone || heard[i.ID])
+		return i.State == loglist.StateLive && (i.AvailabilityZone != r.self.AvailabilityZone || heard[i.ID])
 	})
 	sort.Slice(line, func(i, j int) bool { return before(line[i], line[j]) })
 	return line
 }
 
 // before orders instances by zone, then id.
-func before(a, b platform.Instance) bool {
+func before(a, b loglist.Instance) bool {
 	if a.AvailabilityZone != b.AvailabilityZone {
 		return a.AvailabilityZone < b.AvailabilityZone
 	}
--- a/internal/server/cell_test.go
+++ b/internal/server/cell_test.go
@@ -18,7 +18,7 @@
 	"github.com/bluebellstile/bluebellstile/internal/api"
 	"github.com/bluebellstile/bluebellstile/internal/endpoint"
 	"github.com/bluebellstile/bluebellstile/internal/history"
-	"github.com/bluebellstile/bluebellstile/internal/platform"
+	"github.com/bluebellstile/bluebellstile/internal/loglist"
 	"github.com/bluebellstile/bluebellstile/internal/settings"
 	"github.com/bluebellstile/bluebellstile/internal/standin"
 	"github.com/bluebellstile/bluebellstile/operator"
@@ -92,14 +92,14 @@
 	writer := history.NewWriter(c)
 	worker := c.serveEndpoint(standin.EndpointOptions{ID: "w1", Kind: endpoint.KindWorker, Capacity: endpoint.Resources{MilliCores: 8000, MemoryMB: 8000}, History: writer})
 	c.runner = c.serveEndpoint(standin.EndpointOptions{ID: "r1", Kind: endpoint.KindRunner, Capacity: endpoint.Resources{Slots: 4}, History: writer})
-	instances := []platform.Instance{
-		{ID: "w1", Role: platform.RoleWorker, Address: worker.Addr(), Region: "r", AvailabilityZone: "a", State: platform.StateLive},
-		{ID: "r1", Role: platform.RoleRunner, Address: c.runner.Addr(), Region: "r", AvailabilityZone: "a", State: platform.StateLive},
+	instances := []loglist.Instance{
+		{ID: "w1", Role: loglist.RoleWorker, Address: worker.Addr(), Region: "r", AvailabilityZone: "a", State: loglist.StateLive},
+		{ID: "r1", Role: loglist.RoleRunner, Address: c.runner.Addr(), Region: "r", AvailabilityZone: "a", State: loglist.StateLive},
 	}
 	for i := range 2 {
 		d := c.newDaemon(fmt.Sprintf("d%d", i), "http://"+logURL, "http://"+listURL)
 		_, peerAddress, _ := d.Addresses()
-		instances = append(instances, platform.Instance{ID: d.self.Instance, Role: platform.RoleEntry, Address: peerAddress, Region: "r", AvailabilityZone: "a", State: platform.StateLive})
+		instances = append(instances, loglist.Instance{ID: d.self.Instance, Role: loglist.RoleEntry, Address: peerAddress, Region: "r", AvailabilityZone: "a", State: loglist.StateLive})
 	}
 	list.Set(instances)
 	for _, d := range c.daemons {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -17,10 +17,10 @@
 	"github.com/bluebellstile/bluebellstile/internal/claimant"
 	"github.com/bluebellstile/bluebellstile/internal/endpoint"
 	"github.com/bluebellstile/bluebellstile/internal/journal"
+	"github.com/bluebellstile/bluebellstile/internal/loglist"
 	"github.com/bluebellstile/bluebellstile/internal/membership"
 	"github.com/bluebellstile/bluebellstile/internal/metrics"
 	"github.com/bluebellstile/bluebellstile/internal/peer"
-	"github.com/bluebellstile/bluebellstile/internal/platform"
 	"github.com/bluebellstile/bluebellstile/internal/router"
 	"github.com/bluebellstile/bluebellstile/internal/settings"
 	"github.com/pkg/errors"
@@ -59,7 +59,7 @@
 	self     peer.Identity
 	tomb     *tomb.Tomb
 
-	platform    *platform.Client
+	platform    *loglist.Client
 	journal     *journal.Journal
 	directory   *membership.Directory
 	table       *membership.Table
@@ -133,8 +133,8 @@
 
 // compose makes the parts and connects them.
 func (s *Server) compose(tlsClient *tls.Config) {
-	s.platform = platform.NewClient(s.settings.Platform.LogURL, s.settings.Platform.ListURL,
-		platform.WithTimeout(s.settings.Platform.AppendTimeout), platform.WithMetrics(metrics.Platform))
+	s.platform = loglist.NewClient(s.settings.Platform.LogURL, s.settings.Platform.ListURL,
+		loglist.WithTimeout(s.settings.Platform.AppendTimeout), loglist.WithMetrics(metrics.Platform))
 	metrics.PublishPool(endpoint.SharedPool().Metrics())
 	s.directory = membership.NewDirectory(s.platform, s.self.AvailabilityZone, s.log)
 	s.table = membership.NewTable()
--- a/internal/server/standing.go
+++ b/internal/server/standing.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
+	"github.com/bluebellstile/bluebellstile/internal/loglist"
 	"github.com/bluebellstile/bluebellstile/internal/metrics"
 	"github.com/bluebellstile/bluebellstile/internal/peer"
-	"github.com/bluebellstile/bluebellstile/internal/platform"
 	"gopkg.in/tomb.v2"
 )
 
@@ -63,7 +63,7 @@
 
 // linkOf labels the link to another daemon for the byte counters.
 func (s *Server) linkOf(address string) string {
-	found := s.directory.Listed(func(i platform.Instance) bool { return i.Address == address })
+	found := s.directory.Listed(func(i loglist.Instance) bool { return i.Address == address })
 	switch {
 	case len(found) == 0:
 		return "unlisted"
--- a/internal/server/tls_test.go
+++ b/internal/server/tls_test.go
@@ -19,7 +19,7 @@
 	"testing"
 	"time"
 
-	"github.com/bluebellstile/bluebellstile/internal/platform"
+	"github.com/bluebellstile/bluebellstile/internal/loglist"
 	"github.com/bluebellstile/bluebellstile/internal/settings"
 	"github.com/bluebellstile/bluebellstile/internal/standin"
 )
@@ -100,7 +100,7 @@
 		t.Fatal(err)
 	}
 	var daemons []*Server
-	var instances []platform.Instance
+	var instances []loglist.Instance
 	for _, id := range ids {
 		s := settings.Default()
 		s.Instance = settings.Instance{ID: id, Zone: "a", Region: "r"}
@@ -111,7 +111,7 @@
 			t.Fatal(err)
 		}
 		daemons = append(daemons, d)
-		instances = append(instances, platform.Instance{ID: id, Role: platform.RoleEntry, Address: d.peer.address(), Region: "r", AvailabilityZone: "a", State: platform.StateLive})
+		instances = append(instances, loglist.Instance{ID: id, Role: loglist.RoleEntry, Address: d.peer.address(), Region: "r", AvailabilityZone: "a", State: loglist.StateLive})
 	}
 	list.Set(instances)
 	for _, d := range daemons {
--- a/internal/standin/cmd/standin/main_test.go
+++ b/internal/standin/cmd/standin/main_test.go
@@ -15,7 +15,7 @@
 
 	"github.com/bluebellstile/bluebellstile/internal/endpoint"
 	"github.com/bluebellstile/bluebellstile/internal/history"
-	"github.com/bluebellstile/bluebellstile/internal/platform"
+	"github.com/bluebellstile/bluebellstile/internal/loglist"
 )
 
 // runMainVariable makes the test binary behave as the command.
@@ -107,7 +107,7 @@
 
 func TestLogProcess(t *testing.T) {
 	p := start(t, "log", "-retention", "2")
-	client := platform.NewClient("http://"+p.Address, "")
+	client := loglist.NewClient("http://"+p.Address, "")
 	defer client.Close()
 	for range 3 {
 		if _, err := client.Append(context.Background(), "a", []byte("x")); err != nil {
@@ -119,7 +119,7 @@
 		t.Fatalf("page %+v, %v", page, err)
 	}
 	p.admin(http.MethodPost, "/fault", `{"name":"down","value":true}`)
-	if _, err := client.Append(context.Background(), "a", nil); platform.KindOf(err) != platform.KindAppendUnknown {
+	if _, err := client.Append(context.Background(), "a", nil); loglist.KindOf(err) != loglist.KindAppendUnknown {
 		t.Fatalf("append to a log that is down: %v", err)
 	}
 	p.stop()
@@ -135,11 +135,11 @@
 	}
 	write(`[{"id":"a","state":"live"}]`)
 	p := start(t, "list", "-file", file, "-lag", "0s")
-	client := platform.NewClient("", "http://"+p.Address)
+	client := loglist.NewClient("", "http://"+p.Address)
 	defer client.Close()
 	shows := func(id string) func() bool {
 		return func() bool {
-			list, err := client.Instances(context.Background(), platform.Filter{})
+			list, err := client.Instances(context.Background(), loglist.Filter{})
 			return err == nil && len(list.Instances) == 1 && list.Instances[0].ID == id
 		}
 	}
--- a/internal/standin/cmd/standin/platform.go
+++ b/internal/standin/cmd/standin/platform.go
@@ -12,7 +12,7 @@
 	"github.com/pkg/errors"
 	"gopkg.in/tomb.v2"
 
-	"github.com/bluebellstile/bluebellstile/internal/platform"
+	"github.com/bluebellstile/bluebellstile/internal/loglist"
 	"github.com/bluebellstile/bluebellstile/internal/standin"
 )
 
@@ -92,7 +92,7 @@
 }
 
 // read returns the file's instances, or none if there is no file.
-func (f *instanceFile) read() ([]platform.Instance, error) {
+func (f *instanceFile) read() ([]loglist.Instance, error) {
 	if f.path == "" {
 		return nil, nil
 	}
@@ -104,7 +104,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "check -file")
 	}
-	var instances []platform.Instance
+	var instances []loglist.Instance
 	if err := json.Unmarshal(data, &instances); err != nil {
 		return nil, errors.Wrapf(err, "%s is not a JSON list of instances", f.path)
 	}
--- a/internal/standin/list.go
+++ b/internal/standin/list.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"github.com/bluebellstile/bluebellstile/internal/platform"
+	"github.com/bluebellstile/bluebellstile/internal/loglist"
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -29,19 +29,19 @@
 	mu sync.Mutex
 	// versions are the last maxVersions in the order of time.
 	versions []listVersion
-	wrong    []platform.Instance
+	wrong    []loglist.Instance
 	hidden   []string
 }
 
 // listVersion is the list from a moment on.
 type listVersion struct {
 	since     time.Time
-	instances []platform.Instance
+	instances []loglist.Instance
 }
 
 // NewList returns a list that has held instances for ever and shows changes
 // after lag.
-func NewList(instances []platform.Instance, lag time.Duration) *List {
+func NewList(instances []loglist.Instance, lag time.Duration) *List {
 	l := &List{faults: newFaults(), now: time.Now}
 	l.link = newLinkFaults(l.faults)
 	l.lag = l.faults.duration("lag", "answer what was true this long ago", lag)
@@ -64,7 +64,7 @@
 func (l *List) Faults() *Faults { return l.faults }
 
 // Set replaces the true list.
-func (l *List) Set(instances []platform.Instance) {
+func (l *List) Set(instances []loglist.Instance) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.versions = append(l.versions, listVersion{since: l.now(), instances: slices.Clone(instances)})
@@ -73,13 +73,13 @@
 	}
 }
 
-func (l *List) setWrong(instances []platform.Instance) {
+func (l *List) setWrong(instances []loglist.Instance) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.wrong = instances
 }
 
-func (l *List) wrongEntries() []platform.Instance {
+func (l *List) wrongEntries() []loglist.Instance {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return slices.Clone(l.wrong)
@@ -92,17 +92,17 @@
 }
 
 // Instances returns the lagging list with the wrong entries applied.
-func (l *List) Instances() *platform.InstanceList {
+func (l *List) Instances() *loglist.InstanceList {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	asOf := l.now().Add(-l.lag.get())
-	shown := make([]platform.Instance, 0, len(l.wrong))
+	shown := make([]loglist.Instance, 0, len(l.wrong))
 	for _, instance := range l.versionLocked(asOf).instances {
 		if !l.maskedLocked(instance.ID) {
 			shown = append(shown, instance)
 		}
 	}
-	return &platform.InstanceList{Instances: append(shown, l.wrong...), AsOf: asOf}
+	return &loglist.InstanceList{Instances: append(shown, l.wrong...), AsOf: asOf}
 }
 
 // versionLocked returns the version in force at a moment.
@@ -119,26 +119,26 @@
 
 // maskedLocked reports whether a true entry is hidden or replaced.
 func (l *List) maskedLocked(id string) bool {
-	replaced := slices.ContainsFunc(l.wrong, func(i platform.Instance) bool { return i.ID == id })
+	replaced := slices.ContainsFunc(l.wrong, func(i loglist.Instance) bool { return i.ID == id })
 	return replaced || slices.Contains(l.hidden, id)
 }
 
 // Handler serves the list's interface.
 func (l *List) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+platform.PathInstances, l.serveList)
+	mux.HandleFunc("GET "+loglist.PathInstances, l.serveList)
 	return l.link.wrap(mux)
 }
 
 // serveList answers the filtered list, or that it has not changed.
 func (l *List) serveList(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
-	filter := platform.Filter{
-		Role:             platform.Role(query.Get(platform.ParamRole)),
-		AvailabilityZone: query.Get(platform.ParamAvailabilityZone),
+	filter := loglist.Filter{
+		Role:             loglist.Role(query.Get(loglist.ParamRole)),
+		AvailabilityZone: query.Get(loglist.ParamAvailabilityZone),
 	}
 	list := l.Instances()
-	list.Instances = slices.DeleteFunc(list.Instances, func(i platform.Instance) bool { return !filter.Matches(i) })
+	list.Instances = slices.DeleteFunc(list.Instances, func(i loglist.Instance) bool { return !filter.Matches(i) })
 	tag := entityTag(list.Instances)
 	w.Header().Set("ETag", tag)
 	if r.Header.Get("If-None-Match") == tag {
@@ -149,7 +149,7 @@
 }
 
 // entityTag identifies the contents of a list.
-func entityTag(instances []platform.Instance) string {
+func entityTag(instances []loglist.Instance) string {
 	h := xxhash.New()
 	for _, i := range instances {
 		_, _ = fmt.Fprintf(h, "%q\n", i)
@@ -164,7 +164,7 @@
 func (l *List) AdminHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("PUT "+PathTrueInstances, func(w http.ResponseWriter, r *http.Request) {
-		var instances []platform.Instance
+		var instances []loglist.Instance
 		if status, err := readJSON(w, r, maxListBytes, &instances); err != nil {
 			http.Error(w, err.Error(), status)
 			return
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -8,7 +8,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/bluebellstile/bluebellstile/internal/platform"
+	"github.com/bluebellstile/bluebellstile/internal/loglist"
 )
 
 // Bounds of the log's pages.
@@ -41,7 +41,7 @@
 	duplicate     *atomic.Bool
 
 	mu      sync.Mutex
-	records []platform.Record
+	records []loglist.Record
 	first   uint64
 	bytes   int
 	// grown is closed and replaced by each append.
@@ -82,7 +82,7 @@
 
 func (l *Log) appendLocked(id string, data []byte) uint64 {
 	offset := l.endLocked()
-	l.records = append(l.records, platform.Record{Offset: offset, ID: id, Data: data})
+	l.records = append(l.records, loglist.Record{Offset: offset, ID: id, Data: data})
 	l.bytes += len(data)
 	return offset
 }
@@ -94,7 +94,7 @@
 func (l *Log) trimLocked() {
 	for len(l.records) > 0 && l.overLocked() {
 		l.bytes -= len(l.records[0].Data)
-		l.records[0] = platform.Record{}
+		l.records[0] = loglist.Record{}
 		l.records = l.records[1:]
 		l.first++
 	}
@@ -121,7 +121,7 @@
 // Read returns a page from offset from on, waiting up to wait for the first
 // record. From 0 means the first kept record. If from is below that, the page
 // is empty and its First is above from.
-func (l *Log) Read(ctx context.Context, from uint64, limit int, wait time.Duration) *platform.ReadResponse {
+func (l *Log) Read(ctx context.Context, from uint64, limit int, wait time.Duration) *loglist.ReadResponse {
 	timer := time.NewTimer(min(wait, maxReadWait))
 	defer timer.Stop()
 	for {
@@ -141,10 +141,10 @@
 }
 
 // page returns what stands at from, and the channel that the next append closes.
-func (l *Log) page(from uint64, limit int) (*platform.ReadResponse, <-chan struct{}) {
+func (l *Log) page(from uint64, limit int) (*loglist.ReadResponse, <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	page := &platform.ReadResponse{Records: []platform.Record{}, First: l.first, End: l.endLocked()}
+	page := &loglist.ReadResponse{Records: []loglist.Record{}, First: l.first, End: l.endLocked()}
 	if from == 0 {
 		from = l.first
 	}
--- a/internal/standin/log_http.go
+++ b/internal/standin/log_http.go
@@ -9,17 +9,17 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/bluebellstile/bluebellstile/internal/platform"
+	"github.com/bluebellstile/bluebellstile/internal/loglist"
 )
 
 // maxAppendBytes bounds the body of an append: base64 takes 4/3 of the data.
-const maxAppendBytes = 2 * platform.MaxRecordBytes
+const maxAppendBytes = 2 * loglist.MaxRecordBytes
 
 // Handler serves the log's interface.
 func (l *Log) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+platform.PathRecords, l.handleAppend)
-	mux.HandleFunc("GET "+platform.PathRecords, l.handleRead)
+	mux.HandleFunc("POST "+loglist.PathRecords, l.handleAppend)
+	mux.HandleFunc("GET "+loglist.PathRecords, l.handleRead)
 	return l.link.wrap(mux)
 }
 
@@ -28,7 +28,7 @@
 		http.Error(w, "appends are refused", http.StatusServiceUnavailable)
 		return
 	}
-	var req platform.AppendRequest
+	var req loglist.AppendRequest
 	if status, err := readJSON(w, r, maxAppendBytes, &req); err != nil {
 		http.Error(w, err.Error(), status)
 		return
@@ -37,7 +37,7 @@
 		http.Error(w, "record id is empty", http.StatusBadRequest)
 		return
 	}
-	if len(req.Data) > platform.MaxRecordBytes {
+	if len(req.Data) > loglist.MaxRecordBytes {
 		http.Error(w, "record is too large", http.StatusRequestEntityTooLarge)
 		return
 	}
@@ -46,7 +46,7 @@
 		http.Error(w, "append rate is over its cap", http.StatusTooManyRequests)
 		return
 	}
-	writeJSON(w, http.StatusOK, platform.AppendResponse{Offset: l.Append(req.ID, req.Data)})
+	writeJSON(w, http.StatusOK, loglist.AppendResponse{Offset: l.Append(req.ID, req.Data)})
 }
 
 func (l *Log) handleRead(w http.ResponseWriter, r *http.Request) {
@@ -67,7 +67,7 @@
 	page := l.Read(r.Context(), uint64(from), int(min(limit, defaultReadLimit)), wait)
 	status := http.StatusOK
 	if from > 0 && page.First > uint64(from) {
-		status = platform.StatusTrimmed
+		status = loglist.StatusTrimmed
 	}
 	writeJSON(w, status, page)
 }
--- a/internal/standin/platform_test.go
+++ b/internal/standin/platform_test.go
@@ -12,7 +12,7 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
-	"github.com/bluebellstile/bluebellstile/internal/platform"
+	"github.com/bluebellstile/bluebellstile/internal/loglist"
 	"github.com/bluebellstile/bluebellstile/internal/standin"
 )
 
@@ -83,7 +83,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			answer := httptest.NewRecorder()
-			handler.ServeHTTP(answer, httptest.NewRequest(c.method, platform.PathRecords+c.query, strings.NewReader(c.body)))
+			handler.ServeHTTP(answer, httptest.NewRequest(c.method, loglist.PathRecords+c.query, strings.NewReader(c.body)))
 			if answer.Code != c.status {
 				t.Fatalf("status %d", answer.Code)
 			}
@@ -92,8 +92,8 @@
 }
 
 func TestListShowsWrongAndHidesEntries(t *testing.T) {
-	list := standin.NewList([]platform.Instance{{ID: "a"}, {ID: "b"}, {ID: "c"}}, 0)
-	setFault(t, list.Faults(), "wrong", []platform.Instance{{ID: "b", Address: "elsewhere"}, {ID: "ghost"}})
+	list := standin.NewList([]loglist.Instance{{ID: "a"}, {ID: "b"}, {ID: "c"}}, 0)
+	setFault(t, list.Faults(), "wrong", []loglist.Instance{{ID: "b", Address: "elsewhere"}, {ID: "ghost"}})
 	setFault(t, list.Faults(), "hide", []string{"c"})
 	var shown []string
 	for _, instance := range list.Instances().Instances {
