--- a/cmd/bluebellstiled/main.go
+++ b/cmd/bluebellstiled/main.go
@@ -24,11 +24,18 @@
 	exitSettings = 2
 )
 
+// defaultSettings is the settings file of a daemon that is not told one.
+const defaultSettings = "bluebellstiled.ini"
+
 func main() {
-	path := flag.String("config", "bluebellstiled.ini", "settings file")
+	path := flag.String("config", "", "settings file; "+defaultSettings+" unless given, with -site that of $"+settingsVariable)
 	check := flag.Bool("check", false, "check the settings file and exit")
 	sample := flag.Bool("sample", false, "print a sample settings file and exit")
+	site := flag.Bool("site", false, "run on the users' platform")
 	flag.Parse()
+	if *site {
+		os.Exit(runSite(*path, *check, *sample))
+	}
 	os.Exit(run(*path, *check, *sample))
 }
 
@@ -38,6 +45,9 @@
 		fmt.Print(settings.Sample())
 		return exitOK
 	}
+	if path == "" {
+		path = defaultSettings
+	}
 	loaded, err := settings.Load(path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -56,7 +66,23 @@
 	}
 	daemon.Start()
 	announce(daemon)
-	return await(daemon, path)
+	return await(&cellDaemon{Server: daemon, path: path})
+}
+
+// daemon is what the signals of the operating system act on.
+type daemon interface {
+	// Dying returns a channel that is closed when the daemon has failed.
+	Dying() <-chan struct{}
+	// reload reads the settings again; a file with an error changes nothing.
+	reload()
+	// stop shuts the daemon down gracefully.
+	stop(ctx context.Context) error
+}
+
+// cellDaemon is a daemon of a cell with its own log and list.
+type cellDaemon struct {
+	*server.Server
+	path string
 }
 
 // newLogger returns a logger to standard error.
@@ -91,35 +117,38 @@
 }
 
 // await reloads on SIGHUP and stops on SIGTERM or SIGINT.
-func await(daemon *server.Server, path string) int {
+func await(d daemon) int {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT)
 	for {
 		select {
-		case <-daemon.Dying():
-			return stop(daemon)
+		case <-d.Dying():
+			return stop(d)
 		case s := <-signals:
 			if s != syscall.SIGHUP {
-				return stop(daemon)
+				return stop(d)
 			}
-			reload(daemon, path)
+			d.reload()
 		}
 	}
 }
 
-// reload reads the settings again; a file with an error changes nothing.
-func reload(daemon *server.Server, path string) {
-	next, err := settings.Load(path)
+// reload implements daemon.
+func (d *cellDaemon) reload() {
+	next, err := settings.Load(d.path)
 	if err != nil {
 		slog.Error("settings not reloaded", "error", err)
 		return
 	}
-	daemon.Reload(next)
+	d.Reload(next)
 }
 
-// stop shuts the daemon down gracefully.
-func stop(daemon *server.Server) int {
-	if err := daemon.Stop(context.Background()); err != nil {
+// stop implements daemon.
+func (d *cellDaemon) stop(ctx context.Context) error { return d.Stop(ctx) }
+
+// stop shuts a daemon down and returns the exit code.
+func stop(d daemon) int {
+	if err := d.stop(context.Background()); err != nil {
 		slog.Error("daemon did not stop cleanly", "error", err)
 		return exitFailed
 	}
--- /dev/null
+++ b/internal/controller/controller.go
@@ -0,0 +1,387 @@
+package controller
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/bluebellstile/bluebellstile/internal/catalog"
+	"github.com/bluebellstile/bluebellstile/internal/clock"
+	"github.com/bluebellstile/bluebellstile/internal/fleet"
+	"github.com/bluebellstile/bluebellstile/internal/keyedlog"
+	"github.com/bluebellstile/bluebellstile/internal/workload"
+	"github.com/pkg/errors"
+	"gopkg.in/tomb.v2"
+)
+
+// ErrTermEnded is returned for calls whose term has ended before their result
+// was known.
+var ErrTermEnded = errors.New("the term has ended; ask the next holder")
+
+const (
+	// tickInterval is how often what is due is looked for.
+	tickInterval = 20 * time.Millisecond
+	// planGap is the least time between two plans, so that events that come
+	// close together are planned for at once.
+	planGap = 8 * time.Millisecond
+	// appendGap is the least time between the begins of two appends; calls of
+	// the log are charged, and one of them takes about this long.
+	appendGap = 12 * time.Millisecond
+	// proveAfter is the age of the last proof at which an append without
+	// records is made to renew it.
+	proveAfter = time.Second
+)
+
+// Currency judges whether the term is current.
+type Currency interface {
+	// Prove notes that the term was current at an instant.
+	Prove(at time.Duration)
+	// Proven returns the instant of the last proof.
+	Proven() time.Duration
+	// Valid reports whether orders may be given.
+	Valid(now time.Duration) bool
+}
+
+// Controller runs a core: it carries out the core's orders, appends its
+// records and feeds the results back. It is safe for concurrent use.
+type Controller struct {
+	epoch       int64
+	clock       clock.Clock
+	currency    Currency
+	endpoints   Endpoints
+	eligibility Eligibility
+	writer      *keyedlog.Writer
+	log         *slog.Logger
+
+	mu   sync.Mutex
+	core *Core
+
+	kick chan struct{}
+	tomb *tomb.Tomb
+	// appending is set while an append is under way; lastAppend and lastPlan
+	// are when the last ones began. They belong to the pump.
+	lastAppend time.Duration
+	lastPlan   time.Duration
+	appended   chan struct{}
+	appending  bool
+	// proofWanted asks the pump for a proof that the term is current.
+	proofWanted atomic.Bool
+}
+
+// Options are what a controller works with.
+type Options struct {
+	Epoch       int64
+	Clock       clock.Clock
+	Currency    Currency
+	Endpoints   Endpoints
+	Eligibility Eligibility
+	Writer      *keyedlog.Writer
+	Logger      *slog.Logger
+}
+
+// NewController returns a controller of a core to which earlier terms' records
+// have been restored.
+func NewController(core *Core, o Options) *Controller {
+	return &Controller{
+		epoch:       o.Epoch,
+		clock:       o.Clock,
+		currency:    o.Currency,
+		endpoints:   o.Endpoints,
+		eligibility: o.Eligibility,
+		writer:      o.Writer,
+		log:         o.Logger,
+		core:        core,
+		kick:        make(chan struct{}, 1),
+		appended:    make(chan struct{}, 1),
+	}
+}
+
+// Start runs the term until t dies. A term that is superseded kills t with
+// ErrTermEnded.
+func (c *Controller) Start(t *tomb.Tomb) {
+	c.tomb = t
+	t.Go(c.pump)
+}
+
+// Epoch returns the term's epoch.
+func (c *Controller) Epoch() int64 { return c.epoch }
+
+// with runs f on the core and wakes the pump.
+func (c *Controller) with(f func(now clock.Instant, core *Core)) {
+	c.mu.Lock()
+	f(clock.Read(c.clock), c.core)
+	c.mu.Unlock()
+	c.wake()
+}
+
+func (c *Controller) wake() {
+	select {
+	case c.kick <- struct{}{}:
+	default:
+	}
+}
+
+// pump lets the core do what is due and carries out what it wants done.
+func (c *Controller) pump() error {
+	timer := time.NewTimer(tickInterval)
+	defer timer.Stop()
+	for {
+		select {
+		case <-c.tomb.Dying():
+			return nil
+		case <-c.kick:
+		case <-timer.C:
+		case <-c.appended:
+			c.appending = false
+		}
+		timer.Reset(c.turn())
+	}
+}
+
+// turn is one round of the pump. It returns when the next one is due.
+func (c *Controller) turn() time.Duration {
+	now := clock.Read(c.clock)
+	var batch *Batch
+	next := tickInterval
+	c.mu.Lock()
+	c.core.Tick(now)
+	if wait := c.lastPlan + planGap - now.Steady; wait <= 0 {
+		c.lastPlan = now.Steady
+		c.core.Plan(now)
+	} else {
+		next = min(next, wait)
+	}
+	orders := c.core.TakeOrders()
+	if wait := c.lastAppend + appendGap - now.Steady; wait > 0 {
+		next = min(next, wait)
+	} else if !c.appending {
+		batch = c.core.Seal()
+	}
+	c.mu.Unlock()
+	c.dispatch(orders)
+	if batch != nil || c.needsProof(now.Steady) {
+		c.appending = true
+		c.lastAppend = now.Steady
+		c.proofWanted.Store(false)
+		c.tomb.Go(func() error { return c.append(batch) })
+	}
+	return next
+}
+
+// needsProof reports whether an append without records should be made.
+func (c *Controller) needsProof(now time.Duration) bool {
+	if c.appending {
+		return false
+	}
+	return c.proofWanted.Load() || now-c.currency.Proven() > proveAfter && now-c.lastAppend > proveAfter
+}
+
+// append appends a batch, or only renews the proof that the term is current if
+// batch is nil or without records.
+func (c *Controller) append(batch *Batch) error {
+	defer func() {
+		select {
+		case c.appended <- struct{}{}:
+		default:
+		}
+	}()
+	began := c.clock.Now()
+	ctx := c.tomb.Context(context.Background())
+	err := c.write(ctx, batch)
+	if err != nil {
+		if c.tomb.Alive() {
+			c.log.Warn("term ends, its append failed", "epoch", c.epoch, "error", err)
+			c.tomb.Kill(ErrTermEnded)
+		}
+		return nil
+	}
+	c.currency.Prove(began)
+	if batch != nil {
+		c.mu.Lock()
+		c.core.Committed(clock.Read(c.clock), batch)
+		c.mu.Unlock()
+	}
+	return nil
+}
+
+// write appends the records of a batch.
+func (c *Controller) write(ctx context.Context, batch *Batch) error {
+	if batch == nil {
+		return c.writer.Fence(ctx)
+	}
+	if len(batch.Records) == 0 {
+		return nil
+	}
+	return c.writer.Append(ctx, batch.Records, func(err error) {
+		c.log.Warn("append not done yet", "epoch", c.epoch, "records", len(batch.Records), "error", err)
+	})
+}
+
+// dispatch carries out orders, each by itself.
+func (c *Controller) dispatch(orders []Order) {
+	for _, o := range orders {
+		c.tomb.Go(func() error {
+			c.carryOut(o)
+			return nil
+		})
+	}
+}
+
+// notCurrent is the outcome of orders that were held back.
+var notCurrent = Outcome{Fate: FateNotSent, Detail: "the term is not proven current"}
+
+// carryOut carries out one order and feeds back its result. The proof that the
+// term is current is looked at last, since the process may have stood still.
+func (c *Controller) carryOut(o Order) {
+	ctx := c.tomb.Context(context.Background())
+	valid := c.currency.Valid(c.clock.Now())
+	switch o := o.(type) {
+	case *StartOrder:
+		out := notCurrent
+		if valid {
+			out = c.endpoints.Start(ctx, c.epoch, o)
+		}
+		c.taken(out, func(now clock.Instant, core *Core) { core.StartAnswered(now, o, out) })
+	case *StopOrder:
+		out := notCurrent
+		if valid {
+			out = c.endpoints.Stop(ctx, c.epoch, o)
+		}
+		c.taken(out, func(now clock.Instant, core *Core) { core.StopAnswered(now, o, out) })
+	case *PaceOrder:
+		out := notCurrent
+		if valid {
+			out = c.endpoints.Pace(ctx, c.epoch, o)
+		}
+		c.taken(out, func(clock.Instant, *Core) {})
+	case *HoldOrder:
+		out, report := notCurrent, Report{}
+		if valid {
+			report, out = c.endpoints.Hold(ctx, c.epoch, o)
+		}
+		c.taken(out, func(now clock.Instant, core *Core) { core.HoldAnswered(now, o, report, out) })
+	case *AskOrder:
+		answer, err := c.eligibility.Ask(ctx, o)
+		c.with(func(now clock.Instant, core *Core) { core.AskAnswered(now, o, answer, err) })
+	}
+}
+
+// taken feeds back the result of an order to an endpoint. A refusal for a
+// higher epoch ends the term.
+func (c *Controller) taken(out Outcome, f func(clock.Instant, *Core)) {
+	if out.Fate == FateRefused && out.Reason == ReasonFenced {
+		if c.tomb.Alive() {
+			c.log.Warn("term ends, an endpoint has seen a higher epoch", "epoch", c.epoch, "detail", out.Detail)
+		}
+		c.tomb.Kill(ErrTermEnded)
+		return
+	}
+	if c.tomb.Alive() {
+		c.with(f)
+	}
+}
+
+// Submit accepts a job; it returns ErrTermEnded if its fate is not known here.
+func (c *Controller) Submit(ctx context.Context, s Submission) (SubmitResult, error) {
+	done := make(chan SubmitResult, 1)
+	c.with(func(now clock.Instant, core *Core) {
+		core.Submit(now, s, func(r SubmitResult) { done <- r })
+	})
+	return await(ctx, c.tomb, done)
+}
+
+// Cancel ends a job and reports whether there is such a job.
+func (c *Controller) Cancel(ctx context.Context, id workload.ID, customer string) (bool, error) {
+	done := make(chan bool, 1)
+	c.with(func(now clock.Instant, core *Core) {
+		core.Cancel(now, id, customer, func(found bool) { done <- found })
+	})
+	return await(ctx, c.tomb, done)
+}
+
+// proofPoll is how often a caller looks for the proof that it waits for.
+const proofPoll = 5 * time.Millisecond
+
+// ConfirmCurrent returns nil once the term is known to have been current after
+// the call, so that what is not known here is not known to any later holder
+// that had begun before.
+func (c *Controller) ConfirmCurrent(ctx context.Context) error {
+	since := c.clock.Now()
+	ticker := time.NewTicker(proofPoll)
+	defer ticker.Stop()
+	for c.currency.Proven() < since {
+		c.proofWanted.Store(true)
+		c.wake()
+		select {
+		case <-ticker.C:
+		case <-c.tomb.Dying():
+			return ErrTermEnded
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// await waits for a result of the core.
+func await[T any](ctx context.Context, t *tomb.Tomb, done <-chan T) (T, error) {
+	var none T
+	select {
+	case r := <-done:
+		return r, nil
+	case <-t.Dying():
+	case <-ctx.Done():
+		return none, ctx.Err()
+	}
+	select {
+	case r := <-done:
+		return r, nil
+	default:
+		return none, ErrTermEnded
+	}
+}
+
+// Status returns the state of a job.
+func (c *Controller) Status(id workload.ID, customer string) (workload.State, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.core.Status(id, customer)
+}
+
+// Waiting counts the jobs of a queue of which no task has started.
+func (c *Controller) Waiting(queue string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.core.Waiting(queue)
+}
+
+// SetCatalog brings a newer configuration into force.
+func (c *Controller) SetCatalog(next *catalog.Catalog) {
+	c.with(func(_ clock.Instant, core *Core) { core.SetCatalog(next) })
+}
+
+// Version returns the version of the configuration in force.
+func (c *Controller) Version() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.core.Version()
+}
+
+// EndpointListed takes in what the registry says of an endpoint.
+func (c *Controller) EndpointListed(r fleet.Registration) {
+	c.with(func(now clock.Instant, core *Core) { core.EndpointListed(now, r) })
+}
+
+// EndpointUnlisted takes in that the registry lacks an endpoint.
+func (c *Controller) EndpointUnlisted(id string) {
+	c.with(func(_ clock.Instant, core *Core) { core.EndpointUnlisted(id) })
+}
+
+// Stats returns what the term has done.
+func (c *Controller) Stats() Stats {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.core.Stats()
+}
--- /dev/null
+++ b/internal/controller/core.go
@@ -0,0 +1,245 @@
+// Package controller runs the work of a cell during one term: it takes jobs
+// in, starts their tasks on endpoints, follows them to their end and keeps
+// what must outlive the term in the log.
+//
+// Core holds all decisions and state. It performs no I/O, starts no goroutine
+// and reads no clock: events go in by its methods, orders and records come
+// out. Controller connects it to the log, the endpoints and the clock.
+package controller
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/bluebellstile/bluebellstile/internal/catalog"
+	"github.com/bluebellstile/bluebellstile/internal/clock"
+	"github.com/bluebellstile/bluebellstile/internal/fleet"
+	"github.com/bluebellstile/bluebellstile/internal/scheduler"
+	"github.com/bluebellstile/bluebellstile/internal/workload"
+)
+
+// Bounds are figures that the deployment gives.
+type Bounds struct {
+	// Lease is for how long endpoints run tasks without a renewal.
+	Lease time.Duration
+	// LeaseMax is the longest lease that endpoints grant.
+	LeaseMax time.Duration
+	// StopGrace is the longest that a stop takes.
+	StopGrace time.Duration
+	// GangWait is how long a gang's members wait for each other.
+	GangWait time.Duration
+	// StateKept is for how long the state of an ended job is told.
+	StateKept time.Duration
+	// TermGrace is for how long a holder may give orders after its last proof
+	// that its term is current.
+	TermGrace time.Duration
+	// FarFactor is how much longer a task takes away from its data.
+	FarFactor float64
+	// RateWindow is the span over which a customer's rate of jobs is judged.
+	RateWindow time.Duration
+}
+
+// Core is the state of a term. It is not safe for concurrent use.
+type Core struct {
+	bounds  Bounds
+	log     *slog.Logger
+	catalog *catalog.Catalog
+	fleet   *fleet.Fleet
+	// began is when the log refused all earlier terms.
+	began time.Duration
+
+	jobs map[workload.ID]*jobEntry
+	// steps are the ready steps that are not done.
+	steps map[*workload.StepRun]*stepEntry
+	// recurring are the jobs with an occurrence that is not open yet.
+	recurring map[workload.ID]*jobEntry
+	// ended are the ended jobs in order of their end.
+	ended []*jobEntry
+	rates map[string]*bucket
+	// goodShare is the share of endpoints that may run a queue's steps.
+	goodShare map[string]float64
+	// control is what the core remembers of each endpoint beside its account.
+	control map[*fleet.Endpoint]*endpointControl
+
+	batch  *Batch
+	orders []Order
+	// planDue is set when a plan may find something to do.
+	planDue bool
+	stats   Stats
+}
+
+// Stats counts what a core has done.
+type Stats struct {
+	Plans     int64
+	Starts    int64
+	Questions int64
+	Holds     int64
+	Stops     int64
+	Refused   int64
+	Doubtful  int64
+	Lapsed    int64
+	// Waiting and Running count tasks at present.
+	Waiting int
+	Running int
+}
+
+// jobEntry is a job and what the core knows beside it.
+type jobEntry struct {
+	job *workload.Job
+	// admitted is set once the job's admission stands in the log.
+	admitted bool
+	// ended is set once the job's final state stands in the log.
+	ended bool
+	// waiters are told when the admission stands in the log.
+	waiters []func(SubmitResult)
+}
+
+// stepEntry is a ready step and what the core knows beside it.
+type stepEntry struct {
+	step  *workload.StepRun
+	entry *jobEntry
+	since time.Duration
+	// latestStart is when the step has to start for its job to be in time.
+	latestStart time.Duration
+	access      *scheduler.Access
+	asked       int
+	askAfter    time.Duration
+	// waiting caches the tasks that wait; stale says that it must be made anew.
+	waiting []int
+	stale   bool
+	// failedOn remembers where tasks have failed.
+	failedOn map[int]map[string]bool
+}
+
+// New returns a core without jobs and endpoints. The log has refused writes of
+// earlier terms since before began.
+func New(bounds Bounds, current *catalog.Catalog, began time.Duration, logger *slog.Logger) *Core {
+	return &Core{
+		bounds:    bounds,
+		began:     began,
+		log:       logger,
+		catalog:   current,
+		fleet:     fleet.New(),
+		jobs:      make(map[workload.ID]*jobEntry),
+		steps:     make(map[*workload.StepRun]*stepEntry),
+		recurring: make(map[workload.ID]*jobEntry),
+		rates:     make(map[string]*bucket),
+		goodShare: make(map[string]float64),
+		control:   make(map[*fleet.Endpoint]*endpointControl),
+		batch:     newBatch(),
+	}
+}
+
+// SetCatalog brings a newer configuration into force.
+func (c *Core) SetCatalog(next *catalog.Catalog) {
+	if next.Version > c.catalog.Version {
+		c.catalog = next
+		c.planDue = true
+	}
+}
+
+// Version returns the version of the configuration in force.
+func (c *Core) Version() int64 { return c.catalog.Version }
+
+// TakeOrders returns the orders that are to be carried out now.
+func (c *Core) TakeOrders() []Order {
+	orders := c.orders
+	c.orders = nil
+	return orders
+}
+
+// emit hands out an order.
+func (c *Core) emit(o Order) { c.orders = append(c.orders, o) }
+
+// Stats returns the counts.
+func (c *Core) Stats() Stats {
+	s := c.stats
+	s.Waiting, s.Running = 0, 0
+	for _, e := range c.steps {
+		s.Waiting += len(c.waitingTasks(e))
+	}
+	for _, e := range c.fleet.Endpoints() {
+		s.Running += len(e.Runs())
+	}
+	return s
+}
+
+// addJob takes a job into the books and opens what is due.
+func (c *Core) addJob(now clock.Instant, e *jobEntry) {
+	c.jobs[e.job.ID] = e
+	if e.job.Final() {
+		c.ended = append(c.ended, e)
+		return
+	}
+	c.openDue(now, e)
+	for _, o := range e.job.Live() {
+		c.openSteps(now, e, o)
+	}
+}
+
+// openDue opens the occurrences of a job that are due.
+func (c *Core) openDue(now clock.Instant, e *jobEntry) {
+	for {
+		due, ok := e.job.NextDue()
+		if !ok {
+			delete(c.recurring, e.job.ID)
+			return
+		}
+		if due.After(now.Wall) {
+			c.recurring[e.job.ID] = e
+			return
+		}
+		o := e.job.OpenNext()
+		c.batch.touch(e)
+		c.openSteps(now, e, o)
+	}
+}
+
+// openSteps takes the ready steps of an occurrence into the books.
+func (c *Core) openSteps(now clock.Instant, e *jobEntry, o *workload.Occurrence) {
+	for _, s := range o.Steps {
+		if s.Done() || !s.Ready() || c.steps[s] != nil {
+			continue
+		}
+		c.steps[s] = c.newStepEntry(now, e, s)
+		c.planDue = true
+	}
+}
+
+// adviceEndpoints is how many endpoints the objective of a job counts for each
+// question; the users' rules name the figure.
+const adviceEndpoints = 30
+
+func (c *Core) newStepEntry(now clock.Instant, e *jobEntry, s *workload.StepRun) *stepEntry {
+	entry := &stepEntry{step: s, entry: e, since: now.Steady, stale: true}
+	extra := time.Duration(0)
+	q := c.catalog.Queue(e.job.Queue)
+	if q == nil {
+		entry.latestStart = now.Steady
+		return entry
+	}
+	if q.Eligibility != nil {
+		extra = q.Eligibility.Cost(adviceEndpoints)
+		entry.access = &scheduler.Access{
+			Known:   make(map[scheduler.Incarnation]bool),
+			Permits: make(map[scheduler.Incarnation]scheduler.Permit),
+		}
+	}
+	begun := e.job.Accepted
+	if r := e.job.Spec.Recurrence; r != nil {
+		begun = r.Due(s.Occurrence.Index)
+	}
+	objective := time.Duration(q.Stretch*float64(e.job.Spec.LongestChain(extra))) + q.Objective
+	left := begun.Add(objective).Sub(now.Wall) - e.job.Spec.ChainFrom(s.Index, extra)
+	entry.latestStart = now.Steady + left
+	return entry
+}
+
+// closeSteps drops the steps of a job that are done, and all if it has ended.
+func (c *Core) closeSteps(j *workload.Job, o *workload.Occurrence) {
+	for _, s := range o.Steps {
+		if s.Done() || j.Final() {
+			delete(c.steps, s)
+		}
+	}
+}
--- /dev/null
+++ b/internal/controller/plan.go
@@ -0,0 +1,303 @@
+package controller
+
+import (
+	"time"
+
+	"github.com/bluebellstile/bluebellstile/internal/clock"
+	"github.com/bluebellstile/bluebellstile/internal/fleet"
+	"github.com/bluebellstile/bluebellstile/internal/resource"
+	"github.com/bluebellstile/bluebellstile/internal/scheduler"
+)
+
+const (
+	// headroom is the share of each endpoint that only urgent work may use:
+	// about twice what urgent work takes on average.
+	headroom = 0.18
+	// reservations is how many blocked gangs may hold room back from others.
+	reservations = 3
+	// permitMargin covers the time from the decision to the arrival of the
+	// start: one append and one way over regions.
+	permitMargin = 150 * time.Millisecond
+	// firstGoodShare is the share of good endpoints taken before any answer.
+	firstGoodShare = 0.5
+	// shareWeight is the weight of a new answer in the learned share.
+	shareWeight = 0.2
+)
+
+// Plan decides what starts now.
+func (c *Core) Plan(now clock.Instant) {
+	if !c.planDue {
+		return
+	}
+	c.planDue = false
+	c.stats.Plans++
+	snapshot := c.snapshot(now)
+	if len(snapshot.Demands) == 0 {
+		return
+	}
+	plan := scheduler.Make(snapshot)
+	c.applyStarts(now, plan.Starts)
+	for i := range plan.Questions {
+		c.ask(&plan.Questions[i])
+	}
+}
+
+// snapshot describes the present to the scheduler.
+func (c *Core) snapshot(now clock.Instant) *scheduler.Snapshot {
+	s := &scheduler.Snapshot{
+		Now: now.Steady,
+		Within: func(customer string, size resource.Vector) bool {
+			return customer == "" || c.catalog.Within(customer, c.fleet.Usage(customer), size)
+		},
+		Policy: scheduler.Policy{
+			Headroom:     headroom,
+			FarFactor:    c.bounds.FarFactor,
+			Reservations: reservations,
+			PermitMargin: permitMargin,
+		},
+	}
+	for _, e := range c.steps {
+		if d := c.demand(now, e); d != nil {
+			s.Demands = append(s.Demands, d)
+		}
+	}
+	if len(s.Demands) == 0 {
+		return s
+	}
+	for _, id := range sortedKeys(c.fleet.Endpoints()) {
+		e := c.fleet.Endpoint(id)
+		if c.usable(now, e) {
+			s.Hosts = append(s.Hosts, host(e))
+		}
+	}
+	return s
+}
+
+// usable reports whether an endpoint may take new tasks.
+func (c *Core) usable(now clock.Instant, e *fleet.Endpoint) bool {
+	return e.Adopted && e.Listed && !e.Draining && e.Failures == 0 &&
+		e.Clock.Known() && now.Steady >= e.RestUntil &&
+		len(c.controlOf(e).strangers) == 0
+}
+
+// host describes an endpoint to the scheduler.
+func host(e *fleet.Endpoint) *scheduler.Host {
+	h := &scheduler.Host{Endpoint: e, Free: e.Free()}
+	var bulk resource.Vector
+	for _, r := range e.Runs() {
+		if r.Priority > 0 {
+			bulk = bulk.Add(r.Charge)
+		}
+		h.Releases = append(h.Releases, scheduler.Release{At: r.ExpectedEnd, Size: r.Charge})
+	}
+	limit := resource.Vector{
+		MilliCores:   e.Capacity.MilliCores - int64(headroom*float64(e.Capacity.MilliCores)),
+		MemoryMB:     e.Capacity.MemoryMB - int64(headroom*float64(e.Capacity.MemoryMB)),
+		Accelerators: e.Capacity.Accelerators,
+	}
+	h.Bulk = limit.Sub(bulk)
+	return h
+}
+
+// demand describes a step to the scheduler, nil if none of its tasks waits.
+func (c *Core) demand(now clock.Instant, e *stepEntry) *scheduler.Demand {
+	waiting := c.waitingTasks(e)
+	if len(waiting) == 0 {
+		return nil
+	}
+	q := c.catalog.Queue(e.entry.job.Queue)
+	if q == nil {
+		return nil
+	}
+	d := &scheduler.Demand{
+		Step:        e.step,
+		Tasks:       waiting,
+		Pool:        q.Pool,
+		Urgent:      q.Priority == 0,
+		Priority:    q.Priority,
+		Excess:      e.entry.job.Excess,
+		LatestStart: e.latestStart,
+		Since:       e.since,
+		Access:      e.access,
+	}
+	if e.access != nil {
+		e.access.GoodShare = c.goodShareOf(q.Name)
+		e.access.Asking = e.access.Asking || now.Steady < e.askAfter
+	}
+	if e.step.Spec.MaxPerEndpoint > 0 {
+		d.Occupied = c.occupied(e)
+	}
+	if e.failedOn != nil {
+		d.Avoid = func(task int, endpoint string) bool { return e.failedOn[task][endpoint] }
+	}
+	return d
+}
+
+// waitingTasks returns the tasks of a step that wait; those of a gang only if
+// none of them occupies an endpoint.
+func (c *Core) waitingTasks(e *stepEntry) []int {
+	if !e.stale {
+		return e.waiting
+	}
+	e.stale = false
+	e.waiting = e.waiting[:0]
+	for i := range e.step.Tasks {
+		if e.step.Pending(i) && len(c.fleet.RunsOf(e.step.ID(i))) == 0 {
+			e.waiting = append(e.waiting, i)
+		}
+	}
+	if e.step.Spec.Gang && len(e.waiting) < len(e.step.Tasks) {
+		e.waiting = e.waiting[:0]
+	}
+	return e.waiting
+}
+
+// occupied counts the runs of a step by endpoint.
+func (c *Core) occupied(e *stepEntry) map[string]int {
+	counts := make(map[string]int)
+	for i := range e.step.Tasks {
+		for _, r := range c.fleet.RunsOf(e.step.ID(i)) {
+			counts[r.Endpoint.ID]++
+		}
+	}
+	return counts
+}
+
+// applyStarts enters the decided starts into the books; their orders go out
+// when the batch stands in the log.
+func (c *Core) applyStarts(now clock.Instant, starts []scheduler.Start) {
+	for len(starts) > 0 {
+		group := 1
+		if starts[0].Demand.Step.Spec.Gang {
+			group = len(starts[0].Demand.Tasks)
+		}
+		c.applyGroup(now, starts[:group])
+		starts = starts[group:]
+	}
+}
+
+func (c *Core) applyGroup(now clock.Instant, group []scheduler.Start) {
+	s := group[0].Demand.Step
+	number := 0
+	if s.Spec.Gang {
+		at := make(map[int]*fleet.Endpoint, len(group))
+		for _, start := range group {
+			at[start.Task] = start.Endpoint
+		}
+		number = s.BeginGang(func(i int) (string, int64) { return at[i].ID, at[i].Incarnation })
+	}
+	entry := c.steps[s]
+	entry.stale = true
+	if entry.access != nil {
+		entry.access.Held = nil
+	}
+	for _, start := range group {
+		n := number
+		if !s.Spec.Gang {
+			n = s.Begin(start.Task, start.Endpoint.ID, start.Endpoint.Incarnation)
+		}
+		c.place(now, entry, start, n)
+	}
+	c.batch.touch(entry.entry)
+}
+
+// place puts a run on its endpoint.
+func (c *Core) place(now clock.Instant, entry *stepEntry, start scheduler.Start, number int) {
+	s := entry.step
+	r := &fleet.Run{
+		Key:      fleet.Key{Task: s.ID(start.Task), Number: number},
+		Step:     s,
+		Customer: entry.entry.job.Customer,
+		Queue:    entry.entry.job.Queue,
+		Priority: start.Demand.Priority,
+		Size:     s.Spec.Size,
+		Charge:   s.Spec.Charge(),
+		Phase:    fleet.PhaseOrdered,
+		Ordered:  now.Steady,
+		Pace:     100,
+	}
+	r.ExpectedEnd = now.Steady + time.Duration(float64(s.Spec.Estimate)*start.Endpoint.Record.Pace())
+	start.Endpoint.Add(r)
+	c.batch.starts = append(c.batch.starts, &plannedStart{run: r, permit: start.Permit})
+}
+
+// ask hands out a question.
+func (c *Core) ask(q *scheduler.Question) {
+	entry := c.steps[q.Demand.Step]
+	eligibility := c.catalog.Queue(entry.entry.job.Queue).Eligibility
+	if eligibility == nil {
+		return
+	}
+	entry.asked++
+	entry.access.Asking = true
+	entry.access.Held = q.Hold
+	o := &AskOrder{
+		Step:        entry.step.Name(),
+		Cost:        eligibility.Cost(len(q.Endpoints)),
+		Urgent:      q.Demand.Urgent,
+		step:        entry,
+		sequence:    entry.asked,
+		incarnation: make(map[string]scheduler.Incarnation, len(q.Endpoints)),
+	}
+	for _, e := range q.Endpoints {
+		o.Endpoints = append(o.Endpoints, e.ID)
+		o.incarnation[e.ID] = scheduler.IncarnationOf(e)
+	}
+	c.stats.Questions++
+	c.emit(o)
+}
+
+// askRetry is the pause after a question without an answer.
+const askRetry = 100 * time.Millisecond
+
+// AskAnswered takes in the answer to a question.
+func (c *Core) AskAnswered(now clock.Instant, o *AskOrder, answer Answer, err error) {
+	entry := o.step
+	if c.steps[entry.step] != entry || entry.asked != o.sequence {
+		return
+	}
+	c.planDue = true
+	a := entry.access
+	a.Asking = false
+	if err != nil {
+		c.log.Warn("question about eligible endpoints failed", "step", o.Step, "error", err)
+		a.Held = nil
+		entry.askAfter = now.Steady + askRetry
+		return
+	}
+	expires := now.Steady + answer.Valid
+	for _, id := range o.Endpoints {
+		incarnation := o.incarnation[id]
+		token, good := answer.Permits[id]
+		a.Known[incarnation] = good
+		if good {
+			a.Permits[incarnation] = scheduler.Permit{Token: token, Expires: expires}
+		}
+	}
+	c.learnShare(entry.entry.job.Queue, float64(len(answer.Permits))/float64(len(o.Endpoints)))
+}
+
+func (c *Core) goodShareOf(queue string) float64 {
+	if share, ok := c.goodShare[queue]; ok {
+		return share
+	}
+	return firstGoodShare
+}
+
+// learnShare takes an answer into the learned share of good endpoints. Answers
+// that only renew permits are all good and would teach too much.
+func (c *Core) learnShare(queue string, share float64) {
+	if share >= 1 {
+		return
+	}
+	const least = 0.05
+	learned := c.goodShareOf(queue)
+	c.goodShare[queue] = max(least, learned+shareWeight*(share-learned))
+}
+
+// forgetPermit drops the permit that an endpoint refused.
+func (c *Core) forgetPermit(r *fleet.Run) {
+	if entry := c.steps[r.Step]; entry != nil && entry.access != nil {
+		delete(entry.access.Permits, scheduler.IncarnationOf(r.Endpoint))
+	}
+}
--- /dev/null
+++ b/internal/controller/registry.go
@@ -0,0 +1,125 @@
+package controller
+
+import (
+	"time"
+
+	"github.com/bluebellstile/bluebellstile/internal/clock"
+	"github.com/bluebellstile/bluebellstile/internal/fleet"
+	"github.com/bluebellstile/bluebellstile/internal/workload"
+)
+
+// EndpointListed takes in what the registry says of an endpoint.
+func (c *Core) EndpointListed(now clock.Instant, r fleet.Registration) {
+	before := c.fleet.Endpoint(r.ID)
+	if before != nil && r.Incarnation < before.Incarnation {
+		// An entry of an earlier life; the endpoint has told of a later one.
+		return
+	}
+	if before != nil && before.Incarnation == r.Incarnation {
+		c.update(before, r)
+		return
+	}
+	e, replaced := c.fleet.Put(r)
+	c.boundInherited(e)
+	if replaced != nil {
+		c.log.Info("endpoint is back as a new incarnation", "endpoint", e.ID, "incarnation", e.Incarnation)
+		c.moveDoubts(now, replaced, e)
+	}
+	c.planDue = true
+}
+
+// update takes in a changed entry of a known incarnation.
+func (c *Core) update(e *fleet.Endpoint, r fleet.Registration) {
+	// An endpoint that said itself that it drains goes on draining.
+	r.Draining = r.Draining || e.Draining
+	if !e.Listed || r.Draining != e.Draining {
+		c.planDue = true
+	}
+	c.fleet.Put(r)
+}
+
+// EndpointUnlisted takes in that the registry lacks an endpoint. Its runs stay
+// in the books until its lease has certainly ended.
+func (c *Core) EndpointUnlisted(id string) {
+	if e := c.fleet.Endpoint(id); e != nil && e.Listed {
+		e.Listed = false
+		c.log.Info("endpoint left the registry", "endpoint", id, "runs", len(e.Runs()))
+	}
+}
+
+// reborn takes in that an endpoint has told of another life than registered.
+func (c *Core) reborn(now clock.Instant, e *fleet.Endpoint, incarnation int64) {
+	if incarnation < e.Incarnation {
+		c.log.Warn("endpoint tells of an earlier life than registered", "endpoint", e.ID, "incarnation", incarnation)
+		c.controlOf(e).holdAt = now.Steady + holdRetry
+		return
+	}
+	r := e.Registration
+	r.Incarnation, r.Draining = incarnation, false
+	c.EndpointListed(now, r)
+}
+
+// moveDoubts resolves the runs of a replaced incarnation. What it had begun is
+// lost. What it may not have begun yet could still begin in the new life, which
+// knows of no earlier stop and no epoch: a run of this term is barred there,
+// and one of an earlier term is resolved by the new life's first report.
+func (c *Core) moveDoubts(now clock.Instant, old, current *fleet.Endpoint) {
+	for _, r := range runsOf(old) {
+		rc := c.controlOfRun(r)
+		switch {
+		case r.Phase == fleet.PhaseInherited:
+			c.move(r, old, current)
+		case r.Phase == fleet.PhaseDoubtful, r.Phase == fleet.PhaseOrdered && rc.sent(r):
+			c.move(r, old, current)
+			r.Phase = fleet.PhaseDoubtful
+			c.stop(now, r)
+			if r.Step.Spec.Gang {
+				c.stopGang(now, r.Step, r.Number)
+			}
+		default:
+			c.finish(now, r, workload.EndLost, "")
+		}
+	}
+	delete(c.control, old)
+}
+
+// move takes a run over to another incarnation's account.
+func (c *Core) move(r *fleet.Run, old, current *fleet.Endpoint) {
+	delete(c.controlOf(old).runs, r)
+	old.Remove(r)
+	current.Add(r)
+}
+
+// boundInherited bounds the lease that holders of earlier terms may have
+// granted to an endpoint: they stop giving orders TermGrace after this term
+// has begun.
+func (c *Core) boundInherited(e *fleet.Endpoint) {
+	longest := time.Duration(float64(c.bounds.LeaseMax) * leaseStretch)
+	e.BoundLapse(c.began + c.bounds.TermGrace + longest + leaseMargin)
+}
+
+// leaseStretch is how much longer than asked for a lease may last by our
+// clock, as the endpoint's may run 2% slow; a little more is counted.
+const leaseStretch = 1.03
+
+// lapse frees the runs of endpoints whose lease has certainly ended without
+// an answer since.
+func (c *Core) lapse(now clock.Instant) {
+	for _, e := range c.fleet.Endpoints() {
+		if !e.Lapsed(now.Steady) {
+			continue
+		}
+		for _, r := range runsOf(e) {
+			if !c.controlOfRun(r).sent(r) {
+				continue
+			}
+			c.stats.Lapsed++
+			c.log.Warn("run counted as ended, the endpoint's lease has lapsed", "task", r.Task, "run", r.Number, "endpoint", e.ID)
+			c.finish(now, r, workload.EndLapsed, "")
+		}
+		if !e.Listed && len(e.Runs()) == 0 {
+			c.fleet.Drop(e)
+			delete(c.control, e)
+		}
+	}
+}
--- /dev/null
+++ b/internal/controller/report.go
@@ -0,0 +1,224 @@
+package controller
+
+import (
+	"time"
+
+	"github.com/bluebellstile/bluebellstile/internal/clock"
+	"github.com/bluebellstile/bluebellstile/internal/fleet"
+	"github.com/bluebellstile/bluebellstile/internal/workload"
+)
+
+const (
+	// holdWait is how long an endpoint may wait for an end before it answers.
+	// Longer costs fewer calls and notices a silent endpoint later.
+	holdWait = time.Second
+	// holdGap is the least time between two holds, so that ends that come
+	// close together are told by one answer.
+	holdGap = 60 * time.Millisecond
+	// holdRetry is the pause before a silent endpoint is asked again.
+	holdRetry = 250 * time.Millisecond
+	// idleHold is how often an endpoint is asked on which nothing runs.
+	idleHold = 5 * time.Second
+	// strangerRetry is the pause between stops of a run that nobody knows.
+	strangerRetry = 500 * time.Millisecond
+	// leaseMargin is what a lease that no order of this term has granted may
+	// last beyond its bound: the orders' time under way.
+	leaseMargin = 500 * time.Millisecond
+)
+
+// dueHolds hands out the holds that are due.
+func (c *Core) dueHolds(now clock.Instant) {
+	for _, e := range c.fleet.Endpoints() {
+		ec := c.controlOf(e)
+		if ec.holding || now.Steady < ec.holdAt {
+			continue
+		}
+		ec.holding = true
+		c.stats.Holds++
+		o := &HoldOrder{Target: targetOf(e), Acked: e.Acked}
+		if e.Adopted && e.Clock.Known() && e.Failures == 0 && e.Acked >= ec.reached {
+			o.Wait = holdWait
+			if len(e.Runs()) == 0 || c.anyBarred(ec) {
+				o.Wait = 0
+			}
+		}
+		if e.Clock.Known() && len(e.Runs()) > 0 {
+			o.Deadline = e.Deadline(now.Steady, c.bounds.Lease)
+			e.Grant(o.Deadline)
+		}
+		c.emit(o)
+	}
+}
+
+// anyBarred reports whether a run was barred and waits for a report.
+func (c *Core) anyBarred(ec *endpointControl) bool {
+	for _, rc := range ec.runs {
+		if rc.barred > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// HoldAnswered takes in the result of a hold.
+func (c *Core) HoldAnswered(now clock.Instant, o *HoldOrder, report Report, out Outcome) {
+	e := c.fleet.Endpoint(o.Target.ID)
+	if e == nil || e.Incarnation != o.Target.Incarnation {
+		return
+	}
+	ec := c.controlOf(e)
+	ec.holding = false
+	c.heard(e, out)
+	if out.Fate != FateDone {
+		ec.holdAt = now.Steady + holdRetry
+		if out.Reason == ReasonIncarnation {
+			c.log.Warn("endpoint is another one than registered", "endpoint", e.ID, "address", e.Address)
+		}
+		return
+	}
+	if report.Incarnation != e.Incarnation {
+		c.reborn(now, e, report.Incarnation)
+		return
+	}
+	if report.Draining {
+		if !e.Draining {
+			c.log.Info("endpoint drains", "endpoint", e.ID, "remaining", report.Remaining)
+		}
+		e.Draining, e.Remaining, e.RemainingAt = true, report.Remaining, now.Steady
+	}
+	listed := make(map[fleet.Key]bool, len(report.Running)+len(report.Ended))
+	for i := range report.Running {
+		listed[report.Running[i].Key] = true
+		c.runningRow(now, e, ec, &report.Running[i])
+	}
+	for i := range report.Ended {
+		listed[report.Ended[i].Key] = true
+		c.endedRow(now, e, ec, &report.Ended[i])
+	}
+	c.missing(now, e, listed, out.Reading.Sent)
+	for key := range ec.strangers {
+		if !listed[key] {
+			delete(ec.strangers, key)
+		}
+	}
+	if !e.Adopted {
+		e.Adopted = true
+		c.planDue = true
+	}
+	c.nextHold(now, e, ec, len(report.Ended) > 0)
+}
+
+// nextHold says when the endpoint is asked next.
+func (c *Core) nextHold(now clock.Instant, e *fleet.Endpoint, ec *endpointControl, ends bool) {
+	switch {
+	case ends:
+		// The ends have to stand in the log before they are acknowledged;
+		// Committed makes the hold due, after a gap for further ends.
+		ec.holdAt = now.Steady + holdWait
+		ec.holdNotBefore = now.Steady + holdGap
+	case len(e.Runs()) == 0 && len(ec.strangers) == 0:
+		ec.holdAt = now.Steady + idleHold
+	default:
+		ec.holdAt = now.Steady
+	}
+}
+
+// runningRow takes in that a run is running.
+func (c *Core) runningRow(now clock.Instant, e *fleet.Endpoint, ec *endpointControl, row *RunningRow) {
+	r := c.fleet.Find(row.Key)
+	if r == nil || r.Endpoint != e {
+		c.stranger(now, e, ec, row.Key)
+		return
+	}
+	c.confirm(now, r)
+	if r.Step != nil {
+		r.Step.Saved(r.Index(), row.Checkpoint)
+	}
+	if row.Progress > r.Progress {
+		r.Progress, r.Moved = row.Progress, now.Steady
+	}
+	r.Load = row.Load
+	c.expectEnd(now, r)
+}
+
+// expectEnd estimates when a run ends from its estimate and its progress.
+func (c *Core) expectEnd(now clock.Instant, r *fleet.Run) {
+	if r.Step == nil || r.Phase == fleet.PhaseStopping {
+		return
+	}
+	estimate := time.Duration(float64(r.Step.Spec.Estimate) * r.Endpoint.Record.Pace())
+	r.ExpectedEnd = r.Began + estimate
+	const meaningful = 0.2
+	if ran := now.Steady - r.Began; r.Progress >= meaningful && ran > 0 {
+		r.ExpectedEnd = now.Steady + time.Duration(float64(ran)*(1-r.Progress)/r.Progress)
+	}
+	r.ExpectedEnd = max(r.ExpectedEnd, now.Steady)
+}
+
+// stranger stops a run that the core knows nothing of: each start was recorded
+// before it was ordered, so the run's job has ended or its task runs elsewhere.
+func (c *Core) stranger(now clock.Instant, e *fleet.Endpoint, ec *endpointControl, key fleet.Key) {
+	if last, known := ec.strangers[key]; known && now.Steady-last < strangerRetry {
+		return
+	}
+	ec.strangers[key] = now.Steady
+	c.stats.Stops++
+	c.log.Info("stopping a run that is not wanted", "task", key.Task, "run", key.Number, "endpoint", e.ID)
+	c.emit(&StopOrder{Target: targetOf(e), Key: key})
+}
+
+// endedRow takes in that a run has ended.
+func (c *Core) endedRow(now clock.Instant, e *fleet.Endpoint, ec *endpointControl, row *EndedRow) {
+	if row.Number <= ec.reached {
+		return
+	}
+	ec.reached = row.Number
+	c.batch.note(e, row.Number)
+	r := c.fleet.Find(row.Key)
+	if r == nil || r.Endpoint != e {
+		return
+	}
+	if r.Began == 0 {
+		r.Began = now.Steady
+	}
+	c.finish(now, r, row.End, row.Checkpoint)
+}
+
+// missing resolves the runs that a report doesn't list.
+func (c *Core) missing(now clock.Instant, e *fleet.Endpoint, listed map[fleet.Key]bool, sent time.Duration) {
+	for _, r := range runsOf(e) {
+		if listed[r.Key] {
+			continue
+		}
+		rc := c.controlOfRun(r)
+		switch {
+		case r.Phase == fleet.PhaseInherited:
+			// The endpoint has seen this term's epoch, so an order of an
+			// earlier term can't begin the run any more.
+			c.finish(now, r, workload.EndNeverRan, "")
+		case rc.barred > 0 && rc.barred <= sent:
+			c.finish(now, r, c.endOfBarred(rc), "")
+		case rc.answered > 0 && rc.answered < sent && !rc.stopped:
+			c.log.Warn("a confirmed run is not listed any more", "task", r.Task, "run", r.Number, "endpoint", e.ID)
+			r.Phase = fleet.PhaseDoubtful
+			c.stop(now, r)
+		}
+	}
+}
+
+// endOfBarred is how a run has ended that was barred and isn't listed.
+func (c *Core) endOfBarred(rc *runControl) workload.End {
+	if rc.answered > 0 {
+		return workload.EndLost
+	}
+	return workload.EndNeverRan
+}
+
+// runsOf returns the runs of an endpoint, which may be removed meanwhile.
+func runsOf(e *fleet.Endpoint) []*fleet.Run {
+	runs := make([]*fleet.Run, 0, len(e.Runs()))
+	for _, r := range e.Runs() {
+		runs = append(runs, r)
+	}
+	return runs
+}
--- /dev/null
+++ b/internal/controller/runs.go
@@ -0,0 +1,361 @@
+package controller
+
+import (
+	"time"
+
+	"github.com/bluebellstile/bluebellstile/internal/clock"
+	"github.com/bluebellstile/bluebellstile/internal/fleet"
+	"github.com/bluebellstile/bluebellstile/internal/workload"
+)
+
+const (
+	// stopRetry is the pause before a stop without an answer is repeated.
+	stopRetry = 300 * time.Millisecond
+	// roomRest is how long an endpoint rests that said it has no room: its
+	// account here is wrong until the next report.
+	roomRest = 500 * time.Millisecond
+	// unhealthyRest is how long an endpoint rests that takes nothing.
+	unhealthyRest = time.Second
+	// failingRest is how long an endpoint rests whose last runs all failed:
+	// about as long as such spells last.
+	failingRest = 5 * time.Second
+	// startTries is how often the start of a gang's member is sent before the
+	// gang is given up.
+	startTries = 2
+)
+
+// runControl is what the core remembers of a run beside its account.
+type runControl struct {
+	order *StartOrder
+	// tries counts how often the start was sent.
+	tries int
+	// answered is when the endpoint confirmed the start; 0 if it has not.
+	answered time.Duration
+	// stopping is set while a stop is under way, stopAt is when the next one
+	// is due, barred is when the endpoint confirmed one.
+	stopping bool
+	stopAt   time.Duration
+	barred   time.Duration
+	// stopped is set once a stop was decided on.
+	stopped bool
+}
+
+// endpointControl is what the core remembers of an endpoint beside its account.
+type endpointControl struct {
+	runs map[*fleet.Run]*runControl
+	// holding is set while a hold is under way; holdAt is when the next is due.
+	holding bool
+	holdAt  time.Duration
+	// holdNotBefore spaces holds out after one that told of ends.
+	holdNotBefore time.Duration
+	// strangers are runs on the endpoint that the core knows nothing of.
+	strangers map[fleet.Key]time.Duration
+	// reached is the number of the last end taken in.
+	reached int64
+}
+
+func (c *Core) controlOf(e *fleet.Endpoint) *endpointControl {
+	ec := c.control[e]
+	if ec == nil {
+		ec = &endpointControl{runs: make(map[*fleet.Run]*runControl), strangers: make(map[fleet.Key]time.Duration)}
+		c.control[e] = ec
+	}
+	return ec
+}
+
+func (c *Core) controlOfRun(r *fleet.Run) *runControl {
+	ec := c.controlOf(r.Endpoint)
+	rc := ec.runs[r]
+	if rc == nil {
+		rc = &runControl{}
+		ec.runs[r] = rc
+	}
+	return rc
+}
+
+// sendStart hands out the order of a start whose record stands in the log.
+func (c *Core) sendStart(now clock.Instant, s *plannedStart) {
+	r := s.run
+	if c.fleet.Find(r.Key) != r {
+		return
+	}
+	rc := c.controlOfRun(r)
+	if r.Step.Job.Final() || rc.stopped {
+		c.neverRan(now, r)
+		return
+	}
+	rc.order = &StartOrder{
+		Target:     targetOf(r.Endpoint),
+		Key:        r.Key,
+		Payload:    r.Step.Job.Spec.Payload,
+		Checkpoint: r.Step.Checkpoint(r.Index()),
+		Permit:     s.permit,
+	}
+	c.repeatStart(now, r, rc)
+}
+
+// repeatStart hands out a start order with a fresh deadline.
+func (c *Core) repeatStart(now clock.Instant, r *fleet.Run, rc *runControl) {
+	rc.tries++
+	order := *rc.order
+	order.Deadline = r.Endpoint.Deadline(now.Steady, c.bounds.Lease)
+	r.Endpoint.Grant(order.Deadline)
+	c.stats.Starts++
+	c.emit(&order)
+}
+
+// StartAnswered takes in the result of a start.
+func (c *Core) StartAnswered(now clock.Instant, o *StartOrder, out Outcome) {
+	r := c.fleet.Find(o.Key)
+	if r == nil || r.Endpoint.ID != o.Target.ID || r.Endpoint.Incarnation != o.Target.Incarnation {
+		return
+	}
+	rc := c.controlOfRun(r)
+	c.heard(r.Endpoint, out)
+	switch out.Fate {
+	case FateDone:
+		c.confirm(now, r)
+		rc.answered = now.Steady
+	case FateNotSent:
+		c.log.Warn("start not sent", "task", o.Key.Task, "run", o.Key.Number, "endpoint", o.Target.ID, "cause", out.Detail)
+		c.neverRan(now, r)
+	case FateRefused:
+		c.startRefused(now, r, out)
+	case FateUnanswered:
+		c.startUnanswered(now, r, rc, out)
+	}
+}
+
+// heard updates what is known of an endpoint's reachability.
+func (c *Core) heard(e *fleet.Endpoint, out Outcome) {
+	switch out.Fate {
+	case FateDone, FateRefused:
+		if out.Reading.Known() {
+			e.Answered(out.Reading)
+		}
+	case FateNotSent, FateUnanswered:
+		e.Unanswered()
+		ec := c.controlOf(e)
+		if !ec.holding {
+			ec.holdAt = 0
+		}
+	}
+}
+
+// confirm notes that a run has begun.
+func (c *Core) confirm(now clock.Instant, r *fleet.Run) {
+	if r.Began == 0 {
+		r.Began, r.Moved = now.Steady, now.Steady
+	}
+	if r.Phase == fleet.PhaseOrdered || r.Phase == fleet.PhaseInherited || r.Phase == fleet.PhaseDoubtful && !c.controlOfRun(r).stopped {
+		r.Phase = fleet.PhaseRunning
+	}
+}
+
+// startRefused takes in that a start was not carried out.
+func (c *Core) startRefused(now clock.Instant, r *fleet.Run, out Outcome) {
+	c.stats.Refused++
+	c.log.Warn("start refused", "task", r.Task, "run", r.Number, "endpoint", r.Endpoint.ID, "reason", out.Reason, "detail", out.Detail)
+	switch out.Reason {
+	case ReasonRoom:
+		r.Endpoint.RestUntil = now.Steady + roomRest
+	case ReasonUnhealthy:
+		r.Endpoint.RestUntil = now.Steady + unhealthyRest
+	case ReasonPermit:
+		c.forgetPermit(r)
+	case ReasonFenced, ReasonSuperseded, ReasonLate, ReasonIncarnation, ReasonInvalid:
+	}
+	c.neverRan(now, r)
+}
+
+// neverRan frees a run that certainly has not begun and never will.
+func (c *Core) neverRan(now clock.Instant, r *fleet.Run) {
+	c.finish(now, r, workload.EndNeverRan, "")
+}
+
+// startUnanswered takes in that a start may have been carried out. A gang's
+// member is ordered again, as the others wait for it; any other run is stopped,
+// which bars it, and its task starts elsewhere.
+func (c *Core) startUnanswered(now clock.Instant, r *fleet.Run, rc *runControl, out Outcome) {
+	c.stats.Doubtful++
+	c.log.Warn("start not answered", "task", r.Task, "run", r.Number, "endpoint", r.Endpoint.ID, "cause", out.Detail)
+	if r.Phase != fleet.PhaseOrdered {
+		return
+	}
+	r.Phase = fleet.PhaseDoubtful
+	if r.Step.Spec.Gang && rc.tries < startTries {
+		c.repeatStart(now, r, rc)
+		return
+	}
+	c.stop(now, r)
+	if r.Step.Spec.Gang {
+		c.stopGang(now, r.Step, r.Number)
+	}
+}
+
+// stop stops a run, or bars it if it has not begun.
+func (c *Core) stop(now clock.Instant, r *fleet.Run) {
+	rc := c.controlOfRun(r)
+	if rc.stopped {
+		return
+	}
+	rc.stopped = true
+	if r.Phase == fleet.PhaseRunning {
+		r.Phase = fleet.PhaseStopping
+		r.ExpectedEnd = now.Steady + c.bounds.StopGrace
+	}
+	if !rc.sent(r) {
+		// The start waits for its record and is not sent any more.
+		return
+	}
+	c.sendStop(r, rc)
+}
+
+// sent reports whether an order to start the run may be under way.
+func (rc *runControl) sent(r *fleet.Run) bool {
+	return r.Phase != fleet.PhaseOrdered || rc.order != nil
+}
+
+func (c *Core) sendStop(r *fleet.Run, rc *runControl) {
+	rc.stopping = true
+	c.stats.Stops++
+	c.emit(&StopOrder{Target: targetOf(r.Endpoint), Key: r.Key})
+}
+
+// StopAnswered takes in the result of a stop.
+func (c *Core) StopAnswered(now clock.Instant, o *StopOrder, out Outcome) {
+	e := c.fleet.Endpoint(o.Target.ID)
+	if e == nil || e.Incarnation != o.Target.Incarnation {
+		return
+	}
+	c.heard(e, out)
+	r := c.fleet.Find(o.Key)
+	if r == nil || r.Endpoint != e {
+		return
+	}
+	rc := c.controlOfRun(r)
+	rc.stopping = false
+	if out.Fate == FateDone {
+		rc.barred = now.Steady
+		// A report from now on tells whether the run had begun.
+		c.wantReport(e, now.Steady)
+		return
+	}
+	rc.stopAt = now.Steady + stopRetry
+}
+
+// wantReport asks for a report of an endpoint without waiting for an end.
+func (c *Core) wantReport(e *fleet.Endpoint, now time.Duration) {
+	ec := c.controlOf(e)
+	ec.holdAt = min(ec.holdAt, now)
+}
+
+// stopGang stops all members of a gang's run.
+func (c *Core) stopGang(now clock.Instant, s *workload.StepRun, number int) {
+	for i := range s.Tasks {
+		for _, r := range append([]*fleet.Run(nil), c.fleet.RunsOf(s.ID(i))...) {
+			if r.Number == number {
+				c.stop(now, r)
+			}
+		}
+	}
+}
+
+// stopJob stops all runs of a job.
+func (c *Core) stopJob(now clock.Instant, j *workload.Job) {
+	for _, e := range c.fleet.Endpoints() {
+		for _, r := range e.Runs() {
+			if r.Task.Job == j.ID {
+				c.stop(now, r)
+			}
+		}
+	}
+}
+
+// finish frees a run's room and notes its end.
+func (c *Core) finish(now clock.Instant, r *fleet.Run, end workload.End, checkpoint string) {
+	e := r.Endpoint
+	delete(c.controlOf(e).runs, r)
+	e.Remove(r)
+	c.planDue = true
+	if r.Step == nil {
+		return
+	}
+	entry := c.jobs[r.Task.Job]
+	s := r.Step
+	c.learn(now, r, end)
+	if !s.Finish(r.Index(), r.Number, end, checkpoint, c.attempts(s), now.Wall) {
+		return
+	}
+	c.batch.touch(entry)
+	c.log.Debug("run ended", "task", r.Task, "run", r.Number, "endpoint", e.ID, "end", end)
+	if se := c.steps[s]; se != nil {
+		se.stale = true
+		if end == workload.EndFailed {
+			se.noteFailure(r.Index(), e.ID)
+		}
+	}
+	c.afterEnd(now, entry, r, end)
+}
+
+// afterEnd does what follows from the end of a run.
+func (c *Core) afterEnd(now clock.Instant, entry *jobEntry, r *fleet.Run, end workload.End) {
+	s := r.Step
+	switch {
+	case entry.job.Final():
+		c.closeJob(entry)
+		c.closeSteps(entry.job, s.Occurrence)
+		if entry.ended {
+			c.stopJob(now, entry.job)
+		}
+	case s.Done():
+		c.closeSteps(entry.job, s.Occurrence)
+		c.openSteps(now, entry, s.Occurrence)
+		c.openDue(now, entry)
+	case s.Spec.Gang && end != workload.EndDone:
+		c.stopGang(now, s, r.Number)
+	}
+	if s.TaskDone(r.Index()) && !s.Spec.Gang {
+		for _, copied := range append([]*fleet.Run(nil), c.fleet.RunsOf(r.Task)...) {
+			c.stop(now, copied)
+		}
+	}
+}
+
+// attempts is how many failed runs a task of the step may have.
+func (c *Core) attempts(s *workload.StepRun) int {
+	if q := c.catalog.Queue(s.Job.Queue); q != nil {
+		return q.Attempts
+	}
+	return 0
+}
+
+// learn notes what a run taught about its endpoint.
+func (c *Core) learn(now clock.Instant, r *fleet.Run, end workload.End) {
+	switch end {
+	case workload.EndDone:
+		r.Endpoint.Record.Ended(string(r.Task.Job), false)
+		if r.Began > 0 && !r.Step.Spec.Gang && r.Step.Checkpoint(r.Index()) == "" {
+			r.Endpoint.Record.Took(now.Steady-r.Began, r.Step.Spec.Estimate)
+		}
+	case workload.EndFailed:
+		r.Endpoint.Record.Ended(string(r.Task.Job), true)
+		if r.Endpoint.Record.Failing() {
+			c.log.Warn("endpoint rests, its last runs have all failed", "endpoint", r.Endpoint.ID, "rest", failingRest)
+			r.Endpoint.RestUntil = now.Steady + failingRest
+			r.Endpoint.Record.Forget()
+		}
+	case workload.EndStopped, workload.EndLapsed, workload.EndBroken, workload.EndAlone, workload.EndLost, workload.EndNeverRan:
+	}
+}
+
+// noteFailure remembers where a task has failed.
+func (se *stepEntry) noteFailure(task int, endpoint string) {
+	if se.failedOn == nil {
+		se.failedOn = make(map[int]map[string]bool)
+	}
+	if se.failedOn[task] == nil {
+		se.failedOn[task] = make(map[string]bool)
+	}
+	se.failedOn[task][endpoint] = true
+}
--- /dev/null
+++ b/internal/fleet/endpoint.go
@@ -0,0 +1,139 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"github.com/bluebellstile/bluebellstile/internal/resource"
+)
+
+// Registration is what an endpoint says of itself.
+type Registration struct {
+	ID string
+	// Incarnation tells lives of an endpoint with the same id apart. It is the
+	// time of day of the start in milliseconds.
+	Incarnation int64
+	// Address is the IP number and port of its interface.
+	Address string
+	// Instance is the machine that the endpoint runs on.
+	Instance string
+	// Pool is the service whose tasks the endpoint runs.
+	Pool             string
+	AvailabilityZone string
+	Rack             string
+	Labels           []string
+	Capacity         resource.Vector
+	// Draining endpoints take no new task and leave soon.
+	Draining bool
+}
+
+// HasLabel reports whether the endpoint has a label; every endpoint has "".
+func (r *Registration) HasLabel(label string) bool {
+	return label == "" || slices.Contains(r.Labels, label)
+}
+
+// Endpoint is one incarnation of an endpoint and what occupies it.
+type Endpoint struct {
+	Registration
+
+	// Adopted is set once the endpoint has obeyed this term's epoch and its
+	// list of runs was taken in. Nothing is placed on it before.
+	Adopted bool
+	// Listed is false while the registry lacks the endpoint.
+	Listed bool
+	// Remaining is the least time for which a draining endpoint stays, as it
+	// said at RemainingAt.
+	Remaining   time.Duration
+	RemainingAt time.Duration
+
+	// Acked is the number of the last end that may be forgotten.
+	Acked int64
+
+	// Clock is the newest reading of the endpoint's clock.
+	Clock Reading
+	// granted is the latest deadline, on the endpoint's clock, that any order
+	// to it may have carried.
+	granted time.Duration
+	// lapsed is the instant by which the lease has certainly ended; 0 means
+	// that none can be given yet.
+	lapsed time.Duration
+
+	// Heard is when the endpoint last answered, Failures counts the calls
+	// without an answer since.
+	Heard    time.Duration
+	Failures int
+	// RestUntil keeps new tasks away after a refusal.
+	RestUntil time.Duration
+
+	runs  map[Key]*Run
+	used  resource.Vector
+	fleet *Fleet
+	// Record learns how the endpoint does.
+	Record Record
+}
+
+// Runs returns the runs on the endpoint in no order.
+func (e *Endpoint) Runs() map[Key]*Run { return e.runs }
+
+// Used returns what the runs occupy.
+func (e *Endpoint) Used() resource.Vector { return e.used }
+
+// Free returns what is left of the capacity; it may be negative.
+func (e *Endpoint) Free() resource.Vector { return e.Capacity.Sub(e.used) }
+
+// Grant notes that an order may extend the lease to a deadline of the
+// endpoint's clock.
+func (e *Endpoint) Grant(deadline time.Duration) {
+	if deadline <= e.granted {
+		return
+	}
+	e.granted = deadline
+	e.lapsed = max(e.lapsed, e.Clock.Passed(deadline))
+}
+
+// Deadline returns the deadline, on the endpoint's clock, of a lease that runs
+// for hold from now on.
+func (e *Endpoint) Deadline(now, hold time.Duration) time.Duration {
+	return e.Clock.Estimate(now) + hold
+}
+
+// BoundLapse notes that orders of others may keep the lease up to an instant.
+func (e *Endpoint) BoundLapse(at time.Duration) { e.lapsed = max(e.lapsed, at) }
+
+// Lapsed reports whether every lease that the endpoint may have has certainly
+// ended. It takes an endpoint that never had one as lapsed.
+func (e *Endpoint) Lapsed(now time.Duration) bool { return now > e.lapsed }
+
+// LapsesAt returns the instant by which the lease has certainly ended.
+func (e *Endpoint) LapsesAt() time.Duration { return e.lapsed }
+
+// Answered notes an answer that showed the endpoint's clock.
+func (e *Endpoint) Answered(r Reading) {
+	e.Failures = 0
+	if r.Received <= e.Heard && e.Clock.Known() {
+		return
+	}
+	e.Heard = r.Received
+	e.Clock = r
+}
+
+// Unanswered notes a call without an answer.
+func (e *Endpoint) Unanswered() { e.Failures++ }
+
+// Add puts a run on the endpoint.
+func (e *Endpoint) Add(r *Run) {
+	r.Endpoint = e
+	e.runs[r.Key] = r
+	e.used = e.used.Add(r.Charge)
+	e.fleet.occupy(r)
+}
+
+// Remove takes a run off the endpoint, which frees its room.
+func (e *Endpoint) Remove(r *Run) {
+	if e.runs[r.Key] != r {
+		return
+	}
+	delete(e.runs, r.Key)
+	e.used = e.used.Sub(r.Charge)
+	e.fleet.release(r)
+}
--- /dev/null
+++ b/internal/fleetpeer/client.go
@@ -0,0 +1,199 @@
+// Package fleetpeer carries the calls between the daemons of a cell on the
+// platform over connect.
+package fleetpeer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/bluebellstile/bluebellstile/internal/controller"
+	fleetv1 "github.com/bluebellstile/bluebellstile/internal/gen/fleet/v1"
+	"github.com/bluebellstile/bluebellstile/internal/gen/fleet/v1/fleetv1connect"
+	"github.com/bluebellstile/bluebellstile/internal/leadership"
+	"github.com/bluebellstile/bluebellstile/internal/problem"
+	"github.com/bluebellstile/bluebellstile/internal/transport"
+	"github.com/bluebellstile/bluebellstile/internal/workload"
+	"github.com/pkg/errors"
+)
+
+const (
+	// dialTimeout bounds the making of a connection; the longest way between
+	// regions takes some tens of milliseconds.
+	dialTimeout = 400 * time.Millisecond
+	// unackedTimeout ends a connection to a daemon that acknowledges nothing.
+	unackedTimeout = time.Second
+	// maxConnections bounds the connections to one daemon.
+	maxConnections = 32
+	// idleTimeout closes unused connections.
+	idleTimeout = 30 * time.Second
+	// maxMessageBytes bounds a message; a job has a few kilobytes.
+	maxMessageBytes = 4 << 20
+)
+
+// Errors of calls between daemons.
+var (
+	// ErrNotHolder means that the callee runs no term; the call had no effect.
+	ErrNotHolder = errors.New("the daemon does not hold the cell; ask the present holder")
+	// ErrNotSent means that the call never left this daemon.
+	ErrNotSent = errors.New("the daemon can't be reached and the call was not sent; try again")
+	// ErrUnanswered means that the call may have had its effect.
+	ErrUnanswered = errors.New("the daemon gave no answer, the call may have had its effect; repeat it")
+)
+
+// Clients hands out clients by address and shares their connections. It is
+// safe for concurrent use.
+type Clients struct {
+	http *http.Client
+
+	mu      sync.Mutex
+	clients map[string]*Client
+}
+
+// NewClients returns clients without connections. wrap may count their bytes.
+func NewClients(wrap func(address string, c net.Conn) net.Conn) *Clients {
+	return &Clients{
+		http: transport.NewClient(transport.Options{
+			DialTimeout:    dialTimeout,
+			UnackedTimeout: unackedTimeout,
+			MaxPerHost:     maxConnections,
+			IdleTimeout:    idleTimeout,
+			Wrap:           wrap,
+		}),
+		clients: make(map[string]*Client),
+	}
+}
+
+// Close closes idle connections.
+func (c *Clients) Close() { c.http.CloseIdleConnections() }
+
+// To returns the client for a daemon's address.
+func (c *Clients) To(address string) *Client {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	client, ok := c.clients[address]
+	if !ok {
+		client = &Client{rpc: fleetv1connect.NewFleetServiceClient(c.http, "http://"+address, connect.WithReadMaxBytes(maxMessageBytes))}
+		c.clients[address] = client
+	}
+	return client
+}
+
+// Heartbeat implements leadership.Peers.
+func (c *Clients) Heartbeat(ctx context.Context, address string) (leadership.Beat, bool, error) {
+	r, err := c.To(address).rpc.Heartbeat(ctx, connect.NewRequest(&fleetv1.HeartbeatRequest{}))
+	if err != nil {
+		return leadership.Beat{}, transport.Refused(err), err
+	}
+	return leadership.Beat{Incarnation: r.Msg.Incarnation, Epoch: r.Msg.Epoch, Relieve: r.Msg.Relieve}, false, nil
+}
+
+// Client calls one daemon. Its errors are ErrNotHolder, ErrNotSent and
+// ErrUnanswered, wrapped with the cause.
+type Client struct {
+	rpc fleetv1connect.FleetServiceClient
+}
+
+// call makes a call and sorts its failure by what the caller may conclude.
+func call[Req, Res any](ctx context.Context, f func(context.Context, *connect.Request[Req]) (*connect.Response[Res], error), request *Req) (*Res, error) {
+	var sent transport.Sent
+	r, err := f(sent.Observe(ctx), connect.NewRequest(request))
+	switch {
+	case err == nil:
+		return r.Msg, nil
+	case connect.CodeOf(err) == connect.CodeFailedPrecondition:
+		return nil, errors.WithMessage(ErrNotHolder, err.Error())
+	case !sent.Maybe():
+		return nil, errors.WithMessage(ErrNotSent, err.Error())
+	default:
+		return nil, errors.WithMessage(ErrUnanswered, err.Error())
+	}
+}
+
+// TakeOver asks the daemon to claim the cell from a term.
+func (c *Client) TakeOver(ctx context.Context, epoch int64) (int64, error) {
+	r, err := call(ctx, c.rpc.TakeOver, &fleetv1.TakeOverRequest{Epoch: epoch})
+	if err != nil {
+		return 0, err
+	}
+	return r.Epoch, nil
+}
+
+// Submit hands a job to the daemon. A nil problem means that it is accepted
+// and stored.
+func (c *Client) Submit(ctx context.Context, job *workload.Job, version int64) (*problem.Problem, error) {
+	admission, err := job.EncodeAdmission()
+	if err != nil {
+		return nil, err
+	}
+	r, err := call(ctx, c.rpc.Submit, &fleetv1.SubmitRequest{Id: string(job.ID), Admission: admission, ConfigVersion: version})
+	if err != nil {
+		return nil, err
+	}
+	return problemFromWire(r.Problem), nil
+}
+
+// Status returns the state of a job, empty if the customer has none with the
+// id.
+func (c *Client) Status(ctx context.Context, id workload.ID, customer string) (workload.State, error) {
+	r, err := call(ctx, c.rpc.Status, &fleetv1.StatusRequest{Id: string(id), Customer: customer})
+	if err != nil {
+		return "", err
+	}
+	return workload.State(r.State), nil
+}
+
+// Cancel ends a job and reports whether there is such a job.
+func (c *Client) Cancel(ctx context.Context, id workload.ID, customer string) (bool, error) {
+	r, err := call(ctx, c.rpc.Cancel, &fleetv1.CancelRequest{Id: string(id), Customer: customer})
+	if err != nil {
+		return false, err
+	}
+	return r.Found, nil
+}
+
+// Waiting counts a queue's jobs of which no task has started.
+func (c *Client) Waiting(ctx context.Context, queue string) (int, error) {
+	r, err := call(ctx, c.rpc.Waiting, &fleetv1.WaitingRequest{Queue: queue})
+	if err != nil {
+		return 0, err
+	}
+	return int(r.Count), nil
+}
+
+// Ask has the daemon ask which endpoints may run a step.
+func (c *Client) Ask(ctx context.Context, step string, endpoints []string) (controller.Answer, error) {
+	r, err := call(ctx, c.rpc.Ask, &fleetv1.AskRequest{Step: step, Endpoints: endpoints})
+	if err != nil {
+		return controller.Answer{}, err
+	}
+	return controller.Answer{Permits: r.Permits, Valid: time.Duration(r.ValidMs) * time.Millisecond}, nil
+}
+
+func problemFromWire(p *fleetv1.Problem) *problem.Problem {
+	if p == nil {
+		return nil
+	}
+	return &problem.Problem{
+		Code:       problem.Code(p.Code),
+		Verdict:    problem.NotRun,
+		Detail:     p.Detail,
+		Remedy:     p.Remedy,
+		RetryAfter: time.Duration(p.RetryAfterMs) * time.Millisecond,
+	}
+}
+
+func problemToWire(p *problem.Problem) *fleetv1.Problem {
+	if p == nil {
+		return nil
+	}
+	return &fleetv1.Problem{
+		Code:         string(p.Code),
+		Detail:       p.Detail,
+		Remedy:       p.Remedy,
+		RetryAfterMs: p.RetryAfter.Milliseconds(),
+	}
+}
--- /dev/null
+++ b/internal/fleetpeer/server.go
@@ -0,0 +1,141 @@
+package fleetpeer
+
+import (
+	"context"
+	"net/http"
+
+	"connectrpc.com/connect"
+	"github.com/bluebellstile/bluebellstile/internal/controller"
+	fleetv1 "github.com/bluebellstile/bluebellstile/internal/gen/fleet/v1"
+	"github.com/bluebellstile/bluebellstile/internal/gen/fleet/v1/fleetv1connect"
+	"github.com/bluebellstile/bluebellstile/internal/leadership"
+	"github.com/bluebellstile/bluebellstile/internal/problem"
+	"github.com/bluebellstile/bluebellstile/internal/workload"
+	"github.com/pkg/errors"
+)
+
+// Holder is the term that runs at this daemon.
+type Holder interface {
+	// Submit accepts a job; a nil problem means that it is stored. An error
+	// means that its fate is not known here.
+	Submit(ctx context.Context, job *workload.Job, version int64) (*problem.Problem, error)
+	// Status returns the state of a job, empty if there certainly is none.
+	Status(ctx context.Context, id workload.ID, customer string) (workload.State, error)
+	// Cancel ends a job; found is false if there certainly is none.
+	Cancel(ctx context.Context, id workload.ID, customer string) (found bool, err error)
+	Waiting(ctx context.Context, queue string) (int, error)
+}
+
+// Local is what a daemon answers others with.
+type Local interface {
+	// Beat is the answer to a heartbeat.
+	Beat() leadership.Beat
+	// TakeOver claims the cell from a term and returns the new epoch.
+	TakeOver(ctx context.Context, epoch int64) (int64, error)
+	// Holder returns the term that runs here, or nil.
+	Holder() Holder
+	// Ask asks which endpoints may run a step.
+	Ask(ctx context.Context, step string, endpoints []string) (controller.Answer, error)
+}
+
+// NewHandler returns the path and handler of the daemon's service.
+func NewHandler(local Local) (string, http.Handler) {
+	return fleetv1connect.NewFleetServiceHandler(&server{local: local}, connect.WithReadMaxBytes(maxMessageBytes))
+}
+
+type server struct{ local Local }
+
+// errNotHolder is ErrNotHolder on the wire.
+func errNotHolder() error { return connect.NewError(connect.CodeFailedPrecondition, ErrNotHolder) }
+
+// wireError is how a failed call of the holder is answered: its fate is open.
+func wireError(err error) error {
+	if errors.Is(err, controller.ErrTermEnded) {
+		return connect.NewError(connect.CodeAborted, err)
+	}
+	return connect.NewError(connect.CodeUnavailable, err)
+}
+
+// Heartbeat implements the service.
+func (s *server) Heartbeat(context.Context, *connect.Request[fleetv1.HeartbeatRequest]) (*connect.Response[fleetv1.HeartbeatResponse], error) {
+	b := s.local.Beat()
+	return connect.NewResponse(&fleetv1.HeartbeatResponse{Incarnation: b.Incarnation, Epoch: b.Epoch, Relieve: b.Relieve}), nil
+}
+
+// TakeOver implements the service.
+func (s *server) TakeOver(ctx context.Context, r *connect.Request[fleetv1.TakeOverRequest]) (*connect.Response[fleetv1.TakeOverResponse], error) {
+	epoch, err := s.local.TakeOver(ctx, r.Msg.Epoch)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(&fleetv1.TakeOverResponse{Epoch: epoch}), nil
+}
+
+// Submit implements the service.
+func (s *server) Submit(ctx context.Context, r *connect.Request[fleetv1.SubmitRequest]) (*connect.Response[fleetv1.SubmitResponse], error) {
+	h := s.local.Holder()
+	if h == nil {
+		return nil, errNotHolder()
+	}
+	id, ok := workload.ParseID(r.Msg.Id)
+	if !ok {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errors.Errorf("%q is no job id", r.Msg.Id))
+	}
+	job, err := workload.DecodeAdmission(id, r.Msg.Admission)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	p, err := h.Submit(ctx, job, r.Msg.ConfigVersion)
+	if err != nil {
+		return nil, wireError(err)
+	}
+	return connect.NewResponse(&fleetv1.SubmitResponse{Problem: problemToWire(p)}), nil
+}
+
+// Status implements the service.
+func (s *server) Status(ctx context.Context, r *connect.Request[fleetv1.StatusRequest]) (*connect.Response[fleetv1.StatusResponse], error) {
+	h := s.local.Holder()
+	if h == nil {
+		return nil, errNotHolder()
+	}
+	state, err := h.Status(ctx, workload.ID(r.Msg.Id), r.Msg.Customer)
+	if err != nil {
+		return nil, wireError(err)
+	}
+	return connect.NewResponse(&fleetv1.StatusResponse{State: string(state)}), nil
+}
+
+// Cancel implements the service.
+func (s *server) Cancel(ctx context.Context, r *connect.Request[fleetv1.CancelRequest]) (*connect.Response[fleetv1.CancelResponse], error) {
+	h := s.local.Holder()
+	if h == nil {
+		return nil, errNotHolder()
+	}
+	found, err := h.Cancel(ctx, workload.ID(r.Msg.Id), r.Msg.Customer)
+	if err != nil {
+		return nil, wireError(err)
+	}
+	return connect.NewResponse(&fleetv1.CancelResponse{Found: found}), nil
+}
+
+// Waiting implements the service.
+func (s *server) Waiting(ctx context.Context, r *connect.Request[fleetv1.WaitingRequest]) (*connect.Response[fleetv1.WaitingResponse], error) {
+	h := s.local.Holder()
+	if h == nil {
+		return nil, errNotHolder()
+	}
+	n, err := h.Waiting(ctx, r.Msg.Queue)
+	if err != nil {
+		return nil, wireError(err)
+	}
+	return connect.NewResponse(&fleetv1.WaitingResponse{Count: int64(n)}), nil
+}
+
+// Ask implements the service.
+func (s *server) Ask(ctx context.Context, r *connect.Request[fleetv1.AskRequest]) (*connect.Response[fleetv1.AskResponse], error) {
+	answer, err := s.local.Ask(ctx, r.Msg.Step, r.Msg.Endpoints)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(&fleetv1.AskResponse{Permits: answer.Permits, ValidMs: answer.Valid.Milliseconds()}), nil
+}
--- /dev/null
+++ b/internal/leadership/decide.go
@@ -0,0 +1,77 @@
+package leadership
+
+import "time"
+
+const (
+	// silentAfter is how long a holder goes unheard before it is replaced. It
+	// exceeds what a busy or slow instance takes for one heartbeat; a claim
+	// that came too early costs only a hand-over.
+	silentAfter = 800 * time.Millisecond
+	// goneAfter is how long a holder's process is known to be gone before it
+	// is replaced, so that the news reaches all.
+	goneAfter = 40 * time.Millisecond
+	// rankStagger is how much longer each next candidate waits, so that they
+	// don't all claim at once.
+	rankStagger = 120 * time.Millisecond
+	// logFresh is the age of the last sign of the log up to which a candidate
+	// may claim: one that can't write would only disturb.
+	logFresh = 2500 * time.Millisecond
+)
+
+// View is what a daemon knows when it decides whether to claim the cell.
+type View struct {
+	Now time.Duration
+	// Claimed is false while nobody has ever claimed the cell.
+	Claimed bool
+	// Heard is when the holder last confirmed that its term runs, or when it
+	// was first looked for.
+	Heard time.Duration
+	// Gone is since when the holder's process is known to be gone, or its
+	// term ended; 0 if it isn't.
+	Gone time.Duration
+	// Relieve is since when the holder asks to be replaced; 0 if it doesn't.
+	Relieve time.Duration
+	// LogSeen is when the log last answered this daemon.
+	LogSeen time.Duration
+	// Rank is this daemon's place among the candidates, from 0.
+	Rank int
+}
+
+// ShouldClaim reports whether the daemon should claim the cell.
+func ShouldClaim(v View) bool {
+	if v.Now-v.LogSeen > logFresh {
+		return false
+	}
+	stagger := time.Duration(v.Rank) * rankStagger
+	switch {
+	case !v.Claimed:
+		return v.Now-v.Heard >= stagger
+	case v.Gone > 0:
+		return v.Now-v.Gone >= goneAfter+stagger
+	case v.Relieve > 0:
+		return v.Now-v.Relieve >= goneAfter+stagger
+	default:
+		return v.Now-v.Heard >= silentAfter+stagger
+	}
+}
+
+// Rank returns a daemon's place among the members that may replace a holder.
+// The order differs by epoch, so that one bad candidate does not always come
+// first.
+func Rank(members []Member, self, holder string, epoch int64) int {
+	names := make([]string, 0, len(members))
+	for _, m := range members {
+		if m.Name != holder {
+			names = append(names, m.Name)
+		}
+	}
+	if len(names) == 0 {
+		return 0
+	}
+	for i, name := range names {
+		if name == self {
+			return (i + int(epoch%int64(len(names)))) % len(names)
+		}
+	}
+	return len(names)
+}
--- /dev/null
+++ b/internal/leadership/elector.go
@@ -0,0 +1,241 @@
+package leadership
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/bluebellstile/bluebellstile/internal/clock"
+	"github.com/bluebellstile/bluebellstile/internal/keyedlog"
+	"gopkg.in/tomb.v2"
+)
+
+const (
+	// beatInterval is the time between heartbeats to the holder.
+	beatInterval = 200 * time.Millisecond
+	// beatTimeout bounds one heartbeat.
+	beatTimeout = 450 * time.Millisecond
+	// decideInterval is how often a daemon considers a claim.
+	decideInterval = 50 * time.Millisecond
+	// claimPause is the least time between two claims of one daemon, as each
+	// is a call of the log that others' claims make fail.
+	claimPause = 250 * time.Millisecond
+	// beginAllowance is how long a holder may take from its claim until its
+	// term runs: it reads the cell's jobs meanwhile.
+	beginAllowance = 1500 * time.Millisecond
+)
+
+// Beat is the answer to a heartbeat.
+type Beat struct {
+	Incarnation string
+	// Epoch is that of the term that runs there, 0 if none does.
+	Epoch int64
+	// Relieve asks others to take over.
+	Relieve bool
+}
+
+// Peers sends heartbeats to other daemons.
+type Peers interface {
+	// Heartbeat asks a daemon for its term. gone is set with an error if
+	// nothing serves the address any more.
+	Heartbeat(ctx context.Context, address string) (b Beat, gone bool, err error)
+}
+
+// Elector watches the holder and claims the cell when it is missing. It is safe
+// for concurrent use.
+type Elector struct {
+	directory *Directory
+	peers     Peers
+	clock     clock.Clock
+	logger    *slog.Logger
+	// logSeen returns when the log last answered this daemon.
+	logSeen func() time.Duration
+	// begin is told of each claim of this daemon that came into force.
+	begin func(Claim)
+
+	mu       sync.Mutex
+	watched  int64
+	heard    time.Duration
+	gone     time.Duration
+	relieve  time.Duration
+	idle     time.Duration
+	begun    int64
+	ended    int64
+	claimed  time.Duration
+	claiming bool
+	leaving  bool
+}
+
+// NewElector returns an elector that works once Run is called.
+func NewElector(d *Directory, peers Peers, c clock.Clock, logSeen func() time.Duration, begin func(Claim), logger *slog.Logger) *Elector {
+	return &Elector{directory: d, peers: peers, clock: c, logSeen: logSeen, begin: begin, logger: logger}
+}
+
+// Leave makes the daemon claim no more.
+func (e *Elector) Leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = true
+}
+
+// Run watches and claims until t dies.
+func (e *Elector) Run(t *tomb.Tomb) error {
+	ticker := time.NewTicker(decideInterval)
+	defer ticker.Stop()
+	nextBeat := time.Duration(0)
+	for {
+		changed := e.directory.Changed()
+		e.observe()
+		now := e.clock.Now()
+		if now >= nextBeat {
+			nextBeat = now + beatInterval
+			e.beat(t)
+		}
+		if e.due(now) {
+			t.Go(func() error {
+				ctx := t.Context(context.Background())
+				_, err := e.Claim(ctx)
+				if err != nil && t.Alive() {
+					e.logger.Info("claim of the cell failed", "error", err)
+				}
+				return nil
+			})
+		}
+		select {
+		case <-t.Dying():
+			return nil
+		case <-ticker.C:
+		case <-changed:
+		}
+	}
+}
+
+// observe takes in the newest claim of the directory.
+func (e *Elector) observe() {
+	claim := e.directory.Current()
+	now := e.clock.Now()
+	e.mu.Lock()
+	if e.heard == 0 && e.directory.Loaded() {
+		e.heard = now
+	}
+	if claim.Epoch != e.watched {
+		e.watched, e.heard, e.gone, e.relieve, e.idle = claim.Epoch, now, 0, 0, 0
+	}
+	own := claim.Epoch > e.begun && claim.Holder.Name == e.directory.self.Name && claim.Holder.Incarnation == e.directory.self.Incarnation
+	if own {
+		e.begun = claim.Epoch
+	}
+	e.mu.Unlock()
+	if own {
+		e.begin(claim)
+	}
+}
+
+// Holding reports whether this daemon's claim is the newest.
+func (e *Elector) Holding() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.holding()
+}
+
+func (e *Elector) holding() bool {
+	return e.begun > 0 && e.begun == e.watched && e.ended != e.watched
+}
+
+// beat sends a heartbeat to the holder, unless that is this daemon.
+func (e *Elector) beat(t *tomb.Tomb) {
+	claim := e.directory.Current()
+	if claim.Epoch == 0 || e.Holding() {
+		return
+	}
+	t.Go(func() error {
+		ctx, cancel := context.WithTimeout(t.Context(context.Background()), beatTimeout)
+		defer cancel()
+		b, gone, err := e.peers.Heartbeat(ctx, claim.Holder.Address)
+		e.take(claim, b, gone, err)
+		return nil
+	})
+}
+
+// take takes in the answer to a heartbeat to the holder of a claim.
+func (e *Elector) take(claim Claim, b Beat, gone bool, err error) {
+	now := e.clock.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if claim.Epoch != e.watched {
+		return
+	}
+	switch {
+	case err != nil && !gone:
+	case err != nil, b.Incarnation != claim.Holder.Incarnation:
+		since(&e.gone, true, now)
+	default:
+		e.gone = 0
+		since(&e.idle, b.Epoch == 0, now)
+		if e.idle == 0 || now-e.idle < beginAllowance {
+			e.heard = now
+		}
+		since(&e.relieve, b.Relieve, now)
+	}
+}
+
+// TermEnded tells that the term of a claim of this daemon runs no more, so
+// that the cell may be claimed again.
+func (e *Elector) TermEnded(epoch int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ended = max(e.ended, epoch)
+	if e.ended == e.watched {
+		since(&e.gone, true, e.clock.Now())
+	}
+}
+
+// since notes from when on a condition has held.
+func since(at *time.Duration, holds bool, now time.Duration) {
+	switch {
+	case !holds:
+		*at = 0
+	case *at == 0:
+		*at = now
+	}
+}
+
+// due reports whether a claim should be made now.
+func (e *Elector) due(now time.Duration) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.leaving || e.claiming || now-e.claimed < claimPause || e.heard == 0 || e.holding() {
+		return false
+	}
+	holder := e.directory.Current().Holder
+	return ShouldClaim(View{
+		Now:     now,
+		Claimed: e.watched > 0,
+		Heard:   e.heard,
+		Gone:    e.gone,
+		Relieve: e.relieve,
+		LogSeen: e.logSeen(),
+		Rank:    Rank(e.directory.Members(), e.directory.self.Name, holder.Name, e.watched),
+	})
+}
+
+// Claim claims the cell at once, unless this daemon leaves.
+func (e *Elector) Claim(ctx context.Context) (Claim, error) {
+	e.mu.Lock()
+	if e.leaving || e.claiming {
+		e.mu.Unlock()
+		return Claim{}, &keyedlog.Error{Kind: keyedlog.KindRefused, Op: "claim", Detail: "this daemon leaves or claims already"}
+	}
+	e.claiming, e.claimed = true, e.clock.Now()
+	e.mu.Unlock()
+	claim, err := e.directory.Claim(ctx)
+	e.mu.Lock()
+	e.claiming = false
+	e.mu.Unlock()
+	if err != nil {
+		return Claim{}, err
+	}
+	e.observe()
+	return claim, nil
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,319 @@
+// Package node runs a daemon on the platform: a front door for callers, a
+// candidate for holding the cell, and a lane for questions about endpoints.
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/bluebellstile/bluebellstile/internal/catalog"
+	"github.com/bluebellstile/bluebellstile/internal/clock"
+	"github.com/bluebellstile/bluebellstile/internal/controller"
+	"github.com/bluebellstile/bluebellstile/internal/eligibility"
+	"github.com/bluebellstile/bluebellstile/internal/fleetpeer"
+	"github.com/bluebellstile/bluebellstile/internal/gateway"
+	"github.com/bluebellstile/bluebellstile/internal/keyedlog"
+	"github.com/bluebellstile/bluebellstile/internal/leadership"
+	"github.com/pkg/errors"
+	"gopkg.in/tomb.v2"
+)
+
+// Topics of the cell in the platform's log.
+const (
+	cellTopic = "keyed.bluebellstile-cell"
+	jobsTopic = "keyed.bluebellstile-jobs"
+)
+
+const (
+	// registerPause is the pause before a failed registration is repeated.
+	registerPause = 300 * time.Millisecond
+	// readyLogAge is the age of the last sign of the log at which a daemon
+	// calls itself not ready: another one may do better.
+	readyLogAge = 2500 * time.Millisecond
+	// handOverTimeout bounds the wait for a successor at a planned stop.
+	handOverTimeout = 400 * time.Millisecond
+)
+
+// Ports are what a daemon uses of the platform.
+type Ports struct {
+	Log       keyedlog.Log
+	Catalogs  CatalogFeed
+	Registry  RegistryFeed
+	Endpoints controller.Endpoints
+	// Eligibility puts questions from this instance.
+	Eligibility eligibility.Asker
+}
+
+// Options describe a daemon.
+type Options struct {
+	Name             string
+	AvailabilityZone string
+	Region           string
+	// PeerAddress is where other daemons reach this one.
+	PeerAddress string
+	Bounds      controller.Bounds
+	// KeyBound is how long keyed requests are served without proof that no
+	// key was withdrawn.
+	KeyBound time.Duration
+	Clock    clock.Clock
+	Logger   *slog.Logger
+}
+
+// Node is a daemon on the platform.
+type Node struct {
+	options   Options
+	ports     Ports
+	self      leadership.Member
+	catalogs  *catalogs
+	directory *leadership.Directory
+	elector   *leadership.Elector
+	terms     *terms
+	pool      *eligibility.Pool
+	peers     *fleetpeer.Clients
+	gateway   *gateway.Gateway
+	server    *http.Server
+	tomb      *tomb.Tomb
+	leaving   atomic.Bool
+}
+
+// New returns a daemon that works once Start is called.
+func New(o Options, p Ports) *Node {
+	t := new(tomb.Tomb)
+	n := &Node{options: o, ports: p, tomb: t}
+	n.self = leadership.Member{
+		Name:             o.Name,
+		Incarnation:      newIncarnation(),
+		Address:          o.PeerAddress,
+		AvailabilityZone: o.AvailabilityZone,
+		Region:           o.Region,
+	}
+	n.peers = fleetpeer.NewClients(nil)
+	n.pool = eligibility.NewPool(o.Clock.Now)
+	n.catalogs = &catalogs{feed: p.Catalogs, log: p.Log, clock: o.Clock, logger: o.Logger}
+	n.directory = leadership.NewDirectory(p.Log, keyedlog.Partition{Topic: cellTopic}, o.Clock, n.self, o.Logger)
+	n.terms = &terms{
+		log:         p.Log,
+		jobs:        keyedlog.Partition{Topic: jobsTopic},
+		registry:    p.Registry,
+		endpoints:   p.Endpoints,
+		eligibility: n.pool,
+		bounds:      o.Bounds,
+		clock:       o.Clock,
+		logger:      o.Logger,
+		catalogs:    n.catalogs,
+		tomb:        t,
+	}
+	n.catalogs.changed = n.terms.setCatalog
+	n.elector = leadership.NewElector(n.directory, n.peers, o.Clock, n.logSeen, n.terms.begin, o.Logger)
+	n.terms.ended = n.elector.TermEnded
+	n.gateway = gateway.New(n.catalogs, (*holders)(n), o.Clock, o.KeyBound)
+	return n
+}
+
+// newIncarnation returns a random id for this life of the process.
+func newIncarnation() string {
+	var b [8]byte
+	// Read never fails; see crypto/rand.
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
+// Gateway returns the front door.
+func (n *Node) Gateway() *gateway.Gateway { return n.gateway }
+
+// Catalog returns the configuration in force, or nil.
+func (n *Node) Catalog() *catalog.Catalog { return n.catalogs.Catalog() }
+
+// logSeen returns when the log last answered; 0 while there is no
+// configuration, without which nothing can be held.
+func (n *Node) logSeen() time.Duration {
+	if n.catalogs.Catalog() == nil {
+		return -time.Hour
+	}
+	return n.catalogs.Proven()
+}
+
+// Start starts the daemon.
+func (n *Node) Start() error {
+	listener, err := net.Listen("tcp", n.options.PeerAddress)
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s for other daemons; check the settings", n.options.PeerAddress)
+	}
+	mux := http.NewServeMux()
+	mux.Handle(fleetpeer.NewHandler((*local)(n)))
+	n.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second, IdleTimeout: time.Minute}
+	n.tomb.Go(func() error {
+		if err := n.server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrap(err, "serve other daemons")
+		}
+		return nil
+	})
+	n.tomb.Go(func() error { return n.catalogs.run(n.tomb) })
+	n.tomb.Go(func() error { return n.directory.Run(n.tomb) })
+	n.tomb.Go(func() error { return n.elector.Run(n.tomb) })
+	n.tomb.Go(n.register)
+	n.tomb.Go(n.follow)
+	return nil
+}
+
+// register announces the daemon until it is known.
+func (n *Node) register() error {
+	ctx := n.tomb.Context(context.Background())
+	for n.tomb.Alive() {
+		err := n.directory.Register(ctx)
+		if err == nil {
+			return nil
+		}
+		n.options.Logger.Warn("not registered with the other daemons yet", "error", err)
+		timer := time.NewTimer(registerPause)
+		select {
+		case <-timer.C:
+		case <-n.tomb.Dying():
+			timer.Stop()
+		}
+	}
+	return nil
+}
+
+// follow keeps the lanes and the term in step with the directory.
+func (n *Node) follow() error {
+	for {
+		changed := n.directory.Changed()
+		n.terms.supersede(n.directory.Current().Epoch)
+		n.pool.SetLanes(n.lanes())
+		select {
+		case <-changed:
+		case <-n.tomb.Dying():
+			return nil
+		}
+	}
+}
+
+// lanes returns the instances through which questions can be put.
+func (n *Node) lanes() []eligibility.Lane {
+	lanes := []eligibility.Lane{{Name: n.self.Name, Asker: n.ports.Eligibility, Local: true}}
+	for _, m := range n.directory.Members() {
+		if m.Name != n.self.Name {
+			lanes = append(lanes, eligibility.Lane{Name: m.Name, Asker: n.peers.To(m.Address)})
+		}
+	}
+	return lanes
+}
+
+// Ready reports whether the daemon should get callers' connections.
+func (n *Node) Ready() bool {
+	return !n.leaving.Load() && n.catalogs.Catalog() != nil &&
+		n.options.Clock.Now()-n.catalogs.Proven() <= readyLogAge
+}
+
+// Dying returns a channel that is closed when the daemon has failed.
+func (n *Node) Dying() <-chan struct{} { return n.tomb.Dying() }
+
+// Leave begins a planned stop: the daemon is not ready any more, claims no
+// more and hands a term over.
+func (n *Node) Leave(ctx context.Context) {
+	n.leaving.Store(true)
+	n.elector.Leave()
+	n.handOver(ctx)
+}
+
+// handOver asks the other daemons in turn to claim the cell.
+func (n *Node) handOver(ctx context.Context) {
+	t := n.terms.term()
+	if t == nil {
+		return
+	}
+	for _, m := range n.directory.Members() {
+		if m.Name == n.self.Name || ctx.Err() != nil {
+			continue
+		}
+		attempt, cancel := context.WithTimeout(ctx, handOverTimeout)
+		epoch, err := n.peers.To(m.Address).TakeOver(attempt, t.controller.Epoch())
+		cancel()
+		if err == nil && epoch > 0 {
+			n.options.Logger.Info("cell handed over", "to", m.Name, "epoch", epoch)
+			return
+		}
+		n.options.Logger.Info("cell not taken over", "by", m.Name, "error", err)
+	}
+}
+
+// Stop ends the daemon.
+func (n *Node) Stop(ctx context.Context) error {
+	n.tomb.Kill(nil)
+	err := n.server.Shutdown(ctx)
+	if waited := n.tomb.Wait(); waited != nil {
+		err = waited
+	}
+	n.peers.Close()
+	return err
+}
+
+// local answers other daemons.
+type local Node
+
+// Beat implements fleetpeer.Local.
+func (l *local) Beat() leadership.Beat {
+	b := leadership.Beat{Incarnation: l.self.Incarnation}
+	if t := l.terms.term(); t != nil {
+		b.Epoch = t.controller.Epoch()
+		b.Relieve = l.leaving.Load()
+	}
+	return b
+}
+
+// TakeOver implements fleetpeer.Local.
+func (l *local) TakeOver(ctx context.Context, epoch int64) (int64, error) {
+	n := (*Node)(l)
+	if n.options.Clock.Now()-n.logSeen() > readyLogAge {
+		return 0, errors.New("the log has not answered here; ask another daemon")
+	}
+	claim, err := n.elector.Claim(ctx)
+	if err != nil {
+		return 0, err
+	}
+	n.options.Logger.Info("taking the cell over", "from epoch", epoch, "epoch", claim.Epoch)
+	return claim.Epoch, nil
+}
+
+// Holder implements fleetpeer.Local.
+func (l *local) Holder() fleetpeer.Holder {
+	if t := l.terms.term(); t != nil {
+		return t
+	}
+	return nil
+}
+
+// Ask implements fleetpeer.Local.
+func (l *local) Ask(ctx context.Context, step string, endpoints []string) (controller.Answer, error) {
+	return l.ports.Eligibility.Ask(ctx, step, endpoints)
+}
+
+// holders finds the holder for the gateway.
+type holders Node
+
+// Current implements gateway.Holders.
+func (h *holders) Current() leadership.Claim { return h.directory.Current() }
+
+// Changed implements gateway.Holders.
+func (h *holders) Changed() <-chan struct{} { return h.directory.Changed() }
+
+// To implements gateway.Holders.
+func (h *holders) To(claim leadership.Claim) fleetpeer.Holder {
+	if claim.Holder.Name != h.self.Name {
+		return h.peers.To(claim.Holder.Address)
+	}
+	if t := h.terms.term(); t != nil && t.controller.Epoch() == claim.Epoch {
+		return t
+	}
+	return nobody{}
+}
+
+// nobody stands for a holder whose term doesn't run.
+type nobody struct{}
--- /dev/null
+++ b/internal/node/terms.go
@@ -0,0 +1,233 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/bluebellstile/bluebellstile/internal/catalog"
+	"github.com/bluebellstile/bluebellstile/internal/clock"
+	"github.com/bluebellstile/bluebellstile/internal/controller"
+	"github.com/bluebellstile/bluebellstile/internal/fleet"
+	"github.com/bluebellstile/bluebellstile/internal/keyedlog"
+	"github.com/bluebellstile/bluebellstile/internal/leadership"
+	"github.com/bluebellstile/bluebellstile/internal/problem"
+	"github.com/bluebellstile/bluebellstile/internal/workload"
+	"github.com/pkg/errors"
+	"gopkg.in/tomb.v2"
+)
+
+const (
+	// producerName is the name under which holders append jobs' records.
+	producerName = "holder"
+	// beginTimeout bounds the beginning of a term: reading all jobs from a
+	// slow log.
+	beginTimeout = 5 * time.Second
+	// versionWait is how long a job waits for the configuration that admitted
+	// it elsewhere.
+	versionWait = 700 * time.Millisecond
+	// versionPoll is how often that is looked for.
+	versionPoll = 20 * time.Millisecond
+)
+
+// terms begins and ends this daemon's terms. It is safe for concurrent use.
+type terms struct {
+	log         keyedlog.Log
+	jobs        keyedlog.Partition
+	registry    RegistryFeed
+	endpoints   controller.Endpoints
+	eligibility controller.Eligibility
+	bounds      controller.Bounds
+	clock       clock.Clock
+	logger      *slog.Logger
+	catalogs    *catalogs
+	tomb        *tomb.Tomb
+	// ended is told of each term that runs no more.
+	ended func(epoch int64)
+
+	mu      sync.Mutex
+	current *term
+}
+
+// term is a term that runs.
+type term struct {
+	controller *controller.Controller
+	tomb       *tomb.Tomb
+	catalogs   *catalogs
+}
+
+// begin begins the term of a claim in the background.
+func (ts *terms) begin(claim leadership.Claim) {
+	ts.tomb.Go(func() error {
+		ts.runTerm(claim.Epoch)
+		return nil
+	})
+}
+
+// runTerm runs a term from its begin to its end.
+func (ts *terms) runTerm(epoch int64) {
+	t := new(tomb.Tomb)
+	stop := context.AfterFunc(ts.tomb.Context(context.Background()), func() { t.Kill(nil) })
+	defer stop()
+	defer ts.ended(epoch)
+	began := time.Now()
+	current, err := ts.prepare(t, epoch)
+	if err != nil {
+		ts.logger.Warn("term did not begin", "epoch", epoch, "error", err)
+		return
+	}
+	ts.set(current)
+	ts.logger.Info("term runs", "epoch", epoch, "after", time.Since(began))
+	err = t.Wait()
+	ts.drop(current)
+	ts.logger.Info("term ended", "epoch", epoch, "cause", err, "stats", current.controller.Stats())
+}
+
+// prepare fences earlier terms, reads what they have left and starts the
+// controller.
+func (ts *terms) prepare(t *tomb.Tomb, epoch int64) (*term, error) {
+	ctx, cancel := context.WithTimeout(ts.tomb.Context(context.Background()), beginTimeout)
+	defer cancel()
+	configuration := ts.catalogs.Catalog()
+	if configuration == nil {
+		return nil, errors.New("no configuration has been read yet")
+	}
+	writer := keyedlog.NewWriter(ts.log, ts.jobs, producerName, epoch)
+	proven := ts.clock.Now()
+	if err := writer.Fence(ctx); err != nil {
+		return nil, errors.WithMessage(err, "fence earlier terms")
+	}
+	fenced := ts.clock.Now()
+	entries, _, err := keyedlog.NewestAll(ctx, ts.log, ts.jobs)
+	if err != nil {
+		return nil, errors.WithMessage(err, "read the jobs")
+	}
+	reg := &registry{feed: ts.registry, log: ts.log, clock: ts.clock, logger: ts.logger, listed: make(map[string]bool)}
+	registrations, err := reg.load(ctx)
+	if err != nil {
+		return nil, errors.WithMessage(err, "read the registry of endpoints")
+	}
+	core := ts.restore(configuration, fenced, registrations, entries)
+	c := controller.NewController(core, controller.Options{
+		Epoch:       epoch,
+		Clock:       ts.clock,
+		Currency:    leadership.NewCurrency(ts.bounds.TermGrace, proven),
+		Endpoints:   ts.endpoints,
+		Eligibility: ts.eligibility,
+		Writer:      writer,
+		Logger:      ts.logger,
+	})
+	for _, r := range registrations {
+		reg.listed[r.ID] = true
+	}
+	reg.term = c
+	c.Start(t)
+	t.Go(func() error { return reg.run(t) })
+	return &term{controller: c, tomb: t, catalogs: ts.catalogs}, nil
+}
+
+// restore builds the core of a term.
+func (ts *terms) restore(configuration *catalog.Catalog, fenced time.Duration, registrations []fleet.Registration, entries []keyedlog.Entry) *controller.Core {
+	now := clock.Read(ts.clock)
+	core := controller.New(ts.bounds, configuration, fenced, ts.logger)
+	for _, r := range registrations {
+		core.EndpointListed(now, r)
+	}
+	core.Restore(now, entries)
+	return core
+}
+
+func (ts *terms) set(current *term) {
+	ts.mu.Lock()
+	ts.current = current
+	ts.mu.Unlock()
+	if c := ts.catalogs.Catalog(); c != nil {
+		current.controller.SetCatalog(c)
+	}
+}
+
+func (ts *terms) drop(ended *term) {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	if ts.current == ended {
+		ts.current = nil
+	}
+}
+
+// term returns the term that runs, or nil.
+func (ts *terms) term() *term {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	return ts.current
+}
+
+// supersede ends a term whose epoch is below the newest claim's.
+func (ts *terms) supersede(epoch int64) {
+	if t := ts.term(); t != nil && t.controller.Epoch() < epoch {
+		t.tomb.Kill(controller.ErrTermEnded)
+	}
+}
+
+// setCatalog brings a newer configuration into force in the term that runs.
+func (ts *terms) setCatalog(c *catalog.Catalog) {
+	if t := ts.term(); t != nil {
+		t.controller.SetCatalog(c)
+	}
+}
+
+// Submit implements fleetpeer.Holder.
+func (t *term) Submit(ctx context.Context, job *workload.Job, version int64) (*problem.Problem, error) {
+	if p := t.awaitVersion(ctx, version); p != nil {
+		return p, nil
+	}
+	r, err := t.controller.Submit(ctx, controller.Submission{
+		ID:       job.ID,
+		Queue:    job.Queue,
+		Customer: job.Customer,
+		Accepted: job.Accepted,
+		Spec:     job.Spec,
+	})
+	return r.Problem, err
+}
+
+// awaitVersion waits until the configuration that admitted a job elsewhere is
+// in force here.
+func (t *term) awaitVersion(ctx context.Context, version int64) *problem.Problem {
+	ctx, cancel := context.WithTimeout(ctx, versionWait)
+	defer cancel()
+	for t.controller.Version() < version {
+		timer := time.NewTimer(versionPoll)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return problem.Refuse(problem.ConfigNotFresh, "try again later",
+				"the holder has not read configuration %d yet", version).After(versionWait)
+		}
+	}
+	return nil
+}
+
+// Status implements fleetpeer.Holder.
+func (t *term) Status(ctx context.Context, id workload.ID, customer string) (workload.State, error) {
+	state, ok := t.controller.Status(id, customer)
+	if ok {
+		return state, nil
+	}
+	return "", t.controller.ConfirmCurrent(ctx)
+}
+
+// Cancel implements fleetpeer.Holder.
+func (t *term) Cancel(ctx context.Context, id workload.ID, customer string) (bool, error) {
+	found, err := t.controller.Cancel(ctx, id, customer)
+	if err != nil || found {
+		return found, err
+	}
+	return false, t.controller.ConfirmCurrent(ctx)
+}
+
+// Waiting implements fleetpeer.Holder.
+func (t *term) Waiting(_ context.Context, queue string) (int, error) {
+	return t.controller.Waiting(queue), nil
+}
--- a/internal/placement/check.go
+++ b/internal/placement/check.go
@@ -43,7 +43,7 @@
 func totalCopies(size Resources, capacities []Resources, limit int64) int64 {
 	var total int64
 	for _, c := range capacities {
-		total += size.copies(c, limit)
+		total += size.Copies(c, limit)
 		if total >= limit {
 			return total
 		}
@@ -57,7 +57,7 @@
 	var best Resources
 	bestHeld := -1.0
 	for _, c := range capacities {
-		held := size.atMost(c)
+		held := size.AtMost(c)
 		if score := heldFraction(held, size); score > bestHeld {
 			best, bestHeld = held, score
 		}
@@ -92,7 +92,7 @@
 }
 
 func scaled(size Resources, steps int64) Resources {
-	r := size.times(steps)
+	r := size.Times(steps)
 	return Resources{
 		MilliCores:   r.MilliCores / scaleSteps,
 		MemoryMB:     r.MemoryMB / scaleSteps,
--- a/internal/placement/endpoints.go
+++ b/internal/placement/endpoints.go
@@ -111,7 +111,7 @@
 	f.total = Resources{}
 	for _, list := range [][]*endpoint{f.workers, f.runners} {
 		for _, ep := range list {
-			f.total = f.total.add(ep.Capacity)
+			f.total = f.total.Add(ep.Capacity)
 		}
 	}
 	f.scale = inverse(f.total)
@@ -131,7 +131,7 @@
 		e.fleet.byID[spec.ID] = ep
 		defer e.attachOrphans(ep)
 	}
-	ep.free = ep.free.add(spec.Capacity).sub(ep.Capacity)
+	ep.free = ep.free.Add(spec.Capacity).Sub(ep.Capacity)
 	ep.Endpoint = spec
 	ep.rack = e.fleet.rackNumber(spec.Rack)
 	ep.scale = inverse(spec.Capacity)
@@ -191,7 +191,7 @@
 	tk.ep = ep
 	tk.at = len(ep.tasks)
 	ep.tasks = append(ep.tasks, tk)
-	ep.free = ep.free.sub(tk.charged)
+	ep.free = ep.free.Sub(tk.charged)
 }
 
 func (ep *endpoint) detach(tk *task) {
@@ -201,7 +201,7 @@
 	moved.at = tk.at
 	ep.tasks[last] = nil
 	ep.tasks = ep.tasks[:last]
-	ep.free = ep.free.add(tk.charged)
+	ep.free = ep.free.Add(tk.charged)
 	tk.ep = nil
 }
 
--- a/internal/placement/filter.go
+++ b/internal/placement/filter.go
@@ -43,7 +43,7 @@
 
 func (roomFilter) relevant(*engine, *candidate) bool { return true }
 
-func (roomFilter) admit(c *candidate, ep *endpoint) bool { return c.size.fits(ep.free) }
+func (roomFilter) admit(c *candidate, ep *endpoint) bool { return c.size.Fits(ep.free) }
 
 // openFilter admits endpoints that are available and not in quarantine.
 type openFilter struct{}
@@ -59,7 +59,7 @@
 func (holdFilter) relevant(e *engine, _ *candidate) bool { return len(e.owners) > 0 }
 
 func (holdFilter) admit(c *candidate, ep *endpoint) bool {
-	if len(ep.holds) == 0 || c.size.fits(ep.roomFor(c)) {
+	if len(ep.holds) == 0 || c.size.Fits(ep.roomFor(c)) {
 		return true
 	}
 	if c.variant < variantBackfill {
@@ -73,7 +73,7 @@
 	room := ep.free
 	for _, h := range ep.holds {
 		if !h.yieldsTo(c) {
-			room = room.sub(h.size.times(h.count))
+			room = room.Sub(h.size.Times(h.count))
 		}
 	}
 	return room
--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -36,7 +36,7 @@
 		if plainOnly && ep.Capacity.Accelerators > 0 || !ep.open(c.now) {
 			continue
 		}
-		copies := c.size.copies(ep.roomFor(c), ep.health.allowance(tasks))
+		copies := c.size.Copies(ep.roomFor(c), ep.health.allowance(tasks))
 		if copies > 0 {
 			slots = append(slots, gangSlot{ep, copies})
 			total += copies
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -3,15 +3,14 @@
 // same calls give the same decisions.
 package placement
 
-import "time"
+import (
+	"time"
 
-// Resources is a vector of what a task needs or an endpoint offers.
-type Resources struct {
-	MilliCores   int64
-	MemoryMB     int64
-	Accelerators int64
-	Slots        int64
-}
+	"github.com/bluebellstile/bluebellstile/internal/resource"
+)
+
+// Resources is what a task needs or an endpoint offers.
+type Resources = resource.Vector
 
 // Class orders work: urgent before service before batch.
 type Class int
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -23,7 +23,7 @@
 func (e *engine) preempt(tk *task) {
 	tk.preempted = true
 	tk.preemptedAt = e.now
-	tk.team.leaving = tk.team.leaving.add(tk.charged)
+	tk.team.leaving = tk.team.leaving.Add(tk.charged)
 	e.preempting = append(e.preempting, tk)
 	e.out = append(e.out, Decision{Work: tk.Work, Task: tk.Task, Endpoint: tk.Endpoint, Preempt: true})
 }
@@ -32,7 +32,7 @@
 func (e *engine) endPreemption(tk *task) {
 	if tk.preempted {
 		tk.preempted = false
-		tk.team.leaving = tk.team.leaving.sub(tk.charged)
+		tk.team.leaving = tk.team.leaving.Sub(tk.charged)
 	}
 }
 
@@ -72,13 +72,13 @@
 // the claimant counts as its own, and tasks that are being preempted as gone.
 func (e *engine) overShare(it *item) func(*task) bool {
 	claimant := it.bucket.team
-	own := claimant.used.add(it.Size.times(int64(claimant.held)))
+	own := claimant.used.Add(it.Size.Times(int64(claimant.held)))
 	short := dominant(own, e.fleet.scale) < reclaimBelow*e.activeLevel*claimant.weight()
 	return func(tk *task) bool {
 		if !short || tk.Class < it.Class || tk.team == claimant {
 			return false
 		}
-		left := dominant(tk.team.used.sub(tk.team.leaving).sub(tk.charged), e.fleet.scale)
+		left := dominant(tk.team.used.Sub(tk.team.leaving).Sub(tk.charged), e.fleet.scale)
 		return left >= e.activeLevel*tk.team.weight()
 	}
 }
@@ -126,7 +126,7 @@
 	var bestEndpoint *endpoint
 	bestCost := time.Duration(0)
 	for _, ep := range e.fleet.kind(it.Runner) {
-		if !ep.open(e.now) || !c.size.fits(ep.Capacity) {
+		if !ep.open(e.now) || !c.size.Fits(ep.Capacity) {
 			continue
 		}
 		victims, cost := e.victims(c, ep, admit)
@@ -155,17 +155,17 @@
 	for _, tk := range ep.tasks {
 		if tk.mayPreempt() && admit(tk) {
 			eligible = append(eligible, tk)
-			sum = sum.add(tk.charged)
+			sum = sum.Add(tk.charged)
 		}
 	}
 	e.scratch.victims = eligible
-	if len(eligible) == 0 || !c.size.fits(sum) {
+	if len(eligible) == 0 || !c.size.Fits(sum) {
 		return nil, 0
 	}
 	slices.SortStableFunc(eligible, func(a, b *task) int { return cmp.Compare(b.Started, a.Started) })
 	taken := 0
-	for !c.size.fits(room) {
-		room = room.add(eligible[taken].charged)
+	for !c.size.Fits(room) {
+		room = room.Add(eligible[taken].charged)
 		taken++
 	}
 	return e.spare(c, eligible[:taken], room)
@@ -176,8 +176,8 @@
 func (e *engine) spare(c *candidate, chosen []*task, room Resources) ([]*task, time.Duration) {
 	var cost time.Duration
 	for i := len(chosen) - 1; i >= 0; i-- {
-		without := room.sub(chosen[i].charged)
-		if c.size.fits(without) {
+		without := room.Sub(chosen[i].charged)
+		if c.size.Fits(without) {
 			room = without
 			chosen = slices.Delete(chosen, i, i+1)
 			continue
@@ -193,12 +193,12 @@
 	room := ep.roomFor(c)
 	for _, h := range ep.holds {
 		if h.owner == c.item {
-			room = room.sub(h.size.times(h.count))
+			room = room.Sub(h.size.Times(h.count))
 		}
 	}
 	for _, tk := range ep.tasks {
 		if tk.preempted {
-			room = room.add(tk.charged)
+			room = room.Add(tk.charged)
 		}
 	}
 	return room
@@ -208,7 +208,7 @@
 // one that has outgrown its size the most.
 func (e *engine) relieveOverfull() {
 	for _, ep := range e.fleet.workers {
-		if (Resources{}).fits(ep.free) {
+		if (Resources{}).Fits(ep.free) {
 			continue
 		}
 		if tk := ep.outgrown(); tk != nil && len(e.out) < e.limit {
@@ -226,7 +226,7 @@
 		if tk.preempted {
 			return nil
 		}
-		over := dominant(tk.charged.sub(tk.Size), ep.scale)
+		over := dominant(tk.charged.Sub(tk.Size), ep.scale)
 		if tk.mayPreempt() && over > worstOver {
 			worst, worstOver = tk, over
 		}
--- a/internal/placement/property_test.go
+++ b/internal/placement/property_test.go
@@ -50,7 +50,7 @@
 			continue
 		}
 		for _, ep := range e.fleet.kind(w.Runner) {
-			if ep.open(m.now) && w.Size.fits(ep.free) {
+			if ep.open(m.now) && w.Size.Fits(ep.free) {
 				m.t.Fatalf("work %s of size %+v waits beside free room %+v on %s", id, w.Size, ep.free, ep.ID)
 			}
 		}
@@ -98,13 +98,13 @@
 	count := int64(0)
 	for _, r := range m.running {
 		if r.Endpoint == d.Endpoint {
-			used = used.add(r.Size)
+			used = used.Add(r.Size)
 		}
 		if r.Team == w.Team {
 			count++
 		}
 	}
-	if !used.fits(ep.Capacity) {
+	if !used.Fits(ep.Capacity) {
 		m.t.Fatalf("endpoint %s has %+v on %+v", ep.ID, used, ep.Capacity)
 	}
 	if count > m.bounds[w.Team] {
--- a/internal/placement/reserve.go
+++ b/internal/placement/reserve.go
@@ -154,7 +154,7 @@
 func (e *engine) large(it *item) bool {
 	var largest Resources
 	for _, ep := range e.fleet.kind(it.Runner) {
-		largest = largest.atLeast(ep.Capacity)
+		largest = largest.AtLeast(ep.Capacity)
 	}
 	return dominant(it.Size, inverse(largest)) >= largePart
 }
@@ -186,7 +186,7 @@
 // endpointOpenings appends the openings of one endpoint as its tasks end.
 func (e *engine) endpointOpenings(out []opening, ep *endpoint, it *item, size Resources, need int64) []opening {
 	room := ep.roomFor(e.candidateOf(it))
-	copies := size.copies(room, need)
+	copies := size.Copies(room, need)
 	if copies > 0 {
 		out = append(out, opening{e.now, ep, copies})
 	}
@@ -199,8 +199,8 @@
 	e.scratch.ends = ends
 	slices.SortStableFunc(ends, func(a, b taskEnd) int { return cmp.Compare(a.at, b.at) })
 	for _, end := range ends {
-		room = room.add(end.frees)
-		if n := size.copies(room, need); n > copies {
+		room = room.Add(end.frees)
+		if n := size.Copies(room, need); n > copies {
 			out = append(out, opening{end.at, ep, n - copies})
 			copies = n
 		}
@@ -245,7 +245,7 @@
 
 func (it *item) onlyBackfillInTheWay() bool {
 	for _, h := range it.holds {
-		if !h.size.times(h.count).fits(h.ep.free.add(h.ep.backfilled())) {
+		if !h.size.Times(h.count).Fits(h.ep.free.Add(h.ep.backfilled())) {
 			return false
 		}
 	}
@@ -254,7 +254,7 @@
 
 func (e *engine) stopBackfill(it *item) {
 	for _, h := range it.holds {
-		if h.size.times(h.count).fits(h.ep.free) {
+		if h.size.Times(h.count).Fits(h.ep.free) {
 			continue
 		}
 		for _, tk := range h.ep.tasks {
@@ -270,7 +270,7 @@
 	var sum Resources
 	for _, tk := range ep.tasks {
 		if tk.backfill {
-			sum = sum.add(tk.charged)
+			sum = sum.Add(tk.charged)
 		}
 	}
 	return sum
--- a/internal/placement/running.go
+++ b/internal/placement/running.go
@@ -36,7 +36,7 @@
 	tk := &task{Running: r, team: t, source: t.source(r.Queue), charged: charged}
 	e.running[r.Task] = tk
 	t.running++
-	t.used = t.used.add(charged)
+	t.used = t.used.Add(charged)
 	e.rescore(t)
 	if ep, ok := e.fleet.byID[r.Endpoint]; ok {
 		ep.attach(tk)
@@ -66,7 +66,7 @@
 	t := tk.team
 	e.endPreemption(tk)
 	t.running--
-	t.used = t.used.sub(tk.charged)
+	t.used = t.used.Sub(tk.charged)
 	e.rescore(t)
 	if ep := tk.ep; ep != nil {
 		ep.detach(tk)
@@ -102,20 +102,20 @@
 	if !ok {
 		return
 	}
-	tk.peak = tk.peak.atLeast(used)
-	charged := tk.charged.atLeast(used)
-	grown := charged.sub(tk.charged)
+	tk.peak = tk.peak.AtLeast(used)
+	charged := tk.charged.AtLeast(used)
+	grown := charged.Sub(tk.charged)
 	if grown == (Resources{}) {
 		return
 	}
 	if tk.preempted {
-		tk.team.leaving = tk.team.leaving.add(grown)
+		tk.team.leaving = tk.team.leaving.Add(grown)
 	}
 	tk.charged = charged
-	tk.team.used = tk.team.used.add(grown)
+	tk.team.used = tk.team.used.Add(grown)
 	e.rescore(tk.team)
 	if tk.ep != nil {
-		tk.ep.free = tk.ep.free.sub(grown)
+		tk.ep.free = tk.ep.free.Sub(grown)
 	}
 }
 
--- a/internal/placement/schedule.go
+++ b/internal/placement/schedule.go
@@ -175,7 +175,7 @@
 	it.Tasks = it.Tasks[1:]
 	t.queues[it.Class].waiting--
 	t.waiting--
-	t.queued = t.queued.sub(it.Size)
+	t.queued = t.queued.Sub(it.Size)
 	e.consume(it, ep)
 	if len(it.Tasks) == 0 {
 		e.forget(it)
@@ -201,7 +201,7 @@
 // place starts one task on ep.
 func (e *engine) place(c *candidate, id string, ep *endpoint) {
 	it := c.item
-	backfill := len(ep.holds) > 0 && c.variant >= variantBackfill && !c.size.fits(ep.roomFor(c))
+	backfill := len(ep.holds) > 0 && c.variant >= variantBackfill && !c.size.Fits(ep.roomFor(c))
 	tk := e.start(Running{
 		Task: id, Work: it.ID, Endpoint: ep.ID, Team: it.Team, Queue: it.Queue, Class: it.Class, Size: it.Size,
 		Idempotent: it.Idempotent, Preemptible: it.Preemptible, Started: e.now, RunTime: it.RunTime,
--- a/internal/placement/shape.go
+++ b/internal/placement/shape.go
@@ -160,14 +160,14 @@
 	}
 	for i := len(t.open) - 1; i >= 0; i-- {
 		o := t.open[i]
-		if o.key.runner == s.key.runner && s.key.size.fits(o.key.size) && (!holds || o.key.variant == s.key.variant) {
+		if o.key.runner == s.key.runner && s.key.size.Fits(o.key.size) && (!holds || o.key.variant == s.key.variant) {
 			t.block(o)
 		}
 	}
 }
 
 func (s *shape) fits(ep *endpoint) bool {
-	return s.key.runner == ep.Runner && s.key.size.fits(ep.free)
+	return s.key.runner == ep.Runner && s.key.size.Fits(ep.free)
 }
 
 // shapeKeyOf returns the key of it in bucket b.
--- a/internal/placement/share.go
+++ b/internal/placement/share.go
@@ -145,7 +145,7 @@
 		level := pool / weights
 		rest := open[:0]
 		for _, t := range open {
-			asked := dominant(t.used.add(t.queued), e.fleet.scale)
+			asked := dominant(t.used.Add(t.queued), e.fleet.scale)
 			t.entitled = level * t.weight()
 			if asked > t.entitled {
 				rest = append(rest, t)
--- a/internal/placement/resources.go
+++ b/internal/resource/resource.go
@@ -1,16 +1,25 @@
-package placement
+// Package resource describes what tasks need and endpoints offer.
+package resource
 
-// fits reports whether r is at most free in every dimension.
-func (r Resources) fits(free Resources) bool {
+// Vector is an amount of each resource.
+type Vector struct {
+	MilliCores   int64
+	MemoryMB     int64
+	Accelerators int64
+	Slots        int64
+}
+
+// Fits reports whether r is at most free in every dimension.
+func (r Vector) Fits(free Vector) bool {
 	return r.MilliCores <= free.MilliCores &&
 		r.MemoryMB <= free.MemoryMB &&
 		r.Accelerators <= free.Accelerators &&
 		r.Slots <= free.Slots
 }
 
-// atLeast returns the larger value of each dimension.
-func (r Resources) atLeast(o Resources) Resources {
-	return Resources{
+// AtLeast returns the larger value of each dimension.
+func (r Vector) AtLeast(o Vector) Vector {
+	return Vector{
 		MilliCores:   max(r.MilliCores, o.MilliCores),
 		MemoryMB:     max(r.MemoryMB, o.MemoryMB),
 		Accelerators: max(r.Accelerators, o.Accelerators),
@@ -18,8 +27,9 @@
 	}
 }
 
-func (r Resources) add(o Resources) Resources {
-	return Resources{
+// Add returns the sum.
+func (r Vector) Add(o Vector) Vector {
+	return Vector{
 		MilliCores:   r.MilliCores + o.MilliCores,
 		MemoryMB:     r.MemoryMB + o.MemoryMB,
 		Accelerators: r.Accelerators + o.Accelerators,
@@ -27,8 +37,9 @@
 	}
 }
 
-func (r Resources) sub(o Resources) Resources {
-	return Resources{
+// Sub returns r less o; a dimension may get negative.
+func (r Vector) Sub(o Vector) Vector {
+	return Vector{
 		MilliCores:   r.MilliCores - o.MilliCores,
 		MemoryMB:     r.MemoryMB - o.MemoryMB,
 		Accelerators: r.Accelerators - o.Accelerators,
@@ -36,8 +47,9 @@
 	}
 }
 
-func (r Resources) times(n int64) Resources {
-	return Resources{
+// Times returns n times r.
+func (r Vector) Times(n int64) Vector {
+	return Vector{
 		MilliCores:   r.MilliCores * n,
 		MemoryMB:     r.MemoryMB * n,
 		Accelerators: r.Accelerators * n,
@@ -45,9 +57,9 @@
 	}
 }
 
-// atMost returns the smaller value of each dimension.
-func (r Resources) atMost(o Resources) Resources {
-	return Resources{
+// AtMost returns the smaller value of each dimension.
+func (r Vector) AtMost(o Vector) Vector {
+	return Vector{
 		MilliCores:   min(r.MilliCores, o.MilliCores),
 		MemoryMB:     min(r.MemoryMB, o.MemoryMB),
 		Accelerators: min(r.Accelerators, o.Accelerators),
@@ -55,8 +67,8 @@
 	}
 }
 
-// copies returns how many tasks of size r fit into free, at most limit.
-func (r Resources) copies(free Resources, limit int64) int64 {
+// Copies returns how many tasks of size r fit into free, at most limit.
+func (r Vector) Copies(free Vector, limit int64) int64 {
 	n := limit
 	n = min(n, quotient(free.MilliCores, r.MilliCores, limit))
 	n = min(n, quotient(free.MemoryMB, r.MemoryMB, limit))
--- /dev/null
+++ b/internal/scheduler/plan.go
@@ -0,0 +1,269 @@
+package scheduler
+
+import (
+	"sort"
+	"time"
+
+	"github.com/bluebellstile/bluebellstile/internal/fleet"
+	"github.com/bluebellstile/bluebellstile/internal/resource"
+)
+
+// planner carries the state of one plan.
+type planner struct {
+	*Snapshot
+	plan Plan
+	// given is what the plan has given to customers so far.
+	given map[string]resource.Vector
+	// reserved counts the gangs that hold room back.
+	reserved int
+}
+
+// Make returns the plan for a snapshot.
+func Make(s *Snapshot) Plan {
+	p := &planner{Snapshot: s, given: make(map[string]resource.Vector)}
+	p.holdAnswers()
+	for _, d := range rank(s) {
+		if d.Step.Spec.Gang {
+			p.placeGang(d)
+		} else {
+			p.placeTasks(d)
+		}
+	}
+	return p.plan
+}
+
+// holdAnswers takes the room that waits for the answer to a question from
+// all hosts; the demand that it is held for gets it back in its turn.
+func (p *planner) holdAnswers() {
+	for _, d := range p.Demands {
+		if d.Access == nil || len(d.Access.Held) == 0 {
+			continue
+		}
+		for _, h := range p.Hosts {
+			if n := d.Access.Held[h.Endpoint.ID]; n > 0 {
+				h.take(d.Step.Spec.Charge().Times(int64(n)))
+			}
+		}
+	}
+}
+
+// returnHeld gives a demand the room that was held for it.
+func (p *planner) returnHeld(d *Demand) {
+	if d.Access == nil {
+		return
+	}
+	for _, h := range p.Hosts {
+		if n := d.Access.Held[h.Endpoint.ID]; n > 0 {
+			h.take(d.Step.Spec.Charge().Times(int64(-n)))
+		}
+	}
+}
+
+// take uses up room of a host.
+func (h *Host) take(size resource.Vector) {
+	h.Free = h.Free.Sub(size)
+	h.Bulk = h.Bulk.Sub(size)
+}
+
+// room is what a demand may use of a host.
+func (h *Host) room(d *Demand) resource.Vector {
+	if d.Urgent {
+		return h.Free
+	}
+	return h.Bulk.AtMost(h.Free)
+}
+
+// slots returns how many tasks of a demand fit on a host, at most limit.
+func (h *Host) slots(d *Demand, limit int) int {
+	spec := d.Step.Spec
+	n := int(spec.Charge().Copies(h.room(d), int64(limit)))
+	if spec.MaxPerEndpoint > 0 {
+		n = min(n, spec.MaxPerEndpoint-d.Occupied[h.Endpoint.ID])
+	}
+	return max(n, 0)
+}
+
+// candidates returns the hosts on which the demand's tasks may run as far as
+// is known, those that fit them best first.
+func (p *planner) candidates(d *Demand) []*Host {
+	var out []*Host
+	for _, h := range p.Hosts {
+		e := h.Endpoint
+		if e.Pool != d.Pool || !e.HasLabel(d.Step.Spec.RequiredLabel) {
+			continue
+		}
+		if d.Access != nil {
+			if good, known := d.Access.Known[IncarnationOf(e)]; known && !good {
+				continue
+			}
+		}
+		out = append(out, h)
+	}
+	sort.SliceStable(out, func(i, k int) bool { return p.score(d, out[i]) < p.score(d, out[k]) })
+	return out
+}
+
+// Weights of the score, in the unit of a task's expected run time.
+const (
+	// weightFailures is the cost of a host that failed all of its last runs.
+	weightFailures = 3.0
+	// weightLeftover is the cost of leaving a host's whole room unused, so
+	// that whole holes stay for large tasks. It only decides between hosts
+	// that are about as fast.
+	weightLeftover = 0.2
+)
+
+// score is the cost of running a demand's tasks on a host; lower is better.
+func (p *planner) score(d *Demand, h *Host) float64 {
+	e := h.Endpoint
+	cost := e.Record.Pace() + weightFailures*e.Record.FailedShare()
+	spec := d.Step.Spec
+	if spec.PreferredRack != "" && spec.PreferredRack != e.Rack {
+		cost *= p.Policy.FarFactor
+	}
+	if e.Capacity.MilliCores > 0 {
+		left := float64(h.Free.MilliCores-spec.Size.MilliCores) / float64(e.Capacity.MilliCores)
+		if d.Urgent {
+			// Urgent tasks spread out, so that each next one finds room
+			// anywhere.
+			left = 1 - left
+		}
+		cost += weightLeftover * left
+	}
+	return cost
+}
+
+// allowed reports whether the customer may take one task more of a demand.
+func (p *planner) allowed(d *Demand, tasks int) bool {
+	customer := d.Step.Job.Customer
+	size := d.Step.Spec.Size.Times(int64(tasks))
+	return p.Within(customer, p.given[customer].Add(size))
+}
+
+// start decides on a start.
+func (p *planner) start(d *Demand, task int, h *Host, permit string) {
+	spec := d.Step.Spec
+	h.take(spec.Charge())
+	customer := d.Step.Job.Customer
+	p.given[customer] = p.given[customer].Add(spec.Size)
+	if spec.MaxPerEndpoint > 0 {
+		d.Occupied[h.Endpoint.ID]++
+	}
+	p.plan.Starts = append(p.plan.Starts, Start{Demand: d, Task: task, Endpoint: h.Endpoint, Permit: permit})
+}
+
+// permit returns a permit that is still good for a start on an endpoint.
+func (p *planner) permit(d *Demand, e *fleet.Endpoint) (string, bool) {
+	if d.Access == nil {
+		return "", true
+	}
+	permit, ok := d.Access.Permits[IncarnationOf(e)]
+	return permit.Token, ok && p.Now+p.Policy.PermitMargin < permit.Expires
+}
+
+// placeTasks starts as many tasks of a demand as there is room for.
+func (p *planner) placeTasks(d *Demand) {
+	hosts := p.candidates(d)
+	waiting := d.Tasks
+	for len(waiting) > 0 && p.allowed(d, 1) {
+		task := waiting[0]
+		h, token := p.hostFor(d, task, hosts)
+		if h == nil {
+			break
+		}
+		p.start(d, task, h, token)
+		waiting = waiting[1:]
+	}
+	if len(waiting) == 0 || !p.allowed(d, 1) {
+		return
+	}
+	p.plan.Blocked++
+	p.ask(d, hosts, len(waiting))
+}
+
+// hostFor returns the best host on which a task can start now, or nil.
+func (p *planner) hostFor(d *Demand, task int, hosts []*Host) (*Host, string) {
+	var avoided *Host
+	var avoidedToken string
+	for _, h := range hosts {
+		if h.slots(d, 1) == 0 || p.waitsForData(d, h) {
+			continue
+		}
+		token, ok := p.permit(d, h.Endpoint)
+		if !ok {
+			continue
+		}
+		if d.Avoid != nil && d.Avoid(task, h.Endpoint.ID) {
+			if avoided == nil {
+				avoided, avoidedToken = h, token
+			}
+			continue
+		}
+		return h, token
+	}
+	return avoided, avoidedToken
+}
+
+// waitsForData reports whether a task should rather wait for room in the rack
+// of its data than run on a host elsewhere: as long as the wait is shorter
+// than what it saves.
+func (p *planner) waitsForData(d *Demand, h *Host) bool {
+	spec := d.Step.Spec
+	if spec.PreferredRack == "" || spec.PreferredRack == h.Endpoint.Rack || p.late(d) {
+		return false
+	}
+	saved := time.Duration(float64(spec.Estimate) * (p.Policy.FarFactor - 1))
+	return p.Now-d.Since < saved/2 && p.rackExists(d.Pool, spec.PreferredRack)
+}
+
+func (p *planner) rackExists(pool, rack string) bool {
+	for _, h := range p.Hosts {
+		if h.Endpoint.Pool == pool && h.Endpoint.Rack == rack {
+			return true
+		}
+	}
+	return false
+}
+
+// Bounds of a question.
+const (
+	// maxAsked bounds the endpoints that one question names; the service
+	// takes no more.
+	maxAsked = 100
+	// minAsked is the least worth asking about: each further endpoint costs a
+	// small part of the call itself.
+	minAsked = 6
+	// spareShare is how many more good endpoints are asked for than needed.
+	spareShare = 1.5
+)
+
+// ask puts a question about hosts that have room, if none is under way.
+func (p *planner) ask(d *Demand, hosts []*Host, tasks int) {
+	a := d.Access
+	if a == nil || a.Asking {
+		return
+	}
+	var asked []*fleet.Endpoint
+	expected := 0.0
+	for _, h := range hosts {
+		n := h.slots(d, tasks)
+		if n == 0 || p.waitsForData(d, h) {
+			continue
+		}
+		if _, ok := p.permit(d, h.Endpoint); ok {
+			continue
+		}
+		share := a.GoodShare
+		if a.Known[IncarnationOf(h.Endpoint)] {
+			share = 1
+		}
+		asked = append(asked, h.Endpoint)
+		expected += share * float64(n)
+		if len(asked) >= maxAsked || len(asked) >= minAsked && expected >= spareShare*float64(tasks) {
+			break
+		}
+	}
+	if len(asked) > 0 {
+		p.plan.Questions = append(p.plan.Questions, Question{Demand: d, Endpoints: asked})
+	}
+}
--- /dev/null
+++ b/internal/scheduler/snapshot.go
@@ -0,0 +1,142 @@
+// Package scheduler decides which waiting tasks start next and where. A plan
+// is a function of a snapshot: the package performs no I/O, keeps no state
+// between plans and reads no clock.
+package scheduler
+
+import (
+	"time"
+
+	"github.com/bluebellstile/bluebellstile/internal/fleet"
+	"github.com/bluebellstile/bluebellstile/internal/resource"
+	"github.com/bluebellstile/bluebellstile/internal/workload"
+)
+
+// Snapshot is what a plan is made from. Make uses up the working fields of its
+// hosts, so that a snapshot serves one plan.
+type Snapshot struct {
+	Now   time.Duration
+	Hosts []*Host
+	// Demands are the steps with waiting tasks, in any order.
+	Demands []*Demand
+	// Within reports whether a customer may take size more beside what the
+	// plan has given it already.
+	Within func(customer string, size resource.Vector) bool
+	Policy Policy
+}
+
+// Policy holds the figures of the rules.
+type Policy struct {
+	// Headroom is the share of each endpoint that only urgent work may use.
+	Headroom float64
+	// FarFactor is how much longer a task takes away from its data or its
+	// gang's rack.
+	FarFactor float64
+	// Reservations is how many blocked gangs may hold room back from others.
+	Reservations int
+	// PermitMargin is the least time for which a permit must still be good
+	// when a start is decided.
+	PermitMargin time.Duration
+}
+
+// Host is an endpoint that may take tasks.
+type Host struct {
+	Endpoint *fleet.Endpoint
+	// Free is what is left of the capacity.
+	Free resource.Vector
+	// Bulk is what work that is not urgent may use of Free.
+	Bulk resource.Vector
+	// Releases are the expected ends of the host's runs.
+	Releases []Release
+}
+
+// Release is room that is expected to get free.
+type Release struct {
+	At   time.Duration
+	Size resource.Vector
+}
+
+// Demand is a step with tasks that wait.
+type Demand struct {
+	Step *workload.StepRun
+	// Tasks are the indices of the waiting tasks. A gang lists all of its
+	// tasks, and only while none of them occupies an endpoint.
+	Tasks []int
+	Pool  string
+	// Urgent work has priority 0.
+	Urgent   bool
+	Priority int
+	Excess   bool
+	// LatestStart is when the step has to start for its job to meet its
+	// objective.
+	LatestStart time.Duration
+	// Since is when the step became ready.
+	Since time.Duration
+	// Access is nil if every endpoint of the pool may run the step.
+	Access *Access
+	// Occupied counts the step's runs by endpoint, for MaxPerEndpoint.
+	Occupied map[string]int
+	// Avoid reports whether a task should not run on an endpoint, as it failed
+	// there before.
+	Avoid func(task int, endpoint string) bool
+}
+
+// Access is what is known of a step's eligible endpoints.
+type Access struct {
+	// Known says of endpoints whether they may run the step, which doesn't
+	// change for an incarnation.
+	Known map[Incarnation]bool
+	// Permits are the permits at hand.
+	Permits map[Incarnation]Permit
+	// Asking is set while a question is under way.
+	Asking bool
+	// Held is room that waits for the answer to a question.
+	Held map[string]int
+	// GoodShare is the share of endpoints that may run steps of the queue, as
+	// learned; it is in (0, 1].
+	GoodShare float64
+}
+
+// Incarnation identifies one life of an endpoint.
+type Incarnation struct {
+	ID   string
+	Born int64
+}
+
+// IncarnationOf returns the identity of an endpoint's present life.
+func IncarnationOf(e *fleet.Endpoint) Incarnation {
+	return Incarnation{ID: e.ID, Born: e.Incarnation}
+}
+
+// Permit lets the tasks of a step start on one incarnation of an endpoint.
+type Permit struct {
+	Token   string
+	Expires time.Duration
+}
+
+// Plan is what a snapshot leads to.
+type Plan struct {
+	// Starts are tasks to start. The members of a gang stand together.
+	Starts []Start
+	// Questions are to be put to the service that knows a queue's endpoints.
+	Questions []Question
+	// Blocked counts the demands that found no room.
+	Blocked int
+}
+
+// Start places a task.
+type Start struct {
+	Demand   *Demand
+	Task     int
+	Endpoint *fleet.Endpoint
+	// Permit is empty if the queue needs none.
+	Permit string
+}
+
+// Question asks which of the endpoints may run a step.
+type Question struct {
+	Demand    *Demand
+	Endpoints []*fleet.Endpoint
+	// Hold is the number of tasks for which room is kept on each endpoint
+	// until the answer has come.
+	Hold map[string]int
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -15,32 +15,6 @@
 	heartbeatsPerTakeover = 2
 )
 
-// Check reports every value of s that its key refuses and every conflict
-// between keys, as Errors. Parse and Load check by themselves; Check is for
-// settings that a program has made.
-func Check(s *Settings) error {
-	var errs Errors
-	scratch := *s
-	for i := range table {
-		if err := table[i].parse(&scratch, table[i].format(s)); err != nil {
-			errs = append(errs, &Error{
-				Kind:    KindBadValue,
-				Section: table[i].Section,
-				Key:     table[i].Name,
-				Rule:    err.Error(),
-				Remedy:  fmt.Sprintf("set a %s: %s", table[i].Type, table[i].Range),
-			})
-		}
-	}
-	if len(errs) > 0 {
-		return errs
-	}
-	if errs := conflicts(s); len(errs) > 0 {
-		return errs
-	}
-	return nil
-}
-
 // conflicts reports values that don't go together.
 func conflicts(s *Settings) Errors {
 	var errs Errors
--- a/internal/settings/kinds.go
+++ b/internal/settings/kinds.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"math"
 	"net/netip"
 	"net/url"
 	"path/filepath"
@@ -18,25 +19,25 @@
 // namePattern is the form of names, the same as in the configuration.
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9_-]{0,62}$`)
 
-func required(k Key, example string) Key {
+func required[T any](k Key[T], example string) Key[T] {
 	k.Required = true
 	k.Example = example
 	return k
 }
 
-func reloadable(k Key) Key {
+func reloadable[T any](k Key[T]) Key[T] {
 	k.Reloadable = true
 	return k
 }
 
 // textKey returns a key for a string that check accepts.
-func textKey[S ~string](section, name, doc string, check func(string) error, at func(*Settings) *S) Key {
-	return Key{
+func textKey[T any, S ~string](section, name, doc string, check func(string) error, at func(*T) *S) Key[T] {
+	return Key[T]{
 		Section: section,
 		Name:    name,
 		Doc:     doc,
-		format:  func(s *Settings) string { return string(*at(s)) },
-		parse: func(s *Settings, text string) error {
+		format:  func(s *T) string { return string(*at(s)) },
+		parse: func(s *T, text string) error {
 			if err := check(text); err != nil {
 				return err
 			}
@@ -46,7 +47,7 @@
 	}
 }
 
-func name(section, key, doc string, at func(*Settings) *string) Key {
+func name[T any](section, key, doc string, at func(*T) *string) Key[T] {
 	k := textKey(section, key, doc, checkName, at)
 	k.Type = "name"
 	k.Range = "1 to 63 lower-case letters, digits, '-' or '_'"
@@ -60,7 +61,7 @@
 	return nil
 }
 
-func address(section, key, fallback, doc string, at func(*Settings) *string) Key {
+func address[T any](section, key, fallback, doc string, at func(*T) *string) Key[T] {
 	k := textKey(section, key, doc, checkAddress, at)
 	k.Type = "address"
 	k.Default = fallback
@@ -77,10 +78,10 @@
 }
 
 // peerAddress refuses addresses that no other daemon can connect to.
-func peerAddress(k Key) Key {
+func peerAddress[T any](k Key[T]) Key[T] {
 	parse := k.parse
 	k.Range += "; not 0.0.0.0 or ::"
-	k.parse = func(s *Settings, text string) error {
+	k.parse = func(s *T, text string) error {
 		a, err := netip.ParseAddrPort(text)
 		if err == nil && a.Addr().IsUnspecified() {
 			return errors.Errorf("%q names no single instance", text)
@@ -90,7 +91,7 @@
 	return k
 }
 
-func link(section, key, doc string, at func(*Settings) *string) Key {
+func link[T any](section, key, doc string, at func(*T) *string) Key[T] {
 	k := textKey(section, key, doc, checkURL, at)
 	k.Type = "URL"
 	k.Range = "http or https, with a host and without query"
@@ -111,7 +112,7 @@
 	return nil
 }
 
-func path(section, key, doc string, at func(*Settings) *string) Key {
+func path[T any](section, key, doc string, at func(*T) *string) Key[T] {
 	k := textKey(section, key, doc, checkPath, at)
 	k.Type = "file"
 	k.Range = "absolute path, or empty"
@@ -125,7 +126,7 @@
 	return nil
 }
 
-func choice[S ~string](section, key string, options []string, doc string, at func(*Settings) *S) Key {
+func choice[T any, S ~string](section, key string, options []string, doc string, at func(*T) *S) Key[T] {
 	check := func(text string) error {
 		if !slices.Contains(options, text) {
 			return errors.Errorf("%q is not one of %s", text, strings.Join(options, ", "))
@@ -142,19 +143,19 @@
 // levels are the log levels, from the one that logs most.
 var levels = []slog.Level{slog.LevelDebug, slog.LevelInfo, slog.LevelWarn, slog.LevelError}
 
-func level(section, key, fallback, doc string) Key {
-	return Key{
+func level[T any](section, key, fallback, doc string, at func(*T) *slog.Level) Key[T] {
+	return Key[T]{
 		Section: section,
 		Name:    key,
 		Type:    "choice",
 		Default: fallback,
 		Range:   "debug, info, warn, error",
 		Doc:     doc,
-		format:  func(s *Settings) string { return strings.ToLower(s.Log.Level.String()) },
-		parse: func(s *Settings, text string) error {
+		format:  func(s *T) string { return strings.ToLower(at(s).String()) },
+		parse: func(s *T, text string) error {
 			for _, l := range levels {
 				if text == strings.ToLower(l.String()) {
-					s.Log.Level = l
+					*at(s) = l
 					return nil
 				}
 			}
@@ -163,16 +164,16 @@
 	}
 }
 
-func duration(section, key string, fallback, lowest, highest time.Duration, doc string, at func(*Settings) *time.Duration) Key {
-	return Key{
+func duration[T any](section, key string, fallback, lowest, highest time.Duration, doc string, at func(*T) *time.Duration) Key[T] {
+	return Key[T]{
 		Section: section,
 		Name:    key,
 		Type:    "duration",
 		Default: formatDuration(fallback),
 		Range:   formatDuration(lowest) + " to " + formatDuration(highest),
 		Doc:     doc,
-		format:  func(s *Settings) string { return formatDuration(*at(s)) },
-		parse: func(s *Settings, text string) error {
+		format:  func(s *T) string { return formatDuration(*at(s)) },
+		parse: func(s *T, text string) error {
 			d, err := time.ParseDuration(text)
 			if err != nil {
 				return errors.Errorf("%q is not a duration with a unit, such as 500ms, 30s or 2h", text)
@@ -198,16 +199,16 @@
 	return text
 }
 
-func count(section, key, unit string, fallback, lowest, highest int, doc string, at func(*Settings) *int) Key {
-	return Key{
+func count[T any](section, key, unit string, fallback, lowest, highest int, doc string, at func(*T) *int) Key[T] {
+	return Key[T]{
 		Section: section,
 		Name:    key,
 		Type:    "whole number, " + unit,
 		Default: strconv.Itoa(fallback),
 		Range:   fmt.Sprintf("%d to %d", lowest, highest),
 		Doc:     doc,
-		format:  func(s *Settings) string { return strconv.Itoa(*at(s)) },
-		parse: func(s *Settings, text string) error {
+		format:  func(s *T) string { return strconv.Itoa(*at(s)) },
+		parse: func(s *T, text string) error {
 			n, err := strconv.Atoi(text)
 			if err != nil {
 				return errors.Errorf("%q is not a whole number without a unit", text)
@@ -233,3 +234,33 @@
 func outOfRange(text string) error {
 	return &rangeError{text: text}
 }
+
+// percent is how a factor is kept as a whole number.
+const percent = 100
+
+// factor returns a key for a number of at least 1 with two decimals.
+func factor[T any](section, key, fallback, doc string, at func(*T) *int) Key[T] {
+	const largest = 1000
+	return Key[T]{
+		Section: section,
+		Name:    key,
+		Type:    "number",
+		Default: fallback,
+		Range:   fmt.Sprintf("1 to %d", largest),
+		Doc:     doc,
+		format: func(s *T) string {
+			return strconv.FormatFloat(float64(*at(s))/percent, 'f', -1, 64)
+		},
+		parse: func(s *T, text string) error {
+			f, err := strconv.ParseFloat(text, 64)
+			if err != nil {
+				return errors.Errorf("%q is not a number", text)
+			}
+			if !(f >= 1 && f <= largest) {
+				return outOfRange(text)
+			}
+			*at(s) = int(math.Round(f * percent))
+			return nil
+		},
+	}
+}
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -18,32 +18,24 @@
 	maxFileBytes = 64 << 10
 )
 
-// Load reads the settings file at path and the files that it names. Its
-// errors are of type Errors.
-func Load(path string) (*Settings, error) {
+// load reads the settings file at path.
+func (s *Schema[T]) load(path string) (*T, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return nil, Errors{{
 			Kind:   KindUnreadable,
 			File:   path,
 			Rule:   err.Error(),
-			Remedy: "name a file that exists and that the daemon may read; 'bluebellstile settings sample' writes one",
+			Remedy: fmt.Sprintf("name a file that exists and that the daemon may read; '%s' writes one", s.command),
 		}}
 	}
-	s, err := Parse(data, path)
-	if err != nil {
-		return nil, err
-	}
-	if err := checkFiles(s, path); err != nil {
-		return nil, err
-	}
-	return s, nil
+	return s.parse(data, path)
 }
 
-// Parse reads settings; name stands for the file in messages. Every fault is
+// parse reads settings; name stands for the file in messages. Every fault is
 // reported, as Errors.
-func Parse(data []byte, name string) (*Settings, error) {
-	p := &parser{name: name, settings: Default(), seen: map[string]int{}}
+func (s *Schema[T]) parse(data []byte, name string) (*T, error) {
+	p := &parser[T]{schema: s, name: name, settings: s.defaults(), seen: map[string]int{}}
 	if len(data) > maxFileBytes || !utf8.Valid(data) {
 		p.add(KindSyntax, "", "", 0, fmt.Sprintf("the file is not UTF-8 text of at most %d bytes", maxFileBytes),
 			"name a settings file")
@@ -63,17 +55,18 @@
 }
 
 // parser collects the settings and faults of one file.
-type parser struct {
+type parser[T any] struct {
+	schema   *Schema[T]
 	name     string
 	file     *inifile.File
-	settings *Settings
+	settings *T
 	// seen counts the sections of each name.
 	seen  map[string]int
 	ended bool
 	errs  Errors
 }
 
-func (p *parser) add(kind ErrorKind, section, key string, line int, rule, remedy string) {
+func (p *parser[T]) add(kind ErrorKind, section, key string, line int, rule, remedy string) {
 	p.errs = append(p.errs, &Error{
 		Kind:    kind,
 		File:    p.name,
@@ -85,7 +78,7 @@
 	})
 }
 
-func (p *parser) addSyntax(err error) {
+func (p *parser[T]) addSyntax(err error) {
 	line := 0
 	var syntax *inifile.SyntaxError
 	if errors.As(err, &syntax) {
@@ -94,7 +87,7 @@
 	p.add(KindSyntax, "", "", line, err.Error(), "write [section] headers and key = value lines")
 }
 
-func (p *parser) parse() {
+func (p *parser[T]) parse() {
 	for _, section := range p.file.Sections() {
 		p.parseSection(section)
 	}
@@ -102,20 +95,20 @@
 		p.add(KindTruncated, "", "", 0, "the file ends without an [end] section",
 			"restore the rest of the file; if it is whole, add the line [end] at its end")
 	}
-	for i := range table {
-		p.checkRequired(&table[i])
+	for i := range p.schema.keys {
+		p.checkRequired(&p.schema.keys[i])
 	}
-	if len(p.errs) > 0 {
+	if len(p.errs) > 0 || p.schema.conflicts == nil {
 		return
 	}
-	for _, e := range conflicts(p.settings) {
+	for _, e := range p.schema.conflicts(p.settings) {
 		e.File = p.name
 		e.Line = p.file.Line(e.Section, e.Key)
 		p.errs = append(p.errs, e)
 	}
 }
 
-func (p *parser) parseSection(section *ini.Section) {
+func (p *parser[T]) parseSection(section *ini.Section) {
 	name := section.Name()
 	if name == ini.DefaultSection {
 		p.refuseKeys(section, "", "the key stands outside every section", "move it below its section header")
@@ -131,27 +124,27 @@
 	case name == sectionEnd:
 		p.ended = true
 		p.refuseKeys(section, name, "the section has no keys", "move the key to its own section")
-	case !hasSection(name):
+	case !p.schema.hasSection(name):
 		p.add(KindUnknownSection, name, "", line, "there is no such section",
-			"correct its spelling; 'bluebellstile settings sample' lists every section")
+			fmt.Sprintf("correct its spelling; '%s' lists every section", p.schema.command))
 	default:
 		p.parseKeys(section)
 	}
 }
 
-func (p *parser) refuseKeys(section *ini.Section, name, rule, remedy string) {
+func (p *parser[T]) refuseKeys(section *ini.Section, name, rule, remedy string) {
 	for _, key := range section.KeyStrings() {
 		p.add(KindUnknownKey, name, key, p.file.KeyLine(name, key), rule, remedy)
 	}
 }
 
-func (p *parser) parseKeys(section *ini.Section) {
+func (p *parser[T]) parseKeys(section *ini.Section) {
 	for _, name := range section.KeyStrings() {
 		line := p.file.KeyLine(section.Name(), name)
-		key := findKey(section.Name(), name)
+		key := p.schema.find(section.Name(), name)
 		if key == nil {
 			p.add(KindUnknownKey, section.Name(), name, line, "there is no such key",
-				"correct its spelling or remove the line; 'bluebellstile settings sample' lists every key")
+				fmt.Sprintf("correct its spelling or remove the line; '%s' lists every key", p.schema.command))
 			continue
 		}
 		if inifile.Repeated(section, name) {
@@ -162,7 +155,7 @@
 	}
 }
 
-func (p *parser) parseValue(key *Key, text string, line int) {
+func (p *parser[T]) parseValue(key *Key[T], text string, line int) {
 	err := key.parse(p.settings, text)
 	if err == nil {
 		return
@@ -175,7 +168,7 @@
 	p.add(kind, key.Section, key.Name, line, err.Error(), fmt.Sprintf("set a %s: %s", key.Type, key.Range))
 }
 
-func (p *parser) checkRequired(key *Key) {
+func (p *parser[T]) checkRequired(key *Key[T]) {
 	if !key.Required {
 		return
 	}
--- a/internal/settings/sample.go
+++ b/internal/settings/sample.go
@@ -5,14 +5,14 @@
 	"strings"
 )
 
-// Sample returns a settings file with every key, its description and its
+// sample returns a settings file with every key, its description and its
 // default.
-func Sample() string {
+func (s *Schema[T]) sample() string {
 	var b strings.Builder
-	b.WriteString("# Settings of bluebellstiled. Durations are written as 500ms, 30s or 2h.\n")
+	fmt.Fprintf(&b, "# Settings of %s. Durations are written as 500ms, 30s or 2h.\n", s.program)
 	section := ""
-	for i := range table {
-		k := &table[i]
+	for i := range s.keys {
+		k := &s.keys[i]
 		if k.Section != section {
 			section = k.Section
 			fmt.Fprintf(&b, "\n[%s]\n", section)
@@ -25,7 +25,7 @@
 
 // sample returns the lines of one key. A key whose default is empty is
 // commented out.
-func (k *Key) sample() string {
+func (k *Key[T]) sample() string {
 	value, lead := k.Default, ""
 	switch {
 	case k.Required:
@@ -37,26 +37,20 @@
 	return fmt.Sprintf("# %s\n# %s: %s. %s.\n%s\n", k.Doc, k.Type, k.Range, k.reload(), line)
 }
 
-func (k *Key) reload() string {
+func (k *Key[T]) reload() string {
 	if k.Reloadable {
 		return "Reloadable"
 	}
 	return "Needs a restart"
 }
 
-// Document returns the reference page of the settings, in Markdown.
-func Document() string {
+// document returns the reference page of the settings, in Markdown.
+func (s *Schema[T]) document() string {
 	var b strings.Builder
-	b.WriteString("# Settings of bluebellstiled\n\n" +
-		"<!-- Generated from internal/settings/table.go by: go test ./internal/settings -update -->\n\n" +
-		"The daemon reads one INI file, named by `-config`. `bluebellstile settings sample` writes one with every\n" +
-		"key and `bluebellstile settings check FILE` checks one. Unknown sections and keys, bad units, values out of\n" +
-		"range, keys that stand twice and listen addresses that overlap are refused, each with file, line and remedy.\n" +
-		"The file ends with the line `[end]`, without which it counts as cut off. Reloadable keys take effect when the\n" +
-		"daemon reads its file again; the others need a restart.\n")
+	fmt.Fprintf(&b, "# Settings of %s\n\n<!-- Generated from %s by: go test ./internal/settings -update -->\n\n%s", s.program, s.source, s.intro)
 	section := ""
-	for i := range table {
-		k := &table[i]
+	for i := range s.keys {
+		k := &s.keys[i]
 		if k.Section != section {
 			section = k.Section
 			fmt.Fprintf(&b, "\n## [%s]\n\n| key | type | default | range | reloadable | meaning |\n| --- | --- | --- | --- | --- | --- |\n", section)
@@ -67,7 +61,7 @@
 }
 
 // row returns the key's row of the reference page.
-func (k *Key) row() string {
+func (k *Key[T]) row() string {
 	value := "`" + k.Default + "`"
 	switch {
 	case k.Required:
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -108,15 +108,43 @@
 }
 
 // Default returns the defaults; keys without one are empty.
-func Default() *Settings {
-	s := &Settings{}
-	for _, k := range table {
-		if k.Default == "" {
-			continue
-		}
-		if err := k.parse(s, k.Default); err != nil {
-			panic("settings: the default of " + k.FullName() + " is refused: " + err.Error())
-		}
+func Default() *Settings { return cell.defaults() }
+
+// Table returns every key in the order of the sample file.
+func Table() []Key[Settings] { return append([]Key[Settings](nil), cell.keys...) }
+
+// Check reports every value of s that its key refuses and every conflict
+// between keys, as Errors. Parse and Load check by themselves; Check is for
+// settings that a program has made.
+func Check(s *Settings) error { return cell.check(s) }
+
+// Sample returns a settings file with every key, its description and its
+// default.
+func Sample() string { return cell.sample() }
+
+// Document returns the reference page of the settings, in Markdown.
+func Document() string { return cell.document() }
+
+// Parse reads settings; name stands for the file in messages. Every fault is
+// reported, as Errors.
+func Parse(data []byte, name string) (*Settings, error) { return cell.parse(data, name) }
+
+// Load reads the settings file at path and the files that it names. Its
+// errors are of type Errors.
+func Load(path string) (*Settings, error) {
+	s, err := cell.load(path)
+	if err != nil {
+		return nil, err
 	}
-	return s
+	if err := checkFiles(s, path); err != nil {
+		return nil, err
+	}
+	return s, nil
 }
+
+// cellIntro begins the reference page of the settings.
+const cellIntro = "The daemon reads one INI file, named by `-config`. `bluebellstile settings sample` writes one with every\n" +
+	"key and `bluebellstile settings check FILE` checks one. Unknown sections and keys, bad units, values out of\n" +
+	"range, keys that stand twice and listen addresses that overlap are refused, each with file, line and remedy.\n" +
+	"The file ends with the line `[end]`, without which it counts as cut off. Reloadable keys take effect when the\n" +
+	"daemon reads its file again; the others need a restart.\n"
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -22,8 +22,8 @@
 		t.Fatal(err)
 	}
 	want := Default()
-	for i := range table {
-		k := &table[i]
+	for i := range cell.keys {
+		k := &cell.keys[i]
 		if !strings.Contains(Sample(), "\n"+k.Name+" =") && !strings.Contains(Sample(), "\n# "+k.Name+" =") {
 			t.Errorf("the sample lacks %s", k.FullName())
 		}
--- /dev/null
+++ b/internal/workload/spec.go
@@ -0,0 +1,173 @@
+// Package workload holds jobs of steps and tasks: what was submitted, and how
+// far it has come. It performs no I/O and reads no clock.
+package workload
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/bluebellstile/bluebellstile/internal/resource"
+)
+
+// idLength is the number of hexadecimal digits of a job id.
+const idLength = 16
+
+// ID identifies a job: 16 lower-case hexadecimal digits that its submitter
+// chose.
+type ID string
+
+// ParseID reports whether text has the form of a job id.
+func ParseID(text string) (ID, bool) {
+	if len(text) != idLength {
+		return "", false
+	}
+	for i := range len(text) {
+		c := text[i]
+		if (c < '0' || c > '9') && (c < 'a' || c > 'f') {
+			return "", false
+		}
+	}
+	return ID(text), true
+}
+
+// Spec is a job as submitted.
+type Spec struct {
+	// Payload is handed to every task unread.
+	Payload string
+	Steps   []Step
+	// Recurrence is nil for a job that runs once, at once.
+	Recurrence *Recurrence
+}
+
+// Step is a group of like tasks.
+type Step struct {
+	// Count is the number of tasks.
+	Count int
+	// Size is what each task occupies.
+	Size resource.Vector
+	// Estimate is the submitter's guess of a task's run time.
+	Estimate time.Duration
+	// After lists the steps, by index, that must be done before.
+	After []int
+	// Gang tasks start together, run together and end together.
+	Gang bool
+	// SameRack tasks run slower when spread over racks.
+	SameRack bool
+	// RequiredLabel is a label that an endpoint must have, or empty.
+	RequiredLabel string
+	// PreferredRack is where the step's data is, or empty.
+	PreferredRack string
+	// MaxPerEndpoint bounds the tasks of the step on one endpoint; 0 means no
+	// bound.
+	MaxPerEndpoint int
+	// Speculative tasks may run in several copies; the first to finish counts.
+	Speculative bool
+	// LongRunning tasks run until the job is cancelled.
+	LongRunning bool
+	// Checkpoints is set for tasks that save their progress.
+	Checkpoints bool
+	// Image names what the tasks run; tasks of one image behave alike.
+	Image string
+	// LatencyObjective bounds the tail latency that a long-running task gives
+	// its own users; 0 means none.
+	LatencyObjective time.Duration
+	// Fills is set for tasks that use what others leave: their processor
+	// share does not count against an endpoint's capacity.
+	Fills bool
+	// MaxUnavailable bounds the tasks of a long-running step that planned work
+	// may take away at the same time.
+	MaxUnavailable int
+}
+
+// Charge is what a task of the step counts against an endpoint's capacity.
+func (s *Step) Charge() resource.Vector {
+	charge := s.Size
+	if s.Fills {
+		charge.MilliCores = 0
+	}
+	return charge
+}
+
+// Recurrence says when the occurrences of a job are due.
+type Recurrence struct {
+	Times int
+	// First is when occurrence 0 is due.
+	First    time.Time
+	Interval time.Duration
+}
+
+// Due returns when an occurrence is due.
+func (r *Recurrence) Due(occurrence int) time.Time {
+	return r.First.Add(time.Duration(occurrence) * r.Interval)
+}
+
+// Occurrences is how often the job's steps run.
+func (s *Spec) Occurrences() int {
+	if s.Recurrence == nil {
+		return 1
+	}
+	return s.Recurrence.Times
+}
+
+// TaskID names a task of a job.
+type TaskID struct {
+	Job        ID
+	Occurrence int
+	Step       int
+	Index      int
+}
+
+// String returns the task's name, ID.occurrence.step.index.
+func (t TaskID) String() string {
+	return t.StepName() + "." + strconv.Itoa(t.Index)
+}
+
+// StepName returns the name of the task's step, ID.occurrence.step.
+func (t TaskID) StepName() string {
+	b := make([]byte, 0, len(t.Job)+12)
+	b = append(b, t.Job...)
+	b = append(b, '.')
+	b = strconv.AppendInt(b, int64(t.Occurrence), 10)
+	b = append(b, '.')
+	b = strconv.AppendInt(b, int64(t.Step), 10)
+	return string(b)
+}
+
+// ParseTaskID reads a task's name.
+func ParseTaskID(text string) (TaskID, bool) {
+	if len(text) <= idLength || text[idLength] != '.' {
+		return TaskID{}, false
+	}
+	id, ok := ParseID(text[:idLength])
+	if !ok {
+		return TaskID{}, false
+	}
+	t := TaskID{Job: id}
+	rest := text[idLength+1:]
+	for i, to := range []*int{&t.Occurrence, &t.Step, &t.Index} {
+		end := len(rest)
+		if i < 2 {
+			end = indexByte(rest, '.')
+		}
+		if end <= 0 {
+			return TaskID{}, false
+		}
+		n, err := strconv.ParseUint(rest[:end], 10, 31)
+		if err != nil {
+			return TaskID{}, false
+		}
+		*to = int(n)
+		rest = rest[min(end+1, len(rest)):]
+	}
+	return t, true
+}
+
+// indexByte returns the index of c in s, or -1.
+func indexByte(s string, c byte) int {
+	for i := range len(s) {
+		if s[i] == c {
+			return i
+		}
+	}
+	return -1
+}
--- /dev/null
+++ b/internal/workload/validate.go
@@ -0,0 +1,130 @@
+package workload
+
+import (
+	"fmt"
+)
+
+// Bounds of a submitted job.
+const (
+	// MaxPayloadBytes bounds Spec.Payload; the submitters' interface names it.
+	MaxPayloadBytes = 4000
+	// MaxSteps bounds the steps of a job, so that its state stays one record.
+	MaxSteps = 100
+	// MaxTasks bounds the tasks of all steps of one occurrence, for the same
+	// reason.
+	MaxTasks = 5000
+	// MaxOccurrences bounds a recurrence.
+	MaxOccurrences = 1_000_000
+)
+
+// InvalidError says what is wrong with a submitted job.
+type InvalidError struct {
+	// Field is the path of the field, such as steps[1].count.
+	Field string
+	Rule  string
+}
+
+// Error names the field, the rule and the remedy.
+func (e *InvalidError) Error() string {
+	return fmt.Sprintf("%s: %s; correct the job and submit it again", e.Field, e.Rule)
+}
+
+func invalid(field, format string, args ...any) error {
+	return &InvalidError{Field: field, Rule: fmt.Sprintf(format, args...)}
+}
+
+// Validate checks a job as submitted. Its error is an *InvalidError.
+func (s *Spec) Validate() error {
+	if len(s.Payload) > MaxPayloadBytes {
+		return invalid("spec", "has %d bytes, at most %d are taken", len(s.Payload), MaxPayloadBytes)
+	}
+	if len(s.Steps) == 0 || len(s.Steps) > MaxSteps {
+		return invalid("steps", "has %d entries, 1 to %d are taken", len(s.Steps), MaxSteps)
+	}
+	total := 0
+	for i := range s.Steps {
+		if err := s.validateStep(i); err != nil {
+			return err
+		}
+		total += s.Steps[i].Count
+	}
+	if total > MaxTasks {
+		return invalid("steps", "have %d tasks, at most %d are taken", total, MaxTasks)
+	}
+	if cycle := s.findCycle(); cycle >= 0 {
+		return invalid(fmt.Sprintf("steps[%d].after", cycle), "the step waits for itself through other steps")
+	}
+	return s.validateRecurrence()
+}
+
+func (s *Spec) validateStep(i int) error {
+	step := &s.Steps[i]
+	at := func(name string) string { return fmt.Sprintf("steps[%d].%s", i, name) }
+	switch {
+	case step.Count < 1:
+		return invalid(at("count"), "is %d, at least 1 task is needed", step.Count)
+	case step.Size.MilliCores < 0 || step.Size.MemoryMB < 0 || step.Size.Accelerators < 0:
+		return invalid(at("size"), "is negative")
+	case step.Estimate < 0:
+		return invalid(at("estimate"), "is negative")
+	case step.MaxPerEndpoint < 0:
+		return invalid(at("anti-affinity"), "is negative")
+	case step.LatencyObjective < 0:
+		return invalid(at("target"), "is negative")
+	case step.MaxUnavailable < 0:
+		return invalid(at("may miss"), "is negative")
+	}
+	for _, before := range step.After {
+		if before < 0 || before >= len(s.Steps) || before == i {
+			return invalid(at("after"), "names step %d, which is no other step of the job", before)
+		}
+	}
+	return nil
+}
+
+// findCycle returns a step that waits for itself, or -1.
+func (s *Spec) findCycle() int {
+	const (
+		unseen = iota
+		open
+		closed
+	)
+	state := make([]int, len(s.Steps))
+	var visit func(int) int
+	visit = func(i int) int {
+		switch state[i] {
+		case open:
+			return i
+		case closed:
+			return -1
+		}
+		state[i] = open
+		for _, before := range s.Steps[i].After {
+			if c := visit(before); c >= 0 {
+				return c
+			}
+		}
+		state[i] = closed
+		return -1
+	}
+	for i := range s.Steps {
+		if c := visit(i); c >= 0 {
+			return c
+		}
+	}
+	return -1
+}
+
+func (s *Spec) validateRecurrence() error {
+	r := s.Recurrence
+	if r == nil {
+		return nil
+	}
+	if r.Times < 1 || r.Times > MaxOccurrences {
+		return invalid("times", "is %d, 1 to %d are taken", r.Times, MaxOccurrences)
+	}
+	if r.Interval < 0 {
+		return invalid("interval", "is negative")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/workload/workload_test.go
@@ -0,0 +1,257 @@
+package workload
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/bluebellstile/bluebellstile/internal/resource"
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"pgregory.net/rapid"
+)
+
+var epoch = time.UnixMilli(1_700_000_000_000)
+
+func step(count int, after ...int) Step {
+	return Step{Count: count, Size: resource.Vector{MilliCores: 500, MemoryMB: 64}, Estimate: time.Second, After: after}
+}
+
+func job(steps ...Step) *Job {
+	j := NewJob("00000000000000aa", "q", "c", epoch, Spec{Payload: "x", Steps: steps})
+	j.OpenNext()
+	return j
+}
+
+func TestParseTaskID(t *testing.T) {
+	want := TaskID{Job: "5c0e7a21d94b36f8", Occurrence: 0, Step: 1, Index: 17}
+	if got, ok := ParseTaskID(want.String()); !ok || got != want {
+		t.Errorf("%s reads as %v, %v", want, got, ok)
+	}
+	for _, text := range []string{"", "5c0e7a21d94b36f8", "5c0e7a21d94b36f8.0.1", "5c0e7a21d94b36f8.0.1.", "5c0e7a21d94b36f8..1.2",
+		"5c0e7a21d94b36f8.0.1.2.3", "5C0e7a21d94b36f8.0.1.2", "5c0e7a21d94b36f8.0.1.-2", "5c0e7a21d94b36f8.0.1.99999999999"} {
+		if got, ok := ParseTaskID(text); ok {
+			t.Errorf("%q reads as %v", text, got)
+		}
+	}
+}
+
+func TestValidate(t *testing.T) {
+	for name, spec := range map[string]Spec{
+		"no steps":      {},
+		"no tasks":      {Steps: []Step{step(0)}},
+		"too many":      {Steps: []Step{step(MaxTasks), step(1)}},
+		"unknown step":  {Steps: []Step{step(1, 4)}},
+		"itself":        {Steps: []Step{step(1, 0)}},
+		"circle":        {Steps: []Step{step(1, 1), step(1, 2), step(1, 0)}},
+		"negative size": {Steps: []Step{{Count: 1, Size: resource.Vector{MemoryMB: -1}}}},
+		"payload":       {Payload: string(make([]byte, MaxPayloadBytes+1)), Steps: []Step{step(1)}},
+		"times":         {Steps: []Step{step(1)}, Recurrence: &Recurrence{Times: 0}},
+		"interval":      {Steps: []Step{step(1)}, Recurrence: &Recurrence{Times: 2, Interval: -1}},
+	} {
+		var fault *InvalidError
+		if err := spec.Validate(); !errors.As(err, &fault) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	good := Spec{Steps: []Step{step(2), step(1, 0), step(1, 0), step(1, 1, 2)}}
+	if err := good.Validate(); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestStepsInOrder(t *testing.T) {
+	j := job(step(2), step(1, 0))
+	first, second := j.Live()[0].Steps[0], j.Live()[0].Steps[1]
+	if !first.Ready() || second.Ready() {
+		t.Fatal("the second step is ready before the first is done")
+	}
+	for i := range 2 {
+		n := first.Begin(i, "e1", 7)
+		if j.State() != StateRunning {
+			t.Errorf("state is %s while a task runs", j.State())
+		}
+		first.Finish(i, n, EndDone, "", 2, epoch)
+	}
+	if !second.Ready() {
+		t.Fatal("the second step is not ready after the first is done")
+	}
+	second.Finish(0, second.Begin(0, "e1", 7), EndDone, "", 2, epoch)
+	if j.State() != StateCompleted {
+		t.Errorf("state is %s after all tasks are done", j.State())
+	}
+}
+
+func TestOnlyFailedRunsCountAsAttempts(t *testing.T) {
+	j := job(step(1))
+	s := j.Live()[0].Steps[0]
+	for _, end := range []End{EndStopped, EndLapsed, EndLost, EndNeverRan, EndFailed, EndStopped} {
+		s.Finish(0, s.Begin(0, "e1", 7), end, "", 2, epoch)
+		if j.Final() {
+			t.Fatalf("failed by an end that is %s", end)
+		}
+	}
+	s.Finish(0, s.Begin(0, "e1", 7), EndFailed, "", 2, epoch)
+	if j.State() != StateFailed {
+		t.Errorf("state is %s after two failures of two", j.State())
+	}
+}
+
+func TestGangCountsOneFailurePerRun(t *testing.T) {
+	gang := step(3)
+	gang.Gang = true
+	j := job(gang)
+	s := j.Live()[0].Steps[0]
+	place := func(int) (string, int64) { return "e1", 7 }
+	n := s.BeginGang(place)
+	s.Finish(0, n, EndFailed, "", 2, epoch)
+	s.Finish(1, n, EndFailed, "", 2, epoch)
+	s.Finish(2, n, EndBroken, "", 2, epoch)
+	if j.Final() {
+		t.Fatal("two failed members of one run count twice")
+	}
+	n = s.BeginGang(place)
+	s.Finish(1, n, EndDone, "", 2, epoch)
+	if j.State() != StateCompleted {
+		t.Errorf("state is %s after a member ended done", j.State())
+	}
+}
+
+func TestGangNumbersAreEqualAndRise(t *testing.T) {
+	gang := step(2)
+	gang.Gang = true
+	s := job(gang).Live()[0].Steps[0]
+	s.Raise(1, 5)
+	n := s.BeginGang(func(int) (string, int64) { return "e1", 7 })
+	if n != 6 || s.Number(0) != 6 || s.Number(1) != 6 {
+		t.Errorf("run %d, numbers %d and %d; want 6", n, s.Number(0), s.Number(1))
+	}
+}
+
+func TestRecurrence(t *testing.T) {
+	j := NewJob("00000000000000aa", "q", "c", epoch, Spec{
+		Steps:      []Step{step(1)},
+		Recurrence: &Recurrence{Times: 2, First: epoch.Add(time.Second), Interval: time.Minute},
+	})
+	for k := range 2 {
+		due, ok := j.NextDue()
+		if want := epoch.Add(time.Second + time.Duration(k)*time.Minute); !ok || !due.Equal(want) {
+			t.Fatalf("occurrence %d is due at %s, %v; want %s", k, due, ok, want)
+		}
+		s := j.OpenNext().Steps[0]
+		s.Finish(0, s.Begin(0, "e1", 7), EndDone, "", 2, epoch)
+	}
+	if _, ok := j.NextDue(); ok || j.State() != StateCompleted {
+		t.Errorf("state is %s after both occurrences", j.State())
+	}
+}
+
+func TestLongestChain(t *testing.T) {
+	s := Spec{Steps: []Step{step(1), step(1, 0), step(1)}}
+	if got := s.LongestChain(time.Millisecond); got != 2*time.Second+2*time.Millisecond {
+		t.Errorf("longest chain is %s", got)
+	}
+	if got := s.ChainFrom(1, 0); got != time.Second {
+		t.Errorf("chain from step 1 is %s", got)
+	}
+}
+
+// TestRecordsRoundTrip drives a job by chance and requires that a job read
+// back from its records is the same.
+func TestRecordsRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		j := drawJob(t)
+		for range rapid.IntRange(0, 60).Draw(t, "steps") {
+			drive(t, j)
+		}
+		data, err := j.EncodeProgress()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if j.Final() {
+			again, ok, err := FinalJob(j.ID, data)
+			if err != nil || !ok || again.State() != j.State() || again.Customer != j.Customer {
+				t.Fatalf("final job reads as %v, %v, %v", again, ok, err)
+			}
+			return
+		}
+		first, err := j.EncodeAdmission()
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, err := DecodeAdmission(j.ID, first)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := again.Restore(data); err != nil {
+			t.Fatal(err)
+		}
+		forgetDoneSteps(j)
+		same := cmp.Options{cmp.AllowUnexported(Job{}, Occurrence{}, StepRun{}, Task{}), cmpopts.EquateEmpty()}
+		if diff := cmp.Diff(j, again, same); diff != "" {
+			t.Fatal(diff)
+		}
+	})
+}
+
+// forgetDoneSteps drops what is not stored of steps that are done.
+func forgetDoneSteps(j *Job) {
+	for _, o := range j.Live() {
+		for _, s := range o.Steps {
+			if !s.Done() {
+				continue
+			}
+			for i := range s.Tasks {
+				s.Tasks[i] = Task{done: true}
+			}
+		}
+	}
+}
+
+func drawJob(t *rapid.T) *Job {
+	var spec Spec
+	for i := range rapid.IntRange(1, 3).Draw(t, "count") {
+		s := step(rapid.IntRange(1, 4).Draw(t, "tasks"))
+		s.Gang = rapid.Bool().Draw(t, "gang")
+		if i > 0 && rapid.Bool().Draw(t, "chained") {
+			s.After = []int{i - 1}
+		}
+		spec.Steps = append(spec.Steps, s)
+	}
+	if rapid.Bool().Draw(t, "recurs") {
+		spec.Recurrence = &Recurrence{Times: 2, First: epoch, Interval: time.Minute}
+	}
+	return NewJob("00000000000000aa", "q", "c", epoch, spec)
+}
+
+// drive takes one random step with a job.
+func drive(t *rapid.T, j *Job) {
+	if _, ok := j.NextDue(); ok && rapid.Bool().Draw(t, "open") {
+		j.OpenNext()
+		return
+	}
+	if len(j.Live()) == 0 {
+		return
+	}
+	o := j.Live()[rapid.IntRange(0, len(j.Live())-1).Draw(t, "occurrence")]
+	s := o.Steps[rapid.IntRange(0, len(o.Steps)-1).Draw(t, "step")]
+	i := rapid.IntRange(0, len(s.Tasks)-1).Draw(t, "task")
+	if runs := s.Runs(i); len(runs) > 0 {
+		end := End(rapid.IntRange(int(EndDone), int(EndNeverRan)).Draw(t, "end"))
+		s.Finish(i, runs[0].Number, end, rapid.SampledFrom([]string{"", "c1", "c2"}).Draw(t, "checkpoint"), 3, epoch)
+		return
+	}
+	switch {
+	case s.Done() || !s.Ready():
+	case s.Spec.Gang:
+		for k := range s.Tasks {
+			if len(s.Runs(k)) > 0 {
+				return
+			}
+		}
+		s.BeginGang(func(k int) (string, int64) { return fmt.Sprint("e", k), int64(k) })
+	case s.Pending(i):
+		s.Begin(i, "e1", 7)
+	}
+}
