Judge the holder in simulated time, and mend what that shows

Traced in a simulated cell with lost, mute and late orders, crashes, cuts, frozen and replaced holders: (1) an acknowledgement sent again with each hold can reach a new life of an endpoint and drop ends that nobody has read; (2) a gang whose second order got no answer was never resolved; (3) plans cost 5 ms each at a backlog of 200 steps and starved the daemon, so that orders timed out. Ruled out: the log writer's repetition (same sequence number), connections refused before a request was sent.

--- a/internal/controller/batch.go
+++ b/internal/controller/batch.go
@@ -23,7 +23,7 @@
 
 	admitted map[workload.ID]*jobEntry
 	touched  map[workload.ID]*jobEntry
-	dropped  map[workload.ID]bool
+	dropped  []workload.ID
 	starts   []*plannedStart
 	// noted gives the ends of an endpoint that the batch has taken in.
 	noted map[*fleet.Endpoint]int64
@@ -41,7 +41,6 @@
 	return &Batch{
 		admitted: make(map[workload.ID]*jobEntry),
 		touched:  make(map[workload.ID]*jobEntry),
-		dropped:  make(map[workload.ID]bool),
 		noted:    make(map[*fleet.Endpoint]int64),
 	}
 }
@@ -76,7 +75,7 @@
 			b.Records = append(b.Records, keyedlog.Record{Key: admissionPrefix + string(id)})
 		}
 	}
-	for id := range b.dropped {
+	for _, id := range b.dropped {
 		b.Records = append(b.Records, keyedlog.Record{Key: progressPrefix + string(id)})
 	}
 	return b
@@ -112,8 +111,8 @@
 		}
 		e.waiters = nil
 	}
-	for _, e := range b.touched {
-		if e.job.Final() {
+	for _, id := range sortedIDs(b.touched) {
+		if e := b.touched[id]; e.job.Final() {
 			c.confirmEnd(now, e)
 		}
 	}
@@ -137,6 +136,7 @@
 		return
 	}
 	e.ended = true
+	c.log.Debug("job ended", "job", e.job.ID, "state", e.job.State())
 	c.ended = append(c.ended, e)
 	c.stopJob(now, e.job)
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -24,8 +24,10 @@
 	// tickInterval is how often what is due is looked for.
 	tickInterval = 20 * time.Millisecond
 	// planGap is the least time between two plans, so that events that come
-	// close together are planned for at once.
-	planGap = 8 * time.Millisecond
+	// close together are planned for at once; planShare bounds the part of the
+	// time that plans take.
+	planGap   = 8 * time.Millisecond
+	planShare = 0.1
 	// appendGap is the least time between the begins of two appends; calls of
 	// the log are charged, and one of them takes about this long.
 	appendGap = 12 * time.Millisecond
@@ -60,10 +62,10 @@
 
 	kick chan struct{}
 	tomb *tomb.Tomb
-	// appending is set while an append is under way; lastAppend and lastPlan
-	// are when the last ones began. They belong to the pump.
+	// lastAppend is when the last append began, nextPlan when the next plan
+	// may be made. They and appending belong to the pump.
 	lastAppend time.Duration
-	lastPlan   time.Duration
+	nextPlan   time.Duration
 	appended   chan struct{}
 	appending  bool
 	// proofWanted asks the pump for a proof that the term is current.
@@ -147,9 +149,10 @@
 	next := tickInterval
 	c.mu.Lock()
 	c.core.Tick(now)
-	if wait := c.lastPlan + planGap - now.Steady; wait <= 0 {
-		c.lastPlan = now.Steady
+	if wait := c.nextPlan - now.Steady; wait <= 0 {
 		c.core.Plan(now)
+		took := c.clock.Now() - now.Steady
+		c.nextPlan = now.Steady + max(planGap, time.Duration(float64(took)/planShare))
 	} else {
 		next = min(next, wait)
 	}
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -221,8 +221,8 @@
 	if q.Eligibility != nil {
 		extra = q.Eligibility.Cost(adviceEndpoints)
 		entry.access = &scheduler.Access{
-			Known:   make(map[scheduler.Incarnation]bool),
-			Permits: make(map[scheduler.Incarnation]scheduler.Permit),
+			Known:   make(map[*fleet.Endpoint]bool),
+			Permits: make(map[*fleet.Endpoint]scheduler.Permit),
 		}
 	}
 	begun := e.job.Accepted
--- /dev/null
+++ b/internal/controller/judge_test.go
@@ -0,0 +1,106 @@
+package controller
+
+import (
+	"time"
+
+	"github.com/bluebellstile/bluebellstile/internal/resource"
+	"github.com/bluebellstile/bluebellstile/internal/workload"
+)
+
+// judge checks a start against the promises.
+func (w *world) judge(e *simEndpoint, r *simRun, o *StartOrder) {
+	id := r.key.Task
+	w.judgeTwice(e, r)
+	if r.job.notedEnd[id] {
+		w.violation("TWICE", "%s run %d starts after a done end was taken note of", id, r.key.Number)
+	}
+	w.judgeRoom(e, r)
+	w.judgeLimit(r)
+	w.judgeOrder(r)
+	if !r.job.submitted {
+		w.violation("UNASKED", "%s was never submitted", id)
+	}
+	if r.job.cancelled > 0 && w.now > r.job.cancelled+3*time.Second {
+		w.violation("UNASKED", "%s starts %s after its job was cancelled", id, w.now-r.job.cancelled)
+	}
+	q := w.catalog.Queue(w.queueOf(id.Job))
+	failures := id
+	if r.step.Gang {
+		failures.Index = 0
+	}
+	if r.job.failures[failures] >= q.Attempts {
+		w.violation("BUDGET", "%s run %d starts after %d failures", id, r.key.Number, r.job.failures[failures])
+	}
+	if o.Payload != r.job.spec.Payload {
+		w.violation("UNASKED", "%s has another payload", id)
+	}
+}
+
+func (w *world) judgeTwice(e *simEndpoint, r *simRun) {
+	for _, other := range w.endpoints {
+		if !other.up {
+			continue
+		}
+		for key := range other.running {
+			if key.Task == r.key.Task && !r.step.Speculative {
+				w.violation("TWICE", "%s run %d starts on %s while run %d is on %s", r.key.Task, r.key.Number, e.id, key.Number, other.id)
+			}
+		}
+	}
+}
+
+func (w *world) judgeRoom(e *simEndpoint, r *simRun) {
+	used := r.step.Charge()
+	for _, other := range e.running {
+		used = used.Add(other.step.Charge())
+	}
+	if !used.Fits(e.capacity) {
+		w.violation("LIMIT", "%s brings %s to %v of %v", r.key.Task, e.id, used, e.capacity)
+	}
+}
+
+func (w *world) judgeLimit(r *simRun) {
+	limit := w.catalog.Customers[r.job.customer].Cap.MilliCores
+	if limit == 0 {
+		return
+	}
+	used := resource.Vector{}
+	for _, e := range w.endpoints {
+		for _, other := range e.running {
+			if other.job.customer == r.job.customer {
+				used = used.Add(other.step.Size)
+			}
+		}
+	}
+	if used.MilliCores > limit+limit/10 {
+		w.violation("QUOTA", "%s brings %s to %d of %d", r.key.Task, r.job.customer, used.MilliCores+r.step.Size.MilliCores, limit)
+	}
+}
+
+func (w *world) judgeOrder(r *simRun) {
+	for _, before := range r.step.After {
+		for i := range r.job.spec.Steps[before].Count {
+			id := workload.TaskID{Job: r.key.Task.Job, Occurrence: r.key.Task.Occurrence, Step: before, Index: i}
+			if !r.job.done[id] {
+				w.violation("ORDER", "%s starts before %s is done", r.key.Task, id)
+			}
+		}
+	}
+	if rec := r.job.spec.Recurrence; rec != nil {
+		if due := rec.Due(r.key.Task.Occurrence); simWall.Add(w.now).Before(due.Add(-250 * time.Millisecond)) {
+			w.violation("ORDER", "%s starts before it is due", r.key.Task)
+		}
+	}
+}
+
+// queueOf tells the queue that a job of the world was submitted to.
+func (w *world) queueOf(id workload.ID) string {
+	switch id[0] {
+	case 'a':
+		return "urgent"
+	case 'b':
+		return "bulk"
+	default:
+		return "gangs"
+	}
+}
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/bluebellstile/bluebellstile/internal/fleet"
-	"github.com/bluebellstile/bluebellstile/internal/scheduler"
 )
 
 // Order is something that the core wants done outside. Its result is given
@@ -75,7 +74,7 @@
 
 	step        *stepEntry
 	sequence    int
-	incarnation map[string]scheduler.Incarnation
+	incarnation map[string]*fleet.Endpoint
 }
 
 func (*StartOrder) order() {}
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -36,6 +36,7 @@
 		return
 	}
 	plan := scheduler.Make(snapshot)
+	c.log.Debug("planned", "demands", len(snapshot.Demands), "hosts", len(snapshot.Hosts), "starts", len(plan.Starts), "questions", len(plan.Questions), "blocked", plan.Blocked)
 	c.applyStarts(now, plan.Starts)
 	for i := range plan.Questions {
 		c.ask(&plan.Questions[i])
@@ -64,8 +65,7 @@
 	if len(s.Demands) == 0 {
 		return s
 	}
-	for _, id := range sortedKeys(c.fleet.Endpoints()) {
-		e := c.fleet.Endpoint(id)
+	for _, e := range c.fleet.Endpoints() {
 		if c.usable(now, e) {
 			s.Hosts = append(s.Hosts, host(e))
 		}
@@ -218,6 +218,7 @@
 	}
 	r.ExpectedEnd = now.Steady + time.Duration(float64(s.Spec.Estimate)*start.Endpoint.Record.Pace())
 	start.Endpoint.Add(r)
+	c.log.Debug("run placed", "task", r.Task, "run", r.Number, "endpoint", start.Endpoint.ID, "free", start.Endpoint.Free().MilliCores)
 	c.batch.starts = append(c.batch.starts, &plannedStart{run: r, permit: start.Permit})
 }
 
@@ -237,13 +238,14 @@
 		Urgent:      q.Demand.Urgent,
 		step:        entry,
 		sequence:    entry.asked,
-		incarnation: make(map[string]scheduler.Incarnation, len(q.Endpoints)),
+		incarnation: make(map[string]*fleet.Endpoint, len(q.Endpoints)),
 	}
 	for _, e := range q.Endpoints {
 		o.Endpoints = append(o.Endpoints, e.ID)
-		o.incarnation[e.ID] = scheduler.IncarnationOf(e)
+		o.incarnation[e.ID] = e
 	}
 	c.stats.Questions++
+	c.log.Debug("asking for eligible endpoints", "step", o.Step, "endpoints", len(o.Endpoints), "held", len(q.Hold))
 	c.emit(o)
 }
 
@@ -265,6 +267,7 @@
 		entry.askAfter = now.Steady + askRetry
 		return
 	}
+	c.log.Debug("eligible endpoints known", "step", o.Step, "asked", len(o.Endpoints), "good", len(answer.Permits))
 	expires := now.Steady + answer.Valid
 	for _, id := range o.Endpoints {
 		incarnation := o.incarnation[id]
@@ -298,6 +301,6 @@
 // forgetPermit drops the permit that an endpoint refused.
 func (c *Core) forgetPermit(r *fleet.Run) {
 	if entry := c.steps[r.Step]; entry != nil && entry.access != nil {
-		delete(entry.access.Permits, scheduler.IncarnationOf(r.Endpoint))
+		delete(entry.access.Permits, r.Endpoint)
 	}
 }
--- a/internal/controller/registry.go
+++ b/internal/controller/registry.go
@@ -85,7 +85,7 @@
 
 // move takes a run over to another incarnation's account.
 func (c *Core) move(r *fleet.Run, old, current *fleet.Endpoint) {
-	delete(c.controlOf(old).runs, r)
+	c.dropControl(old, r)
 	old.Remove(r)
 	current.Add(r)
 }
--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -35,7 +35,12 @@
 		}
 		ec.holding = true
 		c.stats.Holds++
-		o := &HoldOrder{Target: targetOf(e), Acked: e.Acked}
+		o := &HoldOrder{Target: targetOf(e)}
+		if e.Acked > ec.confirmed {
+			// Ends are acknowledged once: a hold that arrives late could meet
+			// a new life of the endpoint, which counts its ends anew.
+			o.Acked = e.Acked
+		}
 		if e.Adopted && e.Clock.Known() && e.Failures == 0 && e.Acked >= ec.reached {
 			o.Wait = holdWait
 			if len(e.Runs()) == 0 || c.anyBarred(ec) {
@@ -76,6 +81,7 @@
 		}
 		return
 	}
+	ec.confirmed = max(ec.confirmed, o.Acked)
 	if report.Incarnation != e.Incarnation {
 		c.reborn(now, e, report.Incarnation)
 		return
@@ -215,10 +221,4 @@
 }
 
 // runsOf returns the runs of an endpoint, which may be removed meanwhile.
-func runsOf(e *fleet.Endpoint) []*fleet.Run {
-	runs := make([]*fleet.Run, 0, len(e.Runs()))
-	for _, r := range e.Runs() {
-		runs = append(runs, r)
-	}
-	return runs
-}
+func runsOf(e *fleet.Endpoint) []*fleet.Run { return append([]*fleet.Run(nil), e.Runs()...) }
--- a/internal/controller/restore.go
+++ b/internal/controller/restore.go
@@ -31,18 +31,18 @@
 			c.log.Warn("record with an unknown key is left alone", "key", e.Key)
 		}
 	}
-	for id, data := range progress {
+	for _, id := range sortedJobs(progress) {
 		if admissions[id] == nil {
-			c.restoreFinal(id, data)
+			c.restoreFinal(id, progress[id])
 		}
 	}
-	for _, id := range sortedAdmissions(admissions) {
+	for _, id := range sortedJobs(admissions) {
 		c.restoreJob(now, id, admissions[id], progress[id])
 	}
 	sort.SliceStable(c.ended, func(i, k int) bool { return c.ended[i].job.Finished().Before(c.ended[k].job.Finished()) })
 }
 
-func sortedAdmissions(m map[workload.ID][]byte) []workload.ID {
+func sortedJobs(m map[workload.ID][]byte) []workload.ID {
 	ids := make([]workload.ID, 0, len(m))
 	for id := range m {
 		ids = append(ids, id)
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -43,6 +43,8 @@
 // endpointControl is what the core remembers of an endpoint beside its account.
 type endpointControl struct {
 	runs map[*fleet.Run]*runControl
+	// stops counts the runs that are to be stopped.
+	stops int
 	// holding is set while a hold is under way; holdAt is when the next is due.
 	holding bool
 	holdAt  time.Duration
@@ -52,6 +54,9 @@
 	strangers map[fleet.Key]time.Duration
 	// reached is the number of the last end taken in.
 	reached int64
+	// confirmed is the number of the last end that the endpoint was told to
+	// forget and has answered.
+	confirmed int64
 }
 
 func (c *Core) controlOf(e *fleet.Endpoint) *endpointControl {
@@ -73,6 +78,15 @@
 	return rc
 }
 
+// dropControl forgets what is remembered of a run on an endpoint.
+func (c *Core) dropControl(e *fleet.Endpoint, r *fleet.Run) {
+	ec := c.controlOf(e)
+	if rc := ec.runs[r]; rc != nil && rc.stopped {
+		ec.stops--
+	}
+	delete(ec.runs, r)
+}
+
 // sendStart hands out the order of a start whose record stands in the log.
 func (c *Core) sendStart(now clock.Instant, s *plannedStart) {
 	r := s.run
@@ -179,7 +193,7 @@
 func (c *Core) startUnanswered(now clock.Instant, r *fleet.Run, rc *runControl, out Outcome) {
 	c.stats.Doubtful++
 	c.log.Warn("start not answered", "task", r.Task, "run", r.Number, "endpoint", r.Endpoint.ID, "cause", out.Detail)
-	if r.Phase != fleet.PhaseOrdered {
+	if r.Phase == fleet.PhaseRunning || rc.stopped {
 		return
 	}
 	r.Phase = fleet.PhaseDoubtful
@@ -200,6 +214,7 @@
 		return
 	}
 	rc.stopped = true
+	c.controlOf(r.Endpoint).stops++
 	if r.Phase == fleet.PhaseRunning {
 		r.Phase = fleet.PhaseStopping
 		r.ExpectedEnd = now.Steady + c.bounds.StopGrace
@@ -219,6 +234,7 @@
 func (c *Core) sendStop(r *fleet.Run, rc *runControl) {
 	rc.stopping = true
 	c.stats.Stops++
+	c.log.Debug("stopping run", "task", r.Task, "run", r.Number, "endpoint", r.Endpoint.ID, "phase", r.Phase)
 	c.emit(&StopOrder{Target: targetOf(r.Endpoint), Key: r.Key})
 }
 
@@ -275,7 +291,7 @@
 // finish frees a run's room and notes its end.
 func (c *Core) finish(now clock.Instant, r *fleet.Run, end workload.End, checkpoint string) {
 	e := r.Endpoint
-	delete(c.controlOf(e).runs, r)
+	c.dropControl(e, r)
 	e.Remove(r)
 	c.planDue = true
 	if r.Step == nil {
--- a/internal/controller/submit.go
+++ b/internal/controller/submit.go
@@ -50,6 +50,7 @@
 	job.Excess = !c.withinRate(now, s.Customer)
 	e := &jobEntry{job: job, waiters: []func(SubmitResult){tell}}
 	c.batch.admitted[s.ID] = e
+	c.log.Debug("job taken in", "job", s.ID, "queue", s.Queue, "customer", s.Customer, "steps", len(s.Spec.Steps), "excess", job.Excess)
 	c.addJob(now, e)
 }
 
@@ -164,6 +165,7 @@
 		return
 	}
 	if e.job.Cancel(now.Wall) {
+		c.log.Debug("job cancelled", "job", id)
 		c.batch.touch(e)
 		c.closeJob(e)
 	}
--- a/internal/controller/tick.go
+++ b/internal/controller/tick.go
@@ -1,18 +1,13 @@
 package controller
 
 import (
-	"sort"
-
 	"github.com/bluebellstile/bluebellstile/internal/clock"
-	"github.com/bluebellstile/bluebellstile/internal/fleet"
 )
 
 // Tick does what has become due: occurrences, lapsed leases, repeated stops,
 // holds, and forgetting jobs that ended long ago.
 func (c *Core) Tick(now clock.Instant) {
-	for _, e := range c.recurring {
-		c.openDue(now, e)
-	}
+	c.openRecurring(now)
 	c.lapse(now)
 	c.repeatStops(now)
 	c.forget(now)
@@ -20,11 +15,26 @@
 	c.wakeQuestions(now)
 }
 
+// openRecurring opens the occurrences that have become due.
+func (c *Core) openRecurring(now clock.Instant) {
+	if len(c.recurring) == 0 {
+		return
+	}
+	for _, id := range sortedIDs(c.recurring) {
+		c.openDue(now, c.recurring[id])
+	}
+}
+
 // repeatStops sends stops again that got no answer.
 func (c *Core) repeatStops(now clock.Instant) {
-	for _, ec := range c.control {
-		for r, rc := range ec.runs {
-			if rc.stopped && !rc.stopping && rc.barred == 0 && rc.sent(r) && now.Steady >= rc.stopAt {
+	for _, e := range c.fleet.Endpoints() {
+		ec := c.control[e]
+		if ec == nil || ec.stops == 0 {
+			continue
+		}
+		for _, r := range e.Runs() {
+			rc := ec.runs[r]
+			if rc != nil && rc.stopped && !rc.stopping && rc.barred == 0 && rc.sent(r) && now.Steady >= rc.stopAt {
 				c.sendStop(r, rc)
 			}
 		}
@@ -51,16 +61,6 @@
 		}
 		c.ended = c.ended[1:]
 		delete(c.jobs, e.job.ID)
-		c.batch.dropped[e.job.ID] = true
-	}
-}
-
-// sortedKeys returns the ids of endpoints in order.
-func sortedKeys(m map[string]*fleet.Endpoint) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
+		c.batch.dropped = append(c.batch.dropped, e.job.ID)
 	}
-	sort.Strings(keys)
-	return keys
 }
--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -65,15 +65,16 @@
 	// RestUntil keeps new tasks away after a refusal.
 	RestUntil time.Duration
 
-	runs  map[Key]*Run
+	runs  []*Run
 	used  resource.Vector
 	fleet *Fleet
 	// Record learns how the endpoint does.
 	Record Record
 }
 
-// Runs returns the runs on the endpoint in no order.
-func (e *Endpoint) Runs() map[Key]*Run { return e.runs }
+// Runs returns the runs on the endpoint in the order in which they came. The
+// caller doesn't change the slice.
+func (e *Endpoint) Runs() []*Run { return e.runs }
 
 // Used returns what the runs occupy.
 func (e *Endpoint) Used() resource.Vector { return e.used }
@@ -123,17 +124,18 @@
 // Add puts a run on the endpoint.
 func (e *Endpoint) Add(r *Run) {
 	r.Endpoint = e
-	e.runs[r.Key] = r
+	e.runs = append(e.runs, r)
 	e.used = e.used.Add(r.Charge)
 	e.fleet.occupy(r)
 }
 
 // Remove takes a run off the endpoint, which frees its room.
 func (e *Endpoint) Remove(r *Run) {
-	if e.runs[r.Key] != r {
+	i := slices.Index(e.runs, r)
+	if i < 0 {
 		return
 	}
-	delete(e.runs, r.Key)
+	e.runs = slices.Delete(e.runs, i, i+1)
 	e.used = e.used.Sub(r.Charge)
 	e.fleet.release(r)
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -4,6 +4,8 @@
 package fleet
 
 import (
+	"sort"
+
 	"github.com/bluebellstile/bluebellstile/internal/resource"
 	"github.com/bluebellstile/bluebellstile/internal/workload"
 )
@@ -11,6 +13,8 @@
 // Fleet is all endpoints of a cell. It is not safe for concurrent use.
 type Fleet struct {
 	endpoints map[string]*Endpoint
+	// ordered are the endpoints in order of id.
+	ordered []*Endpoint
 	// usage is what each customer occupies over all endpoints.
 	usage map[string]resource.Vector
 	// byTask finds the runs of a task; a task has more than one only if it is
@@ -27,8 +31,9 @@
 	}
 }
 
-// Endpoints returns the endpoints by id. The caller doesn't change the map.
-func (f *Fleet) Endpoints() map[string]*Endpoint { return f.endpoints }
+// Endpoints returns the endpoints in order of id. The caller doesn't change the
+// slice; it stays as it is when endpoints come and go.
+func (f *Fleet) Endpoints() []*Endpoint { return f.ordered }
 
 // Endpoint returns the current incarnation of an endpoint, or nil.
 func (f *Fleet) Endpoint(id string) *Endpoint { return f.endpoints[id] }
@@ -57,8 +62,9 @@
 		old.Registration, old.Listed = r, true
 		return old, nil
 	}
-	e := &Endpoint{Registration: r, Listed: true, runs: make(map[Key]*Run), fleet: f}
+	e := &Endpoint{Registration: r, Listed: true, fleet: f}
 	f.endpoints[r.ID] = e
+	f.order()
 	return e, old
 }
 
@@ -66,7 +72,17 @@
 func (f *Fleet) Drop(e *Endpoint) {
 	if f.endpoints[e.ID] == e {
 		delete(f.endpoints, e.ID)
+		f.order()
+	}
+}
+
+// order makes the ordered list anew; endpoints come and go rarely.
+func (f *Fleet) order() {
+	f.ordered = make([]*Endpoint, 0, len(f.endpoints))
+	for _, e := range f.endpoints {
+		f.ordered = append(f.ordered, e)
 	}
+	sort.Slice(f.ordered, func(i, k int) bool { return f.ordered[i].ID < f.ordered[k].ID })
 }
 
 func (f *Fleet) occupy(r *Run) {
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -65,7 +65,7 @@
 	}
 	var out []*Host
 	for _, h := range hosts {
-		if d.Access.Known[IncarnationOf(h.Endpoint)] {
+		if d.Access.Known[h.Endpoint] {
 			out = append(out, h)
 		}
 	}
@@ -80,13 +80,21 @@
 			return seats
 		}
 	}
-	ordered := append([]*Host(nil), hosts...)
-	sort.SliceStable(ordered, func(i, k int) bool {
-		_, a := p.permit(d, ordered[i].Endpoint)
-		_, b := p.permit(d, ordered[k].Endpoint)
-		return a && !b
-	})
-	return fill(d, ordered, n)
+	preferred := make([]*Host, 0, len(hosts))
+	for _, h := range hosts {
+		if _, ok := p.permit(d, h.Endpoint); ok {
+			preferred = append(preferred, h)
+		}
+	}
+	if len(preferred) > 0 && len(preferred) < len(hosts) {
+		for _, h := range hosts {
+			if _, ok := p.permit(d, h.Endpoint); !ok {
+				preferred = append(preferred, h)
+			}
+		}
+		hosts = preferred
+	}
+	return fill(d, hosts, n)
 }
 
 // patienceOver reports whether a gang has waited for one rack for as long as
@@ -162,7 +170,7 @@
 	}
 	var asked []*fleet.Endpoint
 	for _, h := range hosts {
-		if _, known := d.Access.Known[IncarnationOf(h.Endpoint)]; !known && len(asked) < maxAsked {
+		if _, known := d.Access.Known[h.Endpoint]; !known && len(asked) < maxAsked {
 			asked = append(asked, h.Endpoint)
 		}
 	}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -16,12 +16,18 @@
 	given map[string]resource.Vector
 	// reserved counts the gangs that hold room back.
 	reserved int
+	// urgentHosts and bulkHosts are the hosts in the order in which urgent
+	// and other work prefers them as the plan begins.
+	urgentHosts []*Host
+	bulkHosts   []*Host
 }
 
 // Make returns the plan for a snapshot.
 func Make(s *Snapshot) Plan {
 	p := &planner{Snapshot: s, given: make(map[string]resource.Vector)}
 	p.holdAnswers()
+	p.urgentHosts = ordered(s.Hosts, urgentScore)
+	p.bulkHosts = ordered(s.Hosts, bulkScore)
 	for _, d := range rank(s) {
 		if d.Step.Spec.Gang {
 			p.placeGang(d)
@@ -86,20 +92,46 @@
 // candidates returns the hosts on which the demand's tasks may run as far as
 // is known, those that fit them best first.
 func (p *planner) candidates(d *Demand) []*Host {
-	var out []*Host
-	for _, h := range p.Hosts {
+	hosts := p.bulkHosts
+	if d.Urgent {
+		hosts = p.urgentHosts
+	}
+	out := make([]*Host, 0, len(hosts))
+	for _, h := range hosts {
 		e := h.Endpoint
 		if e.Pool != d.Pool || !e.HasLabel(d.Step.Spec.RequiredLabel) {
 			continue
 		}
 		if d.Access != nil {
-			if good, known := d.Access.Known[IncarnationOf(e)]; known && !good {
+			if good, known := d.Access.Known[e]; known && !good {
 				continue
 			}
 		}
 		out = append(out, h)
 	}
-	sort.SliceStable(out, func(i, k int) bool { return p.score(d, out[i]) < p.score(d, out[k]) })
+	if rack := d.Step.Spec.PreferredRack; rack != "" {
+		sort.SliceStable(out, func(i, k int) bool {
+			return out[i].Endpoint.Rack == rack && out[k].Endpoint.Rack != rack
+		})
+	}
+	return out
+}
+
+// ordered returns the hosts by their score, the lowest first.
+func ordered(hosts []*Host, score func(*Host) float64) []*Host {
+	type scored struct {
+		host  *Host
+		score float64
+	}
+	list := make([]scored, len(hosts))
+	for i, h := range hosts {
+		list[i] = scored{host: h, score: score(h)}
+	}
+	sort.SliceStable(list, func(i, k int) bool { return list[i].score < list[k].score })
+	out := make([]*Host, len(list))
+	for i := range list {
+		out[i] = list[i].host
+	}
 	return out
 }
 
@@ -113,24 +145,22 @@
 	weightLeftover = 0.2
 )
 
-// score is the cost of running a demand's tasks on a host; lower is better.
-func (p *planner) score(d *Demand, h *Host) float64 {
-	e := h.Endpoint
-	cost := e.Record.Pace() + weightFailures*e.Record.FailedShare()
-	spec := d.Step.Spec
-	if spec.PreferredRack != "" && spec.PreferredRack != e.Rack {
-		cost *= p.Policy.FarFactor
-	}
-	if e.Capacity.MilliCores > 0 {
-		left := float64(h.Free.MilliCores-spec.Size.MilliCores) / float64(e.Capacity.MilliCores)
-		if d.Urgent {
-			// Urgent tasks spread out, so that each next one finds room
-			// anywhere.
-			left = 1 - left
-		}
-		cost += weightLeftover * left
-	}
-	return cost
+// bulkScore is the cost of running tasks on a host that are not urgent; lower
+// is better. They fill up hosts that are nearly full.
+func bulkScore(h *Host) float64 { return speedScore(h) + weightLeftover*freeShare(h) }
+
+// urgentScore is the cost of running urgent tasks on a host. They spread out,
+// so that each next one finds room anywhere.
+func urgentScore(h *Host) float64 { return speedScore(h) - weightLeftover*freeShare(h) }
+
+// speedScore is how long tasks take on a host and how often they fail.
+func speedScore(h *Host) float64 {
+	return h.Endpoint.Record.Pace() + weightFailures*h.Endpoint.Record.FailedShare()
+}
+
+// freeShare is the free part of a host's processors.
+func freeShare(h *Host) float64 {
+	return float64(h.Free.MilliCores) / float64(max(h.Endpoint.Capacity.MilliCores, 1))
 }
 
 // allowed reports whether the customer may take one task more of a demand.
@@ -157,12 +187,16 @@
 	if d.Access == nil {
 		return "", true
 	}
-	permit, ok := d.Access.Permits[IncarnationOf(e)]
+	permit, ok := d.Access.Permits[e]
 	return permit.Token, ok && p.Now+p.Policy.PermitMargin < permit.Expires
 }
 
 // placeTasks starts as many tasks of a demand as there is room for.
 func (p *planner) placeTasks(d *Demand) {
+	if d.Access != nil && d.Access.Asking && len(d.Access.Permits) == 0 {
+		p.plan.Blocked++
+		return
+	}
 	hosts := p.candidates(d)
 	waiting := d.Tasks
 	for len(waiting) > 0 && p.allowed(d, 1) {
@@ -254,7 +288,7 @@
 			continue
 		}
 		share := a.GoodShare
-		if a.Known[IncarnationOf(h.Endpoint)] {
+		if a.Known[h.Endpoint] {
 			share = 1
 		}
 		asked = append(asked, h.Endpoint)
--- a/internal/scheduler/rank.go
+++ b/internal/scheduler/rank.go
@@ -26,7 +26,13 @@
 	if a.LatestStart != b.LatestStart {
 		return a.LatestStart < b.LatestStart
 	}
-	return a.Step.Job.ID < b.Step.Job.ID
+	if a.Step.Job.ID != b.Step.Job.ID {
+		return a.Step.Job.ID < b.Step.Job.ID
+	}
+	if a.Step.Occurrence.Index != b.Step.Occurrence.Index {
+		return a.Step.Occurrence.Index < b.Step.Occurrence.Index
+	}
+	return a.Step.Index < b.Step.Index
 }
 
 // late reports whether a step can't meet its job's objective any more.
--- a/internal/scheduler/snapshot.go
+++ b/internal/scheduler/snapshot.go
@@ -82,11 +82,11 @@
 
 // Access is what is known of a step's eligible endpoints.
 type Access struct {
-	// Known says of endpoints whether they may run the step, which doesn't
-	// change for an incarnation.
-	Known map[Incarnation]bool
+	// Known says of incarnations of endpoints whether they may run the step,
+	// which doesn't change.
+	Known map[*fleet.Endpoint]bool
 	// Permits are the permits at hand.
-	Permits map[Incarnation]Permit
+	Permits map[*fleet.Endpoint]Permit
 	// Asking is set while a question is under way.
 	Asking bool
 	// Held is room that waits for the answer to a question.
@@ -96,17 +96,6 @@
 	GoodShare float64
 }
 
-// Incarnation identifies one life of an endpoint.
-type Incarnation struct {
-	ID   string
-	Born int64
-}
-
-// IncarnationOf returns the identity of an endpoint's present life.
-func IncarnationOf(e *fleet.Endpoint) Incarnation {
-	return Incarnation{ID: e.ID, Born: e.Incarnation}
-}
-
 // Permit lets the tasks of a step start on one incarnation of an endpoint.
 type Permit struct {
 	Token   string
