Hand the cell over when the log takes nothing at its holder

Ruled out: a shorter retry alone; the store refuses that daemon whatever it sends. Change: a holder that was refused for 0.3 s, or got no answer for 0.7 s, asks the others in turn to claim the cell; who claims first looks whether it can read the jobs. Heartbeats tell the newest claim, for daemons that can't read the log. New jobs are refused after 0.6 s without the log; starts with expired permits are not sent. An append waits four times the usual answer before it is repeated.

--- a/internal/controller/batch.go
+++ b/internal/controller/batch.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"time"
 
 	"github.com/bluebellstile/bluebellstile/internal/clock"
 	"github.com/bluebellstile/bluebellstile/internal/fleet"
@@ -35,6 +36,8 @@
 type plannedStart struct {
 	run    *fleet.Run
 	permit string
+	// expires is when the permit is not good any more; 0 without one.
+	expires time.Duration
 }
 
 func newBatch() *Batch {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -11,6 +11,7 @@
 	"github.com/bluebellstile/bluebellstile/internal/clock"
 	"github.com/bluebellstile/bluebellstile/internal/fleet"
 	"github.com/bluebellstile/bluebellstile/internal/keyedlog"
+	"github.com/bluebellstile/bluebellstile/internal/problem"
 	"github.com/bluebellstile/bluebellstile/internal/workload"
 	"github.com/pkg/errors"
 	"gopkg.in/tomb.v2"
@@ -68,6 +69,10 @@
 	nextPlan   time.Duration
 	appended   chan struct{}
 	appending  bool
+	// stuckSince is when the append under way first failed; 0 if it has not.
+	// deaf is set if the log gave no answer at last, rather than a refusal.
+	stuckSince atomic.Int64
+	deaf       atomic.Bool
 	// proofWanted asks the pump for a proof that the term is current.
 	proofWanted atomic.Bool
 }
@@ -211,15 +216,31 @@
 
 // write appends the records of a batch.
 func (c *Controller) write(ctx context.Context, batch *Batch) error {
+	defer c.stuckSince.Store(0)
 	if batch == nil {
-		return c.writer.Fence(ctx)
+		return c.writer.Fence(ctx, c.stuck)
 	}
 	if len(batch.Records) == 0 {
 		return nil
 	}
-	return c.writer.Append(ctx, batch.Records, func(err error) {
-		c.log.Warn("append not done yet", "epoch", c.epoch, "records", len(batch.Records), "error", err)
-	})
+	return c.writer.Append(ctx, batch.Records, c.stuck)
+}
+
+// stuck notes that an append has failed and is repeated.
+func (c *Controller) stuck(err error) {
+	c.deaf.Store(keyedlog.KindOf(err) == keyedlog.KindUnanswered)
+	if c.stuckSince.CompareAndSwap(0, int64(c.clock.Now())) {
+		c.log.Warn("append not done yet, it is repeated", "epoch", c.epoch, "error", err)
+	}
+}
+
+// StuckFor returns for how long the log has not taken an append.
+func (c *Controller) StuckFor() time.Duration {
+	since := time.Duration(c.stuckSince.Load())
+	if since == 0 {
+		return 0
+	}
+	return c.clock.Now() - since
 }
 
 // dispatch carries out orders, each by itself.
@@ -286,8 +307,34 @@
 	}
 }
 
+const (
+	// relieveRefused and relieveDeaf are for how long the log may refuse
+	// appends, or not answer them, before another daemon should take over. A
+	// single lost answer costs less than a change of the holder.
+	relieveRefused = 300 * time.Millisecond
+	relieveDeaf    = 700 * time.Millisecond
+)
+
+// WantsRelief reports whether another daemon should take over, as the log
+// takes nothing here.
+func (c *Controller) WantsRelief() bool {
+	limit := relieveRefused
+	if c.deaf.Load() {
+		limit = relieveDeaf
+	}
+	return c.StuckFor() > limit
+}
+
+// stuckLimit is for how long the log may not take an append before new jobs
+// are refused: what waits then is likely to run into its caller's deadline.
+const stuckLimit = 600 * time.Millisecond
+
 // Submit accepts a job; it returns ErrTermEnded if its fate is not known here.
 func (c *Controller) Submit(ctx context.Context, s Submission) (SubmitResult, error) {
+	if stuck := c.StuckFor(); stuck > stuckLimit && !c.known(s.ID) {
+		return SubmitResult{Problem: problem.Refuse(problem.LogUnavailable, "try again later",
+			"the log has taken nothing for %s", stuck.Round(time.Millisecond)).After(comeBack)}, nil
+	}
 	done := make(chan SubmitResult, 1)
 	c.with(func(now clock.Instant, core *Core) {
 		core.Submit(now, s, func(r SubmitResult) { done <- r })
@@ -295,6 +342,16 @@
 	return await(ctx, c.tomb, done)
 }
 
+// comeBack is when a caller may try again whose job the log could not take.
+const comeBack = time.Second
+
+// known reports whether a job is in the books, stored or not.
+func (c *Controller) known(id workload.ID) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.core.jobs[id] != nil
+}
+
 // Cancel ends a job and reports whether there is such a job.
 func (c *Controller) Cancel(ctx context.Context, id workload.ID, customer string) (bool, error) {
 	done := make(chan bool, 1)
--- a/internal/controller/faults_test.go
+++ b/internal/controller/faults_test.go
@@ -77,7 +77,8 @@
 }
 
 // traffic submits jobs for a while.
-func (w *world) traffic(length time.Duration, perSecond float64) {
+func (w *world) traffic(perSecond float64) {
+	const length = 20 * time.Second
 	n := 0
 	gap := time.Duration(float64(time.Second) / perSecond)
 	for at := time.Duration(0); at < length; at += gap {
@@ -146,7 +147,8 @@
 	}
 }
 
-func fleetOf(w *world, n int) {
+func fleetOf(w *world) {
+	const n = 8
 	for i := range n {
 		w.addEndpoint(fmt.Sprintf("e%02d", i), 32)
 	}
@@ -155,9 +157,9 @@
 func TestCalm(t *testing.T) {
 	seeds(t, func(t *testing.T, seed uint64) {
 		w := newWorld(t, seed, faults{})
-		fleetOf(w, 8)
+		fleetOf(w)
 		w.begin()
-		w.traffic(20*time.Second, 8)
+		w.traffic(8)
 		w.run(60 * time.Second)
 		w.requireServed()
 		if s := w.current().core.Stats(); s.Doubtful+s.Lapsed+s.Refused > 0 {
@@ -169,9 +171,9 @@
 func TestUnansweredOrders(t *testing.T) {
 	seeds(t, func(t *testing.T, seed uint64) {
 		w := newWorld(t, seed, faults{lost: 0.02, mute: 0.03, late: 0.05, failing: 0.05, lostAppends: 0.05})
-		fleetOf(w, 8)
+		fleetOf(w)
 		w.begin()
-		w.traffic(20*time.Second, 6)
+		w.traffic(6)
 		w.at(40*time.Second, func() { w.faults = faults{} })
 		w.run(90 * time.Second)
 		w.requireServed()
@@ -181,9 +183,9 @@
 func TestCrashingEndpoints(t *testing.T) {
 	seeds(t, func(t *testing.T, seed uint64) {
 		w := newWorld(t, seed, faults{late: 0.03, mute: 0.02, failing: 0.02})
-		fleetOf(w, 8)
+		fleetOf(w)
 		w.begin()
-		w.traffic(20*time.Second, 6)
+		w.traffic(6)
 		for i := range 12 {
 			w.at(time.Duration(i)*1700*time.Millisecond, func() {
 				e := w.endpoints[w.ids()[w.rand.IntN(len(w.endpoints))]]
@@ -201,9 +203,9 @@
 func TestCutEndpoints(t *testing.T) {
 	seeds(t, func(t *testing.T, seed uint64) {
 		w := newWorld(t, seed, faults{late: 0.02})
-		fleetOf(w, 8)
+		fleetOf(w)
 		w.begin()
-		w.traffic(20*time.Second, 6)
+		w.traffic(6)
 		for i := range 8 {
 			w.at(time.Duration(i)*2500*time.Millisecond, func() {
 				e := w.endpoints[w.ids()[w.rand.IntN(len(w.endpoints))]]
@@ -239,9 +241,9 @@
 func TestHolderChanges(t *testing.T) {
 	seeds(t, func(t *testing.T, seed uint64) {
 		w := newWorld(t, seed, faults{late: 0.03, mute: 0.02, failing: 0.02, lostAppends: 0.03})
-		fleetOf(w, 8)
+		fleetOf(w)
 		w.begin()
-		w.traffic(20*time.Second, 6)
+		w.traffic(6)
 		for i := range 8 {
 			w.at(time.Duration(i+1)*2300*time.Millisecond, w.replaceHolder)
 		}
@@ -267,9 +269,9 @@
 func TestLogOutage(t *testing.T) {
 	seeds(t, func(t *testing.T, seed uint64) {
 		w := newWorld(t, seed, faults{late: 0.01})
-		fleetOf(w, 8)
+		fleetOf(w)
 		w.begin()
-		w.traffic(20*time.Second, 6)
+		w.traffic(6)
 		w.at(5*time.Second, func() { w.logDown = true })
 		w.at(w.between(8*time.Second, 16*time.Second), func() { w.logDown = false })
 		w.at(40*time.Second, func() { w.faults = faults{} })
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -219,7 +219,11 @@
 	r.ExpectedEnd = now.Steady + time.Duration(float64(s.Spec.Estimate)*start.Endpoint.Record.Pace())
 	start.Endpoint.Add(r)
 	c.log.Debug("run placed", "task", r.Task, "run", r.Number, "endpoint", start.Endpoint.ID, "free", start.Endpoint.Free().MilliCores)
-	c.batch.starts = append(c.batch.starts, &plannedStart{run: r, permit: start.Permit})
+	planned := &plannedStart{run: r, permit: start.Permit}
+	if entry.access != nil {
+		planned.expires = entry.access.Permits[start.Endpoint].Expires
+	}
+	c.batch.starts = append(c.batch.starts, planned)
 }
 
 // ask hands out a question.
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -19,6 +19,8 @@
 	// failingRest is how long an endpoint rests whose last runs all failed:
 	// about as long as such spells last.
 	failingRest = 5 * time.Second
+	// sendAllowance is how long a start may be under way to its endpoint.
+	sendAllowance = 30 * time.Millisecond
 	// startTries is how often the start of a gang's member is sent before the
 	// gang is given up.
 	startTries = 2
@@ -94,7 +96,7 @@
 		return
 	}
 	rc := c.controlOfRun(r)
-	if r.Step.Job.Final() || rc.stopped {
+	if r.Step.Job.Final() || rc.stopped || s.expires > 0 && now.Steady+sendAllowance > s.expires {
 		c.neverRan(now, r)
 		return
 	}
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -92,7 +92,6 @@
 	fails    bool
 	stopping bool
 	waiting  bool
-	version  int
 }
 
 // simTerm is a daemon's term. A zombie goes on after its successor has begun.
@@ -102,7 +101,6 @@
 	proven    time.Duration
 	dead      bool
 	appending bool
-	pending   []*Batch
 	frozen    time.Duration
 }
 
@@ -265,7 +263,7 @@
 func (e *simEndpoint) clock(now time.Duration) time.Duration { return now - e.origin }
 
 // begin begins a term; earlier ones go on as zombies until they notice.
-func (w *world) begin() *simTerm {
+func (w *world) begin() {
 	w.epoch++
 	t := &simTerm{epoch: w.epoch, proven: w.now}
 	t.core = New(w.bounds, w.catalog, w.now, w.logger.With("epoch", t.epoch))
@@ -286,7 +284,6 @@
 	t.core.Restore(w.instant(), entries)
 	w.terms = append(w.terms, t)
 	w.tick(t)
-	return t
 }
 
 func (w *world) ids() []string {
--- a/internal/fleetpeer/client.go
+++ b/internal/fleetpeer/client.go
@@ -88,7 +88,33 @@
 	if err != nil {
 		return leadership.Beat{}, transport.Refused(err), err
 	}
-	return leadership.Beat{Incarnation: r.Msg.Incarnation, Epoch: r.Msg.Epoch, Relieve: r.Msg.Relieve}, false, nil
+	return leadership.Beat{
+		Incarnation: r.Msg.Incarnation,
+		Epoch:       r.Msg.Epoch,
+		Relieve:     r.Msg.Relieve,
+		Claim:       claimFromWire(r.Msg.Claim),
+	}, false, nil
+}
+
+func claimFromWire(c *fleetv1.Claim) leadership.Claim {
+	return leadership.Claim{Epoch: c.GetEpoch(), Holder: leadership.Member{
+		Name:             c.GetName(),
+		Incarnation:      c.GetIncarnation(),
+		Address:          c.GetAddress(),
+		AvailabilityZone: c.GetAvailabilityZone(),
+		Region:           c.GetRegion(),
+	}}
+}
+
+func claimToWire(c leadership.Claim) *fleetv1.Claim {
+	return &fleetv1.Claim{
+		Epoch:            c.Epoch,
+		Name:             c.Holder.Name,
+		Incarnation:      c.Holder.Incarnation,
+		Address:          c.Holder.Address,
+		AvailabilityZone: c.Holder.AvailabilityZone,
+		Region:           c.Holder.Region,
+	}
 }
 
 // Client calls one daemon. Its errors are ErrNotHolder, ErrNotSent and
@@ -114,12 +140,12 @@
 }
 
 // TakeOver asks the daemon to claim the cell from a term.
-func (c *Client) TakeOver(ctx context.Context, epoch int64) (int64, error) {
+func (c *Client) TakeOver(ctx context.Context, epoch int64) (leadership.Claim, error) {
 	r, err := call(ctx, c.rpc.TakeOver, &fleetv1.TakeOverRequest{Epoch: epoch})
 	if err != nil {
-		return 0, err
+		return leadership.Claim{}, err
 	}
-	return r.Epoch, nil
+	return claimFromWire(r.Claim), nil
 }
 
 // Submit hands a job to the daemon. A nil problem means that it is accepted
--- a/internal/fleetpeer/server.go
+++ b/internal/fleetpeer/server.go
@@ -30,8 +30,8 @@
 type Local interface {
 	// Beat is the answer to a heartbeat.
 	Beat() leadership.Beat
-	// TakeOver claims the cell from a term and returns the new epoch.
-	TakeOver(ctx context.Context, epoch int64) (int64, error)
+	// TakeOver claims the cell from a term.
+	TakeOver(ctx context.Context, epoch int64) (leadership.Claim, error)
 	// Holder returns the term that runs here, or nil.
 	Holder() Holder
 	// Ask asks which endpoints may run a step.
@@ -59,16 +59,21 @@
 // Heartbeat implements the service.
 func (s *server) Heartbeat(context.Context, *connect.Request[fleetv1.HeartbeatRequest]) (*connect.Response[fleetv1.HeartbeatResponse], error) {
 	b := s.local.Beat()
-	return connect.NewResponse(&fleetv1.HeartbeatResponse{Incarnation: b.Incarnation, Epoch: b.Epoch, Relieve: b.Relieve}), nil
+	return connect.NewResponse(&fleetv1.HeartbeatResponse{
+		Incarnation: b.Incarnation,
+		Epoch:       b.Epoch,
+		Relieve:     b.Relieve,
+		Claim:       claimToWire(b.Claim),
+	}), nil
 }
 
 // TakeOver implements the service.
 func (s *server) TakeOver(ctx context.Context, r *connect.Request[fleetv1.TakeOverRequest]) (*connect.Response[fleetv1.TakeOverResponse], error) {
-	epoch, err := s.local.TakeOver(ctx, r.Msg.Epoch)
+	claim, err := s.local.TakeOver(ctx, r.Msg.Epoch)
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
-	return connect.NewResponse(&fleetv1.TakeOverResponse{Epoch: epoch}), nil
+	return connect.NewResponse(&fleetv1.TakeOverResponse{Claim: claimToWire(claim)}), nil
 }
 
 // Submit implements the service.
--- a/internal/keyedlog/writer.go
+++ b/internal/keyedlog/writer.go
@@ -12,10 +12,15 @@
 	// append. Refused calls are charged and count against the log's rate.
 	retryFirst = 50 * time.Millisecond
 	retryMax   = 800 * time.Millisecond
-	// answerFirst and answerMax bound how long an attempt waits for its
-	// answer. The wait grows, so that a slow log is not taken for a deaf one.
-	answerFirst = 250 * time.Millisecond
-	answerMax   = 2 * time.Second
+	// answerMin and answerMax bound how long an attempt waits for its answer.
+	// A repetition is harmless, and each one waits twice as long, so that a
+	// slow log is not taken for a deaf one.
+	answerMin = 80 * time.Millisecond
+	answerMax = 2 * time.Second
+	// answerFactor is how many times the usual time of an answer the first
+	// attempt waits, and usualWeight is the weight of a new answer in it.
+	answerFactor = 4
+	usualWeight  = 0.2
 )
 
 // Writer appends to one partition under one epoch. It is used by one
@@ -24,20 +29,22 @@
 	log       Log
 	partition Partition
 	producer  Producer
-	answer    time.Duration
+	// usual is how long an answer takes.
+	usual time.Duration
 }
 
 // NewWriter returns a writer whose first append has sequence number 1.
 func NewWriter(log Log, partition Partition, name string, epoch int64) *Writer {
-	return &Writer{log: log, partition: partition, producer: Producer{Name: name, Epoch: epoch, Sequence: 1}, answer: answerFirst}
+	return &Writer{log: log, partition: partition, producer: Producer{Name: name, Epoch: epoch, Sequence: 1}}
 }
 
 // Fence raises the partition's epoch to the writer's without a record: no
 // append of an earlier epoch succeeds after it has returned nil.
-func (w *Writer) Fence(ctx context.Context) error {
+// report, if not nil, is told of each failed attempt.
+func (w *Writer) Fence(ctx context.Context, report func(error)) error {
 	p := w.producer
 	p.Sequence = 0
-	return w.attempt(ctx, Append{Partition: w.partition, Producer: &p}, nil)
+	return w.attempt(ctx, Append{Partition: w.partition, Producer: &p}, report)
 }
 
 // Append appends records and returns nil once they stand in the log. It
@@ -59,8 +66,9 @@
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval, pause.MaxInterval = retryFirst, retryMax
 	unanswered := false
+	patience := min(max(answerMin, answerFactor*w.usual), answerMax)
 	for {
-		err := w.once(ctx, a)
+		err := w.once(ctx, a, patience)
 		kind := KindOf(err)
 		switch {
 		case err == nil:
@@ -77,7 +85,7 @@
 		wait := pause.NextBackOff()
 		if kind == KindUnanswered {
 			unanswered = true
-			w.answer = min(2*w.answer, answerMax)
+			patience = min(2*patience, answerMax)
 			wait = 0
 		}
 		if !sleep(ctx, wait) {
@@ -89,14 +97,14 @@
 	}
 }
 
-// once makes one attempt.
-func (w *Writer) once(ctx context.Context, a Append) error {
-	ctx, cancel := context.WithTimeout(ctx, w.answer)
+// once makes one attempt that waits for its answer for at most patience.
+func (w *Writer) once(ctx context.Context, a Append, patience time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	began := time.Now()
 	_, err := w.log.Append(ctx, a)
 	if err == nil {
-		w.answer = max(answerFirst, min(w.answer, 4*time.Since(began)))
+		w.usual += time.Duration(usualWeight * float64(time.Since(began)-w.usual))
 	}
 	return err
 }
--- a/internal/leadership/directory.go
+++ b/internal/leadership/directory.go
@@ -216,14 +216,25 @@
 	}
 	claim := Claim{Epoch: done.Offset + 1, Holder: d.self}
 	d.mu.Lock()
-	if claim.Epoch > d.claim.Epoch {
-		d.claim = claim
-	}
 	d.end = max(d.end, done.End)
 	d.mu.Unlock()
+	d.Learn(claim)
 	return claim, nil
 }
 
+// Learn takes in a claim that another daemon knows. It stands in the log, which
+// this daemon may not be able to read.
+func (d *Directory) Learn(c Claim) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if c.Epoch <= d.claim.Epoch {
+		return
+	}
+	d.claim = c
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
 // Current returns the newest claim; its epoch is 0 if there is none.
 func (d *Directory) Current() Claim {
 	d.mu.Lock()
--- a/internal/leadership/elector.go
+++ b/internal/leadership/elector.go
@@ -33,6 +33,8 @@
 	Epoch int64
 	// Relieve asks others to take over.
 	Relieve bool
+	// Claim is the newest claim known there.
+	Claim Claim
 }
 
 // Peers sends heartbeats to other daemons.
@@ -51,6 +53,8 @@
 	logger    *slog.Logger
 	// logSeen returns when the log last answered this daemon.
 	logSeen func() time.Duration
+	// able returns an error if a term could not begin here now.
+	able func(context.Context) error
 	// begin is told of each claim of this daemon that came into force.
 	begin func(Claim)
 
@@ -68,8 +72,8 @@
 }
 
 // NewElector returns an elector that works once Run is called.
-func NewElector(d *Directory, peers Peers, c clock.Clock, logSeen func() time.Duration, begin func(Claim), logger *slog.Logger) *Elector {
-	return &Elector{directory: d, peers: peers, clock: c, logSeen: logSeen, begin: begin, logger: logger}
+func NewElector(d *Directory, peers Peers, c clock.Clock, logSeen func() time.Duration, able func(context.Context) error, begin func(Claim), logger *slog.Logger) *Elector {
+	return &Elector{directory: d, peers: peers, clock: c, logSeen: logSeen, able: able, begin: begin, logger: logger}
 }
 
 // Leave makes the daemon claim no more.
@@ -161,6 +165,9 @@
 // take takes in the answer to a heartbeat to the holder of a claim.
 func (e *Elector) take(claim Claim, b Beat, gone bool, err error) {
 	now := e.clock.Now()
+	if err == nil {
+		e.directory.Learn(b.Claim)
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if claim.Epoch != e.watched {
@@ -220,7 +227,8 @@
 	})
 }
 
-// Claim claims the cell at once, unless this daemon leaves.
+// Claim claims the cell at once, unless this daemon leaves or could not run a
+// term.
 func (e *Elector) Claim(ctx context.Context) (Claim, error) {
 	e.mu.Lock()
 	if e.leaving || e.claiming {
@@ -229,7 +237,7 @@
 	}
 	e.claiming, e.claimed = true, e.clock.Now()
 	e.mu.Unlock()
-	claim, err := e.directory.Claim(ctx)
+	claim, err := e.claim(ctx)
 	e.mu.Lock()
 	e.claiming = false
 	e.mu.Unlock()
@@ -239,3 +247,10 @@
 	e.observe()
 	return claim, nil
 }
+
+func (e *Elector) claim(ctx context.Context) (Claim, error) {
+	if err := e.able(ctx); err != nil {
+		return Claim{}, err
+	}
+	return e.directory.Claim(ctx)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -38,6 +38,8 @@
 	readyLogAge = 2500 * time.Millisecond
 	// handOverTimeout bounds the wait for a successor at a planned stop.
 	handOverTimeout = 400 * time.Millisecond
+	// relieveInterval is how often a holder looks whether it wants relief.
+	relieveInterval = 250 * time.Millisecond
 )
 
 // Ports are what a daemon uses of the platform.
@@ -110,7 +112,7 @@
 		tomb:        t,
 	}
 	n.catalogs.changed = n.terms.setCatalog
-	n.elector = leadership.NewElector(n.directory, n.peers, o.Clock, n.logSeen, n.terms.begin, o.Logger)
+	n.elector = leadership.NewElector(n.directory, n.peers, o.Clock, n.logSeen, n.terms.able, n.terms.begin, o.Logger)
 	n.terms.ended = n.elector.TermEnded
 	n.gateway = gateway.New(n.catalogs, (*holders)(n), o.Clock, o.KeyBound)
 	return n
@@ -158,6 +160,7 @@
 	n.tomb.Go(func() error { return n.directory.Run(n.tomb) })
 	n.tomb.Go(func() error { return n.elector.Run(n.tomb) })
 	n.tomb.Go(n.register)
+	n.tomb.Go(n.relieve)
 	n.tomb.Go(n.follow)
 	return nil
 }
@@ -223,27 +226,61 @@
 	n.handOver(ctx)
 }
 
-// handOver asks the other daemons in turn to claim the cell.
+// handOver asks the other daemons in turn to claim the cell, and ends the term
+// once one of them has.
 func (n *Node) handOver(ctx context.Context) {
 	t := n.terms.term()
 	if t == nil {
 		return
 	}
-	for _, m := range n.directory.Members() {
-		if m.Name == n.self.Name || ctx.Err() != nil {
-			continue
+	for _, m := range n.successors(t.controller.Epoch()) {
+		if ctx.Err() != nil {
+			return
 		}
 		attempt, cancel := context.WithTimeout(ctx, handOverTimeout)
-		epoch, err := n.peers.To(m.Address).TakeOver(attempt, t.controller.Epoch())
+		claim, err := n.peers.To(m.Address).TakeOver(attempt, t.controller.Epoch())
 		cancel()
-		if err == nil && epoch > 0 {
-			n.options.Logger.Info("cell handed over", "to", m.Name, "epoch", epoch)
+		if err == nil {
+			n.options.Logger.Info("cell handed over", "to", m.Name, "epoch", claim.Epoch)
+			n.directory.Learn(claim)
 			return
 		}
 		n.options.Logger.Info("cell not taken over", "by", m.Name, "error", err)
 	}
 }
 
+// successors returns the other daemons in the order in which they are asked to
+// take over.
+func (n *Node) successors(epoch int64) []leadership.Member {
+	members := n.directory.Members()
+	out := make([]leadership.Member, 0, len(members))
+	for i := range members {
+		m := members[(i+int(epoch))%len(members)]
+		if m.Name != n.self.Name {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// relieve hands a term over whose log takes nothing, if another daemon's does.
+func (n *Node) relieve() error {
+	ticker := time.NewTicker(relieveInterval)
+	defer ticker.Stop()
+	ctx := n.tomb.Context(context.Background())
+	for {
+		select {
+		case <-ticker.C:
+		case <-n.tomb.Dying():
+			return nil
+		}
+		if t := n.terms.term(); t != nil && t.controller.WantsRelief() {
+			n.options.Logger.Warn("the log takes nothing here, asking others to take over", "for", t.controller.StuckFor())
+			n.handOver(ctx)
+		}
+	}
+}
+
 // Stop ends the daemon.
 func (n *Node) Stop(ctx context.Context) error {
 	n.tomb.Kill(nil)
@@ -260,26 +297,25 @@
 
 // Beat implements fleetpeer.Local.
 func (l *local) Beat() leadership.Beat {
-	b := leadership.Beat{Incarnation: l.self.Incarnation}
+	b := leadership.Beat{Incarnation: l.self.Incarnation, Claim: l.directory.Current()}
 	if t := l.terms.term(); t != nil {
 		b.Epoch = t.controller.Epoch()
-		b.Relieve = l.leaving.Load()
+		b.Relieve = l.leaving.Load() || t.controller.WantsRelief()
 	}
 	return b
 }
 
 // TakeOver implements fleetpeer.Local.
-func (l *local) TakeOver(ctx context.Context, epoch int64) (int64, error) {
+func (l *local) TakeOver(ctx context.Context, epoch int64) (leadership.Claim, error) {
 	n := (*Node)(l)
 	if n.options.Clock.Now()-n.logSeen() > readyLogAge {
-		return 0, errors.New("the log has not answered here; ask another daemon")
+		return leadership.Claim{}, errors.New("the log has not answered here; ask another daemon")
 	}
 	claim, err := n.elector.Claim(ctx)
-	if err != nil {
-		return 0, err
+	if err == nil {
+		n.options.Logger.Info("taking the cell over", "from epoch", epoch, "epoch", claim.Epoch)
 	}
-	n.options.Logger.Info("taking the cell over", "from epoch", epoch, "epoch", claim.Epoch)
-	return claim.Epoch, nil
+	return claim, err
 }
 
 // Holder implements fleetpeer.Local.
--- a/internal/node/terms.go
+++ b/internal/node/terms.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"sync"
 	"time"
 
@@ -24,6 +25,8 @@
 	// beginTimeout bounds the beginning of a term: reading all jobs from a
 	// slow log.
 	beginTimeout = 5 * time.Second
+	// ableTimeout bounds the look whether the jobs can be read.
+	ableTimeout = 350 * time.Millisecond
 	// versionWait is how long a job waits for the configuration that admitted
 	// it elsewhere.
 	versionWait = 700 * time.Millisecond
@@ -57,6 +60,14 @@
 	catalogs   *catalogs
 }
 
+// able returns an error if the jobs' partition can't be read here now.
+func (ts *terms) able(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, ableTimeout)
+	defer cancel()
+	_, err := ts.log.Read(ctx, ts.jobs, math.MaxInt32, 0)
+	return errors.WithMessage(err, "the jobs can't be read here")
+}
+
 // begin begins the term of a claim in the background.
 func (ts *terms) begin(claim leadership.Claim) {
 	ts.tomb.Go(func() error {
@@ -95,7 +106,7 @@
 	}
 	writer := keyedlog.NewWriter(ts.log, ts.jobs, producerName, epoch)
 	proven := ts.clock.Now()
-	if err := writer.Fence(ctx); err != nil {
+	if err := writer.Fence(ctx, nil); err != nil {
 		return nil, errors.WithMessage(err, "fence earlier terms")
 	}
 	fenced := ts.clock.Now()
