--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -422,6 +422,11 @@
 	c.with(func(_ clock.Instant, core *Core) { core.SetCatalog(next) })
 }
 
+// SetLanes says how many instances questions can be put through.
+func (c *Controller) SetLanes(n int) {
+	c.with(func(_ clock.Instant, core *Core) { core.SetLanes(n) })
+}
+
 // Version returns the version of the configuration in force.
 func (c *Controller) Version() int64 {
 	c.mu.Lock()
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -66,6 +66,12 @@
 	// planDue is set when a plan may find something to do.
 	planDue bool
 	stats   Stats
+
+	urgent urgentLoad
+	// lanes is how many instances questions can be put through, asking how
+	// many questions are under way for work that is not urgent.
+	lanes  int
+	asking int
 }
 
 // Stats counts what a core has done.
@@ -127,6 +133,7 @@
 		goodShare: make(map[string]float64),
 		control:   make(map[*fleet.Endpoint]*endpointControl),
 		batch:     newBatch(),
+		lanes:     1,
 	}
 }
 
@@ -138,6 +145,9 @@
 	}
 }
 
+// SetLanes says how many instances questions can be put through.
+func (c *Core) SetLanes(n int) { c.lanes = n }
+
 // Version returns the version of the configuration in force.
 func (c *Core) Version() int64 { return c.catalog.Version }
 
--- a/internal/controller/faults_test.go
+++ b/internal/controller/faults_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/bluebellstile/bluebellstile/internal/fleet"
 	"github.com/bluebellstile/bluebellstile/internal/resource"
 	"github.com/bluebellstile/bluebellstile/internal/workload"
 )
@@ -279,3 +280,24 @@
 		w.requireServed()
 	})
 }
+
+// TestEndpointGoneForGood requires that what ran on an endpoint that never
+// answers again runs elsewhere.
+func TestEndpointGoneForGood(t *testing.T) {
+	seeds(t, func(t *testing.T, seed uint64) {
+		w := newWorld(t, seed, faults{})
+		fleetOf(w)
+		w.begin()
+		w.traffic(6)
+		w.at(10*time.Second, func() {
+			w.endpoints["e03"].up = false
+			w.endpoints["e03"].running = make(map[fleet.Key]*simRun)
+		})
+		w.at(15*time.Second, func() { w.current().core.EndpointUnlisted("e03") })
+		if seed%2 == 0 {
+			w.at(12*time.Second, func() { w.begin() })
+		}
+		w.run(60 * time.Second)
+		w.requireServed()
+	})
+}
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -10,9 +10,21 @@
 )
 
 const (
-	// headroom is the share of each endpoint that only urgent work may use:
-	// about twice what urgent work takes on average.
-	headroom = 0.18
+	// firstUrgentShare is the part of an endpoint that an urgent task is taken
+	// to need before any was seen, and firstHeadroom the part of the fleet
+	// that is kept free for them then.
+	firstUrgentShare = 0.1
+	firstHeadroom    = 0.08
+	// headroom is how many places are kept for each urgent task that runs on
+	// average: a burst doubles them within a second or so, and other work
+	// leaves its room within a few.
+	headroom = 0.6
+	// leastPlaces are kept at all times.
+	leastPlaces = 4
+	// urgentWeight is the weight of a new task in the typical size, and
+	// levelWeight that of a plan's count in the average of running ones.
+	urgentWeight = 0.02
+	levelWeight  = 0.01
 	// reservations is how many blocked gangs may hold room back from others.
 	reservations = 3
 	// permitMargin covers the time from the decision to the arrival of the
@@ -51,12 +63,12 @@
 			return customer == "" || c.catalog.Within(customer, c.fleet.Usage(customer), size)
 		},
 		Policy: scheduler.Policy{
-			Headroom:     headroom,
 			FarFactor:    c.bounds.FarFactor,
 			Reservations: reservations,
 			PermitMargin: permitMargin,
 		},
 	}
+	s.Questions = max(max(c.lanes-1, 1)-c.asking, 0)
 	for _, e := range c.steps {
 		if d := c.demand(now, e); d != nil {
 			s.Demands = append(s.Demands, d)
@@ -70,9 +82,51 @@
 			s.Hosts = append(s.Hosts, host(e))
 		}
 	}
+	s.Policy.UrgentSize, s.Policy.UrgentPlaces = c.urgentRoom()
 	return s
 }
 
+// urgentRoom returns the size of a typical urgent task and for how many room
+// is kept.
+func (c *Core) urgentRoom() (resource.Vector, int) {
+	running, total := 0, resource.Vector{}
+	for _, e := range c.fleet.Endpoints() {
+		total = total.Add(e.Capacity)
+		for _, r := range e.Runs() {
+			if r.Priority == 0 {
+				running++
+			}
+		}
+	}
+	c.urgent.level += levelWeight * (float64(running) - c.urgent.level)
+	if c.urgent.size.MilliCores == 0 {
+		n := max(len(c.fleet.Endpoints()), 1)
+		size := resource.Vector{
+			MilliCores: int64(firstUrgentShare * float64(total.MilliCores) / float64(n)),
+			MemoryMB:   int64(firstUrgentShare * float64(total.MemoryMB) / float64(n)),
+		}
+		return size, int(firstHeadroom / firstUrgentShare * float64(n))
+	}
+	return c.urgent.size, max(leastPlaces, int(headroom*c.urgent.level))
+}
+
+// urgentLoad is what was learned of urgent work.
+type urgentLoad struct {
+	// size is the typical size of a task, level the average number that runs.
+	size  resource.Vector
+	level float64
+}
+
+// learn takes an urgent task into the typical size.
+func (u *urgentLoad) learn(size resource.Vector) {
+	if u.size.MilliCores == 0 {
+		u.size = size
+		return
+	}
+	u.size.MilliCores += int64(urgentWeight * float64(size.MilliCores-u.size.MilliCores))
+	u.size.MemoryMB += int64(urgentWeight * float64(size.MemoryMB-u.size.MemoryMB))
+}
+
 // usable reports whether an endpoint may take new tasks.
 func (c *Core) usable(now clock.Instant, e *fleet.Endpoint) bool {
 	return e.Adopted && e.Listed && !e.Draining && e.Failures == 0 &&
@@ -83,19 +137,9 @@
 // host describes an endpoint to the scheduler.
 func host(e *fleet.Endpoint) *scheduler.Host {
 	h := &scheduler.Host{Endpoint: e, Free: e.Free()}
-	var bulk resource.Vector
 	for _, r := range e.Runs() {
-		if r.Priority > 0 {
-			bulk = bulk.Add(r.Charge)
-		}
 		h.Releases = append(h.Releases, scheduler.Release{At: r.ExpectedEnd, Size: r.Charge})
 	}
-	limit := resource.Vector{
-		MilliCores:   e.Capacity.MilliCores - int64(headroom*float64(e.Capacity.MilliCores)),
-		MemoryMB:     e.Capacity.MemoryMB - int64(headroom*float64(e.Capacity.MemoryMB)),
-		Accelerators: e.Capacity.Accelerators,
-	}
-	h.Bulk = limit.Sub(bulk)
 	return h
 }
 
@@ -218,6 +262,9 @@
 	}
 	r.ExpectedEnd = now.Steady + time.Duration(float64(s.Spec.Estimate)*start.Endpoint.Record.Pace())
 	start.Endpoint.Add(r)
+	if r.Priority == 0 {
+		c.urgent.learn(r.Charge)
+	}
 	c.log.Debug("run placed", "task", r.Task, "run", r.Number, "endpoint", start.Endpoint.ID, "free", start.Endpoint.Free().MilliCores)
 	planned := &plannedStart{run: r, permit: start.Permit}
 	if entry.access != nil {
@@ -249,6 +296,9 @@
 		o.incarnation[e.ID] = e
 	}
 	c.stats.Questions++
+	if !o.Urgent {
+		c.asking++
+	}
 	c.log.Debug("asking for eligible endpoints", "step", o.Step, "endpoints", len(o.Endpoints), "held", len(q.Hold))
 	c.emit(o)
 }
@@ -258,16 +308,19 @@
 
 // AskAnswered takes in the answer to a question.
 func (c *Core) AskAnswered(now clock.Instant, o *AskOrder, answer Answer, err error) {
+	if !o.Urgent {
+		c.asking--
+		c.planDue = true
+	}
 	entry := o.step
 	if c.steps[entry.step] != entry || entry.asked != o.sequence {
 		return
 	}
 	c.planDue = true
 	a := entry.access
-	a.Asking = false
+	a.Asking, a.Held = false, nil
 	if err != nil {
 		c.log.Warn("question about eligible endpoints failed", "step", o.Step, "error", err)
-		a.Held = nil
 		entry.askAfter = now.Steady + askRetry
 		return
 	}
--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -47,7 +47,9 @@
 				o.Wait = 0
 			}
 		}
-		if e.Clock.Known() && len(e.Runs()) > 0 {
+		if e.Clock.Known() && len(e.Runs()) > 0 && e.Failures == 0 {
+			// A silent endpoint's lease is not extended, or it would never
+			// certainly have lapsed.
 			o.Deadline = e.Deadline(now.Steady, c.bounds.Lease)
 			e.Grant(o.Deadline)
 		}
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -79,8 +79,17 @@
 	deadline time.Duration
 	running  map[fleet.Key]*simRun
 	barred   map[workload.TaskID]int
-	ended    []EndedRow
+	ended    []simEnd
 	next     int64
+	// lapses counts the ends of the lease by time.
+	lapses int
+}
+
+// simEnd is an end that was not acknowledged yet.
+type simEnd struct {
+	EndedRow
+	// lapses is how often the lease had lapsed before.
+	lapses int
 }
 
 type simRun struct {
@@ -493,6 +502,7 @@
 	born := e.born
 	w.at(e.deadline-now+time.Millisecond, func() {
 		if e.born == born && e.up && e.clock(w.now) > e.deadline {
+			e.lapses++
 			for _, r := range e.sorted() {
 				w.end(e, r, workload.EndLapsed)
 			}
@@ -607,7 +617,7 @@
 	delete(e.running, r.key)
 	e.barred[r.key.Task] = max(e.barred[r.key.Task], r.key.Number)
 	e.next++
-	e.ended = append(e.ended, EndedRow{Number: e.next, Key: r.key, End: how})
+	e.ended = append(e.ended, simEnd{EndedRow: EndedRow{Number: e.next, Key: r.key, End: how}, lapses: e.lapses})
 	if how == workload.EndDone {
 		r.job.done[r.key.Task] = true
 		if r.step.Gang {
@@ -688,7 +698,9 @@
 	for _, r := range e.sorted() {
 		report.Running = append(report.Running, RunningRow{Key: r.key})
 	}
-	report.Ended = append(report.Ended, e.ended...)
+	for _, row := range e.ended {
+		report.Ended = append(report.Ended, row.EndedRow)
+	}
 	out.Reading.Received = w.now
 	out.Reading.Clock = e.clock(w.now)
 	w.at(w.between(wayLow, wayHigh), func() {
@@ -704,12 +716,17 @@
 
 // ack forgets ends and notes what was taken note of.
 func (w *world) ack(e *simEndpoint, upto int64) {
-	var left []EndedRow
+	var left []simEnd
 	for _, row := range e.ended {
 		if row.Number > upto {
 			left = append(left, row)
 			continue
 		}
+		if row.lapses < e.lapses {
+			// An end counts as taken note of only if the lease has not lapsed
+			// before.
+			continue
+		}
 		job := w.jobs[row.Key.Task.Job]
 		switch row.End {
 		case workload.EndDone:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -189,7 +189,9 @@
 	for {
 		changed := n.directory.Changed()
 		n.terms.supersede(n.directory.Current().Epoch)
-		n.pool.SetLanes(n.lanes())
+		lanes := n.lanes()
+		n.pool.SetLanes(lanes)
+		n.terms.setLanes(len(lanes))
 		select {
 		case <-changed:
 		case <-n.tomb.Dying():
--- a/internal/node/terms.go
+++ b/internal/node/terms.go
@@ -51,6 +51,7 @@
 
 	mu      sync.Mutex
 	current *term
+	lanes   int
 }
 
 // term is a term that runs.
@@ -152,7 +153,9 @@
 func (ts *terms) set(current *term) {
 	ts.mu.Lock()
 	ts.current = current
+	lanes := ts.lanes
 	ts.mu.Unlock()
+	current.controller.SetLanes(lanes)
 	if c := ts.catalogs.Catalog(); c != nil {
 		current.controller.SetCatalog(c)
 	}
@@ -180,6 +183,17 @@
 	}
 }
 
+// setLanes says how many instances questions can be put through.
+func (ts *terms) setLanes(n int) {
+	ts.mu.Lock()
+	ts.lanes = n
+	t := ts.current
+	ts.mu.Unlock()
+	if t != nil {
+		t.controller.SetLanes(n)
+	}
+}
+
 // setCatalog brings a newer configuration into force in the term that runs.
 func (ts *terms) setCatalog(c *catalog.Catalog) {
 	if t := ts.term(); t != nil {
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -53,7 +53,7 @@
 	}
 	for _, h := range p.Hosts {
 		if n := d.Access.Held[h.Endpoint.ID]; n > 0 {
-			h.take(d.Step.Spec.Charge().Times(int64(n)))
+			p.take(h, d.Step.Spec.Charge().Times(int64(n)))
 		}
 	}
 }
@@ -94,7 +94,7 @@
 		}
 		hosts = preferred
 	}
-	return fill(d, hosts, n)
+	return p.fill(d, hosts, n)
 }
 
 // patienceOver reports whether a gang has waited for one rack for as long as
@@ -115,26 +115,34 @@
 		byRack[h.Endpoint.Rack] = append(byRack[h.Endpoint.Rack], h)
 	}
 	for _, rack := range racks {
-		if seats := fill(d, byRack[rack], n); seats != nil {
+		if seats := p.fill(d, byRack[rack], n); seats != nil {
 			return seats
 		}
 	}
 	return nil
 }
 
-// fill seats n tasks on hosts in order, or returns nil.
-func fill(d *Demand, hosts []*Host, n int) []seat {
+// fill seats n tasks on hosts in order, or returns nil. The room is taken while
+// it looks, so that what is kept for urgent tasks is counted once.
+func (p *planner) fill(d *Demand, hosts []*Host, n int) []seat {
 	var seats []seat
 	for _, h := range hosts {
-		if k := h.slots(d, n); k > 0 {
+		if n == 0 {
+			break
+		}
+		if k := p.slots(d, h, n); k > 0 {
 			seats = append(seats, seat{host: h, tasks: k})
+			p.take(h, d.Step.Spec.Charge().Times(int64(k)))
 			n -= k
 		}
-		if n == 0 {
-			return seats
-		}
 	}
-	return nil
+	for _, s := range seats {
+		p.take(s.host, d.Step.Spec.Charge().Times(int64(-s.tasks)))
+	}
+	if n > 0 {
+		return nil
+	}
+	return seats
 }
 
 // permitted reports whether all seats have good permits.
@@ -152,20 +160,20 @@
 	hold := make(map[string]int)
 	var asked []*fleet.Endpoint
 	for _, s := range seats {
-		s.host.take(d.Step.Spec.Charge().Times(int64(s.tasks)))
+		p.take(s.host, d.Step.Spec.Charge().Times(int64(s.tasks)))
 		hold[s.host.Endpoint.ID] = s.tasks
 		asked = append(asked, s.host.Endpoint)
 	}
-	if d.Access.Asking || len(asked) > maxAsked {
+	if d.Access.Asking || len(asked) > maxAsked || !d.Urgent && p.Questions == 0 {
 		return
 	}
-	p.plan.Questions = append(p.plan.Questions, Question{Demand: d, Endpoints: asked, Hold: hold})
+	p.put(Question{Demand: d, Endpoints: asked, Hold: hold})
 }
 
 // askAll asks about hosts that nothing is known of, whether they have room now
 // or not: which of them are good doesn't change, and room will come.
 func (p *planner) askAll(d *Demand, hosts []*Host) {
-	if d.Access == nil || d.Access.Asking {
+	if d.Access == nil || d.Access.Asking || !d.Urgent && p.Questions == 0 {
 		return
 	}
 	var asked []*fleet.Endpoint
@@ -174,9 +182,7 @@
 			asked = append(asked, h.Endpoint)
 		}
 	}
-	if len(asked) > 0 {
-		p.plan.Questions = append(p.plan.Questions, Question{Demand: d, Endpoints: asked})
-	}
+	p.put(Question{Demand: d, Endpoints: asked})
 }
 
 // reserve keeps the room on which a blocked gang is expected to start first
@@ -226,7 +232,7 @@
 	left := n
 	for i, h := range hosts {
 		if k := min(slots[i], left); k > 0 {
-			h.Bulk = h.Bulk.Sub(d.Step.Spec.Charge().Times(int64(k)))
+			h.Reserved = h.Reserved.Add(d.Step.Spec.Charge().Times(int64(k)))
 			left -= k
 		}
 	}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -14,6 +14,8 @@
 	plan Plan
 	// given is what the plan has given to customers so far.
 	given map[string]resource.Vector
+	// places is for how many typical urgent tasks there is room.
+	places int
 	// reserved counts the gangs that hold room back.
 	reserved int
 	// urgentHosts and bulkHosts are the hosts in the order in which urgent
@@ -25,6 +27,9 @@
 // Make returns the plan for a snapshot.
 func Make(s *Snapshot) Plan {
 	p := &planner{Snapshot: s, given: make(map[string]resource.Vector)}
+	for _, h := range s.Hosts {
+		p.places += p.urgentPlaces(h)
+	}
 	p.holdAnswers()
 	p.urgentHosts = ordered(s.Hosts, urgentScore)
 	p.bulkHosts = ordered(s.Hosts, bulkScore)
@@ -47,7 +52,7 @@
 		}
 		for _, h := range p.Hosts {
 			if n := d.Access.Held[h.Endpoint.ID]; n > 0 {
-				h.take(d.Step.Spec.Charge().Times(int64(n)))
+				p.take(h, d.Step.Spec.Charge().Times(int64(n)))
 			}
 		}
 	}
@@ -60,15 +65,25 @@
 	}
 	for _, h := range p.Hosts {
 		if n := d.Access.Held[h.Endpoint.ID]; n > 0 {
-			h.take(d.Step.Spec.Charge().Times(int64(-n)))
+			p.take(h, d.Step.Spec.Charge().Times(int64(-n)))
 		}
 	}
 }
 
 // take uses up room of a host.
-func (h *Host) take(size resource.Vector) {
+func (p *planner) take(h *Host, size resource.Vector) {
+	p.places -= p.urgentPlaces(h)
 	h.Free = h.Free.Sub(size)
-	h.Bulk = h.Bulk.Sub(size)
+	p.places += p.urgentPlaces(h)
+}
+
+// urgentPlaces is how many typical urgent tasks fit on a host.
+func (p *planner) urgentPlaces(h *Host) int {
+	const most = 1000
+	if p.Policy.UrgentSize == (resource.Vector{}) {
+		return 0
+	}
+	return int(p.Policy.UrgentSize.Copies(h.Free, most))
 }
 
 // room is what a demand may use of a host.
@@ -76,19 +91,41 @@
 	if d.Urgent {
 		return h.Free
 	}
-	return h.Bulk.AtMost(h.Free)
+	return h.Free.Sub(h.Reserved)
 }
 
 // slots returns how many tasks of a demand fit on a host, at most limit.
-func (h *Host) slots(d *Demand, limit int) int {
+func (p *planner) slots(d *Demand, h *Host, limit int) int {
 	spec := d.Step.Spec
 	n := int(spec.Charge().Copies(h.room(d), int64(limit)))
 	if spec.MaxPerEndpoint > 0 {
 		n = min(n, spec.MaxPerEndpoint-d.Occupied[h.Endpoint.ID])
 	}
+	if !d.Urgent {
+		n = p.besideUrgent(d, h, n)
+	}
 	return max(n, 0)
 }
 
+// besideUrgent returns how many of n tasks a host may take so that enough
+// room stays for urgent ones. Small holes anywhere are room enough, so the
+// places are counted over all hosts.
+func (p *planner) besideUrgent(d *Demand, h *Host, n int) int {
+	if p.places >= p.Policy.UrgentPlaces+p.urgentPlaces(h) {
+		return n
+	}
+	free, before := h.Free, p.urgentPlaces(h)
+	for ; n > 0; n-- {
+		h.Free = free.Sub(d.Step.Spec.Charge().Times(int64(n)))
+		after := p.urgentPlaces(h)
+		h.Free = free
+		if after == before || p.places-before+after >= p.Policy.UrgentPlaces {
+			return n
+		}
+	}
+	return 0
+}
+
 // candidates returns the hosts on which the demand's tasks may run as far as
 // is known, those that fit them best first.
 func (p *planner) candidates(d *Demand) []*Host {
@@ -173,7 +210,7 @@
 // start decides on a start.
 func (p *planner) start(d *Demand, task int, h *Host, permit string) {
 	spec := d.Step.Spec
-	h.take(spec.Charge())
+	p.take(h, spec.Charge())
 	customer := d.Step.Job.Customer
 	p.given[customer] = p.given[customer].Add(spec.Size)
 	if spec.MaxPerEndpoint > 0 {
@@ -193,6 +230,8 @@
 
 // placeTasks starts as many tasks of a demand as there is room for.
 func (p *planner) placeTasks(d *Demand) {
+	p.returnHeld(d)
+	defer p.keepHeld(d)
 	if d.Access != nil && d.Access.Asking && len(d.Access.Permits) == 0 {
 		p.plan.Blocked++
 		return
@@ -220,7 +259,7 @@
 	var avoided *Host
 	var avoidedToken string
 	for _, h := range hosts {
-		if h.slots(d, 1) == 0 || p.waitsForData(d, h) {
+		if p.slots(d, h, 1) == 0 || p.waitsForData(d, h) {
 			continue
 		}
 		token, ok := p.permit(d, h.Endpoint)
@@ -264,40 +303,62 @@
 	// maxAsked bounds the endpoints that one question names; the service
 	// takes no more.
 	maxAsked = 100
-	// minAsked is the least worth asking about: each further endpoint costs a
-	// small part of the call itself.
-	minAsked = 6
-	// spareShare is how many more good endpoints are asked for than needed.
+	// minAsked is the least worth asking about, if there are so many: each
+	// further endpoint costs a small part of the call itself.
+	minAsked = 8
+	// spareShare is how many more places are asked for than needed.
 	spareShare = 1.5
 )
 
-// ask puts a question about hosts that have room, if none is under way.
+// ask puts a question about hosts that have room, if none is under way. The
+// room is kept meanwhile, so that work that ranks lower does not ask for it too.
 func (p *planner) ask(d *Demand, hosts []*Host, tasks int) {
 	a := d.Access
-	if a == nil || a.Asking {
+	if a == nil || a.Asking || !d.Urgent && p.Questions == 0 {
 		return
 	}
-	var asked []*fleet.Endpoint
+	q := Question{Demand: d, Hold: make(map[string]int)}
 	expected := 0.0
 	for _, h := range hosts {
-		n := h.slots(d, tasks)
+		n := p.slots(d, h, tasks)
 		if n == 0 || p.waitsForData(d, h) {
 			continue
 		}
 		if _, ok := p.permit(d, h.Endpoint); ok {
 			continue
 		}
-		share := a.GoodShare
-		if a.Known[h.Endpoint] {
-			share = 1
+		q.Endpoints = append(q.Endpoints, h.Endpoint)
+		if expected < spareShare*float64(tasks) {
+			expected += p.hold(d, h, n, &q)
 		}
-		asked = append(asked, h.Endpoint)
-		expected += share * float64(n)
-		if len(asked) >= maxAsked || len(asked) >= minAsked && expected >= spareShare*float64(tasks) {
+		if len(q.Endpoints) >= maxAsked || len(q.Endpoints) >= minAsked && expected >= spareShare*float64(tasks) {
 			break
 		}
 	}
-	if len(asked) > 0 {
-		p.plan.Questions = append(p.plan.Questions, Question{Demand: d, Endpoints: asked})
+	p.put(q)
+}
+
+// hold keeps room for n tasks on a host that is asked about, and returns how
+// many of them it is expected to serve.
+func (p *planner) hold(d *Demand, h *Host, n int, q *Question) float64 {
+	share := d.Access.GoodShare
+	if d.Access.Known[h.Endpoint] {
+		share = 1
+	}
+	if !d.Urgent {
+		p.take(h, d.Step.Spec.Charge().Times(int64(n)))
+		q.Hold[h.Endpoint.ID] = n
+	}
+	return share * float64(n)
+}
+
+// put puts a question.
+func (p *planner) put(q Question) {
+	if len(q.Endpoints) == 0 {
+		return
+	}
+	if !q.Demand.Urgent {
+		p.Questions--
 	}
+	p.plan.Questions = append(p.plan.Questions, q)
 }
--- a/internal/scheduler/snapshot.go
+++ b/internal/scheduler/snapshot.go
@@ -18,6 +18,9 @@
 	Hosts []*Host
 	// Demands are the steps with waiting tasks, in any order.
 	Demands []*Demand
+	// Questions is how many questions may be put for work that is not urgent:
+	// one for each instance that has none under way.
+	Questions int
 	// Within reports whether a customer may take size more beside what the
 	// plan has given it already.
 	Within func(customer string, size resource.Vector) bool
@@ -26,8 +29,10 @@
 
 // Policy holds the figures of the rules.
 type Policy struct {
-	// Headroom is the share of each endpoint that only urgent work may use.
-	Headroom float64
+	// UrgentSize is the size of a typical urgent task, and UrgentPlaces is for
+	// how many of them room is kept that other work does not take.
+	UrgentSize   resource.Vector
+	UrgentPlaces int
 	// FarFactor is how much longer a task takes away from its data or its
 	// gang's rack.
 	FarFactor float64
@@ -43,8 +48,8 @@
 	Endpoint *fleet.Endpoint
 	// Free is what is left of the capacity.
 	Free resource.Vector
-	// Bulk is what work that is not urgent may use of Free.
-	Bulk resource.Vector
+	// Reserved is what blocked gangs hold back of it.
+	Reserved resource.Vector
 	// Releases are the expected ends of the host's runs.
 	Releases []Release
 }
