--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -38,8 +38,10 @@
 	readyLogAge = 2500 * time.Millisecond
 	// handOverTimeout bounds the wait for a successor at a planned stop.
 	handOverTimeout = 400 * time.Millisecond
-	// relieveInterval is how often a holder looks whether it wants relief.
+	// relieveInterval is how often a holder looks whether it wants relief; the
+	// pause grows to relieveMax while nobody can take over.
 	relieveInterval = 250 * time.Millisecond
+	relieveMax      = 2 * time.Second
 )
 
 // Ports are what a daemon uses of the platform.
@@ -247,7 +249,7 @@
 			n.directory.Learn(claim)
 			return
 		}
-		n.options.Logger.Info("cell not taken over", "by", m.Name, "error", err)
+		n.options.Logger.Debug("cell not taken over", "by", m.Name, "error", err)
 	}
 }
 
@@ -267,19 +269,25 @@
 
 // relieve hands a term over whose log takes nothing, if another daemon's does.
 func (n *Node) relieve() error {
-	ticker := time.NewTicker(relieveInterval)
-	defer ticker.Stop()
 	ctx := n.tomb.Context(context.Background())
+	pause := relieveInterval
 	for {
+		timer := time.NewTimer(pause)
 		select {
-		case <-ticker.C:
+		case <-timer.C:
 		case <-n.tomb.Dying():
+			timer.Stop()
 			return nil
 		}
-		if t := n.terms.term(); t != nil && t.controller.WantsRelief() {
-			n.options.Logger.Warn("the log takes nothing here, asking others to take over", "for", t.controller.StuckFor())
-			n.handOver(ctx)
+		t := n.terms.term()
+		if t == nil || !t.controller.WantsRelief() {
+			pause = relieveInterval
+			continue
 		}
+		n.options.Logger.Warn("the log takes nothing here, asking others to take over", "for", t.controller.StuckFor())
+		n.handOver(ctx)
+		// If nobody could, the log is down for all.
+		pause = min(2*pause, relieveMax)
 	}
 }
 
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -306,8 +306,11 @@
 	// minAsked is the least worth asking about, if there are so many: each
 	// further endpoint costs a small part of the call itself.
 	minAsked = 8
-	// spareShare is how many more places are asked for than needed.
-	spareShare = 1.5
+	// spareShare is how many more places are asked for than needed, and
+	// urgentSpare the same for urgent work, whose questions are cheap and which
+	// has no time for a second one.
+	spareShare  = 1.5
+	urgentSpare = 3
 )
 
 // ask puts a question about hosts that have room, if none is under way. The
@@ -318,7 +321,10 @@
 		return
 	}
 	q := Question{Demand: d, Hold: make(map[string]int)}
-	expected := 0.0
+	wanted, expected := spareShare*float64(tasks), 0.0
+	if d.Urgent {
+		wanted = urgentSpare * float64(tasks)
+	}
 	for _, h := range hosts {
 		n := p.slots(d, h, tasks)
 		if n == 0 || p.waitsForData(d, h) {
@@ -328,10 +334,10 @@
 			continue
 		}
 		q.Endpoints = append(q.Endpoints, h.Endpoint)
-		if expected < spareShare*float64(tasks) {
+		if expected < wanted {
 			expected += p.hold(d, h, n, &q)
 		}
-		if len(q.Endpoints) >= maxAsked || len(q.Endpoints) >= minAsked && expected >= spareShare*float64(tasks) {
+		if len(q.Endpoints) >= maxAsked || len(q.Endpoints) >= minAsked && expected >= wanted {
 			break
 		}
 	}
