--- a/internal/controller/submit.go
+++ b/internal/controller/submit.go
@@ -52,6 +52,9 @@
 	c.batch.admitted[s.ID] = e
 	c.log.Debug("job taken in", "job", s.ID, "queue", s.Queue, "customer", s.Customer, "steps", len(s.Spec.Steps), "excess", job.Excess)
 	c.addJob(now, e)
+	if due, ok := job.NextDue(); ok {
+		c.log.Debug("occurrence is due later", "job", s.ID, "due", due, "in", due.Sub(now.Wall))
+	}
 }
 
 // submitAgain answers a submission whose id is known.
