Keep several appends under way while the log is slow, begin terms faster

Ruled out: showing a job as completed before its end is stored, which a crash of holder and endpoint together would make untrue; starts without a record. The begin of a term reads jobs in ranges and the registry at the same time. The old holder goes on until it is fenced, and asks first the daemon that started last, which a rolling restart has passed.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -32,6 +32,10 @@
 	// appendGap is the least time between the begins of two appends; calls of
 	// the log are charged, and one of them takes about this long.
 	appendGap = 12 * time.Millisecond
+	// slowShare is the part of an append's usual time after which the next one
+	// begins while it is still under way: a slow log takes longer for each
+	// append, too, and must not be given more than it takes.
+	slowShare = 0.35
 	// proveAfter is the age of the last proof at which an append without
 	// records is made to renew it.
 	proveAfter = time.Second
@@ -64,11 +68,10 @@
 	kick chan struct{}
 	tomb *tomb.Tomb
 	// lastAppend is when the last append began, nextPlan when the next plan
-	// may be made. They and appending belong to the pump.
+	// may be made, and last the append begun last. They belong to the pump.
 	lastAppend time.Duration
 	nextPlan   time.Duration
-	appended   chan struct{}
-	appending  bool
+	last       *commit
 	// stuckSince is when the append under way first failed; 0 if it has not.
 	// deaf is set if the log gave no answer at last, rather than a refusal.
 	stuckSince atomic.Int64
@@ -101,7 +104,6 @@
 		log:         o.Logger,
 		core:        core,
 		kick:        make(chan struct{}, 1),
-		appended:    make(chan struct{}, 1),
 	}
 }
 
@@ -140,8 +142,6 @@
 			return nil
 		case <-c.kick:
 		case <-timer.C:
-		case <-c.appended:
-			c.appending = false
 		}
 		timer.Reset(c.turn())
 	}
@@ -162,68 +162,127 @@
 		next = min(next, wait)
 	}
 	orders := c.core.TakeOrders()
-	if wait := c.lastAppend + appendGap - now.Steady; wait > 0 {
+	if wait := c.appendDue(now.Steady); wait > 0 {
 		next = min(next, wait)
-	} else if !c.appending {
+	} else {
 		batch = c.core.Seal()
 	}
 	c.mu.Unlock()
 	c.dispatch(orders)
 	if batch != nil || c.needsProof(now.Steady) {
-		c.appending = true
-		c.lastAppend = now.Steady
-		c.proofWanted.Store(false)
-		c.tomb.Go(func() error { return c.append(batch) })
+		c.beginAppend(now.Steady, batch)
 	}
 	return next
 }
 
+// commit is an append under way.
+type commit struct {
+	// batch is nil if only a proof that the term is current is wanted.
+	batch *Batch
+	// pending is nil if the batch has no records.
+	pending *keyedlog.Pending
+	began   time.Duration
+	// before is the commit that has to come first, done is closed after.
+	before *commit
+	done   chan struct{}
+}
+
+// ended reports whether a commit is done; there may be none.
+func (m *commit) ended() bool {
+	if m == nil {
+		return true
+	}
+	select {
+	case <-m.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// appendDue returns how long the next append has to wait. One begins when the
+// last is done; if the log is slow, several are under way.
+func (c *Controller) appendDue(now time.Duration) time.Duration {
+	gap := appendGap
+	if !c.last.ended() {
+		if c.writer.InFlight() >= keyedlog.MaxInFlight {
+			return tickInterval
+		}
+		gap = max(gap, time.Duration(slowShare*float64(c.writer.Usual())))
+	}
+	return c.lastAppend + gap - now
+}
+
+// beginAppend begins to append a batch; its place in the log is fixed now.
+func (c *Controller) beginAppend(now time.Duration, batch *Batch) {
+	c.lastAppend = now
+	c.proofWanted.Store(false)
+	m := &commit{batch: batch, began: now, done: make(chan struct{})}
+	if !c.last.ended() {
+		m.before = c.last
+	}
+	if batch != nil && len(batch.Records) > 0 {
+		m.pending = c.writer.Begin(batch.Records)
+	}
+	c.last = m
+	c.tomb.Go(func() error {
+		defer close(m.done)
+		c.append(m)
+		c.wake()
+		return nil
+	})
+}
+
 // needsProof reports whether an append without records should be made.
 func (c *Controller) needsProof(now time.Duration) bool {
-	if c.appending {
+	if !c.last.ended() {
 		return false
 	}
 	return c.proofWanted.Load() || now-c.currency.Proven() > proveAfter && now-c.lastAppend > proveAfter
 }
 
-// append appends a batch, or only renews the proof that the term is current if
-// batch is nil or without records.
-func (c *Controller) append(batch *Batch) error {
-	defer func() {
-		select {
-		case c.appended <- struct{}{}:
-		default:
-		}
-	}()
-	began := c.clock.Now()
+// append appends what a commit holds, and lets the core do what waited for it
+// once all commits before are done.
+func (c *Controller) append(m *commit) {
 	ctx := c.tomb.Context(context.Background())
-	err := c.write(ctx, batch)
-	if err != nil {
+	if err := c.write(ctx, m); err != nil {
 		if c.tomb.Alive() {
 			c.log.Warn("term ends, its append failed", "epoch", c.epoch, "error", err)
 			c.tomb.Kill(ErrTermEnded)
 		}
-		return nil
+		return
 	}
-	c.currency.Prove(began)
-	if batch != nil {
+	if m.before != nil {
+		select {
+		case <-m.before.done:
+		case <-c.tomb.Dying():
+			return
+		}
+	}
+	if m.batch != nil {
 		c.mu.Lock()
-		c.core.Committed(clock.Read(c.clock), batch)
+		c.core.Committed(clock.Read(c.clock), m.batch)
 		c.mu.Unlock()
 	}
-	return nil
 }
 
-// write appends the records of a batch.
-func (c *Controller) write(ctx context.Context, batch *Batch) error {
-	defer c.stuckSince.Store(0)
-	if batch == nil {
-		return c.writer.Fence(ctx, c.stuck)
-	}
-	if len(batch.Records) == 0 {
+// write appends the records of a commit, or proves by an append without any
+// that the term is current.
+func (c *Controller) write(ctx context.Context, m *commit) error {
+	var err error
+	switch {
+	case m.batch == nil:
+		err = c.writer.Fence(ctx, c.stuck)
+	case m.pending == nil:
 		return nil
+	default:
+		err = m.pending.Wait(ctx, c.stuck)
+	}
+	if err == nil {
+		c.currency.Prove(m.began)
 	}
-	return c.writer.Append(ctx, batch.Records, c.stuck)
+	c.stuckSince.Store(0)
+	return err
 }
 
 // stuck notes that an append has failed and is repeated.
--- a/internal/controller/restore.go
+++ b/internal/controller/restore.go
@@ -10,6 +10,16 @@
 	"github.com/bluebellstile/bluebellstile/internal/workload"
 )
 
+// RecordBounds divide the keys of jobs' records into ranges of about the same
+// size, to be read at the same time. Most records are those of ended jobs.
+func RecordBounds() []string {
+	bounds := []string{progressPrefix}
+	for _, digit := range "48c" {
+		bounds = append(bounds, progressPrefix+string(digit))
+	}
+	return bounds
+}
+
 // Restore takes in what earlier terms have left in the log: the newest record
 // of each key. It is called before any other event.
 func (c *Core) Restore(now clock.Instant, entries []keyedlog.Entry) {
--- a/internal/keyedlog/follower.go
+++ b/internal/keyedlog/follower.go
@@ -104,3 +104,16 @@
 	}
 	return from, nil
 }
+
+// sleep waits, or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/keyedlog/keyedlog.go
+++ b/internal/keyedlog/keyedlog.go
@@ -7,9 +7,11 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
 )
 
 // Record is a value under a key. An empty value drops the key.
@@ -153,19 +155,55 @@
 // reading on from it misses no change: pages are not a snapshot, so what
 // changed meanwhile is seen again.
 func NewestAll(ctx context.Context, log Log, p Partition) (entries []Entry, from int64, err error) {
-	after, first := "", true
-	for {
+	return newestBetween(ctx, log, p, "", "")
+}
+
+// newestBetween returns the newest records of the keys behind after and up to
+// last; an empty last means all.
+func newestBetween(ctx context.Context, log Log, p Partition, after, last string) (entries []Entry, from int64, err error) {
+	for first := true; ; first = false {
 		page, err := log.Newest(ctx, p, after)
 		if err != nil {
 			return nil, 0, err
 		}
 		if first {
-			from, first = page.End, false
+			from = page.End
+		}
+		for _, e := range page.Entries {
+			if last != "" && e.Key > last {
+				return entries, from, nil
+			}
+			entries = append(entries, e)
 		}
-		entries = append(entries, page.Entries...)
 		if !page.More || len(page.Entries) == 0 {
 			return entries, from, nil
 		}
 		after = page.Entries[len(page.Entries)-1].Key
 	}
 }
+
+// NewestIn returns the newest record of every key in a partition that nobody
+// writes to. It reads the ranges of keys between bounds, which are in order, at
+// the same time, as a page takes as long as a call of the log.
+func NewestIn(ctx context.Context, log Log, p Partition, bounds []string) ([]Entry, error) {
+	parts := make([][]Entry, len(bounds)+1)
+	group, ctx := errgroup.WithContext(ctx)
+	for i := range parts {
+		group.Go(func() error {
+			after, last := "", ""
+			if i > 0 {
+				after = bounds[i-1]
+			}
+			if i < len(bounds) {
+				last = bounds[i]
+			}
+			entries, _, err := newestBetween(ctx, log, p, after, last)
+			parts[i] = entries
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	return slices.Concat(parts...), nil
+}
--- a/internal/leadership/directory.go
+++ b/internal/leadership/directory.go
@@ -39,6 +39,8 @@
 	Address          string
 	AvailabilityZone string
 	Region           string
+	// Started is the time of day of the process's start.
+	Started time.Time
 }
 
 // Claim is the record by which a daemon holds the cell.
@@ -55,6 +57,7 @@
 	Address          string `cbor:"2,keyasint"`
 	AvailabilityZone string `cbor:"3,keyasint"`
 	Region           string `cbor:"4,keyasint"`
+	StartedMS        int64  `cbor:"5,keyasint"`
 }
 
 type claimRecord struct {
@@ -63,11 +66,11 @@
 }
 
 func stored(m Member) memberRecord {
-	return memberRecord{Incarnation: m.Incarnation, Address: m.Address, AvailabilityZone: m.AvailabilityZone, Region: m.Region}
+	return memberRecord{Incarnation: m.Incarnation, Address: m.Address, AvailabilityZone: m.AvailabilityZone, Region: m.Region, StartedMS: m.Started.UnixMilli()}
 }
 
 func (r memberRecord) member(name string) Member {
-	return Member{Name: name, Incarnation: r.Incarnation, Address: r.Address, AvailabilityZone: r.AvailabilityZone, Region: r.Region}
+	return Member{Name: name, Incarnation: r.Incarnation, Address: r.Address, AvailabilityZone: r.AvailabilityZone, Region: r.Region, Started: time.UnixMilli(r.StartedMS)}
 }
 
 // Directory knows the members of the cell and its holder, as they stand in the
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,6 +9,8 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
+	"sort"
 	"sync/atomic"
 	"time"
 
@@ -96,6 +98,7 @@
 		Address:          o.PeerAddress,
 		AvailabilityZone: o.AvailabilityZone,
 		Region:           o.Region,
+		Started:          o.Clock.Wall(),
 	}
 	n.peers = fleetpeer.NewClients(nil)
 	n.pool = eligibility.NewPool(o.Clock.Now)
@@ -237,7 +240,7 @@
 	if t == nil {
 		return
 	}
-	for _, m := range n.successors(t.controller.Epoch()) {
+	for _, m := range n.successors() {
 		if ctx.Err() != nil {
 			return
 		}
@@ -254,17 +257,13 @@
 }
 
 // successors returns the other daemons in the order in which they are asked to
-// take over.
-func (n *Node) successors(epoch int64) []leadership.Member {
+// take over: those that started last first, as a rolling restart has passed
+// them already.
+func (n *Node) successors() []leadership.Member {
 	members := n.directory.Members()
-	out := make([]leadership.Member, 0, len(members))
-	for i := range members {
-		m := members[(i+int(epoch))%len(members)]
-		if m.Name != n.self.Name {
-			out = append(out, m)
-		}
-	}
-	return out
+	others := slices.DeleteFunc(members, func(m leadership.Member) bool { return m.Name == n.self.Name })
+	sort.SliceStable(others, func(i, k int) bool { return others[i].Started.After(others[k].Started) })
+	return others
 }
 
 // relieve hands a term over whose log takes nothing, if another daemon's does.
--- a/internal/node/terms.go
+++ b/internal/node/terms.go
@@ -105,19 +105,25 @@
 	if configuration == nil {
 		return nil, errors.New("no configuration has been read yet")
 	}
+	reg := &registry{feed: ts.registry, log: ts.log, clock: ts.clock, logger: ts.logger, listed: make(map[string]bool)}
+	var registrations []fleet.Registration
+	registered := make(chan error, 1)
+	go func() {
+		var err error
+		registrations, err = reg.load(ctx)
+		registered <- err
+	}()
 	writer := keyedlog.NewWriter(ts.log, ts.jobs, producerName, epoch)
 	proven := ts.clock.Now()
 	if err := writer.Fence(ctx, nil); err != nil {
 		return nil, errors.WithMessage(err, "fence earlier terms")
 	}
 	fenced := ts.clock.Now()
-	entries, _, err := keyedlog.NewestAll(ctx, ts.log, ts.jobs)
+	entries, err := keyedlog.NewestIn(ctx, ts.log, ts.jobs, controller.RecordBounds())
 	if err != nil {
 		return nil, errors.WithMessage(err, "read the jobs")
 	}
-	reg := &registry{feed: ts.registry, log: ts.log, clock: ts.clock, logger: ts.logger, listed: make(map[string]bool)}
-	registrations, err := reg.load(ctx)
-	if err != nil {
+	if err := <-registered; err != nil {
 		return nil, errors.WithMessage(err, "read the registry of endpoints")
 	}
 	core := ts.restore(configuration, fenced, registrations, entries)
@@ -176,11 +182,17 @@
 	return ts.current
 }
 
+// supersedeAfter is how long a term goes on after a newer claim. Until the new
+// holder has fenced it, it serves; usually its next append ends it.
+const supersedeAfter = 1500 * time.Millisecond
+
 // supersede ends a term whose epoch is below the newest claim's.
 func (ts *terms) supersede(epoch int64) {
-	if t := ts.term(); t != nil && t.controller.Epoch() < epoch {
-		t.tomb.Kill(controller.ErrTermEnded)
+	t := ts.term()
+	if t == nil || t.controller.Epoch() >= epoch {
+		return
 	}
+	time.AfterFunc(supersedeAfter, func() { t.tomb.Kill(controller.ErrTermEnded) })
 }
 
 // setLanes says how many instances questions can be put through.
