Time reports by the ends that are expected

Cause: each end was looked for at once; looks are charged, and only urgent ends are in a hurry. Change: the next hold waits until three quarters of the nearest urgent run's expected time, 0.3 s at most.

--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -15,6 +15,12 @@
 	// holdGap is the least time between two holds, so that ends that come
 	// close together are told by one answer.
 	holdGap = 60 * time.Millisecond
+	// bulkGap is the same on endpoints where no urgent run is about to end:
+	// looks are charged, and other work can wait for its end to be noticed.
+	bulkGap = 300 * time.Millisecond
+	// endShare is the part of an urgent run's expected time before which its
+	// end is not looked for, as estimates are off.
+	endShare = 0.75
 	// holdRetry is the pause before a silent endpoint is asked again.
 	holdRetry = 250 * time.Millisecond
 	// idleHold is how often an endpoint is asked on which nothing runs.
@@ -123,7 +129,7 @@
 		// The ends have to stand in the log before they are acknowledged;
 		// Committed makes the hold due, after a gap for further ends.
 		ec.holdAt = now.Steady + holdWait
-		ec.holdNotBefore = now.Steady + holdGap
+		ec.holdNotBefore = now.Steady + c.reportIn(now, e)
 	case len(e.Runs()) == 0 && len(ec.strangers) == 0:
 		ec.holdAt = now.Steady + idleHold
 	default:
@@ -131,6 +137,18 @@
 	}
 }
 
+// reportIn returns how long the next report of an endpoint may wait, by the
+// urgent runs that are expected to end.
+func (c *Core) reportIn(now clock.Instant, e *fleet.Endpoint) time.Duration {
+	wait := bulkGap
+	for _, r := range e.Runs() {
+		if r.Priority == 0 {
+			wait = min(wait, time.Duration(endShare*float64(r.ExpectedEnd-now.Steady)))
+		}
+	}
+	return max(wait, holdGap)
+}
+
 // runningRow takes in that a run is running.
 func (c *Core) runningRow(now clock.Instant, e *fleet.Endpoint, ec *endpointControl, row *RunningRow) {
 	r := c.fleet.Find(row.Key)
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -163,7 +163,7 @@
 	if r.Began == 0 {
 		r.Began, r.Moved = now.Steady, now.Steady
 		// An endpoint on which nothing ran is asked rarely.
-		c.wantReport(r.Endpoint, now.Steady+holdGap)
+		c.wantReport(r.Endpoint, now.Steady+c.reportIn(now, r.Endpoint))
 	}
 	if r.Phase == fleet.PhaseOrdered || r.Phase == fleet.PhaseInherited || r.Phase == fleet.PhaseDoubtful && !c.controlOfRun(r).stopped {
 		r.Phase = fleet.PhaseRunning
