--- a/internal/controller/faults_test.go
+++ b/internal/controller/faults_test.go
@@ -191,7 +191,7 @@
 			w.at(time.Duration(i)*1700*time.Millisecond, func() {
 				e := w.endpoints[w.ids()[w.rand.IntN(len(w.endpoints))]]
 				if e.up {
-					w.crash(e, w.between(300*time.Millisecond, 8*time.Second))
+					w.crash(e, w.between(time.Millisecond, 8*time.Second))
 				}
 			})
 		}
@@ -301,3 +301,25 @@
 		w.requireServed()
 	})
 }
+
+// TestQuickRestarts has endpoints start again within milliseconds, so that
+// orders for the old life meet the new one.
+func TestQuickRestarts(t *testing.T) {
+	seeds(t, func(t *testing.T, seed uint64) {
+		w := newWorld(t, seed, faults{mute: 0.02})
+		fleetOf(w)
+		w.begin()
+		w.traffic(6)
+		for i := range 40 {
+			w.at(time.Duration(i)*500*time.Millisecond, func() {
+				e := w.endpoints[w.ids()[w.rand.IntN(len(w.endpoints))]]
+				if e.up {
+					w.crash(e, w.between(0, 40*time.Millisecond))
+				}
+			})
+		}
+		w.at(40*time.Second, func() { w.faults = faults{} })
+		w.run(100 * time.Second)
+		w.requireServed()
+	})
+}
--- a/internal/controller/registry.go
+++ b/internal/controller/registry.go
@@ -59,43 +59,53 @@
 	c.EndpointListed(now, r)
 }
 
-// moveDoubts resolves the runs of a replaced incarnation. What it had begun is
-// lost. What it may not have begun yet could still begin in the new life, which
-// knows of no earlier stop and no epoch: a run of this term is barred there,
-// and one of an earlier term is resolved by the new life's first report.
+// moveDoubts resolves the runs of a replaced incarnation. What it has listed is
+// lost. Anything else may be in the new life: orders name an endpoint by its id
+// alone, and the new life knows of no earlier stop and no epoch. A run whose
+// start was answered, or was ordered in an earlier term, is resolved by the new
+// life's first report; one without an answer is barred there.
 func (c *Core) moveDoubts(now clock.Instant, old, current *fleet.Endpoint) {
 	for _, r := range runsOf(old) {
 		rc := c.controlOfRun(r)
 		switch {
-		case r.Phase == fleet.PhaseInherited:
-			c.move(r, old, current)
-		case r.Phase == fleet.PhaseDoubtful, r.Phase == fleet.PhaseOrdered && rc.sent(r):
-			c.move(r, old, current)
+		case rc.listed || !rc.sent(r):
+			c.finish(now, r, workload.EndLost, "")
+		case r.Phase == fleet.PhaseInherited, rc.answered > 0 && !rc.stopped:
+			c.move(now, r, old, current)
+			r.Phase = fleet.PhaseInherited
+		default:
+			c.move(now, r, old, current)
 			r.Phase = fleet.PhaseDoubtful
 			c.stop(now, r)
 			if r.Step.Spec.Gang {
 				c.stopGang(now, r.Step, r.Number)
 			}
-		default:
-			c.finish(now, r, workload.EndLost, "")
 		}
 	}
 	delete(c.control, old)
 }
 
-// move takes a run over to another incarnation's account.
-func (c *Core) move(r *fleet.Run, old, current *fleet.Endpoint) {
+// move takes a run over to another incarnation's account. Its order may have
+// given the new life a lease: a deadline of the old life's clock means nothing
+// there, and counts as the longest.
+func (c *Core) move(now clock.Instant, r *fleet.Run, old, current *fleet.Endpoint) {
 	c.dropControl(old, r)
 	old.Remove(r)
 	current.Add(r)
+	current.BoundLapse(now.Steady + c.longestLease())
+}
+
+// longestLease is how long a lease may last by our clock that an order under
+// way now grants.
+func (c *Core) longestLease() time.Duration {
+	return time.Duration(float64(c.bounds.LeaseMax)*leaseStretch) + leaseMargin
 }
 
 // boundInherited bounds the lease that holders of earlier terms may have
 // granted to an endpoint: they stop giving orders TermGrace after this term
 // has begun.
 func (c *Core) boundInherited(e *fleet.Endpoint) {
-	longest := time.Duration(float64(c.bounds.LeaseMax) * leaseStretch)
-	e.BoundLapse(c.began + c.bounds.TermGrace + longest + leaseMargin)
+	e.BoundLapse(c.began + c.bounds.TermGrace + c.longestLease())
 }
 
 // leaseStretch is how much longer than asked for a lease may last by our
--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -157,6 +157,7 @@
 		return
 	}
 	c.confirm(now, r)
+	c.controlOfRun(r).listed = true
 	if r.Step != nil {
 		r.Step.Saved(r.Index(), row.Checkpoint)
 	}
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -33,6 +33,8 @@
 	tries int
 	// answered is when the endpoint confirmed the start; 0 if it has not.
 	answered time.Duration
+	// listed is set once a report of the incarnation has listed the run.
+	listed bool
 	// stopping is set while a stop is under way, stopAt is when the next one
 	// is due, barred is when the endpoint confirmed one.
 	stopping bool
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -441,10 +441,6 @@
 		if !e.up || e.cut {
 			return Outcome{Fate: FateUnanswered}
 		}
-		if e.born != born {
-			// Orders name the life of the endpoint that they are meant for.
-			return refusal(ReasonIncarnation)
-		}
 		out := do(e)
 		out.Reading = fleet.Reading{Sent: sent, Received: w.now, Clock: e.clock(w.now)}
 		return out
@@ -453,7 +449,13 @@
 	case w.chance(w.faults.lost):
 		answer(wait, Outcome{Fate: FateUnanswered})
 	case w.chance(w.faults.late):
-		w.at(w.between(2*time.Second, 12*time.Second), func() { execute() })
+		w.at(w.between(2*time.Second, 12*time.Second), func() {
+			// An order names the endpoint by its id alone, so that it may meet
+			// a new life; one that is that late is taken not to.
+			if e.born == born {
+				execute()
+			}
+		})
 		answer(wait, Outcome{Fate: FateUnanswered})
 	case w.chance(w.faults.mute):
 		w.at(w.between(wayLow, wayHigh), func() { execute() })
--- a/internal/harness/address.go
+++ b/internal/harness/address.go
@@ -32,9 +32,9 @@
 // loopbackCount is the number of addresses that were tried.
 var loopbackCount atomic.Int64
 
-// freeAddresses returns one loopback address with each of the ports, all of
+// FreeAddresses returns one loopback address with each of the ports, all of
 // which were free just now.
-func freeAddresses(ports ...int) ([]string, error) {
+func FreeAddresses(ports ...int) ([]string, error) {
 	for range loopbacks {
 		n := int(loopbackCount.Add(1)) + os.Getpid()*loopbackStride
 		ip := fmt.Sprintf("127.%d.%d.%d", 1+n/254/254%254, 1+n/254%254, 1+n%254)
--- a/internal/harness/daemon.go
+++ b/internal/harness/daemon.go
@@ -37,7 +37,7 @@
 func (c *Cell) makeDaemons() error {
 	for _, zone := range c.Options.Zones {
 		for i := range c.Options.DaemonsPerZone {
-			a, err := freeAddresses(apiPort, peerPort, adminPort)
+			a, err := FreeAddresses(apiPort, peerPort, adminPort)
 			if err != nil {
 				return err
 			}
--- a/internal/harness/standins.go
+++ b/internal/harness/standins.go
@@ -38,7 +38,7 @@
 // start starts the process, always under the same addresses.
 func (n *standinNode) start(bin, logPath string) error {
 	if n.address == "" {
-		free, err := freeAddresses(standinPort, switchPort)
+		free, err := FreeAddresses(standinPort, switchPort)
 		if err != nil {
 			return err
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,12 +26,6 @@
 	"gopkg.in/tomb.v2"
 )
 
-// Topics of the cell in the platform's log.
-const (
-	cellTopic = "keyed.bluebellstile-cell"
-	jobsTopic = "keyed.bluebellstile-jobs"
-)
-
 const (
 	// registerPause is the pause before a failed registration is repeated.
 	registerPause = 300 * time.Millisecond
@@ -51,7 +45,11 @@
 
 // Ports are what a daemon uses of the platform.
 type Ports struct {
-	Log       keyedlog.Log
+	Log keyedlog.Log
+	// Cell is where the daemons and terms of the cell are recorded, Jobs where
+	// the holder keeps its jobs.
+	Cell      keyedlog.Partition
+	Jobs      keyedlog.Partition
 	Catalogs  CatalogFeed
 	Registry  RegistryFeed
 	Endpoints controller.Endpoints
@@ -108,10 +106,10 @@
 	n.peers = fleetpeer.NewClients(nil)
 	n.pool = eligibility.NewPool(o.Clock.Now)
 	n.catalogs = &catalogs{feed: p.Catalogs, log: p.Log, clock: o.Clock, logger: o.Logger}
-	n.directory = leadership.NewDirectory(p.Log, keyedlog.Partition{Topic: cellTopic}, o.Clock, n.self, o.Logger)
+	n.directory = leadership.NewDirectory(p.Log, p.Cell, o.Clock, n.self, o.Logger)
 	n.terms = &terms{
 		log:         p.Log,
-		jobs:        keyedlog.Partition{Topic: jobsTopic},
+		jobs:        p.Jobs,
 		registry:    p.Registry,
 		endpoints:   p.Endpoints,
 		eligibility: n.pool,
