Log every decision about a job, and count what the daemon does

Cause: on the platform the daemon logged little at info, to an unbounded stderr, and served no metrics: from a job's id nobody could get to its cause.

Ruled out: sampling single lines, as a story with holes explains nothing.

The cost of the lines in CPU is still to be measured.

--- a/cmd/bluebellstiled/main.go
+++ b/cmd/bluebellstiled/main.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"io"
 	"log/slog"
 	"os"
 	"os/signal"
@@ -87,11 +88,16 @@
 
 // newLogger returns a logger to standard error.
 func newLogger(format settings.LogFormat, level *slog.LevelVar) *slog.Logger {
+	return slog.New(newHandler(os.Stderr, format, level))
+}
+
+// newHandler returns the handler that forms lines.
+func newHandler(w io.Writer, format settings.LogFormat, level *slog.LevelVar) slog.Handler {
 	options := &slog.HandlerOptions{Level: level, ReplaceAttr: plainErrors}
 	if format == settings.LogJSON {
-		return slog.New(slog.NewJSONHandler(os.Stderr, options))
+		return slog.NewJSONHandler(w, options)
 	}
-	return slog.New(slog.NewTextHandler(os.Stderr, options))
+	return slog.NewTextHandler(w, options)
 }
 
 // plainErrors logs the message of an error without its stack.
--- a/internal/controller/batch.go
+++ b/internal/controller/batch.go
@@ -7,6 +7,7 @@
 	"github.com/bluebellstile/bluebellstile/internal/clock"
 	"github.com/bluebellstile/bluebellstile/internal/fleet"
 	"github.com/bluebellstile/bluebellstile/internal/keyedlog"
+	"github.com/bluebellstile/bluebellstile/internal/metrics"
 	"github.com/bluebellstile/bluebellstile/internal/workload"
 )
 
@@ -38,6 +39,8 @@
 	permit string
 	// expires is when the permit is not good any more; 0 without one.
 	expires time.Duration
+	// waited is how long the task's turn had come before its place was found.
+	waited time.Duration
 }
 
 func newBatch() *Batch {
@@ -60,6 +63,17 @@
 		len(b.starts) == 0 && len(b.noted) == 0 && len(b.replies) == 0
 }
 
+// observe counts how long the tasks waited that a batch has started.
+func (b *Batch) observe() {
+	for _, s := range b.starts {
+		if s.run.Priority == 0 {
+			metrics.PlacementWait.Observe(s.waited)
+		} else {
+			metrics.PlacementWaitOther.Observe(s.waited)
+		}
+	}
+}
+
 // Seal closes the open batch and returns it with its records, nil if there is
 // nothing to append and nothing that waits.
 func (c *Core) Seal() *Batch {
@@ -139,7 +153,7 @@
 		return
 	}
 	e.ended = true
-	c.log.Debug("job ended", "job", e.job.ID, "state", e.job.State())
+	c.log.Info("job ended", "job", e.job.ID, "state", e.job.State())
 	c.ended = append(c.ended, e)
 	c.stopJob(now, e.job)
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -11,6 +11,7 @@
 	"github.com/bluebellstile/bluebellstile/internal/clock"
 	"github.com/bluebellstile/bluebellstile/internal/fleet"
 	"github.com/bluebellstile/bluebellstile/internal/keyedlog"
+	"github.com/bluebellstile/bluebellstile/internal/metrics"
 	"github.com/bluebellstile/bluebellstile/internal/problem"
 	"github.com/bluebellstile/bluebellstile/internal/workload"
 	"github.com/pkg/errors"
@@ -263,6 +264,7 @@
 		c.mu.Lock()
 		c.core.Committed(clock.Read(c.clock), m.batch)
 		c.mu.Unlock()
+		m.batch.observe()
 	}
 }
 
@@ -279,6 +281,7 @@
 		err = m.pending.Wait(ctx, c.stuck)
 	}
 	if err == nil {
+		metrics.AppendTime.Observe(c.clock.Now() - m.began)
 		c.currency.Prove(m.began)
 	}
 	c.stuckSince.Store(0)
@@ -493,6 +496,9 @@
 	return c.core.Version()
 }
 
+// ProofAge returns how long ago the term was last proven current.
+func (c *Controller) ProofAge() time.Duration { return c.clock.Now() - c.currency.Proven() }
+
 // EndpointListed takes in what the registry says of an endpoint.
 func (c *Controller) EndpointListed(r fleet.Registration) {
 	c.with(func(now clock.Instant, core *Core) { core.EndpointListed(now, r) })
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -84,9 +84,10 @@
 	Refused   int64
 	Doubtful  int64
 	Lapsed    int64
-	// Waiting and Running count tasks at present.
+	// Waiting and Running count tasks at present, Open jobs that are not done.
 	Waiting int
 	Running int
+	Open    int
 }
 
 // jobEntry is a job and what the core knows beside it.
@@ -164,7 +165,7 @@
 // Stats returns the counts.
 func (c *Core) Stats() Stats {
 	s := c.stats
-	s.Waiting, s.Running = 0, 0
+	s.Waiting, s.Running, s.Open = 0, 0, len(c.jobs)-len(c.ended)
 	for _, e := range c.steps {
 		s.Waiting += len(c.waitingTasks(e))
 	}
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -265,8 +265,10 @@
 	if r.Priority == 0 {
 		c.urgent.learn(r.Charge)
 	}
-	c.log.Debug("run placed", "task", r.Task, "run", r.Number, "endpoint", start.Endpoint.ID, "free", start.Endpoint.Free().MilliCores)
-	planned := &plannedStart{run: r, permit: start.Permit}
+	waited := now.Steady - entry.since
+	c.log.Info("run placed", "task", r.Task, "run", r.Number, "endpoint", start.Endpoint.ID, "waited", waited.Round(time.Millisecond),
+		"free_millicores", start.Endpoint.Free().MilliCores, "pace", start.Endpoint.Record.Pace(), "config", c.catalog.Version)
+	planned := &plannedStart{run: r, permit: start.Permit, waited: waited}
 	if entry.access != nil {
 		planned.expires = entry.access.Permits[start.Endpoint].Expires
 	}
@@ -320,11 +322,11 @@
 	a := entry.access
 	a.Asking, a.Held = false, nil
 	if err != nil {
-		c.log.Warn("question about eligible endpoints failed", "step", o.Step, "error", err)
+		c.log.Warn("question about eligible endpoints failed", "job", entry.entry.job.ID, "step", o.Step, "error", err)
 		entry.askAfter = now.Steady + askRetry
 		return
 	}
-	c.log.Debug("eligible endpoints known", "step", o.Step, "asked", len(o.Endpoints), "good", len(answer.Permits))
+	c.log.Info("eligible endpoints known", "job", entry.entry.job.ID, "step", o.Step, "asked", len(o.Endpoints), "good", len(answer.Permits), "valid", answer.Valid)
 	expires := now.Steady + answer.Valid
 	for _, id := range o.Endpoints {
 		incarnation := o.incarnation[id]
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -134,6 +134,7 @@
 	case FateDone:
 		c.confirm(now, r)
 		rc.answered = now.Steady
+		c.log.Info("run started", "task", r.Task, "run", r.Number, "endpoint", r.Endpoint.ID, "after", now.Steady-r.Ordered, "tries", rc.tries)
 	case FateNotSent:
 		c.log.Warn("start not sent", "task", o.Key.Task, "run", o.Key.Number, "endpoint", o.Target.ID, "cause", out.Detail)
 		c.neverRan(now, r)
@@ -240,7 +241,7 @@
 func (c *Core) sendStop(r *fleet.Run, rc *runControl) {
 	rc.stopping = true
 	c.stats.Stops++
-	c.log.Debug("stopping run", "task", r.Task, "run", r.Number, "endpoint", r.Endpoint.ID, "phase", r.Phase)
+	c.log.Info("stopping run", "task", r.Task, "run", r.Number, "endpoint", r.Endpoint.ID, "phase", r.Phase, "job_state", jobState(r))
 	c.emit(&StopOrder{Target: targetOf(r.Endpoint), Key: r.Key})
 }
 
@@ -310,7 +311,7 @@
 		return
 	}
 	c.batch.touch(entry)
-	c.log.Debug("run ended", "task", r.Task, "run", r.Number, "endpoint", e.ID, "end", end)
+	c.log.Info("run ended", "task", r.Task, "run", r.Number, "endpoint", e.ID, "end", end, "ran", ranFor(now, r))
 	if se := c.steps[s]; se != nil {
 		se.stale = true
 		if end == workload.EndFailed {
@@ -320,6 +321,23 @@
 	c.afterEnd(now, entry, r, end)
 }
 
+// ranFor returns how long a run is known to have run; 0 if it has not.
+func ranFor(now clock.Instant, r *fleet.Run) time.Duration {
+	if r.Began == 0 {
+		return 0
+	}
+	return (now.Steady - r.Began).Round(time.Millisecond)
+}
+
+// jobState returns the state of a run's job for the log; the job of a run
+// that is not wanted may be unknown.
+func jobState(r *fleet.Run) workload.State {
+	if r.Step == nil {
+		return ""
+	}
+	return r.Step.Job.State()
+}
+
 // afterEnd does what follows from the end of a run.
 func (c *Core) afterEnd(now clock.Instant, entry *jobEntry, r *fleet.Run, end workload.End) {
 	s := r.Step
--- a/internal/controller/submit.go
+++ b/internal/controller/submit.go
@@ -50,10 +50,11 @@
 	job.Excess = !c.withinRate(now, s.Customer)
 	e := &jobEntry{job: job, waiters: []func(SubmitResult){tell}}
 	c.batch.admitted[s.ID] = e
-	c.log.Debug("job taken in", "job", s.ID, "queue", s.Queue, "customer", s.Customer, "steps", len(s.Spec.Steps), "excess", job.Excess)
+	c.log.Info("job taken in", "job", s.ID, "queue", s.Queue, "customer", s.Customer, "steps", len(s.Spec.Steps),
+		"beyond_rate", job.Excess, "config", c.catalog.Version)
 	c.addJob(now, e)
 	if due, ok := job.NextDue(); ok {
-		c.log.Debug("occurrence is due later", "job", s.ID, "due", due, "in", due.Sub(now.Wall))
+		c.log.Info("occurrence is due later", "job", s.ID, "due", due, "in", due.Sub(now.Wall))
 	}
 }
 
@@ -168,7 +169,7 @@
 		return
 	}
 	if e.job.Cancel(now.Wall) {
-		c.log.Debug("job cancelled", "job", id)
+		c.log.Info("job cancelled", "job", id, "state", e.job.State())
 		c.batch.touch(e)
 		c.closeJob(e)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,12 +4,14 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
 	"github.com/bluebellstile/bluebellstile/internal/catalog"
 	"github.com/bluebellstile/bluebellstile/internal/clock"
 	"github.com/bluebellstile/bluebellstile/internal/fleetpeer"
 	"github.com/bluebellstile/bluebellstile/internal/leadership"
+	"github.com/bluebellstile/bluebellstile/internal/metrics"
 	"github.com/bluebellstile/bluebellstile/internal/problem"
 	"github.com/bluebellstile/bluebellstile/internal/workload"
 	"github.com/pkg/errors"
@@ -57,11 +59,12 @@
 	// keyBound is how long keyed requests are served without proof that no
 	// key was withdrawn.
 	keyBound time.Duration
+	log      *slog.Logger
 }
 
 // New returns a gateway.
-func New(catalogs Catalogs, holders Holders, c clock.Clock, keyBound time.Duration) *Gateway {
-	return &Gateway{catalogs: catalogs, holders: holders, clock: c, keyBound: keyBound}
+func New(catalogs Catalogs, holders Holders, c clock.Clock, keyBound time.Duration, logger *slog.Logger) *Gateway {
+	return &Gateway{catalogs: catalogs, holders: holders, clock: c, keyBound: keyBound, log: logger}
 }
 
 // Admission is a request that may be served.
@@ -79,6 +82,16 @@
 
 // Admit finds the queue and the customer of a request.
 func (g *Gateway) Admit(host, path, key string) (Admission, *problem.Problem) {
+	a, p := g.admit(host, path, key)
+	if p != nil {
+		metrics.JobRefusals.Add(string(p.Code), 1)
+		g.log.Info("request refused at the door", "host", host, "path", path, "config", a.Version,
+			"config_age", (g.clock.Now() - g.catalogs.Proven()).Round(time.Millisecond), "code", p.Code, "detail", p.Detail, "retry_after", p.RetryAfter)
+	}
+	return a, p
+}
+
+func (g *Gateway) admit(host, path, key string) (Admission, *problem.Problem) {
 	c := g.catalogs.Catalog()
 	if c == nil {
 		return Admission{}, problem.Refuse(problem.ConfigNotFresh, "try again later", "no configuration has been read yet").After(comeBack)
@@ -118,16 +131,40 @@
 // problem with the verdict NotRun means that it never will be.
 func (g *Gateway) Submit(ctx context.Context, a Admission, id workload.ID, spec workload.Spec, accepted time.Time) *problem.Problem {
 	job := workload.NewJob(id, a.Queue.Name, a.Customer, accepted, spec)
+	began := g.clock.Now()
 	var refused *problem.Problem
 	p := g.ask(ctx, func(ctx context.Context, h fleetpeer.Holder) error {
 		var err error
 		refused, err = h.Submit(ctx, job, a.Version)
 		return err
 	})
+	if p == nil {
+		p = refused
+	}
+	took := g.clock.Now() - began
+	metrics.SubmitTime.Observe(took)
+	g.answered("submit", id, a, took, p)
+	return p
+}
+
+// answered logs and counts the answer to a request for a job; p is nil if the
+// request was served.
+func (g *Gateway) answered(operation string, id workload.ID, a Admission, took time.Duration, p *problem.Problem) {
+	verdict := problem.Done
 	if p != nil {
-		return p
+		verdict = p.Verdict
+	}
+	metrics.Jobs.Add(operation+" "+string(verdict), 1)
+	epoch := g.holders.Current().Epoch
+	if p == nil {
+		g.log.Info("request served", "job", id, "operation", operation, "queue", a.Queue.Name, "customer", a.Customer,
+			"config", a.Version, "epoch", epoch, "took", took.Round(time.Millisecond))
+		return
 	}
-	return refused
+	metrics.JobRefusals.Add(string(p.Code), 1)
+	g.log.Info("request not served", "job", id, "operation", operation, "queue", a.Queue.Name, "customer", a.Customer,
+		"config", a.Version, "epoch", epoch, "took", took.Round(time.Millisecond),
+		"verdict", p.Verdict, "code", p.Code, "detail", p.Detail, "retry_after", p.RetryAfter)
 }
 
 // Status returns the state of a job.
@@ -141,11 +178,15 @@
 	if p == nil && state == "" {
 		p = problem.Refuse(problem.UnknownJob, "check the id", "there is no job %s", id)
 	}
+	if p != nil {
+		g.answered("status", id, a, 0, p)
+	}
 	return state, p
 }
 
 // Cancel ends a job.
 func (g *Gateway) Cancel(ctx context.Context, a Admission, id workload.ID) *problem.Problem {
+	began := g.clock.Now()
 	found := false
 	p := g.ask(ctx, func(ctx context.Context, h fleetpeer.Holder) error {
 		var err error
@@ -155,6 +196,7 @@
 	if p == nil && !found {
 		p = problem.Refuse(problem.UnknownJob, "check the id", "there is no job %s", id)
 	}
+	g.answered("cancel", id, a, g.clock.Now()-began, p)
 	return p
 }
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -60,6 +60,30 @@
 	ReportBurn    = group("report_burn_1h_milli", "highest burn rate of the last hour in thousandths, by indicator")
 )
 
+// Metrics of a daemon on the platform.
+var (
+	PlatformCalls       = group("platform_calls_total", "calls of the platform, by operation and result")
+	PlatformConnections = group("platform_connections_total", "connections made to the platform, by purpose")
+	PlatformBytes       = group("platform_bytes_total", "bytes exchanged with the platform, by purpose and direction")
+	Jobs                = group("jobs_total", "requests for jobs answered here, by operation and verdict")
+	JobRefusals         = group("job_refusals_total", "requests for jobs refused here or left open, by problem code")
+	OpenJobs            = counter("jobs_open", "jobs of the held cell that are not done; 0 if this daemon does not hold it")
+	TasksWaiting        = counter("tasks_waiting", "tasks of the held cell that wait for an endpoint")
+	TasksRunning        = counter("tasks_running", "tasks of the held cell that run or may run")
+	Starts              = counter("starts_total", "orders to start a task that this daemon gave")
+	StartsRefused       = counter("starts_refused_total", "orders to start a task that an endpoint refused")
+	StartsDoubtful      = counter("starts_unanswered_total", "orders to start a task without an answer")
+	RunsLapsed          = counter("runs_lapsed_total", "runs counted as ended as their endpoint's lease had lapsed")
+	Reports             = counter("endpoint_reports_total", "orders to endpoints that renew their lease and ask what runs")
+	Questions           = counter("eligibility_questions_total", "questions about eligible endpoints")
+	PlacementWait       = histogram("placement_wait_ms", "time from a task's turn to its place, of urgent queues")
+	PlacementWaitOther  = histogram("placement_wait_other_ms", "time from a task's turn to its place, of all other queues")
+	SubmitTime          = histogram("submit_ms", "time to answer a submission here")
+	AppendTime          = histogram("append_ms", "time that an append to the log took, with its repetitions")
+	ProofAgeMS          = counter("term_proof_age_ms", "milliseconds since the held term was last proven current; 0 if none is held")
+	LogLinesDropped     = counter("log_lines_dropped_total", "log lines dropped as their reader was too slow")
+)
+
 // Platform holds the counters of the client of the log and the list.
 var Platform = group("platform", "calls of the platform's log and list: appends, reads, retries, breakers and bytes")
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -122,7 +122,7 @@
 	n.catalogs.changed = n.terms.setCatalog
 	n.elector = leadership.NewElector(n.directory, n.peers, o.Clock, n.logSeen, n.terms.able, n.terms.begin, o.Logger)
 	n.terms.ended = n.elector.TermEnded
-	n.gateway = gateway.New(n.catalogs, (*holders)(n), o.Clock, o.KeyBound)
+	n.gateway = gateway.New(n.catalogs, (*holders)(n), o.Clock, o.KeyBound, o.Logger)
 	return n
 }
 
@@ -170,6 +170,7 @@
 	n.tomb.Go(n.register)
 	n.tomb.Go(n.relieve)
 	n.tomb.Go(n.follow)
+	n.tomb.Go(n.gauge)
 	return nil
 }
 
--- a/internal/node/terms.go
+++ b/internal/node/terms.go
@@ -126,7 +126,7 @@
 	if err := <-registered; err != nil {
 		return nil, errors.WithMessage(err, "read the registry of endpoints")
 	}
-	core := ts.restore(configuration, fenced, registrations, entries)
+	core := ts.restore(epoch, configuration, fenced, registrations, entries)
 	c := controller.NewController(core, controller.Options{
 		Epoch:       epoch,
 		Clock:       ts.clock,
@@ -146,9 +146,9 @@
 }
 
 // restore builds the core of a term.
-func (ts *terms) restore(configuration *catalog.Catalog, fenced time.Duration, registrations []fleet.Registration, entries []keyedlog.Entry) *controller.Core {
+func (ts *terms) restore(epoch int64, configuration *catalog.Catalog, fenced time.Duration, registrations []fleet.Registration, entries []keyedlog.Entry) *controller.Core {
 	now := clock.Read(ts.clock)
-	core := controller.New(ts.bounds, configuration, fenced, ts.logger)
+	core := controller.New(ts.bounds, configuration, fenced, ts.logger.With("epoch", epoch))
 	for _, r := range registrations {
 		core.EndpointListed(now, r)
 	}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -12,6 +12,7 @@
 	"connectrpc.com/connect"
 	"github.com/bluebellstile/bluebellstile/internal/gen/peer/v1/peerv1connect"
 	"github.com/bluebellstile/bluebellstile/internal/metrics"
+	"github.com/bluebellstile/bluebellstile/internal/transport"
 	"github.com/pkg/errors"
 )
 
@@ -94,26 +95,8 @@
 		if err != nil {
 			return nil, err
 		}
-		return &countedConn{Conn: conn, link: link(address)}, nil
+		name := link(address)
+		count := func(bytes int) { metrics.PeerBytes.Add(name, int64(bytes)) }
+		return transport.Count(conn, count, count), nil
 	}
 }
-
-// countedConn adds what is read and written to the counter of its link.
-type countedConn struct {
-	net.Conn
-	link string
-}
-
-// Read implements net.Conn.
-func (c *countedConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	metrics.PeerBytes.Add(c.link, int64(n))
-	return n, err
-}
-
-// Write implements net.Conn.
-func (c *countedConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	metrics.PeerBytes.Add(c.link, int64(n))
-	return n, err
-}
--- /dev/null
+++ b/internal/transport/count.go
@@ -0,0 +1,26 @@
+package transport
+
+import "net"
+
+// Count returns a connection that tells how many bytes were read and written,
+// at each read and write.
+func Count(c net.Conn, read, written func(bytes int)) net.Conn {
+	return &countedConn{Conn: c, read: read, written: written}
+}
+
+type countedConn struct {
+	net.Conn
+	read, written func(int)
+}
+
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.read(n)
+	return n, err
+}
+
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.written(n)
+	return n, err
+}
