Let the first append of a term go alone; evict stuck runs; explain a job

Cause, from `bluebellstile explain` of a lost job: its admission never stood in the log, though the append that held it was confirmed. The log takes any sequence number as the first of a new epoch. When the first append of a term was lost on the way, the second one was taken as the first; the repetition of the first was then answered "expects a later one", which the writer rightly reads as "has this one" in all other cases.

Ruled out: an inconsistent read of the records at the begin of a term (later holders read the same); an append done late after the fence (its epoch is lower).

Runs that make no progress, and runs on endpoints that leave.

Cause: a run on an endpoint that hangs kept its task until the endpoint was well again, and runs on a draining endpoint were left to be lost with it.

Change: a run without progress for as long as its work so far took (1.2 s at least) is stopped and its task starts elsewhere; runs that can't end before a draining endpoint leaves are stopped at once, those that save checkpoints just before. Tests in simulated time fail without either.

Tried and dropped: a limit of 1.2 s or half the estimate alone.

`bluebellstile explain ID` prints one job's story from the lines of all daemons in order of cause and names the gaps; its reader is fuzzed, and a test ties it to the messages that the code writes.

--- a/cmd/bluebellstile/commander.go
+++ b/cmd/bluebellstile/commander.go
@@ -90,6 +90,7 @@
 		{groupOperators, newZones(env)},
 		{groupFiles, newDev(env)},
 		{groupOperators, newReport(env)},
+		{groupOperators, newExplain(env)},
 		{groupFiles, newSettingsFamily(env)},
 	}
 	return append(list, grouped{groupFiles, newCompletion(env, list)})
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -84,6 +84,7 @@
 	Refused   int64
 	Doubtful  int64
 	Lapsed    int64
+	Evicted   int64
 	// Waiting and Running count tasks at present, Open jobs that are not done.
 	Waiting int
 	Running int
--- a/internal/controller/ports.go
+++ b/internal/controller/ports.go
@@ -12,7 +12,7 @@
 type RunningRow struct {
 	Key        fleet.Key
 	Checkpoint string
-	// Progress is the share of the work done, 0 to 1.
+	// Progress is the share of the work done, 0 to 1; negative if unknown.
 	Progress float64
 	// Load is the tail latency in milliseconds of a task that serves, the
 	// processor use in thousandths of a core of any other.
--- a/internal/controller/registry.go
+++ b/internal/controller/registry.go
@@ -16,7 +16,7 @@
 		return
 	}
 	if before != nil && before.Incarnation == r.Incarnation {
-		c.update(before, r)
+		c.update(now, before, r)
 		return
 	}
 	e, replaced := c.fleet.Put(r)
@@ -29,12 +29,17 @@
 }
 
 // update takes in a changed entry of a known incarnation.
-func (c *Core) update(e *fleet.Endpoint, r fleet.Registration) {
+func (c *Core) update(now clock.Instant, e *fleet.Endpoint, r fleet.Registration) {
 	// An endpoint that said itself that it drains goes on draining.
 	r.Draining = r.Draining || e.Draining
 	if !e.Listed || r.Draining != e.Draining {
 		c.planDue = true
 	}
+	if r.Draining && !e.Draining {
+		// Its report says how long it stays.
+		c.log.Info("endpoint drains", "endpoint", e.ID, "runs", len(e.Runs()))
+		c.wantReport(e, now.Steady)
+	}
 	c.fleet.Put(r)
 }
 
--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -161,11 +161,14 @@
 	if r.Step != nil {
 		r.Step.Saved(r.Index(), row.Checkpoint)
 	}
-	if row.Progress > r.Progress {
-		r.Progress, r.Moved = row.Progress, now.Steady
+	if row.Progress < 0 || row.Progress > r.Progress {
+		r.Progress, r.Moved = max(row.Progress, 0), now.Steady
 	}
 	r.Load = row.Load
 	c.expectEnd(now, r)
+	if c.stuck(now, r) {
+		c.evictStuck(now, r)
+	}
 }
 
 // expectEnd estimates when a run ends from its estimate and its progress.
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -379,16 +379,23 @@
 			r.Endpoint.Record.Took(now.Steady-r.Began, r.Step.Spec.Estimate)
 		}
 	case workload.EndFailed:
-		r.Endpoint.Record.Ended(string(r.Task.Job), true)
-		if r.Endpoint.Record.Failing() {
-			c.log.Warn("endpoint rests, its last runs have all failed", "endpoint", r.Endpoint.ID, "rest", failingRest)
-			r.Endpoint.RestUntil = now.Steady + failingRest
-			r.Endpoint.Record.Forget()
-		}
+		c.noteFailed(now, r)
 	case workload.EndStopped, workload.EndLapsed, workload.EndBroken, workload.EndAlone, workload.EndLost, workload.EndNeverRan:
 	}
 }
 
+// noteFailed notes a failed run on its endpoint's record, which may have to
+// rest.
+func (c *Core) noteFailed(now clock.Instant, r *fleet.Run) {
+	e := r.Endpoint
+	e.Record.Ended(string(r.Task.Job), true)
+	if e.Record.Failing() {
+		c.log.Warn("endpoint rests, its last runs have all failed", "endpoint", e.ID, "rest", failingRest)
+		e.RestUntil = now.Steady + failingRest
+		e.Record.Forget()
+	}
+}
+
 // noteFailure remembers where a task has failed.
 func (se *stepEntry) noteFailure(task int, endpoint string) {
 	if se.failedOn == nil {
--- a/internal/controller/tick.go
+++ b/internal/controller/tick.go
@@ -5,12 +5,13 @@
 )
 
 // Tick does what has become due: occurrences, lapsed leases, repeated stops,
-// holds, and forgetting jobs that ended long ago.
+// evacuations, holds, and forgetting jobs that ended long ago.
 func (c *Core) Tick(now clock.Instant) {
 	c.openRecurring(now)
 	c.lapse(now)
 	c.repeatStops(now)
 	c.forget(now)
+	c.evacuate(now)
 	c.dueHolds(now)
 	c.wakeQuestions(now)
 }
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -41,6 +41,10 @@
 	jobs      map[workload.ID]*simJob
 	logger    *slog.Logger
 	broken    int
+	// leftBehind counts the runs on endpoints that have left.
+	leftBehind int
+	// silentProgress endpoints don't tell of progress.
+	silentProgress bool
 }
 
 // faults are the chances of what goes wrong.
@@ -74,6 +78,10 @@
 	up       bool
 	cut      bool
 	draining bool
+	// leaves is until when a draining endpoint says that it stays.
+	leaves time.Duration
+	// stuck endpoints begin runs that never make progress.
+	stuck    bool
 	capacity resource.Vector
 	fence    int64
 	deadline time.Duration
@@ -101,6 +109,19 @@
 	fails    bool
 	stopping bool
 	waiting  bool
+	stuck    bool
+}
+
+// progress is the share of its work that a run has done, as it is told.
+func (w *world) progress(r *simRun) float64 {
+	switch {
+	case w.silentProgress:
+		return -1
+	case r.ends == 0 || r.stuck:
+		return 0
+	default:
+		return min(1, float64(w.now-r.began)/float64(r.ends-r.began))
+	}
 }
 
 // simTerm is a daemon's term. A zombie goes on after its successor has begun.
@@ -233,17 +254,17 @@
 }
 
 // addEndpoint adds an endpoint and registers it.
-func (w *world) addEndpoint(id string, cores int64) *simEndpoint {
+func (w *world) addEndpoint(id string, cores int64) {
 	e := &simEndpoint{id: id, capacity: resource.Vector{MilliCores: cores * 1000, MemoryMB: 1 << 20}}
 	w.endpoints[id] = e
 	w.boot(e)
-	return e
 }
 
 func (w *world) boot(e *simEndpoint) {
 	e.born = simWall.Add(w.now).UnixMilli()
 	e.origin = w.now - w.between(time.Second, time.Hour)
 	e.up, e.fence, e.deadline, e.next = true, 0, 0, 0
+	e.draining, e.leaves = false, 0
 	e.running = make(map[fleet.Key]*simRun)
 	e.barred = make(map[workload.TaskID]int)
 	e.ended = nil
@@ -269,6 +290,22 @@
 	w.at(back, func() { w.boot(e) })
 }
 
+// drain empties an endpoint, which leaves for good a little later than it says.
+func (w *world) drain(e *simEndpoint, stays time.Duration) {
+	e.draining, e.leaves = true, w.now+stays
+	w.register(e)
+	w.at(stays+w.between(overstay, 2*overstay), func() {
+		e.up = false
+		w.leftBehind += len(e.running)
+		e.running = make(map[fleet.Key]*simRun)
+		for _, t := range w.terms {
+			if !t.dead {
+				t.core.EndpointUnlisted(e.id)
+			}
+		}
+	})
+}
+
 func (e *simEndpoint) clock(now time.Duration) time.Duration { return now - e.origin }
 
 // begin begins a term; earlier ones go on as zombies until they notice.
@@ -542,10 +579,12 @@
 	w.judge(e, r, o)
 	e.running[o.Key] = r
 	r.fails = w.chance(w.faults.failing)
-	if step.Gang {
+	r.stuck = e.stuck
+	switch {
+	case step.Gang:
 		r.waiting = true
 		w.gatherGang(r)
-	} else {
+	case !r.stuck:
 		w.finishLater(e, r, w.between(step.Estimate/2, step.Estimate*2))
 	}
 	return Outcome{Fate: FateDone}
@@ -698,7 +737,10 @@
 	}
 	*report = Report{Incarnation: e.born}
 	for _, r := range e.sorted() {
-		report.Running = append(report.Running, RunningRow{Key: r.key})
+		report.Running = append(report.Running, RunningRow{Key: r.key, Progress: w.progress(r)})
+	}
+	if e.draining {
+		report.Draining, report.Remaining = true, max(0, e.leaves-w.now)
 	}
 	for _, row := range e.ended {
 		report.Ended = append(report.Ended, row.EndedRow)
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -69,8 +69,6 @@
 	Load int64
 	// Pace is the share at which the task may work, 0 to 100.
 	Pace int
-	// Evicted is set when the run is stopped by our own decision.
-	Evicted bool
 }
 
 // Index returns the index of the run's task within its step.
--- a/internal/keyedlog/writer.go
+++ b/internal/keyedlog/writer.go
@@ -48,6 +48,10 @@
 	open []*Pending
 	// usual is how long an answer takes.
 	usual time.Duration
+	// begun is closed once the first append is known to stand in the log. The
+	// log takes any sequence number as the first of an epoch, so that none of
+	// the others may arrive before.
+	begun chan struct{}
 }
 
 // Pending is an append that was begun.
@@ -61,7 +65,7 @@
 
 // NewWriter returns a writer whose first append has sequence number 1.
 func NewWriter(log Log, partition Partition, name string, epoch int64) *Writer {
-	return &Writer{log: log, partition: partition, name: name, epoch: epoch}
+	return &Writer{log: log, partition: partition, name: name, epoch: epoch, begun: make(chan struct{})}
 }
 
 // Fence raises the partition's epoch to the writer's without a record: no
@@ -108,6 +112,9 @@
 // with any other, also that of an ended ctx, they may be. report, if not nil,
 // is told of each failed attempt.
 func (p *Pending) Wait(ctx context.Context, report func(error)) error {
+	if err := p.turn(ctx); err != nil {
+		return err
+	}
 	err := p.attempt(ctx, report)
 	if err == nil {
 		p.writer.confirm(p.sequence)
@@ -115,12 +122,28 @@
 	return err
 }
 
+// turn waits until the writer's first append stands in the log.
+func (p *Pending) turn(ctx context.Context) error {
+	if p.sequence == 1 {
+		return nil
+	}
+	select {
+	case <-p.writer.begun:
+		return nil
+	case <-ctx.Done():
+		return &Error{Kind: KindRefused, Op: "append", Detail: "not sent, the first append is not done: " + ctx.Err().Error()}
+	}
+}
+
 // confirm notes that an append stands in the log, and with it all before: the
 // log takes them in sequence only.
 func (w *Writer) confirm(sequence int64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for len(w.open) > 0 && w.open[0].sequence <= sequence {
+		if w.open[0].sequence == 1 {
+			close(w.begun)
+		}
 		close(w.open[0].done)
 		w.open = w.open[1:]
 	}
--- a/internal/logging/limiter.go
+++ b/internal/logging/limiter.go
@@ -70,7 +70,9 @@
 type kind struct {
 	level float64
 	at    time.Time
+	// out counts the lines left out since the last line that says so, at noted.
 	out   int
+	noted time.Time
 }
 
 // NewLimiter returns a handler before next.
@@ -144,9 +146,10 @@
 		return false, nil
 	}
 	k.level--
-	if k.out == 0 {
+	if k.out == 0 || now.Sub(k.noted) < window {
 		return true, nil
 	}
+	k.noted = now
 	note := slog.NewRecord(now, slog.LevelWarn, LeftOutMessage, 0)
 	note.AddAttrs(slog.String("kind", message), slog.Int("lines", k.out))
 	k.out = 0
--- a/internal/node/gauges.go
+++ b/internal/node/gauges.go
@@ -59,6 +59,7 @@
 	metrics.StartsRefused.Add(now.Refused - before.Refused)
 	metrics.StartsDoubtful.Add(now.Doubtful - before.Doubtful)
 	metrics.RunsLapsed.Add(now.Lapsed - before.Lapsed)
+	metrics.RunsEvicted.Add(now.Evicted - before.Evicted)
 	metrics.Reports.Add(now.Holds - before.Holds)
 	metrics.Questions.Add(now.Questions - before.Questions)
 }
