--- /dev/null
+++ b/internal/leadership/claim_test.go
@@ -0,0 +1,213 @@
+package leadership
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/bluebellstile/bluebellstile/internal/clock"
+	"github.com/bluebellstile/bluebellstile/internal/keyedlog"
+)
+
+// claimLog is the cell's topic: it appends under the condition that the topic
+// ends where the caller says, and may lose answers or carry out calls late.
+type claimLog struct {
+	mu      sync.Mutex
+	records []keyedlog.Record
+	random  *rand.Rand
+	late    sync.WaitGroup
+}
+
+func (l *claimLog) draw() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.random.Float64()
+}
+
+func (l *claimLog) Append(ctx context.Context, a keyedlog.Append) (keyedlog.Appended, error) {
+	unanswered := &keyedlog.Error{Kind: keyedlog.KindUnanswered, Op: "append", Detail: "no answer"}
+	switch x := l.draw(); {
+	case x < 0.1:
+		return keyedlog.Appended{}, unanswered
+	case x < 0.2:
+		_, _ = l.apply(a)
+		return keyedlog.Appended{}, unanswered
+	case x < 0.3:
+		l.late.Go(func() {
+			time.Sleep(time.Duration(30*l.draw()) * time.Millisecond)
+			_, _ = l.apply(a)
+		})
+		return keyedlog.Appended{}, unanswered
+	default:
+		return l.apply(a)
+	}
+}
+
+func (l *claimLog) apply(a keyedlog.Append) (keyedlog.Appended, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	end := int64(len(l.records))
+	if a.At != nil && *a.At != end {
+		return keyedlog.Appended{}, &keyedlog.Error{Kind: keyedlog.KindConflict, Op: "append", Number: end}
+	}
+	l.records = append(l.records, a.Records...)
+	return keyedlog.Appended{Offset: end, End: int64(len(l.records))}, nil
+}
+
+func (l *claimLog) Read(context.Context, keyedlog.Partition, int64, time.Duration) (keyedlog.Page, error) {
+	return keyedlog.Page{}, nil
+}
+
+func (l *claimLog) Newest(context.Context, keyedlog.Partition, string) (keyedlog.Newest, error) {
+	return keyedlog.Newest{}, nil
+}
+
+// entries returns the records from an offset on.
+func (l *claimLog) entries(from int64) []keyedlog.Entry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []keyedlog.Entry
+	for i := from; i < int64(len(l.records)); i++ {
+		out = append(out, keyedlog.Entry{Offset: i, Record: l.records[i]})
+	}
+	return out
+}
+
+func quiet() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
+
+// TestClaimsHaveOneHolderEach has daemons claim the cell from each other while
+// answers are lost and calls are carried out late. An epoch has one holder, also
+// if that one does not know it, and later claims have higher epochs.
+func TestClaimsHaveOneHolderEach(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			log := &claimLog{random: rand.New(rand.NewPCG(seed, 1))} //nolint:gosec // A test has to repeat.
+			var (
+				mu    sync.Mutex
+				known = make(map[int64]string)
+			)
+			var group sync.WaitGroup
+			const daemons, claims = 5, 60
+			for i := range daemons {
+				name := fmt.Sprintf("d%d", i)
+				d := NewDirectory(log, keyedlog.Partition{Topic: "cell"}, clock.System(), Member{Name: name, Address: name}, quiet())
+				d.reset(nil)
+				group.Go(func() {
+					read := int64(0)
+					for range claims {
+						entries := log.entries(read)
+						d.apply(entries)
+						read += int64(len(entries))
+						before := d.Current().Epoch
+						claim, err := d.Claim(context.Background(), before)
+						if err != nil {
+							continue
+						}
+						if claim.Epoch <= before {
+							t.Errorf("epoch %d replaces %d", claim.Epoch, before)
+						}
+						mu.Lock()
+						if other, taken := known[claim.Epoch]; taken {
+							t.Errorf("epoch %d is held by %s and %s", claim.Epoch, other, name)
+						}
+						known[claim.Epoch] = name
+						mu.Unlock()
+					}
+				})
+			}
+			group.Wait()
+			log.late.Wait()
+			reader := NewDirectory(log, keyedlog.Partition{Topic: "cell"}, clock.System(), Member{Name: "reader"}, quiet())
+			reader.reset(nil)
+			holders := make(map[int64]string)
+			for _, e := range log.entries(0) {
+				reader.apply([]keyedlog.Entry{e})
+				holders[reader.Current().Epoch] = reader.Current().Holder.Name
+			}
+			if len(known) == 0 {
+				t.Fatal("no claim was answered")
+			}
+			for epoch, name := range known {
+				if holders[epoch] != name {
+					t.Errorf("%s was told that it holds epoch %d, the log says %q", name, epoch, holders[epoch])
+				}
+			}
+		})
+	}
+}
+
+func TestShouldClaim(t *testing.T) {
+	const now = time.Hour
+	base := View{Now: now, Claimed: true, Heard: now, LogSeen: now}
+	for name, c := range map[string]struct {
+		change func(*View)
+		want   bool
+	}{
+		"the holder is well":           {func(*View) {}, false},
+		"silent, not for long":         {func(v *View) { v.Heard = now - silentAfter + 1 }, false},
+		"silent":                       {func(v *View) { v.Heard = now - silentAfter }, true},
+		"silent, another goes first":   {func(v *View) { v.Heard, v.Rank = now-silentAfter, 1 }, false},
+		"silent, the first did not":    {func(v *View) { v.Heard, v.Rank = now-silentAfter-rankStagger, 1 }, true},
+		"silent, no log here":          {func(v *View) { v.Heard, v.LogSeen = now-time.Minute, now-logFresh-1 }, false},
+		"gone just now":                {func(v *View) { v.Gone = now }, false},
+		"gone":                         {func(v *View) { v.Gone = now - goneAfter }, true},
+		"asks for relief":              {func(v *View) { v.Relieve = now - goneAfter }, true},
+		"never claimed":                {func(v *View) { v.Claimed = false }, true},
+		"never claimed, another first": {func(v *View) { v.Claimed, v.Rank = false, 2 }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			v := base
+			c.change(&v)
+			if got := ShouldClaim(v); got != c.want {
+				t.Errorf("got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+func TestRank(t *testing.T) {
+	near, far := 2*time.Millisecond, 30*time.Millisecond
+	members := []Member{{Name: "far", LogTime: far}, {Name: "a", LogTime: near}, {Name: "b", LogTime: near}, {Name: "holder", LogTime: near}}
+	ranks := make(map[string]map[int]bool)
+	for epoch := range int64(50) {
+		seen := make(map[int]string)
+		for _, name := range []string{"far", "a", "b"} {
+			r := Rank(members, name, "holder", epoch)
+			if other, twice := seen[r]; twice {
+				t.Errorf("epoch %d: %s and %s have rank %d", epoch, name, other, r)
+			}
+			seen[r] = name
+			if ranks[name] == nil {
+				ranks[name] = make(map[int]bool)
+			}
+			ranks[name][r] = true
+		}
+		if seen[2] != "far" {
+			t.Errorf("epoch %d: %s is last, want the one that is far from the log", epoch, seen[2])
+		}
+	}
+	if len(ranks["a"]) < 2 {
+		t.Error("the same of two equals goes first at every epoch")
+	}
+	if got := Rank(members, "stranger", "holder", 1); got != 3 {
+		t.Errorf("one that is no member has rank %d, want the last", got)
+	}
+}
+
+func TestCurrency(t *testing.T) {
+	c := NewCurrency(time.Second, 10*time.Second)
+	if !c.Valid(11*time.Second) || c.Valid(11*time.Second+1) {
+		t.Error("the grace is not kept to")
+	}
+	c.Prove(12 * time.Second)
+	c.Prove(11 * time.Second)
+	if c.Proven() != 12*time.Second {
+		t.Errorf("an earlier proof counts: %s", c.Proven())
+	}
+}
--- /dev/null
+++ b/internal/scheduler/plan_test.go
@@ -0,0 +1,283 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/bluebellstile/bluebellstile/internal/fleet"
+	"github.com/bluebellstile/bluebellstile/internal/resource"
+	"github.com/bluebellstile/bluebellstile/internal/workload"
+	"pgregory.net/rapid"
+)
+
+// now is the instant of all snapshots here.
+const now = time.Hour
+
+// open returns the steps of a job of one occurrence.
+func open(id string, customer string, steps ...workload.Step) []*workload.StepRun {
+	j := workload.NewJob(workload.ID(id), "q", customer, time.Unix(0, 0), workload.Spec{Steps: steps})
+	return j.OpenNext().Steps
+}
+
+// demand returns the demand of all tasks of a step.
+func demand(s *workload.StepRun) *Demand {
+	d := &Demand{Step: s, Pool: "p", Priority: 1, LatestStart: now + time.Minute, Since: now, Occupied: make(map[string]int)}
+	for i := range s.Tasks {
+		d.Tasks = append(d.Tasks, i)
+	}
+	return d
+}
+
+// hosts returns n hosts of 16 cores each, two to a rack.
+func hosts(n int) []*Host {
+	f := fleet.New()
+	out := make([]*Host, n)
+	for i := range out {
+		e, _ := f.Put(fleet.Registration{
+			ID: fmt.Sprintf("e%d", i), Pool: "p", Rack: fmt.Sprintf("r%d", i/2), Labels: []string{fmt.Sprintf("k%d", i%2)},
+			Capacity: resource.Vector{MilliCores: 16_000, MemoryMB: 64_000},
+		})
+		out[i] = &Host{Endpoint: e, Free: e.Free()}
+	}
+	return out
+}
+
+func snapshot(n int, demands ...*Demand) *Snapshot {
+	return &Snapshot{
+		Now: now, Hosts: hosts(n), Demands: demands, Questions: 3,
+		Within: func(string, resource.Vector) bool { return true },
+		Policy: Policy{FarFactor: 2, Reservations: 3, PermitMargin: 100 * time.Millisecond},
+	}
+}
+
+func cores(n int64) resource.Vector { return resource.Vector{MilliCores: n * 1000, MemoryMB: 100} }
+
+// started lists the endpoints of a step's starts.
+func started(p Plan, s *workload.StepRun) []string {
+	var out []string
+	for _, start := range p.Starts {
+		if start.Demand.Step == s {
+			out = append(out, start.Endpoint.ID)
+		}
+	}
+	return out
+}
+
+func TestMake(t *testing.T) {
+	small := workload.Step{Count: 3, Size: cores(4), Estimate: time.Second}
+	for name, c := range map[string]struct {
+		make func() (*Snapshot, *workload.StepRun)
+		want int
+	}{
+		"room for all": {func() (*Snapshot, *workload.StepRun) {
+			s := open("a", "c", small)[0]
+			return snapshot(1, demand(s)), s
+		}, 3},
+		"room for some": {func() (*Snapshot, *workload.StepRun) {
+			s := open("a", "c", workload.Step{Count: 9, Size: cores(4)})[0]
+			return snapshot(2, demand(s)), s
+		}, 8},
+		"a gang without room starts nothing": {func() (*Snapshot, *workload.StepRun) {
+			s := open("a", "c", workload.Step{Count: 9, Size: cores(4), Gang: true})[0]
+			return snapshot(2, demand(s)), s
+		}, 0},
+		"a gang with room starts whole": {func() (*Snapshot, *workload.StepRun) {
+			s := open("a", "c", workload.Step{Count: 8, Size: cores(4), Gang: true})[0]
+			return snapshot(2, demand(s)), s
+		}, 8},
+		"a label is on half of the hosts": {func() (*Snapshot, *workload.StepRun) {
+			s := open("a", "c", workload.Step{Count: 9, Size: cores(4), RequiredLabel: "k0"})[0]
+			return snapshot(4, demand(s)), s
+		}, 8},
+		"a label that no host has": {func() (*Snapshot, *workload.StepRun) {
+			s := open("a", "c", workload.Step{Count: 1, Size: cores(1), RequiredLabel: "k9"})[0]
+			return snapshot(4, demand(s)), s
+		}, 0},
+		"one a host": {func() (*Snapshot, *workload.StepRun) {
+			s := open("a", "c", workload.Step{Count: 9, Size: cores(1), MaxPerEndpoint: 1})[0]
+			return snapshot(4, demand(s)), s
+		}, 4},
+		"another pool": {func() (*Snapshot, *workload.StepRun) {
+			s := open("a", "c", small)[0]
+			d := demand(s)
+			d.Pool = "other"
+			return snapshot(4, d), s
+		}, 0},
+		"a customer's limit": {func() (*Snapshot, *workload.StepRun) {
+			s := open("a", "c", small)[0]
+			snap := snapshot(4, demand(s))
+			snap.Within = func(_ string, size resource.Vector) bool { return size.MilliCores <= 8_000 }
+			return snap, s
+		}, 2},
+		"room kept for urgent tasks": {func() (*Snapshot, *workload.StepRun) {
+			s := open("a", "c", workload.Step{Count: 9, Size: cores(4)})[0]
+			snap := snapshot(2, demand(s))
+			snap.Policy.UrgentSize, snap.Policy.UrgentPlaces = cores(4), 2
+			return snap, s
+		}, 6},
+		"urgent tasks use the room kept for them": {func() (*Snapshot, *workload.StepRun) {
+			s := open("a", "c", workload.Step{Count: 9, Size: cores(4)})[0]
+			d := demand(s)
+			d.Urgent, d.Priority = true, 0
+			snap := snapshot(2, d)
+			snap.Policy.UrgentSize, snap.Policy.UrgentPlaces = cores(4), 2
+			return snap, s
+		}, 8},
+		"nothing starts without a permit": {func() (*Snapshot, *workload.StepRun) {
+			s := open("a", "c", small)[0]
+			d := demand(s)
+			d.Access = &Access{Known: map[*fleet.Endpoint]bool{}, Permits: map[*fleet.Endpoint]Permit{}, GoodShare: 0.5}
+			return snapshot(4, d), s
+		}, 0},
+		"a permit that runs out counts for nothing": {func() (*Snapshot, *workload.StepRun) {
+			s := open("a", "c", small)[0]
+			d := demand(s)
+			snap := snapshot(2, d)
+			e := snap.Hosts[0].Endpoint
+			d.Access = &Access{Known: map[*fleet.Endpoint]bool{e: true}, Permits: map[*fleet.Endpoint]Permit{e: {Token: "t", Expires: now + 50*time.Millisecond}}}
+			return snap, s
+		}, 0},
+		"a permit": {func() (*Snapshot, *workload.StepRun) {
+			s := open("a", "c", small)[0]
+			d := demand(s)
+			snap := snapshot(2, d)
+			e := snap.Hosts[1].Endpoint
+			d.Access = &Access{Known: map[*fleet.Endpoint]bool{e: true}, Permits: map[*fleet.Endpoint]Permit{e: {Token: "t", Expires: now + time.Second}}}
+			return snap, s
+		}, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			snap, s := c.make()
+			if got := started(Make(snap), s); len(got) != c.want {
+				t.Errorf("%d tasks start on %v, want %d", len(got), got, c.want)
+			}
+		})
+	}
+}
+
+// TestBlockedGangHoldsRoom shows that small tasks that rank lower don't take
+// the room on which a gang is going to start.
+func TestBlockedGangHoldsRoom(t *testing.T) {
+	gang := open("a", "c", workload.Step{Count: 4, Size: cores(8), Gang: true, Estimate: time.Second})[0]
+	small := open("b", "c", workload.Step{Count: 20, Size: cores(2), Estimate: time.Second})[0]
+	first, second := demand(gang), demand(small)
+	second.Priority = 2
+	snap := snapshot(2, first, second)
+	// One host is full until soon.
+	full := snap.Hosts[0]
+	full.Free = resource.Vector{}
+	full.Releases = []Release{{At: now + 100*time.Millisecond, Size: full.Endpoint.Capacity}}
+	plan := Make(snap)
+	if got := started(plan, gang); len(got) > 0 {
+		t.Errorf("the gang starts on %v", got)
+	}
+	if got := started(plan, small); len(got) > 0 {
+		t.Errorf("%d small tasks take the gang's room", len(got))
+	}
+}
+
+// TestPlansKeepEveryBound makes plans from random snapshots.
+func TestPlansKeepEveryBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.Int64Range(4, 200).Draw(t, "limit")
+		var demands []*Demand
+		for i := range rapid.IntRange(1, 8).Draw(t, "demands") {
+			step := workload.Step{
+				Count:          rapid.IntRange(1, 12).Draw(t, "count"),
+				Size:           resource.Vector{MilliCores: rapid.Int64Range(1, 20_000).Draw(t, "cores"), MemoryMB: rapid.Int64Range(0, 30_000).Draw(t, "memory")},
+				Estimate:       time.Second,
+				Gang:           rapid.Bool().Draw(t, "gang"),
+				SameRack:       rapid.Bool().Draw(t, "same rack"),
+				RequiredLabel:  rapid.SampledFrom([]string{"", "k0", "k1"}).Draw(t, "label"),
+				MaxPerEndpoint: rapid.IntRange(0, 3).Draw(t, "per endpoint"),
+				PreferredRack:  rapid.SampledFrom([]string{"", "r0", "r7"}).Draw(t, "rack"),
+			}
+			d := demand(open(fmt.Sprintf("%x", i), rapid.SampledFrom([]string{"c1", "c2"}).Draw(t, "customer"), step)[0])
+			d.Priority = rapid.IntRange(0, 2).Draw(t, "priority")
+			d.Urgent = d.Priority == 0
+			d.Excess = rapid.Bool().Draw(t, "excess")
+			d.LatestStart = now + time.Duration(rapid.IntRange(-5, 5).Draw(t, "latest"))*time.Second
+			d.Since = now - time.Duration(rapid.IntRange(0, 5).Draw(t, "since"))*time.Second
+			demands = append(demands, d)
+		}
+		snap := snapshot(rapid.IntRange(1, 6).Draw(t, "hosts"), demands...)
+		snap.Policy.UrgentSize, snap.Policy.UrgentPlaces = cores(2), rapid.IntRange(0, 10).Draw(t, "places")
+		snap.Within = func(_ string, size resource.Vector) bool { return size.MilliCores <= limit*1000 }
+		for _, d := range demands {
+			if !rapid.Bool().Draw(t, "asks") {
+				continue
+			}
+			d.Access = &Access{Known: make(map[*fleet.Endpoint]bool), Permits: make(map[*fleet.Endpoint]Permit), GoodShare: 0.5}
+			for _, h := range snap.Hosts {
+				switch rapid.IntRange(0, 3).Draw(t, "access") {
+				case 0:
+					d.Access.Known[h.Endpoint] = false
+				case 1:
+					d.Access.Known[h.Endpoint] = true
+					d.Access.Permits[h.Endpoint] = Permit{Token: "t", Expires: now + time.Duration(rapid.IntRange(-100, 900).Draw(t, "expires"))*time.Millisecond}
+				}
+			}
+		}
+		requireBounds(t, snap, Make(snap), limit)
+	})
+}
+
+func requireBounds(t *rapid.T, snap *Snapshot, plan Plan, limit int64) {
+	used := make(map[*fleet.Endpoint]resource.Vector)
+	taken := make(map[string]int64)
+	tasks := make(map[*Demand]map[int]bool)
+	perHost := make(map[*Demand]map[string]int)
+	for _, s := range plan.Starts {
+		d, spec := s.Demand, s.Demand.Step.Spec
+		used[s.Endpoint] = used[s.Endpoint].Add(spec.Size)
+		taken[d.Step.Job.Customer] += spec.Size.MilliCores
+		if tasks[d] == nil {
+			tasks[d], perHost[d] = make(map[int]bool), make(map[string]int)
+		}
+		if tasks[d][s.Task] {
+			t.Errorf("task %d starts twice", s.Task)
+		}
+		tasks[d][s.Task] = true
+		perHost[d][s.Endpoint.ID]++
+		if n := perHost[d][s.Endpoint.ID]; spec.MaxPerEndpoint > 0 && n > spec.MaxPerEndpoint {
+			t.Errorf("%d tasks on %s, at most %d may be", n, s.Endpoint.ID, spec.MaxPerEndpoint)
+		}
+		if !s.Endpoint.HasLabel(spec.RequiredLabel) {
+			t.Errorf("%s lacks the label %s", s.Endpoint.ID, spec.RequiredLabel)
+		}
+		if d.Access != nil {
+			if permit := d.Access.Permits[s.Endpoint]; permit.Token == "" || permit.Token != s.Permit || permit.Expires <= now {
+				t.Errorf("a start with the permit %q of %+v", s.Permit, permit)
+			}
+		}
+	}
+	for e, v := range used {
+		if v.MilliCores > e.Capacity.MilliCores || v.MemoryMB > e.Capacity.MemoryMB {
+			t.Errorf("%s is given %+v of %+v", e.ID, v, e.Capacity)
+		}
+	}
+	for customer, v := range taken {
+		if v > limit*1000 {
+			t.Errorf("%s is given %d thousandths of a core, its limit is %d cores", customer, v, limit)
+		}
+	}
+	for d, started := range tasks {
+		if d.Step.Spec.Gang && len(started) != len(d.Tasks) {
+			t.Errorf("%d of the %d tasks of a gang start", len(started), len(d.Tasks))
+		}
+	}
+	questions := 0
+	for _, q := range plan.Questions {
+		if !q.Demand.Urgent {
+			questions++
+		}
+		if len(q.Endpoints) == 0 || len(q.Endpoints) > maxAsked {
+			t.Errorf("a question about %d endpoints", len(q.Endpoints))
+		}
+	}
+	const lanes = 3
+	if questions > lanes {
+		t.Errorf("%d questions at once, %d may be", questions, lanes)
+	}
+}
