--- a/internal/eligibility/pool_test.go
+++ b/internal/eligibility/pool_test.go
@@ -42,12 +42,12 @@
 	}
 }
 
-func pool(lanes map[string]*fakeLane, local string) *Pool {
+func pool(lanes map[string]*fakeLane) *Pool {
 	origin := time.Now()
 	p := NewPool(func() time.Duration { return time.Since(origin) + time.Hour })
 	var list []Lane
 	for name, l := range lanes {
-		list = append(list, Lane{Name: name, Asker: l, Local: name == local})
+		list = append(list, Lane{Name: name, Asker: l, Local: name == "own"})
 	}
 	p.SetLanes(list)
 	return p
@@ -82,7 +82,7 @@
 // not to the own one.
 func TestQuestionsSpread(t *testing.T) {
 	lanes := map[string]*fakeLane{"own": {took: 20 * time.Millisecond}, "a": {took: 20 * time.Millisecond}, "b": {took: 20 * time.Millisecond}}
-	if failed := askAll(t, pool(lanes, "own"), 12, false); failed > 0 {
+	if failed := askAll(t, pool(lanes), 12, false); failed > 0 {
 		t.Errorf("%d questions failed", failed)
 	}
 	if lanes["own"].calls > 0 {
@@ -101,7 +101,7 @@
 // TestUrgentQuestionsShareLanes shows the bound on urgent questions in a lane.
 func TestUrgentQuestionsShareLanes(t *testing.T) {
 	lanes := map[string]*fakeLane{"own": {took: 10 * time.Millisecond}, "a": {took: 10 * time.Millisecond}}
-	if failed := askAll(t, pool(lanes, "own"), 40, true); failed > 0 {
+	if failed := askAll(t, pool(lanes), 40, true); failed > 0 {
 		t.Errorf("%d questions failed", failed)
 	}
 	for name, l := range lanes {
@@ -115,7 +115,7 @@
 // that a lane that fails is left alone for a while.
 func TestFailingLaneRests(t *testing.T) {
 	lanes := map[string]*fakeLane{"own": {took: time.Millisecond}, "a": {fails: true}, "b": {took: time.Millisecond}}
-	p := pool(lanes, "own")
+	p := pool(lanes)
 	for range 20 {
 		if _, err := p.Ask(context.Background(), question(false)); err != nil {
 			t.Fatal(err)
@@ -129,7 +129,7 @@
 // TestAllLanesFail shows that the number of attempts is bounded.
 func TestAllLanesFail(t *testing.T) {
 	lanes := map[string]*fakeLane{"own": {fails: true}, "a": {fails: true}, "b": {fails: true}, "c": {fails: true}}
-	p := pool(lanes, "own")
+	p := pool(lanes)
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
 	if _, err := p.Ask(ctx, question(true)); err == nil {
@@ -148,7 +148,7 @@
 // there is no other.
 func TestAloneUsesTheOwnLane(t *testing.T) {
 	lanes := map[string]*fakeLane{"own": {took: time.Millisecond}}
-	if failed := askAll(t, pool(lanes, "own"), 3, false); failed > 0 {
+	if failed := askAll(t, pool(lanes), 3, false); failed > 0 {
 		t.Errorf("%d questions failed", failed)
 	}
 }
@@ -157,7 +157,7 @@
 // while it waited keeps no lane.
 func TestWithdrawnQuestionFreesItsLane(t *testing.T) {
 	lanes := map[string]*fakeLane{"own": {took: time.Millisecond}, "a": {took: 100 * time.Millisecond}}
-	p := pool(lanes, "own")
+	p := pool(lanes)
 	var group sync.WaitGroup
 	for range 8 {
 		group.Go(func() {
--- a/internal/leadership/claim_test.go
+++ b/internal/leadership/claim_test.go
@@ -29,7 +29,7 @@
 	return l.random.Float64()
 }
 
-func (l *claimLog) Append(ctx context.Context, a keyedlog.Append) (keyedlog.Appended, error) {
+func (l *claimLog) Append(_ context.Context, a keyedlog.Append) (keyedlog.Appended, error) {
 	unanswered := &keyedlog.Error{Kind: keyedlog.KindUnanswered, Op: "append", Detail: "no answer"}
 	switch x := l.draw(); {
 	case x < 0.1:
--- a/internal/scheduler/plan_test.go
+++ b/internal/scheduler/plan_test.go
@@ -219,11 +219,11 @@
 				}
 			}
 		}
-		requireBounds(t, snap, Make(snap), limit)
+		requireBounds(t, Make(snap), limit)
 	})
 }
 
-func requireBounds(t *rapid.T, snap *Snapshot, plan Plan, limit int64) {
+func requireBounds(t *rapid.T, plan Plan, limit int64) {
 	used := make(map[*fleet.Endpoint]resource.Vector)
 	taken := make(map[string]int64)
 	tasks := make(map[*Demand]map[int]bool)
