Keep a gang's room until the plan after the answer, and urgent tasks off it

Room that was held for a question was given up with the answer, so that urgent tasks, which are planned first, took it, and the question was put again (0.57 s each); urgent tasks also spread to the emptiest hosts, which are those on which a blocked gang waits for several pieces at once.

Change: held room stays held until the plan after the answer; urgent tasks prefer hosts on which no gang waits.

Ruled out: fewer endpoints in a gang's question; it costs 7 ms each of 0.9 s.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -68,6 +68,9 @@
 	stats   Stats
 
 	urgent urgentLoad
+	// wanted are the endpoints on which blocked gangs waited for room at the
+	// last plan.
+	wanted map[*fleet.Endpoint]bool
 	// lanes is how many instances questions can be put through, asking how
 	// many questions are under way for work that is not urgent.
 	lanes  int
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -50,11 +50,22 @@
 	plan := scheduler.Make(snapshot)
 	c.log.Debug("planned", "demands", len(snapshot.Demands), "hosts", len(snapshot.Hosts), "starts", len(plan.Starts), "questions", len(plan.Questions), "blocked", plan.Blocked)
 	c.applyStarts(now, plan.Starts)
+	c.dropHeld()
+	c.wanted = plan.Wanted
 	for i := range plan.Questions {
 		c.ask(&plan.Questions[i])
 	}
 }
 
+// dropHeld gives up the room that was held for answers which have come.
+func (c *Core) dropHeld() {
+	for _, e := range c.steps {
+		if e.access != nil && !e.access.Asking {
+			e.access.Held = nil
+		}
+	}
+}
+
 // snapshot describes the present to the scheduler.
 func (c *Core) snapshot(now clock.Instant) *scheduler.Snapshot {
 	s := &scheduler.Snapshot{
@@ -79,7 +90,9 @@
 	}
 	for _, e := range c.fleet.Endpoints() {
 		if c.usable(now, e) {
-			s.Hosts = append(s.Hosts, host(e))
+			h := host(e)
+			h.Wanted = c.wanted[e]
+			s.Hosts = append(s.Hosts, h)
 		}
 	}
 	s.Policy.UrgentSize, s.Policy.UrgentPlaces = c.urgentRoom()
@@ -320,7 +333,9 @@
 	}
 	c.planDue = true
 	a := entry.access
-	a.Asking, a.Held = false, nil
+	// What is held stays so until the next plan, in which more urgent work
+	// would take it otherwise.
+	a.Asking = false
 	if err != nil {
 		c.log.Warn("question about eligible endpoints failed", "job", entry.entry.job.ID, "step", o.Step, "error", err)
 		entry.askAfter = now.Steady + askRetry
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -48,7 +48,7 @@
 
 // keepHeld keeps the room held while the question is under way.
 func (p *planner) keepHeld(d *Demand) {
-	if d.Access == nil {
+	if d.Access == nil || !d.Access.Asking {
 		return
 	}
 	for _, h := range p.Hosts {
@@ -233,6 +233,7 @@
 	for i, h := range hosts {
 		if k := min(slots[i], left); k > 0 {
 			h.Reserved = h.Reserved.Add(d.Step.Spec.Charge().Times(int64(k)))
+			p.plan.Wanted[h.Endpoint] = true
 			left -= k
 		}
 	}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -27,6 +27,7 @@
 // Make returns the plan for a snapshot.
 func Make(s *Snapshot) Plan {
 	p := &planner{Snapshot: s, given: make(map[string]resource.Vector)}
+	p.plan.Wanted = make(map[*fleet.Endpoint]bool)
 	for _, h := range s.Hosts {
 		p.places += p.urgentPlaces(h)
 	}
@@ -180,6 +181,10 @@
 	// that whole holes stay for large tasks. It only decides between hosts
 	// that are about as fast.
 	weightLeftover = 0.2
+	// weightWanted is the cost of taking room on a host on which a gang waits:
+	// more than the usual differences of speed, as the gang waits for several
+	// pieces at once.
+	weightWanted = 0.5
 )
 
 // bulkScore is the cost of running tasks on a host that are not urgent; lower
@@ -188,7 +193,13 @@
 
 // urgentScore is the cost of running urgent tasks on a host. They spread out,
 // so that each next one finds room anywhere.
-func urgentScore(h *Host) float64 { return speedScore(h) - weightLeftover*freeShare(h) }
+func urgentScore(h *Host) float64 {
+	score := speedScore(h) - weightLeftover*freeShare(h)
+	if h.Wanted {
+		score += weightWanted
+	}
+	return score
+}
 
 // speedScore is how long tasks take on a host and how often they fail.
 func speedScore(h *Host) float64 {
--- a/internal/scheduler/snapshot.go
+++ b/internal/scheduler/snapshot.go
@@ -50,6 +50,9 @@
 	Free resource.Vector
 	// Reserved is what blocked gangs hold back of it.
 	Reserved resource.Vector
+	// Wanted is set if a blocked gang waits for room here, as the last plan
+	// found.
+	Wanted bool
 	// Releases are the expected ends of the host's runs.
 	Releases []Release
 }
@@ -94,7 +97,8 @@
 	Permits map[*fleet.Endpoint]Permit
 	// Asking is set while a question is under way.
 	Asking bool
-	// Held is room that waits for the answer to a question.
+	// Held is room that waits for the answer to a question, and for the plan
+	// after it.
 	Held map[string]int
 	// GoodShare is the share of endpoints that may run steps of the queue, as
 	// learned; it is in (0, 1].
@@ -115,6 +119,8 @@
 	Questions []Question
 	// Blocked counts the demands that found no room.
 	Blocked int
+	// Wanted are the endpoints on which blocked gangs wait for room.
+	Wanted map[*fleet.Endpoint]bool
 }
 
 // Start places a task.
