Record silent endpoints, and bound what earlier terms granted at adoption

Change: - A holder records an endpoint with runs that doesn't answer, grants no lease there from then on, and drops the record, committed, before it grants again. A later term that finds the record counts only the lease, from its own begin. - An endpoint that has obeyed this term's epoch refuses earlier ones, so that its bound no longer counts the time for which earlier holders may give orders. - The longest lease is the one that holders ask for, not the longest granted.

Ruled out: telling by the registry (an entry may be gone while the endpoint runs); the successor asking the old holder (it is gone in these cases).

--- a/internal/controller/batch.go
+++ b/internal/controller/batch.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -31,6 +33,8 @@
 	starts  []*plannedStart
 	// noted gives the ends of an endpoint that the batch has taken in.
 	noted map[*fleet.Endpoint]int64
+	// silences are changes of the records of silent endpoints, by id.
+	silences map[string]silence
 	// replies are told that the batch stands in the log.
 	replies []func()
 }
@@ -50,6 +54,7 @@
 		admitted: make(map[workload.ID]*jobEntry),
 		touched:  make(map[workload.ID]*jobEntry),
 		noted:    make(map[*fleet.Endpoint]int64),
+		silences: make(map[string]silence),
 	}
 }
 
@@ -74,7 +79,7 @@
 // empty reports whether the batch holds nothing.
 func (b *Batch) empty() bool {
 	return len(b.admitted) == 0 && len(b.touched) == 0 && len(b.dropped) == 0 &&
-		len(b.starts) == 0 && len(b.noted) == 0 && len(b.replies) == 0
+		len(b.starts) == 0 && len(b.noted) == 0 && len(b.replies) == 0 && len(b.silences) == 0
 }
 
 // observe counts how long the tasks waited that a batch has started.
@@ -109,6 +114,15 @@
 	for _, id := range b.dropped {
 		b.Records = append(b.Records, keyedlog.Record{Key: progressPrefix + string(id)})
 	}
+	for _, id := range slices.Sorted(maps.Keys(b.silences)) {
+		value, err := b.silences[id].value()
+		if err != nil {
+			// As above; without the record, a later term waits longer.
+			c.log.Error("the record of a silent endpoint was not written", "endpoint", id, "error", err)
+			continue
+		}
+		b.Records = append(b.Records, keyedlog.Record{Key: silentPrefix + id, Value: value})
+	}
 	return b
 }
 
@@ -155,6 +169,7 @@
 		ec := c.controlOf(e)
 		ec.holdAt = max(now.Steady, ec.holdNotBefore)
 	}
+	c.silencesCommitted(b)
 	for _, tell := range b.replies {
 		tell()
 	}
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -22,8 +22,6 @@
 type Bounds struct {
 	// Lease is for how long endpoints run tasks without a renewal.
 	Lease time.Duration
-	// LeaseMax is the longest lease that endpoints grant.
-	LeaseMax time.Duration
 	// StopGrace is the longest that a stop takes.
 	StopGrace time.Duration
 	// GangWait is how long a gang's members wait for each other.
@@ -68,6 +66,9 @@
 	stats   Stats
 
 	urgent urgentLoad
+	// silentBefore gives the incarnations of the endpoints that an earlier term
+	// has recorded as silent.
+	silentBefore map[string]int64
 	// wanted are the endpoints on which blocked gangs waited for room at the
 	// last plan.
 	wanted map[*fleet.Endpoint]bool
@@ -138,8 +139,11 @@
 		rates:     make(map[string]*bucket),
 		goodShare: make(map[string]float64),
 		control:   make(map[*fleet.Endpoint]*endpointControl),
-		batch:     newBatch(),
-		lanes:     1,
+
+		silentBefore: make(map[string]int64),
+
+		batch: newBatch(),
+		lanes: 1,
 	}
 }
 
--- a/internal/controller/faults_test.go
+++ b/internal/controller/faults_test.go
@@ -163,8 +163,8 @@
 		w.traffic(8)
 		w.run(60 * time.Second)
 		w.requireServed()
-		if s := w.current().core.Stats(); s.Doubtful+s.Lapsed+s.Refused > 0 {
-			t.Errorf("doubts in a calm world: %+v", s)
+		if s := w.current().core.Stats(); s.Doubtful+s.Lapsed > 0 || w.refused > 0 {
+			t.Errorf("doubts in a calm world: %+v, %d starts refused", s, w.refused)
 		}
 	})
 }
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -144,7 +144,7 @@
 func (c *Core) usable(now clock.Instant, e *fleet.Endpoint) bool {
 	return e.Adopted && e.Listed && !e.Draining && e.Failures == 0 &&
 		e.Clock.Known() && now.Steady >= e.RestUntil &&
-		len(c.controlOf(e).strangers) == 0
+		len(c.controlOf(e).strangers) == 0 && !c.controlOf(e).silent
 }
 
 // host describes an endpoint to the scheduler.
--- a/internal/controller/registry.go
+++ b/internal/controller/registry.go
@@ -87,6 +87,7 @@
 			}
 		}
 	}
+	c.dropSilence(old)
 	delete(c.control, old)
 }
 
@@ -101,16 +102,9 @@
 }
 
 // longestLease is how long a lease may last by our clock that an order under
-// way now grants.
+// way now grants. All holders of a cell grant leases of the same length.
 func (c *Core) longestLease() time.Duration {
-	return time.Duration(float64(c.bounds.LeaseMax)*leaseStretch) + leaseMargin
-}
-
-// boundInherited bounds the lease that holders of earlier terms may have
-// granted to an endpoint: they stop giving orders TermGrace after this term
-// has begun.
-func (c *Core) boundInherited(e *fleet.Endpoint) {
-	e.BoundLapse(c.began + c.bounds.TermGrace + c.longestLease())
+	return time.Duration(float64(c.bounds.Lease)*leaseStretch) + leaseMargin
 }
 
 // leaseStretch is how much longer than asked for a lease may last by our
@@ -133,6 +127,7 @@
 			c.finish(now, r, workload.EndLapsed, "")
 		}
 		if !e.Listed && len(e.Runs()) == 0 {
+			c.dropSilence(e)
 			c.fleet.Drop(e)
 			delete(c.control, e)
 		}
--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -57,7 +57,7 @@
 				o.Wait = holdWait
 			}
 		}
-		if e.Clock.Known() && len(e.Runs()) > 0 && e.Failures == 0 {
+		if len(e.Runs()) > 0 && c.mayGrant(e) {
 			// A silent endpoint's lease is not extended, or it would never
 			// certainly have lapsed.
 			o.Deadline = e.Deadline(now.Steady, c.bounds.Lease)
@@ -121,6 +121,8 @@
 	}
 	c.setPace(now, e, ec)
 	if !e.Adopted {
+		// It refuses the orders of earlier terms from now on.
+		e.SetLapse(min(e.LapsesAt(), now.Steady+c.longestLease()))
 		e.Adopted = true
 		c.planDue = true
 	}
--- a/internal/controller/restore.go
+++ b/internal/controller/restore.go
@@ -27,6 +27,12 @@
 	progress := make(map[workload.ID][]byte)
 	for _, e := range entries {
 		prefix, rest := e.Key[:min(2, len(e.Key))], e.Key[min(2, len(e.Key)):]
+		if prefix == silentPrefix {
+			if len(e.Value) > 0 {
+				c.restoreSilence(rest, e.Value)
+			}
+			continue
+		}
 		id, ok := workload.ParseID(rest)
 		switch {
 		case !ok || len(e.Value) == 0:
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -61,6 +61,10 @@
 	// confirmed is the number of the last end that the endpoint was told to
 	// forget and has answered.
 	confirmed int64
+	// silent is set while the log says, or is being told, that no lease is
+	// granted there; clearing is set while that record is being dropped.
+	silent   bool
+	clearing bool
 	// pace is the pace of the filling tasks there in hundredths, set at
 	// pacedAt.
 	pace    int
@@ -102,7 +106,7 @@
 		return
 	}
 	rc := c.controlOfRun(r)
-	if r.Step.Job.Final() || rc.stopped || s.expires > 0 && now.Steady+sendAllowance > s.expires {
+	if r.Step.Job.Final() || rc.stopped || c.controlOf(r.Endpoint).silent || s.expires > 0 && now.Steady+sendAllowance > s.expires {
 		c.neverRan(now, r)
 		return
 	}
@@ -208,7 +212,7 @@
 		return
 	}
 	r.Phase = fleet.PhaseDoubtful
-	if r.Step.Spec.Gang && rc.tries < startTries {
+	if r.Step.Spec.Gang && rc.tries < startTries && !c.controlOf(r.Endpoint).silent {
 		c.repeatStart(now, r, rc)
 		return
 	}
--- a/internal/controller/tick.go
+++ b/internal/controller/tick.go
@@ -5,13 +5,14 @@
 )
 
 // Tick does what has become due: occurrences, lapsed leases, repeated stops,
-// evacuations, holds, and forgetting jobs that ended long ago.
+// evacuations, silent endpoints, holds, and forgetting jobs that ended long ago.
 func (c *Core) Tick(now clock.Instant) {
 	c.openRecurring(now)
 	c.lapse(now)
 	c.repeatStops(now)
 	c.forget(now)
 	c.evacuate(now)
+	c.noteSilence(now)
 	c.dueHolds(now)
 	c.wakeQuestions(now)
 }
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -41,6 +41,9 @@
 	jobs      map[workload.ID]*simJob
 	logger    *slog.Logger
 	broken    int
+	// refused counts the starts that were refused, but for those that the stop
+	// of a cancelled job has overtaken.
+	refused int
 	// leftBehind counts the runs on endpoints that have left.
 	leftBehind int
 	// disturbance is what a filling task adds to the tail of a serving one.
@@ -212,7 +215,6 @@
 		faults: f,
 		bounds: Bounds{
 			Lease:      6 * time.Second,
-			LeaseMax:   6 * time.Second,
 			StopGrace:  400 * time.Millisecond,
 			GangWait:   3 * time.Second,
 			StateKept:  2 * time.Minute,
@@ -471,7 +473,15 @@
 	case *AskOrder:
 		w.answerQuestion(t, o)
 	case *StartOrder:
-		w.carry(t, o.Target, valid, orderWait, func(e *simEndpoint) Outcome { return w.start(e, t.epoch, o) },
+		w.carry(t, o.Target, valid, orderWait, func(e *simEndpoint) Outcome {
+			out := w.start(e, t.epoch, o)
+			// The stop of a cancelled job's run may overtake its start.
+			overtaken := out.Reason == ReasonSuperseded && w.jobs[o.Key.Task.Job].cancelled > 0
+			if out.Fate == FateRefused && !overtaken {
+				w.refused++
+			}
+			return out
+		},
 			func(out Outcome) { t.core.StartAnswered(w.instant(), o, out) })
 	case *StopOrder:
 		w.carry(t, o.Target, valid, orderWait, func(e *simEndpoint) Outcome { return w.stop(e, t.epoch, o) },
@@ -574,7 +584,7 @@
 // extend extends an endpoint's lease.
 func (w *world) extend(e *simEndpoint, deadline time.Duration) {
 	now := e.clock(w.now)
-	e.deadline = max(e.deadline, min(deadline, now+w.bounds.LeaseMax))
+	e.deadline = max(e.deadline, min(deadline, now+w.bounds.Lease))
 	born := e.born
 	w.at(e.deadline-now+time.Millisecond, func() {
 		if e.born == born && e.up && e.clock(w.now) > e.deadline {
--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -98,6 +98,10 @@
 	return e.Clock.Estimate(now) + hold
 }
 
+// SetLapse sets the instant by which every lease has ended that was granted so
+// far, as the log has told it.
+func (e *Endpoint) SetLapse(at time.Duration) { e.lapsed = at }
+
 // BoundLapse notes that orders of others may keep the lease up to an instant.
 func (e *Endpoint) BoundLapse(at time.Duration) { e.lapsed = max(e.lapsed, at) }
 
