Describe the product on the users' platform, and demonstrate it

Cause: design note, runbooks, incidents and glossary of the platform were missing; make demo ran only a cell with its own log.

Change: docs/design/on-the-platform.md (facts, packages, rules, losses, choices with their figures, limits, questions to the users), docs/OPERATIONS.md (was OPERATING.md) with three walks from a job's id to its cause and a runbook by trouble, four pages in docs/incidents, glossary, README, DESIGN, PLATFORM, CHANGELOG. `standin site` runs the users' platform on one machine, and scripts/demo-site.sh plays jobs through two daemons on it, killing the holder.

--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,7 @@
 
 demo: build
 	./scripts/demo.sh
+	./scripts/demo-site.sh
 
 $(LINT):
 	GOBIN=$(BIN) GOWORK=off $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
--- a/cmd/bluebellstile/exit.go
+++ b/cmd/bluebellstile/exit.go
@@ -10,7 +10,7 @@
 	"github.com/bluebellstile/bluebellstile/operator"
 )
 
-// Exit codes. Scripts rely on them; docs/OPERATING.md lists them.
+// Exit codes. Scripts rely on them; docs/OPERATIONS.md lists them.
 const (
 	exitDone     = 0
 	exitError    = 1
--- a/cmd/bluebellstile/help_test.go
+++ b/cmd/bluebellstile/help_test.go
@@ -45,7 +45,7 @@
 }
 
 func TestExitCodesAreDocumented(t *testing.T) {
-	page, err := os.ReadFile("../../docs/OPERATING.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -15,7 +15,7 @@
 
 const (
 	page      = "../../docs/METRICS.md"
-	operating = "../../docs/OPERATING.md"
+	operating = "../../docs/OPERATIONS.md"
 )
 
 // render is the page of all metrics.
@@ -56,7 +56,7 @@
 		known[d.Name] = true
 	}
 	quoted := regexp.MustCompile(`"([a-z][a-z0-9]*(?:_[a-z0-9]+)+)"`)
-	for _, pattern := range []string{"../problem/problem.go", "../settings/table.go", "../../operator/fields.go", "../../operator/config.go"} {
+	for _, pattern := range []string{"../problem/problem.go", "../settings/table.go", "../settings/site.go", "../../operator/fields.go", "../../operator/config.go"} {
 		for _, m := range quoted.FindAllStringSubmatch(read(t, pattern), -1) {
 			known[m[1]] = true
 		}
@@ -72,7 +72,7 @@
 		}
 		checked++
 		if !known[word] {
-			t.Errorf("docs/OPERATING.md names %q, which is no metric, problem code, setting or configuration key", m[1])
+			t.Errorf("docs/OPERATIONS.md names %q, which is no metric, problem code, setting or configuration key", m[1])
 		}
 	}
 	if checked == 0 {
--- a/internal/standin/cmd/standin/main.go
+++ b/internal/standin/cmd/standin/main.go
@@ -33,6 +33,7 @@
 	subcommands.Register(&logCommand{}, "")
 	subcommands.Register(&listCommand{}, "")
 	subcommands.Register(&endpointCommand{}, "")
+	subcommands.Register(&siteCommand{}, "")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	status := subcommands.Execute(ctx)
--- /dev/null
+++ b/internal/standin/cmd/standin/site.go
@@ -0,0 +1,123 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/pkg/errors"
+
+	"github.com/bluebellstile/bluebellstile/internal/standin"
+)
+
+// permitTime is how long a permit of the stand-in of the adviser is good.
+const permitTime = 2 * time.Second
+
+// siteCommand runs a whole site of the users' platform: store, adviser, runners
+// and a first configuration.
+type siteCommand struct {
+	store    string
+	adviser  string
+	runners  int
+	workTime time.Duration
+}
+
+func (*siteCommand) Name() string     { return "site" }
+func (*siteCommand) Synopsis() string { return "run the users' platform with its runners" }
+func (*siteCommand) Usage() string {
+	return "standin site -store 127.0.0.1:7500 -adviser 127.0.0.1:7501 -runners 4\n" +
+		"At its end it prints what the runners have seen, and fails if a task ran twice.\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (c *siteCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.store, "store", "127.0.0.1:0", "address of the store")
+	f.StringVar(&c.adviser, "adviser", "127.0.0.1:0", "address of the adviser")
+	f.IntVar(&c.runners, "runners", 4, "runners of eight cores each")
+	f.DurationVar(&c.workTime, "work", 200*time.Millisecond, "how long a task works")
+}
+
+// siteReady is the line that tells that a site listens.
+type siteReady struct {
+	Kind    string `json:"kind"`
+	Store   string `json:"store"`
+	Adviser string `json:"adviser"`
+	PID     int    `json:"pid"`
+}
+
+// siteSeen is the line that tells what the runners have seen.
+type siteSeen struct {
+	Starts int      `json:"starts"`
+	Done   int      `json:"done"`
+	Broken []string `json:"broken"`
+}
+
+// Execute implements subcommands.Command.
+func (c *siteCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	watch := standin.NewSiteWatch()
+	if err := c.run(ctx, watch); err != nil {
+		return failure(err)
+	}
+	starts, done, broken := watch.Seen()
+	if err := json.NewEncoder(os.Stdout).Encode(siteSeen{Starts: starts, Done: done, Broken: append([]string{}, broken...)}); err != nil {
+		return failure(err)
+	}
+	if len(broken) > 0 {
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+// run offers the site until ctx is done.
+func (c *siteCommand) run(ctx context.Context, watch *standin.SiteWatch) error {
+	store := standin.NewSiteStore()
+	config, err := json.Marshal(standin.SiteConfig(1))
+	if err != nil {
+		return errors.Wrap(err, "encode the configuration")
+	}
+	store.Put(standin.SiteTopicOperator, "config", config)
+	var servers []*standin.Server
+	defer func() {
+		for _, s := range servers {
+			if err := s.Close(); err != nil {
+				fmt.Fprintln(os.Stderr, "standin:", err)
+			}
+		}
+	}()
+	offer := func(s standin.Service, address string) (string, error) {
+		server, err := standin.Serve(s, address, "")
+		if err != nil {
+			return "", err
+		}
+		servers = append(servers, server)
+		return server.Addr(), nil
+	}
+	line := siteReady{Kind: "site", PID: os.Getpid()}
+	if line.Store, err = offer(store.NewDoor(), c.store); err != nil {
+		return err
+	}
+	if line.Adviser, err = offer(standin.NewSiteAdviser(permitTime), c.adviser); err != nil {
+		return err
+	}
+	for i := range c.runners {
+		runner := standin.NewSiteRunner(standin.SiteRunnerOptions{
+			ID: fmt.Sprintf("i-%02d", i), Service: standin.SiteService, Zone: "z1", Rack: fmt.Sprintf("r1-%d", i/2),
+			MilliCores: 8000, MemoryMB: 8000, WorkTime: c.workTime, Store: store, Watch: watch,
+		})
+		address, err := offer(runner, "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		runner.Begin(address)
+		defer runner.Close()
+	}
+	if err := json.NewEncoder(os.Stdout).Encode(line); err != nil {
+		return errors.Wrap(err, "tell that the site listens")
+	}
+	<-ctx.Done()
+	return nil
+}
