Take a refused repetition of a start for what it is: no news of the first

Cause: TWICE in a trial on a scratch site of five times the load (45 instances, 240 endpoints): two tasks of a gang were started again after their runs had ended as done. The first order of each had been carried out without an answer and its run had ended 0.28 s later; the repetition, 0.4 s after, was refused, since the run had ended, and the refusal counted as "never ran". The report that told of the end came later and found no run.

Ruled out: a start that was told not sent although it was (the connection's trace is right); a lapsed lease (none lapsed).

Change: "refused" and "not sent" of a repetition leave the run in doubt; it is barred, and a report tells what became of it.

Tests: TestShortGangs, with reports a second late. It needed a stricter judge: the promise counts an end that is taken note of later, too.

--- a/internal/controller/faults_test.go
+++ b/internal/controller/faults_test.go
@@ -15,7 +15,7 @@
 func (w *world) submit(id workload.ID, customer string, spec workload.Spec) {
 	j := w.jobs[id]
 	if j == nil {
-		j = &simJob{spec: spec, customer: customer, submitted: true, done: make(map[workload.TaskID]bool), notedEnd: make(map[workload.TaskID]bool), failures: make(map[workload.TaskID]int)}
+		j = &simJob{spec: spec, customer: customer, submitted: true, done: make(map[workload.TaskID]bool), notedEnd: make(map[workload.TaskID]bool), restarted: make(map[workload.TaskID]int), failures: make(map[workload.TaskID]int)}
 		w.jobs[id] = j
 	}
 	if t := w.current(); t != nil && w.now >= t.frozen {
@@ -323,3 +323,24 @@
 		w.requireServed()
 	})
 }
+
+// TestShortGangs has gangs that end sooner than an order is given up, while
+// answers are lost: a repeated order may meet a run that has ended.
+func TestShortGangs(t *testing.T) {
+	seeds(t, func(t *testing.T, seed uint64) {
+		w := newWorld(t, seed, faults{lost: 0.05, mute: 0.4, reportDelay: time.Second})
+		fleetOf(w)
+		w.begin()
+		for i := range 60 {
+			id := workload.ID(fmt.Sprintf("c%015x", i))
+			w.at(time.Duration(i)*150*time.Millisecond, func() {
+				w.submit(id, "c2", workload.Spec{Steps: []workload.Step{{
+					Count: 2 + w.rand.IntN(3), Size: resource.Vector{MilliCores: 2000, MemoryMB: 100}, Estimate: 120 * time.Millisecond, Gang: true,
+				}}})
+			})
+		}
+		w.at(30*time.Second, func() { w.faults = faults{} })
+		w.run(80 * time.Second)
+		w.requireServed()
+	})
+}
--- a/internal/controller/judge_test.go
+++ b/internal/controller/judge_test.go
@@ -14,6 +14,10 @@
 	if r.job.notedEnd[id] {
 		w.violation("TWICE", "%s run %d starts after a done end was taken note of", id, r.key.Number)
 	}
+	if r.job.done[id] {
+		// It breaks the promise if that end is taken note of later.
+		r.job.restarted[id] = max(r.job.restarted[id], r.key.Number)
+	}
 	w.judgeRoom(e, r)
 	w.judgeLimit(r)
 	w.judgeOrder(r)
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -145,9 +145,9 @@
 		c.log.Info("run started", "task", r.Task, "run", r.Number, "endpoint", r.Endpoint.ID, "after", now.Steady-r.Ordered, "tries", rc.tries)
 	case FateNotSent:
 		c.log.Warn("start not sent", "task", o.Key.Task, "run", o.Key.Number, "endpoint", o.Target.ID, "cause", out.Detail)
-		c.neverRan(now, r)
+		c.notCarriedOut(now, r, rc)
 	case FateRefused:
-		c.startRefused(now, r, out)
+		c.startRefused(now, r, rc, out)
 	case FateUnanswered:
 		c.startUnanswered(now, r, rc, out)
 	}
@@ -182,7 +182,7 @@
 }
 
 // startRefused takes in that a start was not carried out.
-func (c *Core) startRefused(now clock.Instant, r *fleet.Run, out Outcome) {
+func (c *Core) startRefused(now clock.Instant, r *fleet.Run, rc *runControl, out Outcome) {
 	c.stats.Refused++
 	c.log.Warn("start refused", "task", r.Task, "run", r.Number, "endpoint", r.Endpoint.ID, "reason", out.Reason, "detail", out.Detail)
 	switch out.Reason {
@@ -194,7 +194,28 @@
 		c.forgetPermit(r)
 	case ReasonFenced, ReasonSuperseded, ReasonLate, ReasonIncarnation, ReasonInvalid:
 	}
-	c.neverRan(now, r)
+	c.notCarriedOut(now, r, rc)
+}
+
+// notCarriedOut takes in that an order to start a run has had no effect. If it
+// was a repetition, that says nothing of the order before: the run may be there,
+// or may have ended already, which a report tells once it is barred.
+func (c *Core) notCarriedOut(now clock.Instant, r *fleet.Run, rc *runControl) {
+	switch {
+	case rc.tries <= 1:
+		c.neverRan(now, r)
+	case r.Phase != fleet.PhaseRunning:
+		c.giveUpGang(now, r)
+	}
+}
+
+// giveUpGang stops the run of a gang's member that may have begun, and with it
+// all others.
+func (c *Core) giveUpGang(now clock.Instant, r *fleet.Run) {
+	c.stop(now, r)
+	if r.Step.Spec.Gang {
+		c.stopGang(now, r.Step, r.Number)
+	}
 }
 
 // neverRan frees a run that certainly has not begun and never will.
@@ -216,10 +237,7 @@
 		c.repeatStart(now, r, rc)
 		return
 	}
-	c.stop(now, r)
-	if r.Step.Spec.Gang {
-		c.stopGang(now, r.Step, r.Number)
-	}
+	c.giveUpGang(now, r)
 }
 
 // stop stops a run, or bars it if it has not begun.
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -61,6 +61,8 @@
 	failing float64
 	// lostAppends get no answer but are done.
 	lostAppends float64
+	// reportDelay is how much later than usual reports arrive.
+	reportDelay time.Duration
 }
 
 // simJob is what the world knows of a job.
@@ -72,8 +74,11 @@
 	// done, failures and noted are by task.
 	done     map[workload.TaskID]bool
 	notedEnd map[workload.TaskID]bool
-	failures map[workload.TaskID]int
-	accepted bool
+	// restarted gives the last run of tasks that were started after a run of
+	// them had ended as done.
+	restarted map[workload.TaskID]int
+	failures  map[workload.TaskID]int
+	accepted  bool
 }
 
 type simEndpoint struct {
@@ -794,7 +799,7 @@
 	}
 	out.Reading.Received = w.now
 	out.Reading.Clock = e.clock(w.now)
-	w.at(w.between(wayLow, wayHigh), func() {
+	w.at(w.faults.reportDelay+w.between(wayLow, wayHigh), func() {
 		if !t.dead {
 			out.Reading.Received = w.now
 			w.thaw(t, func() {
@@ -822,6 +827,9 @@
 		switch row.End {
 		case workload.EndDone:
 			job.notedEnd[row.Key.Task] = true
+			if later := job.restarted[row.Key.Task]; later > row.Key.Number {
+				w.violation("TWICE", "%s run %d was started after run %d had ended as done, which is taken note of now", row.Key.Task, later, row.Key.Number)
+			}
 		case workload.EndFailed:
 			id := row.Key.Task
 			if job.spec.Steps[id.Step].Gang {
