Bound what a plan searches, and refuse new jobs that would wait too long

A plan looked at all endpoints for each of thousands of waiting steps, so that plans became rare, permits ran out before they were used, and questions were put again.

Tried and dropped: refusing by the delay that the process sees of itself. The mean delay stayed below 5 ms while nothing started.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -65,17 +65,19 @@
 	planDue bool
 	stats   Stats
 
-	urgent urgentLoad
+	urgent  urgentLoad
+	backlog backlog
 	// silentBefore gives the incarnations of the endpoints that an earlier term
 	// has recorded as silent.
 	silentBefore map[string]int64
 	// wanted are the endpoints on which blocked gangs waited for room at the
 	// last plan.
 	wanted map[*fleet.Endpoint]bool
-	// lanes is how many instances questions can be put through, asking how
-	// many questions are under way for work that is not urgent.
-	lanes  int
-	asking int
+	// lanes is how many instances questions can be put through, asking and
+	// askingUrgent how many questions are under way for other and urgent work.
+	lanes        int
+	asking       int
+	askingUrgent int
 }
 
 // Stats counts what a core has done.
@@ -117,6 +119,8 @@
 	access      *scheduler.Access
 	asked       int
 	askAfter    time.Duration
+	// begun is set once a task of the step was placed in this term.
+	begun bool
 	// waiting caches the tasks that wait; stale says that it must be made anew.
 	waiting []int
 	stale   bool
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -32,6 +32,10 @@
 	permitMargin = 150 * time.Millisecond
 	// firstGoodShare is the share of good endpoints taken before any answer.
 	firstGoodShare = 0.5
+	// urgentQuestions is how many urgent questions may be under way for each
+	// instance that they can be put through: those that the service takes in at
+	// a time, and as many that wait for a lane.
+	urgentQuestions = 6
 	// shareWeight is the weight of a new answer in the learned share.
 	shareWeight = 0.2
 )
@@ -79,9 +83,14 @@
 			PermitMargin: permitMargin,
 		},
 	}
+	c.backlog.waiting = 0
 	s.Questions = max(max(c.lanes-1, 1)-c.asking, 0)
+	s.UrgentQuestions = max(urgentQuestions*c.lanes-c.askingUrgent, 0)
 	for _, e := range c.steps {
 		if d := c.demand(now, e); d != nil {
+			if !e.begun {
+				c.backlog.waiting++
+			}
 			s.Demands = append(s.Demands, d)
 		}
 	}
@@ -275,6 +284,10 @@
 	}
 	r.ExpectedEnd = now.Steady + time.Duration(float64(s.Spec.Estimate)*start.Endpoint.Record.Pace())
 	start.Endpoint.Add(r)
+	if !entry.begun {
+		entry.begun = true
+		c.backlog.begun++
+	}
 	if r.Priority == 0 {
 		c.urgent.learn(r.Charge)
 	}
@@ -311,7 +324,9 @@
 		o.incarnation[e.ID] = e
 	}
 	c.stats.Questions++
-	if !o.Urgent {
+	if o.Urgent {
+		c.askingUrgent++
+	} else {
 		c.asking++
 	}
 	c.log.Debug("asking for eligible endpoints", "step", o.Step, "endpoints", len(o.Endpoints), "held", len(q.Hold))
@@ -323,9 +338,11 @@
 
 // AskAnswered takes in the answer to a question.
 func (c *Core) AskAnswered(now clock.Instant, o *AskOrder, answer Answer, err error) {
-	if !o.Urgent {
+	c.planDue = true
+	if o.Urgent {
+		c.askingUrgent--
+	} else {
 		c.asking--
-		c.planDue = true
 	}
 	entry := o.step
 	if c.steps[entry.step] != entry || entry.asked != o.sequence {
--- a/internal/controller/submit.go
+++ b/internal/controller/submit.go
@@ -87,6 +87,10 @@
 	if open := len(c.jobs) - len(c.ended); open >= maxOpenJobs {
 		return problem.Refuse(problem.QueueFull, "try again later", "%d jobs are open", open).After(excessRetry)
 	}
+	if wait := c.backlog.wait(); wait > longestWait {
+		return problem.Refuse(problem.QueueFull, "try again later",
+			"%d steps of jobs wait to begin, about %.0f a second do", c.backlog.waiting, c.backlog.rate).After(min(wait, longestWait))
+	}
 	if size := c.batch.size + admissionSize(&s.Spec); c.batch.size > 0 && size > maxAdmissions {
 		return problem.Refuse(problem.QueueFull, "try again later, or send smaller jobs",
 			"the jobs that wait to be stored would take %d bytes, at most %d are taken at once", size, maxAdmissions).After(admissionsRetry)
--- a/internal/controller/tick.go
+++ b/internal/controller/tick.go
@@ -7,6 +7,7 @@
 // Tick does what has become due: occurrences, lapsed leases, repeated stops,
 // evacuations, silent endpoints, holds, and forgetting jobs that ended long ago.
 func (c *Core) Tick(now clock.Instant) {
+	c.backlog.turn(now.Steady)
 	c.openRecurring(now)
 	c.lapse(now)
 	c.repeatStops(now)
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -27,6 +27,7 @@
 	seats := p.seatGang(d, known, n)
 	if seats == nil {
 		p.plan.Blocked++
+		p.searched++
 		p.keepHeld(d)
 		p.askAll(d, hosts)
 		p.reserve(d, known, n)
@@ -164,7 +165,7 @@
 		hold[s.host.Endpoint.ID] = s.tasks
 		asked = append(asked, s.host.Endpoint)
 	}
-	if d.Access.Asking || len(asked) > maxAsked || !d.Urgent && p.Questions == 0 {
+	if d.Access.Asking || len(asked) > maxAsked || !p.mayAsk(d) {
 		return
 	}
 	p.put(Question{Demand: d, Endpoints: asked, Hold: hold})
@@ -173,7 +174,7 @@
 // askAll asks about hosts that nothing is known of, whether they have room now
 // or not: which of them are good doesn't change, and room will come.
 func (p *planner) askAll(d *Demand, hosts []*Host) {
-	if d.Access == nil || d.Access.Asking || !d.Urgent && p.Questions == 0 {
+	if d.Access == nil || d.Access.Asking || !p.mayAsk(d) {
 		return
 	}
 	var asked []*fleet.Endpoint
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -18,12 +18,19 @@
 	places int
 	// reserved counts the gangs that hold room back.
 	reserved int
+	// searched counts the demands for which all hosts were looked at in vain.
+	searched int
 	// urgentHosts and bulkHosts are the hosts in the order in which urgent
 	// and other work prefers them as the plan begins.
 	urgentHosts []*Host
 	bulkHosts   []*Host
 }
 
+// mostSearched bounds the demands for which a plan looks at all hosts in vain,
+// so that a long queue does not make plans so long that nothing starts: each
+// takes some ten microseconds for a hundred hosts.
+const mostSearched = 256
+
 // Make returns the plan for a snapshot.
 func Make(s *Snapshot) Plan {
 	p := &planner{Snapshot: s, given: make(map[string]resource.Vector)}
@@ -35,6 +42,11 @@
 	p.urgentHosts = ordered(s.Hosts, urgentScore)
 	p.bulkHosts = ordered(s.Hosts, bulkScore)
 	for _, d := range rank(s) {
+		if p.searched >= mostSearched {
+			// What ranks lower has its turn when what ranks higher has begun.
+			p.plan.Blocked++
+			continue
+		}
 		if d.Step.Spec.Gang {
 			p.placeGang(d)
 		} else {
@@ -243,7 +255,7 @@
 func (p *planner) placeTasks(d *Demand) {
 	p.returnHeld(d)
 	defer p.keepHeld(d)
-	if d.Access != nil && d.Access.Asking && len(d.Access.Permits) == 0 {
+	if d.Access != nil && len(d.Access.Permits) == 0 && (d.Access.Asking || !p.mayAsk(d)) {
 		p.plan.Blocked++
 		return
 	}
@@ -262,6 +274,7 @@
 		return
 	}
 	p.plan.Blocked++
+	p.searched++
 	p.ask(d, hosts, len(waiting))
 }
 
@@ -328,7 +341,7 @@
 // room is kept meanwhile, so that work that ranks lower does not ask for it too.
 func (p *planner) ask(d *Demand, hosts []*Host, tasks int) {
 	a := d.Access
-	if a == nil || a.Asking || !d.Urgent && p.Questions == 0 {
+	if a == nil || a.Asking || !p.mayAsk(d) {
 		return
 	}
 	q := Question{Demand: d, Hold: make(map[string]int)}
@@ -369,12 +382,22 @@
 	return share * float64(n)
 }
 
+// mayAsk reports whether one more question may be put for a demand.
+func (p *planner) mayAsk(d *Demand) bool {
+	if d.Urgent {
+		return p.UrgentQuestions > 0
+	}
+	return p.Questions > 0
+}
+
 // put puts a question.
 func (p *planner) put(q Question) {
 	if len(q.Endpoints) == 0 {
 		return
 	}
-	if !q.Demand.Urgent {
+	if q.Demand.Urgent {
+		p.UrgentQuestions--
+	} else {
 		p.Questions--
 	}
 	p.plan.Questions = append(p.plan.Questions, q)
--- a/internal/scheduler/plan_test.go
+++ b/internal/scheduler/plan_test.go
@@ -45,7 +45,7 @@
 
 func snapshot(n int, demands ...*Demand) *Snapshot {
 	return &Snapshot{
-		Now: now, Hosts: hosts(n), Demands: demands, Questions: 3,
+		Now: now, Hosts: hosts(n), Demands: demands, Questions: 3, UrgentQuestions: 5,
 		Within: func(string, resource.Vector) bool { return true },
 		Policy: Policy{FarFactor: 2, Reservations: 3, PermitMargin: 100 * time.Millisecond},
 	}
@@ -267,17 +267,45 @@
 			t.Errorf("%d of the %d tasks of a gang start", len(started), len(d.Tasks))
 		}
 	}
-	questions := 0
+	questions, urgent := 0, 0
 	for _, q := range plan.Questions {
-		if !q.Demand.Urgent {
+		if q.Demand.Urgent {
+			urgent++
+		} else {
 			questions++
 		}
 		if len(q.Endpoints) == 0 || len(q.Endpoints) > maxAsked {
 			t.Errorf("a question about %d endpoints", len(q.Endpoints))
 		}
 	}
-	const lanes = 3
-	if questions > lanes {
-		t.Errorf("%d questions at once, %d may be", questions, lanes)
+	const most, mostUrgent = 3, 5
+	if questions > most || urgent > mostUrgent {
+		t.Errorf("%d questions and %d urgent ones at once, %d and %d may be", questions, urgent, most, mostUrgent)
+	}
+}
+
+// TestLongQueue shows that a queue of thousands that can't start takes a plan
+// not much longer than one of hundreds, and that what ranks first starts.
+func TestLongQueue(t *testing.T) {
+	demands := func(n int) []*Demand {
+		out := make([]*Demand, n)
+		for i := range out {
+			out[i] = demand(open(fmt.Sprintf("%016x", i), "c", workload.Step{Count: 2, Size: cores(16), Estimate: time.Second})[0])
+		}
+		return out
+	}
+	const endpoints, jobs = 200, 8000
+	snap := snapshot(endpoints, demands(jobs)...)
+	plan := Make(snap)
+	if len(plan.Starts) != endpoints {
+		t.Errorf("%d tasks start on %d endpoints that each have room for one", len(plan.Starts), endpoints)
+	}
+	for _, s := range plan.Starts {
+		if s.Demand.Step.Job.ID >= workload.ID(fmt.Sprintf("%016x", endpoints/2)) {
+			t.Errorf("job %s starts before others that rank higher", s.Demand.Step.Job.ID)
+		}
+	}
+	if plan.Blocked < jobs-endpoints/2 {
+		t.Errorf("%d demands blocked, want %d or more", plan.Blocked, jobs-endpoints/2)
 	}
 }
--- a/internal/scheduler/snapshot.go
+++ b/internal/scheduler/snapshot.go
@@ -21,6 +21,8 @@
 	// Questions is how many questions may be put for work that is not urgent:
 	// one for each instance that has none under way.
 	Questions int
+	// UrgentQuestions is the same for urgent work.
+	UrgentQuestions int
 	// Within reports whether a customer may take size more beside what the
 	// plan has given it already.
 	Within func(customer string, size resource.Vector) bool
