--- a/internal/controller/backlog.go
+++ b/internal/controller/backlog.go
@@ -15,13 +15,19 @@
 	// backlogWeight the weight of a new count.
 	backlogWindow = time.Second
 	backlogWeight = 0.3
+	// littleShare is the part of an even share of the queue, in percent, below
+	// which a customer has little in it.
+	littleShare = 50
+	percent     = 100
 )
 
 // backlog tells how long a new job would wait: a cell that accepts more than it
 // can begin makes all jobs late, and none is served in time.
 type backlog struct {
-	// waiting counts the steps that have not begun, as of the last plan.
-	waiting int
+	// waiting counts the steps that have not begun, as of the last plan, all of
+	// them and by customer.
+	waiting    int
+	byCustomer map[string]int
 	// begun counts the steps that have begun since the last turn, rate is how
 	// many do a second.
 	begun int
@@ -29,6 +35,32 @@
 	at    time.Duration
 }
 
+// reset begins the count of what waits.
+func (b *backlog) reset() { b.waiting, b.byCustomer = 0, make(map[string]int) }
+
+// count takes in a step with tasks that wait. What a customer submits beyond
+// its rate has a bound of its own.
+func (b *backlog) count(e *stepEntry) {
+	if e.begun || e.entry.job.Excess {
+		return
+	}
+	b.waiting++
+	b.byCustomer[e.entry.job.Customer]++
+}
+
+// refuses reports whether a customer's new job would wait too long, and how
+// long. Of a queue that is too long, a customer with little in it is not
+// refused: its jobs go before most, and the others may wait for what no endpoint
+// has.
+func (b *backlog) refuses(customer string) (wait time.Duration, refused bool) {
+	wait = b.wait()
+	if wait <= longestWait {
+		return wait, false
+	}
+	own := b.byCustomer[customer]
+	return wait, own*len(b.byCustomer) >= littleShare*b.waiting/percent
+}
+
 // turn takes the count of a window into the rate.
 func (b *backlog) turn(now time.Duration) {
 	if b.at == 0 {
--- a/internal/controller/backlog_test.go
+++ b/internal/controller/backlog_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/bluebellstile/bluebellstile/internal/workload"
 )
 
 func TestBacklog(t *testing.T) {
@@ -34,3 +36,27 @@
 		t.Error("a long queue of which nothing begins is not refused")
 	}
 }
+
+// TestBacklogOfOneCustomer has one customer fill the queue with what can't begin.
+func TestBacklogOfOneCustomer(t *testing.T) {
+	b := &backlog{rate: 50}
+	b.reset()
+	wait := func(customer string, n int) {
+		for range n {
+			b.count(&stepEntry{entry: &jobEntry{job: &workload.Job{Customer: customer}}})
+		}
+	}
+	wait("large", 2000)
+	wait("small", 20)
+	for customer, want := range map[string]bool{"large": true, "small": false, "new": false} {
+		if _, refused := b.refuses(customer); refused != want {
+			t.Errorf("%s: refused %v, want %v", customer, refused, want)
+		}
+	}
+	b.reset()
+	b.count(&stepEntry{begun: true, entry: &jobEntry{job: &workload.Job{}}})
+	b.count(&stepEntry{entry: &jobEntry{job: &workload.Job{Excess: true}}})
+	if b.waiting > 0 {
+		t.Errorf("%d count as waiting that have begun or are beyond a rate", b.waiting)
+	}
+}
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -83,14 +83,12 @@
 			PermitMargin: permitMargin,
 		},
 	}
-	c.backlog.waiting = 0
+	c.backlog.reset()
 	s.Questions = max(max(c.lanes-1, 1)-c.asking, 0)
 	s.UrgentQuestions = max(urgentQuestions*c.lanes-c.askingUrgent, 0)
 	for _, e := range c.steps {
 		if d := c.demand(now, e); d != nil {
-			if !e.begun {
-				c.backlog.waiting++
-			}
+			c.backlog.count(e)
 			s.Demands = append(s.Demands, d)
 		}
 	}
--- a/internal/controller/submit.go
+++ b/internal/controller/submit.go
@@ -87,7 +87,7 @@
 	if open := len(c.jobs) - len(c.ended); open >= maxOpenJobs {
 		return problem.Refuse(problem.QueueFull, "try again later", "%d jobs are open", open).After(excessRetry)
 	}
-	if wait := c.backlog.wait(); wait > longestWait {
+	if wait, refused := c.backlog.refuses(s.Customer); refused {
 		return problem.Refuse(problem.QueueFull, "try again later",
 			"%d steps of jobs wait to begin, about %.0f a second do", c.backlog.waiting, c.backlog.rate).After(min(wait, longestWait))
 	}
