--- a/internal/workload/record.go
+++ b/internal/workload/record.go
@@ -270,6 +270,8 @@
 		return errors.Errorf("the progress of job %s has opened %d of %d occurrences", j.ID, p.Opened, j.Spec.Occurrences())
 	}
 	j.opened = p.Opened
+	// Occurrences that are not live any more are done.
+	j.begun = p.Opened > len(p.Live)
 	for i := range p.Live {
 		if err := j.restoreOccurrence(&p.Live[i]); err != nil {
 			return err
--- a/internal/workload/workload_test.go
+++ b/internal/workload/workload_test.go
@@ -195,6 +195,33 @@
 	})
 }
 
+// TestRecurringJobHasBegun reads a job back whose first occurrence is done and
+// whose second one is not due yet: it is not queued again.
+func TestRecurringJobHasBegun(t *testing.T) {
+	spec := Spec{Steps: []Step{step(1)}, Recurrence: &Recurrence{Times: 2, First: epoch, Interval: time.Minute}}
+	j := NewJob("00000000000000aa", "q", "c", epoch, spec)
+	s := j.OpenNext().Steps[0]
+	s.Finish(0, s.Begin(0, "e", 1), EndDone, "", 3, epoch)
+	first, err := j.EncodeAdmission()
+	if err != nil {
+		t.Fatal(err)
+	}
+	progress, err := j.EncodeProgress()
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, err := DecodeAdmission(j.ID, first)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := again.Restore(progress); err != nil {
+		t.Fatal(err)
+	}
+	if again.State() != j.State() || j.State() == StateQueued {
+		t.Errorf("read back as %s, was %s", again.State(), j.State())
+	}
+}
+
 // forgetDoneSteps drops what is not stored of steps that are done.
 func forgetDoneSteps(j *Job) {
 	for _, o := range j.Live() {
