--- a/internal/standin/site_runner.go
+++ b/internal/standin/site_runner.go
@@ -46,7 +46,7 @@
 }
 
 // SiteRunner is a runner of the users' platform: it runs tasks under a lease
-// and obeys the highest fence number that it has seen.
+// and obeys the highest fencing token that it has seen.
 type SiteRunner struct {
 	opts   SiteRunnerOptions
 	faults *Faults
@@ -318,7 +318,7 @@
 	return r.born
 }
 
-// carryOut carries out an order unless its fence number is too low.
+// carryOut carries out an order unless its fencing token is too low.
 func (r *SiteRunner) carryOut(o siteOrder, do func(siteOrder) (int, string)) (int, string, time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
