--- a/internal/scheduler/plan_test.go
+++ b/internal/scheduler/plan_test.go
@@ -309,3 +309,20 @@
 		t.Errorf("%d demands blocked, want %d or more", plan.Blocked, jobs-endpoints/2)
 	}
 }
+
+// TestLongQueueIsNotSearchedWhole shows that a plan looks at all hosts for a
+// bounded number of demands only: each of those here would put a question.
+func TestLongQueueIsNotSearchedWhole(t *testing.T) {
+	const jobs = 10 * mostSearched
+	list := make([]*Demand, jobs)
+	for i := range list {
+		list[i] = demand(open(fmt.Sprintf("%016x", i), "c", workload.Step{Count: 1, Size: cores(1), Estimate: time.Second})[0])
+		list[i].Urgent, list[i].Priority = true, 0
+		list[i].Access = &Access{Known: make(map[*fleet.Endpoint]bool), Permits: make(map[*fleet.Endpoint]Permit), GoodShare: 0.5}
+	}
+	snap := snapshot(4, list...)
+	snap.UrgentQuestions = jobs
+	if n := len(Make(snap).Questions); n > mostSearched {
+		t.Errorf("%d of %d demands were searched for, at most %d may be", n, jobs, mostSearched)
+	}
+}
