--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -75,6 +75,8 @@
 	deaf       atomic.Bool
 	// proofWanted asks the pump for a proof that the term is current.
 	proofWanted atomic.Bool
+	// open counts the orders that are being carried out.
+	open atomic.Int64
 }
 
 // Options are what a controller works with.
@@ -109,6 +111,7 @@
 func (c *Controller) Start(t *tomb.Tomb) {
 	c.tomb = t
 	t.Go(c.pump)
+	t.Go(c.watchLag)
 }
 
 // Epoch returns the term's epoch.
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"log/slog"
 	"time"
 
 	"github.com/bluebellstile/bluebellstile/internal/fleet"
@@ -130,6 +131,22 @@
 	// Reading is what the answer showed of the endpoint's clock; it is the
 	// zero value without an answer.
 	Reading fleet.Reading
+
+	// Queued is how long the order waited in this process until it was sent,
+	// Connecting how long it then waited for a connection, and Took how long it
+	// took from there to its result, with Connecting. They tell a slow endpoint
+	// from a busy process.
+	Queued     time.Duration
+	Connecting time.Duration
+	Took       time.Duration
+}
+
+// LogValue implements slog.LogValuer: the parts of an order's time.
+func (o Outcome) LogValue() slog.Value {
+	return slog.GroupValue(
+		slog.Duration("queued", o.Queued.Round(time.Millisecond)),
+		slog.Duration("connecting", o.Connecting.Round(time.Millisecond)),
+		slog.Duration("took", o.Took.Round(time.Millisecond)))
 }
 
 // Report is what a hold returned.
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -142,9 +142,9 @@
 	case FateDone:
 		c.confirm(now, r)
 		rc.answered = now.Steady
-		c.log.Info("run started", "task", r.Task, "run", r.Number, "endpoint", r.Endpoint.ID, "after", now.Steady-r.Ordered, "tries", rc.tries)
+		c.log.Info("run started", "task", r.Task, "run", r.Number, "endpoint", r.Endpoint.ID, "after", now.Steady-r.Ordered, "tries", rc.tries, "times", out)
 	case FateNotSent:
-		c.log.Warn("start not sent", "task", o.Key.Task, "run", o.Key.Number, "endpoint", o.Target.ID, "cause", out.Detail)
+		c.log.Warn("start not sent", "task", o.Key.Task, "run", o.Key.Number, "endpoint", o.Target.ID, "cause", out.Detail, "times", out)
 		c.notCarriedOut(now, r, rc)
 	case FateRefused:
 		c.startRefused(now, r, rc, out)
@@ -228,7 +228,7 @@
 // which bars it, and its task starts elsewhere.
 func (c *Core) startUnanswered(now clock.Instant, r *fleet.Run, rc *runControl, out Outcome) {
 	c.stats.Doubtful++
-	c.log.Warn("start not answered", "task", r.Task, "run", r.Number, "endpoint", r.Endpoint.ID, "cause", out.Detail)
+	c.log.Warn("start not answered", "task", r.Task, "run", r.Number, "endpoint", r.Endpoint.ID, "cause", out.Detail, "times", out)
 	if r.Phase == fleet.PhaseRunning || rc.stopped {
 		return
 	}
@@ -290,6 +290,7 @@
 		c.wantReport(e, now.Steady)
 		return
 	}
+	c.log.Warn("stop not done, it is repeated", "task", r.Task, "run", r.Number, "endpoint", e.ID, "cause", out.Detail, "times", out)
 	rc.stopAt = now.Steady + stopRetry
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -62,6 +62,8 @@
 	Name             string
 	AvailabilityZone string
 	Region           string
+	// Processors is how many cores' work the daemon may do.
+	Processors float64
 	// PeerAddress is where other daemons reach this one.
 	PeerAddress string
 	Bounds      controller.Bounds
@@ -118,6 +120,7 @@
 		logger:      o.Logger,
 		catalogs:    n.catalogs,
 		tomb:        t,
+		processors:  o.Processors,
 	}
 	n.catalogs.changed = n.terms.setCatalog
 	n.elector = leadership.NewElector(n.directory, n.peers, o.Clock, n.logSeen, n.terms.able, n.terms.begin, o.Logger)
--- a/internal/node/terms.go
+++ b/internal/node/terms.go
@@ -46,6 +46,8 @@
 	logger      *slog.Logger
 	catalogs    *catalogs
 	tomb        *tomb.Tomb
+	// processors is how many cores' work the daemon may do.
+	processors float64
 	// ended is told of each term that runs no more.
 	ended func(epoch int64)
 
@@ -90,7 +92,7 @@
 		return
 	}
 	ts.set(current)
-	ts.logger.Info("term runs", "epoch", epoch, "after", time.Since(began))
+	ts.logger.Info("term runs", "epoch", epoch, "after", time.Since(began), "processors", ts.processors)
 	err = t.Wait()
 	ts.drop(current)
 	ts.logger.Info("term ended", "epoch", epoch, "cause", err, "stats", current.controller.Stats())
--- a/internal/settings/kinds.go
+++ b/internal/settings/kinds.go
@@ -241,25 +241,39 @@
 // factor returns a key for a number of at least 1 with two decimals.
 func factor[T any](section, key, fallback, doc string, at func(*T) *int) Key[T] {
 	const largest = 1000
+	return decimal(section, key, fallback, doc, percent, percent, largest*percent, at)
+}
+
+// milli is how many thousandths there are in one.
+const milli = 1000
+
+// thousandths returns a key for a number with three decimals, from lowest to
+// highest thousandths.
+func thousandths[T any](section, key, fallback, doc string, lowest, highest int, at func(*T) *int) Key[T] {
+	return decimal(section, key, fallback, doc, milli, lowest, highest, at)
+}
+
+// decimal returns a key for a number that is held as a whole number of parts,
+// of which parts make one.
+func decimal[T any](section, key, fallback, doc string, parts, lowest, highest int, at func(*T) *int) Key[T] {
+	written := func(n int) string { return strconv.FormatFloat(float64(n)/float64(parts), 'f', -1, 64) }
 	return Key[T]{
 		Section: section,
 		Name:    key,
 		Type:    "number",
 		Default: fallback,
-		Range:   fmt.Sprintf("1 to %d", largest),
+		Range:   written(lowest) + " to " + written(highest),
 		Doc:     doc,
-		format: func(s *T) string {
-			return strconv.FormatFloat(float64(*at(s))/percent, 'f', -1, 64)
-		},
+		format:  func(s *T) string { return written(*at(s)) },
 		parse: func(s *T, text string) error {
 			f, err := strconv.ParseFloat(text, 64)
 			if err != nil {
 				return errors.Errorf("%q is not a number", text)
 			}
-			if !(f >= 1 && f <= largest) {
+			if n := f * float64(parts); !(n >= float64(lowest) && n <= float64(highest)) {
 				return outOfRange(text)
 			}
-			*at(s) = int(math.Round(f * percent))
+			*at(s) = int(math.Round(f * float64(parts)))
 			return nil
 		},
 	}
--- a/internal/settings/site.go
+++ b/internal/settings/site.go
@@ -44,6 +44,11 @@
 // SiteLimits says what the instance has.
 type SiteLimits struct {
 	MemoryMB int
+	// ProcessorMilli is the processor time that the process may use a second,
+	// in milliseconds.
+	ProcessorMilli int
+	// ProcessorSpeed is how many times as fast as one core that processor is.
+	ProcessorSpeed int
 }
 
 // SiteBounds holds the figures that the deployment is bound to.
@@ -104,6 +109,10 @@
 
 		count("limits", "memory_mb", "megabytes", 256, 32, 1<<20, "Memory that the process may use.",
 			func(s *Site) *int { return &s.Limits.MemoryMB }),
+		thousandths("limits", "processor_share", "1", "Share of a processor that the process may use.", 1, 1024*milli,
+			func(s *Site) *int { return &s.Limits.ProcessorMilli }),
+		count("limits", "processor_speed", "times one core", 1, 1, 1024, "How fast that processor is.",
+			func(s *Site) *int { return &s.Limits.ProcessorSpeed }),
 
 		duration("bounds", "revoke", 5*time.Second, shortestBound, longestBound, "How long a withdrawn key may work.",
 			func(s *Site) *time.Duration { return &s.Bounds.Revoke }),
@@ -148,6 +157,11 @@
 // FarFactor returns how much longer a task takes away from its data.
 func (b *SiteBounds) FarFactor() float64 { return float64(b.FarPercent) / percent }
 
+// Processors returns how many cores' work the process may do.
+func (l *SiteLimits) Processors() float64 {
+	return float64(l.ProcessorMilli*l.ProcessorSpeed) / milli
+}
+
 // String returns the settings for the line that is logged at the start.
 func (s *Site) String() string {
 	return fmt.Sprintf("%s in %s/%s", s.Instance.Name, s.Instance.Region, s.Instance.Zone)
--- a/internal/settings/site_test.go
+++ b/internal/settings/site_test.go
@@ -67,6 +67,9 @@
 		"bound too short":    {"grace = 6s", "grace = 1ms", KindRange, "bounds.grace"},
 		"bound too long":     {"grace = 6s", "grace = 100h", KindRange, "bounds.grace"},
 		"no memory":          {"memory_mb = 256", "memory_mb = 0", KindRange, "limits.memory_mb"},
+		"no processor":       {"processor_share = 1", "processor_share = 0", KindRange, "limits.processor_share"},
+		"processor of words": {"processor_share = 1", "processor_share = half", KindBadValue, "limits.processor_share"},
+		"processor unknown":  {"processor_share = 1", "processor_share = NaN", KindRange, "limits.processor_share"},
 		"factor of words":    {"far_factor = 1.5", "far_factor = twice", KindBadValue, "bounds.far_factor"},
 		"unknown level":      {"level = info", "level = loud", KindBadValue, "log.level"},
 		"key twice":          {"grace = 6s", "grace = 6s\ngrace = 6s", KindDuplicateKey, "bounds.grace"},
@@ -113,3 +116,15 @@
 		t.Errorf("got %v, want bounds.grace", restart)
 	}
 }
+
+func TestSiteProcessors(t *testing.T) {
+	text := strings.Replace(SampleSite(), "processor_share = 1", "processor_share = 0.192", 1)
+	text = strings.Replace(text, "processor_speed = 1", "processor_speed = 2", 1)
+	s, err := ParseSite([]byte(text), "site.ini")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := s.Limits.Processors(); got != 0.384 {
+		t.Errorf("0.192 of a processor twice as fast is %v, want 0.384", got)
+	}
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -83,15 +83,29 @@
 
 // Sent observes whether a request had a connection to be written to. A request
 // without one certainly never reached the other side.
-type Sent struct{ got bool }
+type Sent struct {
+	got    bool
+	began  time.Time
+	waited time.Duration
+}
 
-// Observe returns a context whose request is observed.
+// Observe returns a context whose request is observed from now on.
 func (s *Sent) Observe(ctx context.Context) context.Context {
+	s.began = time.Now()
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { s.got = true },
+		GotConn: func(httptrace.GotConnInfo) { s.got, s.waited = true, time.Since(s.began) },
 	})
 }
 
+// Waited returns how long the request waited for its connection, up to now if
+// it has none.
+func (s *Sent) Waited() time.Duration {
+	if s.got {
+		return s.waited
+	}
+	return time.Since(s.began)
+}
+
 // Maybe reports whether the request may have reached the other side.
 func (s *Sent) Maybe() bool { return s.got }
 
