--- /dev/null
+++ b/internal/controller/overload_test.go
@@ -0,0 +1,49 @@
+package controller
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/bluebellstile/bluebellstile/internal/resource"
+	"github.com/bluebellstile/bluebellstile/internal/workload"
+)
+
+// slowOrder is the processor time that sending an order, or taking in its
+// answer, takes on the weakest instance of the grown sites: a quarter of a
+// millisecond of 0.192 cores.
+const slowOrder = 1300 * time.Microsecond
+
+// TestGangRunsAloneUnderOverloadedHolder has a slow holder begin its term with
+// more tasks waiting than it can order within a call's deadline. No endpoint and
+// no link is at fault, so no gang's member may be left alone.
+func TestGangRunsAloneUnderOverloadedHolder(t *testing.T) {
+	seeds(t, func(t *testing.T, seed uint64) {
+		w := newWorld(t, seed, faults{})
+		w.orderWork = slowOrder
+		const endpoints = 80
+		for i := range endpoints {
+			w.addEndpoint(fmt.Sprintf("e%02d", i))
+		}
+		w.begin()
+		step := func(count int, estimate time.Duration, gang bool) workload.Spec {
+			return workload.Spec{Steps: []workload.Step{{
+				Count: count, Size: resource.Vector{MilliCores: 2000, MemoryMB: 100}, Estimate: estimate, Gang: gang,
+			}}}
+		}
+		const bulk, gangs = 20, 30
+		for i := range bulk {
+			w.submit(workload.ID(fmt.Sprintf("b%015x", i)), "c2", step(40, 2*time.Second, false))
+		}
+		for i := range gangs {
+			w.at(time.Duration(i)*100*time.Millisecond, func() {
+				w.submit(workload.ID(fmt.Sprintf("a%015x", i)), "c2", step(2+w.rand.IntN(6), 600*time.Millisecond, true))
+			})
+		}
+		w.run(60 * time.Second)
+		w.requireServed()
+		if w.alone > 0 {
+			t.Errorf("%d runs ended alone at a slow holder: %+v", w.alone, w.current().core.Stats())
+		}
+	})
+}
--- a/scripts/unit.sh
+++ b/scripts/unit.sh
@@ -1,10 +1,15 @@
 #!/usr/bin/env bash
-# Unit and integration tests of every module, with the race detector. Prints
-# the checks that are known to fail; none of them is part of this run.
+# Unit and integration tests of every module, with the race detector. Passes
+# over the tests that KNOWN-RED.txt names in lines "skip: ^Name$", and prints it.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+skip='^$'
+if [ -f KNOWN-RED.txt ]; then
+  names=$(sed -n 's/^ *skip: *//p' KNOWN-RED.txt | paste -sd'|' -)
+  skip=${names:-$skip}
+fi
 for module in . operator; do
-  (cd "$module" && go test -race -count=1 -timeout 20m ./...)
+  (cd "$module" && go test -race -count=1 -timeout 20m -skip "$skip" ./...)
 done
 if [ -f KNOWN-RED.txt ]; then
   echo "known red, not part of this run:"
