Confirm the end of a job by the batch that stored it, not by its state

Cause: when a batch stood in the log, every job that it had touched and that was final by then counted as stored, though a job may end while the batch that holds its progress from before is being appended. It was shown as ended, and a repeated cancel was confirmed. If the holder changed before the next append, the next one did not know of the end and ran the job's tasks again.

Ruled out: the log's order, its repeated answers, and reads before the fence.

Change: Seal notes the jobs whose final state it has encoded; only these are confirmed. Looked at for the same: acknowledged ends, admissions, dropped jobs and replies go by batch already.

The overload that makes appends so slow is a fault of its own.

--- a/internal/controller/batch.go
+++ b/internal/controller/batch.go
@@ -29,6 +29,9 @@
 	// size is about how many bytes the admissions take.
 	size    int
 	touched map[workload.ID]*jobEntry
+	// ended are the jobs whose final state the records hold, in order of id;
+	// Seal fills it. A job may end while the batch is being appended.
+	ended   []*jobEntry
 	dropped []workload.ID
 	starts  []*plannedStart
 	// noted gives the ends of an endpoint that the batch has taken in.
@@ -109,6 +112,7 @@
 		c.put(b, progressPrefix, id, e.job.EncodeProgress)
 		if e.job.Final() {
 			b.Records = append(b.Records, keyedlog.Record{Key: admissionPrefix + string(id)})
+			b.ended = append(b.ended, e)
 		}
 	}
 	for _, id := range b.dropped {
@@ -156,10 +160,8 @@
 		}
 		e.waiters = nil
 	}
-	for _, id := range sortedIDs(b.touched) {
-		if e := b.touched[id]; e.job.Final() {
-			c.confirmEnd(now, e)
-		}
+	for _, e := range b.ended {
+		c.confirmEnd(now, e)
 	}
 	for _, s := range b.starts {
 		c.sendStart(now, s)
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -396,7 +396,7 @@
 			answer(0, Outcome{Fate: FateNotSent})
 			return
 		}
-		w.deliver(t, target, decided+wait-w.now, do, answer)
+		w.deliver(target, decided+wait-w.now, do, answer)
 	})
 }
 
@@ -419,7 +419,7 @@
 
 // deliver brings an order that was sent to an endpoint; its answer is waited
 // for that long.
-func (w *world) deliver(t *simTerm, target Target, wait time.Duration, do func(*simEndpoint) Outcome, answer func(time.Duration, Outcome)) {
+func (w *world) deliver(target Target, wait time.Duration, do func(*simEndpoint) Outcome, answer func(time.Duration, Outcome)) {
 	sent := w.now
 	e := w.endpoints[target.ID]
 	born := e.born
