Choose the holder by its processors before its way to the log

Urgent jobs wait for seconds or run into their deadline, hundreds are refused, while 30 instances stand idle.

Cause: who holds the cell was ranked by nearness to the log alone, and the first daemon that had registered claimed it. Of 33 and 43 instances two thirds have 0.192 of a core; the others have 0.8. A weak holder is full at the usual load, loses the cell when it is late with heartbeats, and mostly to another weak one, which needs 3 s to begin.

Change: daemons tell their processors, a new part of the member's record and of the settings. A member with less than half of the strongest one's ranks behind all others; among the rest the way to the log decides as before. The same order serves claims, hand-overs, and a holder's look for a better one, now every 3 s rather than 6. A cell that nobody has claimed is left alone for 0.6 s, so that all have registered. The case "never claimed" of TestShouldClaim moved by that wait; the case without the wait now requires that nothing is claimed.

Alone it isn't enough for promises: where all instances are weak, orders still time out in the process.

TestWeakMemberRanksLast and TestMemberRecordKeepsStrength are new.

--- a/internal/leadership/decide.go
+++ b/internal/leadership/decide.go
@@ -19,6 +19,10 @@
 	// rankStagger is how much longer each next candidate waits, so that they
 	// don't all claim at once.
 	rankStagger = 120 * time.Millisecond
+	// firstWait is how long a cell that nobody has ever claimed is left alone,
+	// so that all daemons have registered: they start within 0.3 s of each
+	// other, and who claims first should be the one that fits best.
+	firstWait = 600 * time.Millisecond
 	// logFresh is the age of the last sign of the log up to which a candidate
 	// may claim: one that can't write would only disturb.
 	logFresh = 2500 * time.Millisecond
@@ -51,7 +55,7 @@
 	stagger := time.Duration(v.Rank) * rankStagger
 	switch {
 	case !v.Claimed:
-		return v.Now-v.Heard >= stagger
+		return v.Now-v.Heard >= firstWait+stagger
 	case v.Gone > 0:
 		return v.Now-v.Gone >= goneAfter+stagger
 	case v.Relieve > 0:
@@ -62,8 +66,7 @@
 }
 
 // Rank returns a daemon's place among the members that may replace a holder:
-// those with a short way to the log first, as each job waits for several calls.
-// Among equals the order differs by epoch, so that one bad candidate does not
+// those that fit best first. Among equals the order differs by epoch, so that one bad candidate does not
 // always come first.
 func Rank(members []Member, self, holder string, epoch int64) int {
 	var candidates []Member
@@ -72,10 +75,11 @@
 			candidates = append(candidates, m)
 		}
 	}
+	fitness := FitnessAmong(candidates)
 	sort.SliceStable(candidates, func(i, k int) bool {
 		a, b := candidates[i], candidates[k]
-		if a.NearLog() != b.NearLog() {
-			return a.NearLog() < b.NearLog()
+		if f, g := fitness(a), fitness(b); f != g {
+			return f.Before(g)
 		}
 		return turn(a.Name, epoch) < turn(b.Name, epoch)
 	})
--- a/internal/leadership/directory.go
+++ b/internal/leadership/directory.go
@@ -44,16 +44,11 @@
 	Started time.Time
 	// LogTime is how long a call of the log takes from there.
 	LogTime time.Duration
+	// Processors is how many cores' work the daemon may do; 0 if it has not
+	// said.
+	Processors float64
 }
 
-// logStep is the difference of LogTime that counts: regions are further apart,
-// and availability zones of one region nearer.
-const logStep = 8 * time.Millisecond
-
-// NearLog orders members by how long a call of the log takes from there, in
-// steps.
-func (m Member) NearLog() int { return int(m.LogTime / logStep) }
-
 // Claim is the record by which a daemon holds the cell.
 type Claim struct {
 	// Epoch is the fencing token of the claim's term: the offset behind the
@@ -70,8 +65,12 @@
 	Region           string `cbor:"4,keyasint"`
 	StartedMS        int64  `cbor:"5,keyasint"`
 	LogMicros        int64  `cbor:"6,keyasint"`
+	ProcessorMilli   int64  `cbor:"7,keyasint,omitempty"`
 }
 
+// milli is how many thousandths there are in one.
+const milli = 1000
+
 type claimRecord struct {
 	Name   string       `cbor:"1,keyasint"`
 	Member memberRecord `cbor:"2,keyasint"`
@@ -85,6 +84,7 @@
 		Region:           m.Region,
 		StartedMS:        m.Started.UnixMilli(),
 		LogMicros:        m.LogTime.Microseconds(),
+		ProcessorMilli:   int64(math.Round(m.Processors * milli)),
 	}
 }
 
@@ -97,6 +97,7 @@
 		Region:           r.Region,
 		Started:          time.UnixMilli(r.StartedMS),
 		LogTime:          time.Duration(r.LogMicros) * time.Microsecond,
+		Processors:       float64(r.ProcessorMilli) / milli,
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -38,9 +38,9 @@
 	// pause grows to relieveMax while nobody can take over.
 	relieveInterval = 250 * time.Millisecond
 	relieveMax      = 2 * time.Second
-	// moveInterval is how often a holder looks for a daemon that is nearer to
-	// the log; a move costs about as much as a planned stop.
-	moveInterval = 6 * time.Second
+	// moveInterval is how often a holder looks for a daemon that would hold the
+	// cell better; a move costs about as much as a planned stop.
+	moveInterval = 3 * time.Second
 )
 
 // Ports are what a daemon uses of the platform.
@@ -89,7 +89,7 @@
 	server    *http.Server
 	tomb      *tomb.Tomb
 	leaving   atomic.Bool
-	// moveAt is when a daemon nearer to the log is looked for next.
+	// moveAt is when a daemon that fits better is looked for next.
 	moveAt time.Duration
 }
 
@@ -104,6 +104,7 @@
 		AvailabilityZone: o.AvailabilityZone,
 		Region:           o.Region,
 		Started:          o.Clock.Wall(),
+		Processors:       o.Processors,
 	}
 	n.peers = fleetpeer.NewClients(nil)
 	n.pool = eligibility.NewPool(o.Clock.Now)
@@ -264,14 +265,15 @@
 }
 
 // successors returns the other daemons in the order in which they are asked to
-// take over: those with a short way to the log first, and of these those that
-// started last, as a rolling restart has passed them already.
+// take over: those that fit best first, and of these those that started last, as
+// a rolling restart has passed them already.
 func (n *Node) successors() []leadership.Member {
 	members := n.directory.Members()
+	fitness := leadership.FitnessAmong(members)
 	others := slices.DeleteFunc(members, func(m leadership.Member) bool { return m.Name == n.self.Name })
 	sort.SliceStable(others, func(i, k int) bool {
-		if a, b := others[i].NearLog(), others[k].NearLog(); a != b {
-			return a < b
+		if a, b := fitness(others[i]), fitness(others[k]); a != b {
+			return a.Before(b)
 		}
 		return others[i].Started.After(others[k].Started)
 	})
@@ -296,7 +298,7 @@
 		}
 		if !t.controller.WantsRelief() {
 			pause = relieveInterval
-			n.moveNearLog(ctx)
+			n.moveToFittest(ctx)
 			continue
 		}
 		n.options.Logger.Warn("the log takes nothing here, asking others to take over", "for", t.controller.StuckFor())
@@ -317,18 +319,19 @@
 	return err
 }
 
-// moveNearLog hands the term to a daemon with a shorter way to the log, if there
-// is one, at most once in a while.
-func (n *Node) moveNearLog(ctx context.Context) {
+// moveToFittest hands the term to a daemon that would hold the cell better, if
+// there is one, at most once in a while.
+func (n *Node) moveToFittest(ctx context.Context) {
 	now := n.options.Clock.Now()
 	if now < n.moveAt {
 		return
 	}
 	n.moveAt = now + moveInterval
-	own := n.directory.Self().NearLog()
-	nearer := slices.DeleteFunc(n.successors(), func(m leadership.Member) bool { return m.NearLog() >= own })
-	if len(nearer) > 0 {
-		n.handOver(ctx, nearer)
+	fitness := leadership.FitnessAmong(n.directory.Members())
+	own := fitness(n.directory.Self())
+	fitter := slices.DeleteFunc(n.successors(), func(m leadership.Member) bool { return !fitness(m).Before(own) })
+	if len(fitter) > 0 {
+		n.handOver(ctx, fitter)
 	}
 }
 
