Bound the orders under way by the time that they take

Cause: each decided start and report went out at once as a call of its own, with 400 ms from then on to its answer. With more at once than the process can work on in that time (850 starts at the begin of a term, 350 first reports), all of them run into their deadline in its own queues. Each then costs a repetition, a stop and a new connection, and the stops of half-begun gangs wait behind all that: a collapse that keeps itself up. Its class: work without a bound whose time-outs count the wait in the own process.

Ruled out: longer time-outs (the queue grows with them, and leases and gangs have bounds of their own); a fixed bound (instances differ by four in strength); a queue behind the core (its deadlines and permits would grow old in it unseen).

Change: the core bounds the starts under way by a window that follows the time to their result, and the holds that are answered at once by a number. A plan decides on no more starts than may wait, with a part left to urgent work; what waits is sent urgent first, a gang as a whole or, if a permit has expired, not at all. Endpoints with runs are asked before idle ones, reports are asked for more rarely while answers take long, and stops go before all other orders.

--- a/internal/controller/batch.go
+++ b/internal/controller/batch.go
@@ -163,9 +163,8 @@
 	for _, e := range b.ended {
 		c.confirmEnd(now, e)
 	}
-	for _, s := range b.starts {
-		c.sendStart(now, s)
-	}
+	c.flow.ready(b.starts)
+	c.sendReady(now)
 	for e, number := range b.noted {
 		e.Acked = max(e.Acked, number)
 		ec := c.controlOf(e)
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -9,6 +9,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/bluebellstile/bluebellstile/internal/catalog"
@@ -56,10 +57,14 @@
 	rates map[string]*bucket
 	// goodShare is the share of endpoints that may run a queue's steps.
 	goodShare map[string]float64
+	// holdFrom is the endpoint, by its place, whose hold is handed out first.
+	holdFrom int
 	// control is what the core remembers of each endpoint beside its account.
 	control map[*fleet.Endpoint]*endpointControl
 
-	batch  *Batch
+	batch *Batch
+	// stops are the orders to stop runs, orders all others.
+	stops  []Order
 	orders []Order
 	// planDue is set when a plan may find something to do.
 	planDue bool
@@ -67,6 +72,7 @@
 
 	urgent  urgentLoad
 	backlog backlog
+	flow    flow
 	// silentBefore gives the incarnations of the endpoints that an earlier term
 	// has recorded as silent.
 	silentBefore map[string]int64
@@ -148,6 +154,7 @@
 
 		batch: newBatch(),
 		lanes: 1,
+		flow:  newFlow(),
 	}
 }
 
@@ -165,15 +172,22 @@
 // Version returns the version of the configuration in force.
 func (c *Core) Version() int64 { return c.catalog.Version }
 
-// TakeOrders returns the orders that are to be carried out now.
+// TakeOrders returns the orders that are to be carried out now. Stops go first:
+// a gang's members wait for them, and cancelled work goes on until they arrive.
 func (c *Core) TakeOrders() []Order {
-	orders := c.orders
-	c.orders = nil
+	orders := slices.Concat(c.stops, c.orders)
+	c.stops, c.orders = nil, nil
 	return orders
 }
 
 // emit hands out an order.
-func (c *Core) emit(o Order) { c.orders = append(c.orders, o) }
+func (c *Core) emit(o Order) {
+	if _, stop := o.(*StopOrder); stop {
+		c.stops = append(c.stops, o)
+		return
+	}
+	c.orders = append(c.orders, o)
+}
 
 // Stats returns the counts.
 func (c *Core) Stats() Stats {
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -32,6 +32,9 @@
 	Permit     string
 	// Deadline is the end of the lease on the endpoint's clock.
 	Deadline time.Duration
+
+	// sent is when the core handed the order out.
+	sent time.Duration
 }
 
 // StopOrder stops a run, and bars it if it has not begun. The result goes to
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -45,6 +45,10 @@
 	if !c.planDue {
 		return
 	}
+	if c.flow.mayPlan() <= 0 {
+		c.flow.limited = true
+		return
+	}
 	c.planDue = false
 	c.stats.Plans++
 	snapshot := c.snapshot(now)
@@ -56,6 +60,7 @@
 	c.applyStarts(now, plan.Starts)
 	c.dropHeld()
 	c.wanted = plan.Wanted
+	c.flow.limited = plan.Limited
 	for i := range plan.Questions {
 		c.ask(&plan.Questions[i])
 	}
@@ -73,7 +78,8 @@
 // snapshot describes the present to the scheduler.
 func (c *Core) snapshot(now clock.Instant) *scheduler.Snapshot {
 	s := &scheduler.Snapshot{
-		Now: now.Steady,
+		Now:       now.Steady,
+		MaxStarts: c.flow.mayPlan(),
 		Within: func(customer string, size resource.Vector) bool {
 			return customer == "" || c.catalog.Within(customer, c.fleet.Usage(customer), size)
 		},
@@ -81,6 +87,7 @@
 			FarFactor:    c.bounds.FarFactor,
 			Reservations: reservations,
 			PermitMargin: permitMargin,
+			UrgentStarts: urgentStarts,
 		},
 	}
 	c.backlog.reset()
@@ -297,6 +304,7 @@
 		planned.expires = entry.access.Permits[start.Endpoint].Expires
 	}
 	c.batch.starts = append(c.batch.starts, planned)
+	c.flow.planned++
 }
 
 // ask hands out a question.
--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -34,37 +34,65 @@
 
 // dueHolds hands out the holds that are due.
 func (c *Core) dueHolds(now clock.Instant) {
-	for _, e := range c.fleet.Endpoints() {
+	// Endpoints with runs go first: their leases and gangs wait for it.
+	c.dueHoldsOf(now, func(e *fleet.Endpoint) bool { return len(e.Runs()) > 0 })
+	c.dueHoldsOf(now, func(e *fleet.Endpoint) bool { return len(e.Runs()) == 0 })
+}
+
+// dueHoldsOf hands out the due holds of some of the endpoints, in turn from the
+// one at which it ran out of looks.
+func (c *Core) dueHoldsOf(now clock.Instant, which func(*fleet.Endpoint) bool) {
+	endpoints := c.fleet.Endpoints()
+	first := c.holdFrom
+	for i := range endpoints {
+		at := (first + i) % len(endpoints)
+		e := endpoints[at]
 		ec := c.controlOf(e)
-		if ec.holding || now.Steady < ec.holdAt {
+		if ec.holding || now.Steady < ec.holdAt || !which(e) {
 			continue
 		}
-		ec.holding = true
-		c.stats.Holds++
-		o := &HoldOrder{Target: targetOf(e)}
-		if e.Acked > ec.confirmed {
-			// Ends are acknowledged once: a hold that arrives late could meet
-			// a new life of the endpoint, which counts its ends anew.
-			o.Acked = e.Acked
-		}
-		if e.Adopted && e.Clock.Known() && e.Failures == 0 && e.Acked >= ec.reached {
-			switch {
-			case len(e.Runs()) == 0, c.anyBarred(ec):
-				o.Wait = 0
-			case shares(e):
-				o.Wait = paceInterval
-			default:
-				o.Wait = holdWait
-			}
-		}
-		if len(e.Runs()) > 0 && c.mayGrant(e) {
-			// A silent endpoint's lease is not extended, or it would never
-			// certainly have lapsed.
-			o.Deadline = e.Deadline(now.Steady, c.bounds.Lease)
-			e.Grant(o.Deadline)
+		wait := c.holdWait(e, ec)
+		if wait == 0 && c.flow.looks >= mostLooks {
+			c.holdFrom = at
+			continue
 		}
-		c.emit(o)
+		c.sendHold(now, e, ec, wait)
+	}
+}
+
+// holdWait returns how long an endpoint may wait for an end before it answers;
+// 0 if its answer is wanted at once.
+func (c *Core) holdWait(e *fleet.Endpoint, ec *endpointControl) time.Duration {
+	switch {
+	case !e.Adopted, !e.Clock.Known(), e.Failures > 0, e.Acked < ec.reached, len(e.Runs()) == 0, c.anyBarred(ec):
+		return 0
+	case shares(e):
+		return paceInterval
+	default:
+		return holdWait
+	}
+}
+
+// sendHold hands out a hold.
+func (c *Core) sendHold(now clock.Instant, e *fleet.Endpoint, ec *endpointControl, wait time.Duration) {
+	ec.holding = true
+	c.stats.Holds++
+	o := &HoldOrder{Target: targetOf(e), Wait: wait}
+	if wait == 0 {
+		c.flow.looks++
+	}
+	if e.Acked > ec.confirmed {
+		// Ends are acknowledged once: a hold that arrives late could meet
+		// a new life of the endpoint, which counts its ends anew.
+		o.Acked = e.Acked
 	}
+	if len(e.Runs()) > 0 && c.mayGrant(e) {
+		// A silent endpoint's lease is not extended, or it would never
+		// certainly have lapsed.
+		o.Deadline = e.Deadline(now.Steady, c.bounds.Lease)
+		e.Grant(o.Deadline)
+	}
+	c.emit(o)
 }
 
 // anyBarred reports whether a run was barred and waits for a report.
@@ -79,6 +107,9 @@
 
 // HoldAnswered takes in the result of a hold.
 func (c *Core) HoldAnswered(now clock.Instant, o *HoldOrder, report Report, out Outcome) {
+	if o.Wait == 0 {
+		c.flow.looks--
+	}
 	e := c.fleet.Endpoint(o.Target.ID)
 	if e == nil || e.Incarnation != o.Target.Incarnation {
 		return
@@ -153,7 +184,7 @@
 			wait = min(wait, time.Duration(endShare*float64(r.ExpectedEnd-now.Steady)))
 		}
 	}
-	return max(wait, holdGap)
+	return time.Duration(c.flow.stretch() * float64(max(wait, holdGap)))
 }
 
 // runningRow takes in that a run is running.
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -99,14 +99,15 @@
 	delete(ec.runs, r)
 }
 
-// sendStart hands out the order of a start whose record stands in the log.
-func (c *Core) sendStart(now clock.Instant, s *plannedStart) {
+// sendStart hands out the order of a start whose record stands in the log,
+// unless its permit, or that of another member of its gang, has expired.
+func (c *Core) sendStart(now clock.Instant, s *plannedStart, expired bool) {
 	r := s.run
 	if c.fleet.Find(r.Key) != r {
 		return
 	}
 	rc := c.controlOfRun(r)
-	if r.Step.Job.Final() || rc.stopped || c.controlOf(r.Endpoint).silent || s.expires > 0 && now.Steady+sendAllowance > s.expires {
+	if r.Step.Job.Final() || rc.stopped || c.controlOf(r.Endpoint).silent || expired {
 		c.neverRan(now, r)
 		return
 	}
@@ -123,7 +124,9 @@
 // repeatStart hands out a start order with a fresh deadline.
 func (c *Core) repeatStart(now clock.Instant, r *fleet.Run, rc *runControl) {
 	rc.tries++
+	c.flow.starts++
 	order := *rc.order
+	order.sent = now.Steady
 	order.Deadline = r.Endpoint.Deadline(now.Steady, c.bounds.Lease)
 	r.Endpoint.Grant(order.Deadline)
 	c.stats.Starts++
@@ -132,6 +135,8 @@
 
 // StartAnswered takes in the result of a start.
 func (c *Core) StartAnswered(now clock.Instant, o *StartOrder, out Outcome) {
+	c.flow.answered(now.Steady, now.Steady-o.sent)
+	defer c.sendReady(now)
 	r := c.fleet.Find(o.Key)
 	if r == nil || r.Endpoint.ID != o.Target.ID || r.Endpoint.Incarnation != o.Target.Incarnation {
 		return
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -226,18 +226,23 @@
 			t.core.EndpointListed(w.instant(), e.registration())
 		}
 	}
-	var entries []keyedlog.Entry
+	t.core.Restore(w.instant(), w.entries())
+	w.terms = append(w.terms, t)
+	w.tick(t)
+}
+
+// entries returns the newest record of each key of the log.
+func (w *world) entries() []keyedlog.Entry {
 	keys := make([]string, 0, len(w.records))
 	for k := range w.records {
 		keys = append(keys, k)
 	}
 	sort.Strings(keys)
+	entries := make([]keyedlog.Entry, 0, len(keys))
 	for _, k := range keys {
 		entries = append(entries, keyedlog.Entry{Record: keyedlog.Record{Key: k, Value: w.records[k]}})
 	}
-	t.core.Restore(w.instant(), entries)
-	w.terms = append(w.terms, t)
-	w.tick(t)
+	return entries
 }
 
 func (w *world) ids() []string {
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -18,7 +18,7 @@
 func (p *planner) placeGang(d *Demand) {
 	p.returnHeld(d)
 	n := len(d.Tasks)
-	if !p.allowed(d, n) {
+	if !p.allowed(d, n) || !p.mayStart(d) {
 		p.keepHeld(d)
 		return
 	}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -230,6 +230,19 @@
 	return p.Within(customer, p.given[customer].Add(size))
 }
 
+// mayStart reports whether the plan may have one more start, and notes if it
+// may not.
+func (p *planner) mayStart(d *Demand) bool {
+	left := p.MaxStarts - len(p.plan.Starts)
+	if !d.Urgent {
+		left -= p.Policy.UrgentStarts
+	}
+	if left <= 0 {
+		p.plan.Limited = true
+	}
+	return left > 0
+}
+
 // start decides on a start.
 func (p *planner) start(d *Demand, task int, h *Host, permit string) {
 	spec := d.Step.Spec
@@ -259,9 +272,16 @@
 		p.plan.Blocked++
 		return
 	}
+	if !p.mayStart(d) {
+		p.plan.Blocked++
+		return
+	}
 	hosts := p.candidates(d)
 	waiting := d.Tasks
 	for len(waiting) > 0 && p.allowed(d, 1) {
+		if !p.mayStart(d) {
+			return
+		}
 		task := waiting[0]
 		h, token := p.hostFor(d, task, hosts)
 		if h == nil {
--- a/internal/scheduler/plan_test.go
+++ b/internal/scheduler/plan_test.go
@@ -45,7 +45,7 @@
 
 func snapshot(n int, demands ...*Demand) *Snapshot {
 	return &Snapshot{
-		Now: now, Hosts: hosts(n), Demands: demands, Questions: 3, UrgentQuestions: 5,
+		Now: now, Hosts: hosts(n), Demands: demands, Questions: 3, UrgentQuestions: 5, MaxStarts: 1000,
 		Within: func(string, resource.Vector) bool { return true },
 		Policy: Policy{FarFactor: 2, Reservations: 3, PermitMargin: 100 * time.Millisecond},
 	}
@@ -326,3 +326,37 @@
 		t.Errorf("%d of %d demands were searched for, at most %d may be", n, jobs, mostSearched)
 	}
 }
+
+// TestMaxStarts bounds the starts of a plan: the rest is left to urgent work, and
+// a gang that is begun below the bound is whole.
+func TestMaxStarts(t *testing.T) {
+	bulk := open("a", "c", workload.Step{Count: 9, Size: cores(1), Estimate: time.Second})[0]
+	gang := open("b", "c", workload.Step{Count: 4, Size: cores(1), Estimate: time.Second, Gang: true})[0]
+	urgent := open("d", "c", workload.Step{Count: 9, Size: cores(1), Estimate: time.Second})[0]
+	for name, c := range map[string]struct {
+		max, bulk, gang, urgent int
+		limited                 bool
+	}{
+		"no bound in reach":       {max: 100, bulk: 9, gang: 4, urgent: 9},
+		"urgent work takes all":   {max: 6, urgent: 6, limited: true},
+		"the rest is kept for it": {max: 11, urgent: 9, limited: true},
+		"a gang goes beyond":      {max: 13, gang: 4, urgent: 9, limited: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			demands := []*Demand{demand(bulk), demand(gang), demand(urgent)}
+			demands[0].Priority, demands[1].Priority = 2, 1
+			demands[2].Urgent, demands[2].Priority = true, 0
+			s := snapshot(4, demands...)
+			s.MaxStarts, s.Policy.UrgentStarts = c.max, 3
+			p := Make(s)
+			for step, want := range map[*workload.StepRun]int{bulk: c.bulk, gang: c.gang, urgent: c.urgent} {
+				if got := len(started(p, step)); got != want {
+					t.Errorf("%d tasks of %s start, want %d", got, step.Name(), want)
+				}
+			}
+			if p.Limited != c.limited {
+				t.Errorf("the plan is limited: %v, want %v", p.Limited, c.limited)
+			}
+		})
+	}
+}
--- a/internal/scheduler/snapshot.go
+++ b/internal/scheduler/snapshot.go
@@ -23,6 +23,9 @@
 	Questions int
 	// UrgentQuestions is the same for urgent work.
 	UrgentQuestions int
+	// MaxStarts is how many tasks may start. A gang that is begun below it may
+	// go beyond, as its members start together or not at all.
+	MaxStarts int
 	// Within reports whether a customer may take size more beside what the
 	// plan has given it already.
 	Within func(customer string, size resource.Vector) bool
@@ -43,6 +46,8 @@
 	// PermitMargin is the least time for which a permit must still be good
 	// when a start is decided.
 	PermitMargin time.Duration
+	// UrgentStarts is the part of MaxStarts that is left to urgent work.
+	UrgentStarts int
 }
 
 // Host is an endpoint that may take tasks.
@@ -121,6 +126,8 @@
 	Questions []Question
 	// Blocked counts the demands that found no room.
 	Blocked int
+	// Limited is set if more would have started but for MaxStarts.
+	Limited bool
 	// Wanted are the endpoints on which blocked gangs wait for room.
 	Wanted map[*fleet.Endpoint]bool
 }
