Send heartbeats at once from a holder that has restarted

A daemon that held the cell in its earlier life is no candidate for replacing itself, so it got the rank behind all others and the longest pause between heartbeats, 2.2 s, fixed in advance. It then took the new holder, which it had not asked, as silent after 0.8 s.

Evidence: a failed heartbeat has a log line now, with its wait for a connection. There are none between 13 and 20 s, while kingston-d-8 and kingston-a-2, the holder before, claim the cell from each other four times.

Change: the pause is judged at each look instead of ahead, and such a daemon takes the shortest.

--- a/internal/fleetpeer/client.go
+++ b/internal/fleetpeer/client.go
@@ -84,9 +84,10 @@
 
 // Heartbeat implements leadership.Peers.
 func (c *Clients) Heartbeat(ctx context.Context, address string) (leadership.Beat, bool, error) {
-	r, err := c.To(address).rpc.Heartbeat(ctx, connect.NewRequest(&fleetv1.HeartbeatRequest{}))
+	var sent transport.Sent
+	r, err := c.To(address).rpc.Heartbeat(sent.Observe(ctx), connect.NewRequest(&fleetv1.HeartbeatRequest{}))
 	if err != nil {
-		return leadership.Beat{}, transport.Refused(err), err
+		return leadership.Beat{}, transport.Refused(err), errors.WithMessagef(err, "%s in wait for a connection", sent.Waited().Round(time.Millisecond))
 	}
 	return leadership.Beat{
 		Incarnation: r.Msg.Incarnation,
--- a/internal/leadership/beat_test.go
+++ b/internal/leadership/beat_test.go
@@ -34,6 +34,12 @@
 					perSecond += 1 / pause.Seconds()
 				}
 			}
+			restarted := NewDirectory(&claimLog{}, keyedlog.Partition{Topic: "cell"}, clock.System(), Member{Name: "d000", Incarnation: "new"}, quiet())
+			restarted.reset(members)
+			restarted.Learn(Claim{Epoch: 1, Holder: Member{Name: "d000", Incarnation: "old"}})
+			if pause := NewElector(restarted, nil, clock.System(), nil, nil, nil, quiet()).beatPause(); pause != beatInterval {
+				t.Errorf("a holder that has restarted sends a heartbeat each %s", pause)
+			}
 			if perSecond > most {
 				t.Errorf("the holder gets %.0f heartbeats a second, want at most %.0f", perSecond, most)
 			}
--- a/internal/leadership/elector.go
+++ b/internal/leadership/elector.go
@@ -91,13 +91,13 @@
 func (e *Elector) Run(t *tomb.Tomb) error {
 	ticker := time.NewTicker(decideInterval)
 	defer ticker.Stop()
-	nextBeat := time.Duration(0)
+	lastBeat := time.Duration(0)
 	for {
 		changed := e.directory.Changed()
 		e.observe()
 		now := e.clock.Now()
-		if now >= nextBeat {
-			nextBeat = now + e.beatPause()
+		if lastBeat == 0 || now-lastBeat >= e.beatPause() {
+			lastBeat = now
 			e.beat(t)
 		}
 		if replaces, due := e.due(now); due {
@@ -122,6 +122,10 @@
 // beatPause returns the time between two heartbeats of this daemon.
 func (e *Elector) beatPause() time.Duration {
 	claim := e.directory.Current()
+	if claim.Holder.Name == e.directory.self.Name {
+		// The claim of an earlier life, which another daemon is about to replace.
+		return beatInterval
+	}
 	rank := Rank(e.directory.Members(), e.directory.self.Name, claim.Holder.Name, claim.Epoch)
 	return time.Duration(1+rank/beatRanks) * beatInterval
 }
@@ -168,6 +172,9 @@
 		ctx, cancel := context.WithTimeout(t.Context(context.Background()), beatTimeout)
 		defer cancel()
 		b, gone, err := e.peers.Heartbeat(ctx, claim.Holder.Address)
+		if err != nil && t.Alive() {
+			e.logger.Info("heartbeat to the holder failed", "holder", claim.Holder.Name, "epoch", claim.Epoch, "gone", gone, "error", err)
+		}
 		e.take(claim, b, gone, err)
 		return nil
 	})
