Let candidates claim in their turn after an outage of the log

When the store is back after 4 s, a weak instance claims the cell, needs 2 s to begin and holds it until a strong one takes it over.

Cause: candidates wait for their turn from when the holder fell silent. After an outage all of them have waited long enough, so whoever reaches the log first claims. Ruled out: the rank itself, which is right before and after.

Change: a daemon claims only once the log has worked for it for 250 ms and its turn. What failed is noted from a failed claim and from a log that was not heard of for 2.5 s; a daemon whose log works all the while claims as before.

--- a/internal/leadership/claim_test.go
+++ b/internal/leadership/claim_test.go
@@ -149,18 +149,21 @@
 		change func(*View)
 		want   bool
 	}{
-		"the holder is well":           {func(*View) {}, false},
-		"silent, not for long":         {func(v *View) { v.Heard = now - silentAfter + 1 }, false},
-		"silent":                       {func(v *View) { v.Heard = now - silentAfter }, true},
-		"silent, another goes first":   {func(v *View) { v.Heard, v.Rank = now-silentAfter, 1 }, false},
-		"silent, the first did not":    {func(v *View) { v.Heard, v.Rank = now-silentAfter-rankStagger, 1 }, true},
-		"silent, no log here":          {func(v *View) { v.Heard, v.LogSeen = now-time.Minute, now-logFresh-1 }, false},
-		"gone just now":                {func(v *View) { v.Gone = now }, false},
-		"gone":                         {func(v *View) { v.Gone = now - goneAfter }, true},
-		"asks for relief":              {func(v *View) { v.Relieve = now - goneAfter }, true},
-		"never claimed, just now":      {func(v *View) { v.Claimed = false }, false},
-		"never claimed":                {func(v *View) { v.Claimed, v.Heard = false, now-firstWait }, true},
-		"never claimed, another first": {func(v *View) { v.Claimed, v.Heard, v.Rank = false, now-firstWait, 2 }, false},
+		"the holder is well":            {func(*View) {}, false},
+		"silent, not for long":          {func(v *View) { v.Heard = now - silentAfter + 1 }, false},
+		"silent":                        {func(v *View) { v.Heard = now - silentAfter }, true},
+		"silent, another goes first":    {func(v *View) { v.Heard, v.Rank = now-silentAfter, 1 }, false},
+		"silent, the first did not":     {func(v *View) { v.Heard, v.Rank = now-silentAfter-rankStagger, 1 }, true},
+		"silent, no log here":           {func(v *View) { v.Heard, v.LogSeen = now-time.Minute, now-logFresh-1 }, false},
+		"gone just now":                 {func(v *View) { v.Gone = now }, false},
+		"gone":                          {func(v *View) { v.Gone = now - goneAfter }, true},
+		"asks for relief":               {func(v *View) { v.Relieve = now - goneAfter }, true},
+		"silent, the log is just back":  {func(v *View) { v.Heard, v.LogFailed = now-time.Minute, now-logSettle+1 }, false},
+		"silent, the log is back":       {func(v *View) { v.Heard, v.LogFailed = now-time.Minute, now-logSettle }, true},
+		"log is back, another is first": {func(v *View) { v.Heard, v.LogFailed, v.Rank = now-time.Minute, now-logSettle, 1 }, false},
+		"never claimed, just now":       {func(v *View) { v.Claimed = false }, false},
+		"never claimed":                 {func(v *View) { v.Claimed, v.Heard = false, now-firstWait }, true},
+		"never claimed, another first":  {func(v *View) { v.Claimed, v.Heard, v.Rank = false, now-firstWait, 2 }, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			v := base
@@ -254,3 +257,36 @@
 		}
 	}
 }
+
+// TestWeakDaemonClaimsAfterOutage has the log of a cell without a holder return:
+// although all candidates have waited for long, each claims in its turn.
+func TestWeakDaemonClaimsAfterOutage(t *testing.T) {
+	const back = time.Hour
+	members := []Member{{Name: "strong", Processors: 0.8}, {Name: "weak", Processors: 0.1}}
+	claims := make(map[string]time.Duration)
+	for _, self := range members {
+		d := NewDirectory(&claimLog{}, keyedlog.Partition{Topic: "cell"}, clock.System(), self, quiet())
+		d.reset(nil)
+		d.mu.Lock()
+		d.members = map[string]Member{"strong": members[0], "weak": members[1]}
+		d.mu.Unlock()
+		d.Learn(Claim{Epoch: 1, Holder: Member{Name: "gone"}})
+		seen := back - time.Minute
+		e := NewElector(d, nil, clock.System(), func() time.Duration { return seen }, nil, nil, quiet())
+		e.watched, e.heard = 1, seen
+		for now := back - decideInterval; claims[self.Name] == 0 && now < back+time.Minute; now += decideInterval {
+			if now >= back {
+				seen = now
+			}
+			if _, due := e.due(now); due {
+				claims[self.Name] = now - back
+			}
+		}
+	}
+	if claims["strong"] == 0 || claims["strong"] > time.Second {
+		t.Errorf("the strong daemon claims %s after the return of the log", claims["strong"])
+	}
+	if claims["weak"] < claims["strong"]+rankStagger/2 {
+		t.Errorf("the weak daemon claims after %s, the strong one after %s", claims["weak"], claims["strong"])
+	}
+}
--- a/internal/leadership/decide.go
+++ b/internal/leadership/decide.go
@@ -26,6 +26,10 @@
 	// logFresh is the age of the last sign of the log up to which a candidate
 	// may claim: one that can't write would only disturb.
 	logFresh = 2500 * time.Millisecond
+	// logSettle is how long after its last failure the log must have worked for a
+	// daemon to claim, besides its place among the candidates. After an outage
+	// all are due at once, and the first to reach the log would hold the cell.
+	logSettle = 250 * time.Millisecond
 )
 
 // View is what a daemon knows when it decides whether to claim the cell.
@@ -43,6 +47,8 @@
 	Relieve time.Duration
 	// LogSeen is when the log last answered this daemon.
 	LogSeen time.Duration
+	// LogFailed is when the log last failed this daemon; 0 if it has not.
+	LogFailed time.Duration
 	// Rank is this daemon's place among the candidates, from 0.
 	Rank int
 }
@@ -53,6 +59,9 @@
 		return false
 	}
 	stagger := time.Duration(v.Rank) * rankStagger
+	if v.LogFailed > 0 && v.Now-v.LogFailed < logSettle+stagger {
+		return false
+	}
 	switch {
 	case !v.Claimed:
 		return v.Now-v.Heard >= firstWait+stagger
--- a/internal/leadership/elector.go
+++ b/internal/leadership/elector.go
@@ -62,15 +62,17 @@
 	// begin is told of each claim of this daemon that came into force.
 	begin func(Claim)
 
-	mu       sync.Mutex
-	watched  int64
-	heard    time.Duration
-	gone     time.Duration
-	relieve  time.Duration
-	idle     time.Duration
-	begun    int64
-	ended    int64
-	claimed  time.Duration
+	mu      sync.Mutex
+	watched int64
+	heard   time.Duration
+	gone    time.Duration
+	relieve time.Duration
+	idle    time.Duration
+	begun   int64
+	ended   int64
+	claimed time.Duration
+	// failed is when the log last failed this daemon.
+	failed   time.Duration
 	claiming bool
 	leaving  bool
 }
@@ -234,14 +236,19 @@
 		return 0, false
 	}
 	holder := e.directory.Current().Holder
+	seen := e.logSeen()
+	if seen >= 0 && now-seen > logFresh {
+		e.failed = now
+	}
 	return e.watched, ShouldClaim(View{
-		Now:     now,
-		Claimed: e.watched > 0,
-		Heard:   e.heard,
-		Gone:    e.gone,
-		Relieve: e.relieve,
-		LogSeen: e.logSeen(),
-		Rank:    Rank(e.directory.Members(), e.directory.self.Name, holder.Name, e.watched),
+		Now:       now,
+		Claimed:   e.watched > 0,
+		Heard:     e.heard,
+		Gone:      e.gone,
+		Relieve:   e.relieve,
+		LogSeen:   seen,
+		LogFailed: e.failed,
+		Rank:      Rank(e.directory.Members(), e.directory.self.Name, holder.Name, e.watched),
 	})
 }
 
@@ -258,6 +265,10 @@
 	claim, err := e.claim(ctx, replaces)
 	e.mu.Lock()
 	e.claiming = false
+	switch keyedlog.KindOf(err) {
+	case keyedlog.KindRefused, keyedlog.KindUnanswered:
+		e.failed = e.clock.Now()
+	}
 	e.mu.Unlock()
 	if err != nil {
 		return Claim{}, err
