Count the tasks of an ended job for their customer at the next holder

What callers would see: QUOTA, a customer with more running than its limit, for the time that stops take, if the holder changes right after a job of the customer was cancelled or has failed.

Cause: the record of an ended job held no runs. The next holder learned of tasks that were still being stopped from the endpoints' reports, as strangers without a size, and placed the customer's other tasks beside them.

Change: while runs of an ended job are not known to have ended, its record keeps them and its admission stays; the next holder inherits and stops them. Only the end of the last one is stored, so that a cancelled job costs one record more.

--- a/internal/controller/batch.go
+++ b/internal/controller/batch.go
@@ -110,9 +110,12 @@
 	for _, id := range sortedIDs(b.touched) {
 		e := b.touched[id]
 		c.put(b, progressPrefix, id, e.job.EncodeProgress)
-		if e.job.Final() {
+		if !e.job.Final() {
+			continue
+		}
+		b.ended = append(b.ended, e)
+		if !e.job.Unresolved() {
 			b.Records = append(b.Records, keyedlog.Record{Key: admissionPrefix + string(id)})
-			b.ended = append(b.ended, e)
 		}
 	}
 	for _, id := range b.dropped {
--- a/internal/controller/final_test.go
+++ b/internal/controller/final_test.go
@@ -36,3 +36,45 @@
 		t.Errorf("once it is stored: shown as %s, %d of 2 cancels confirmed", state, confirmed)
 	}
 }
+
+// TestCustomerOverLimitAfterHolderChange cancels a job that takes all that its
+// customer may have, and changes the holder before the tasks have stopped: they
+// still count, so that nothing else of the customer starts beside them.
+func TestCustomerOverLimitAfterHolderChange(t *testing.T) {
+	w := newWorld(t, 1, faults{})
+	fleetOf(w)
+	w.begin()
+	const big, next, customer = workload.ID("b000000000000001"), workload.ID("b000000000000002"), "c1"
+	job := func(count int) workload.Spec {
+		return workload.Spec{Steps: []workload.Step{{Count: count, Size: resource.Vector{MilliCores: 5000, MemoryMB: 100}, Estimate: 20 * time.Second}}}
+	}
+	w.submit(big, customer, job(20))
+	w.run(time.Second)
+	w.cancel(big)
+	w.run(time.Second + 40*time.Millisecond)
+	if w.jobs[big].cancelled == 0 {
+		t.Fatal("the cancelling is not confirmed yet")
+	}
+	w.begin()
+	running := resource.Vector{}
+	for _, e := range w.endpoints {
+		for _, r := range e.running {
+			running = running.Add(r.step.Size)
+		}
+	}
+	if got := w.current().core.fleet.Usage(customer); running.MilliCores == 0 || got.MilliCores < running.MilliCores {
+		t.Errorf("%v counts for the customer at the next holder, %v runs", got, running)
+	}
+	w.submit(next, customer, job(8))
+	w.run(3 * time.Second)
+	core := w.current().core
+	if len(core.fleet.RunsOf(workload.TaskID{Job: big})) > 0 || core.jobs[big].job.Unresolved() {
+		t.Error("runs of the cancelled job are left in the books")
+	}
+	if _, kept := w.records[admissionPrefix+string(big)]; kept {
+		t.Error("the admission of the cancelled job is kept for good")
+	}
+	if state, _ := core.Status(big, customer); state != workload.StateCancelled {
+		t.Errorf("the cancelled job is %s", state)
+	}
+}
--- a/internal/controller/restore.go
+++ b/internal/controller/restore.go
@@ -91,6 +91,11 @@
 	}
 	e := &jobEntry{job: j, admitted: true, ended: j.Final()}
 	c.addJob(now, e)
+	if e.ended {
+		// Its runs occupy their endpoints and count for their customer until
+		// they are known to have ended.
+		defer c.stopJob(now, j)
+	}
 	for _, o := range j.Live() {
 		for _, s := range o.Steps {
 			for i := range s.Tasks {
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -342,7 +342,10 @@
 	if !s.Finish(r.Index(), r.Number, end, checkpoint, c.attempts(s), now.Wall) {
 		return
 	}
-	c.batch.touch(entry)
+	if !entry.ended || !entry.job.Unresolved() {
+		// Of an ended job, only the end of its last run is stored.
+		c.batch.touch(entry)
+	}
 	c.log.Info("run ended", "task", r.Task, "run", r.Number, "endpoint", e.ID, "end", end, "ran", ranFor(now, r))
 	if se := c.steps[s]; se != nil {
 		se.stale = true
--- a/internal/controller/tick.go
+++ b/internal/controller/tick.go
@@ -59,7 +59,7 @@
 func (c *Core) forget(now clock.Instant) {
 	for len(c.ended) > 0 {
 		e := c.ended[0]
-		if now.Wall.Sub(e.job.Finished()) <= c.bounds.StateKept {
+		if now.Wall.Sub(e.job.Finished()) <= c.bounds.StateKept || e.job.Unresolved() {
 			return
 		}
 		c.ended = c.ended[1:]
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -1,6 +1,7 @@
 package workload
 
 import (
+	"slices"
 	"time"
 )
 
@@ -73,6 +74,19 @@
 // Final reports whether the job has ended.
 func (j *Job) Final() bool { return j.final != "" }
 
+// Unresolved reports whether runs of the job are not known to have ended, as
+// after its cancelling.
+func (j *Job) Unresolved() bool {
+	for _, o := range j.live {
+		for _, s := range o.Steps {
+			if !s.Done() && slices.ContainsFunc(s.Tasks, func(t Task) bool { return len(t.runs) > 0 }) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Finished returns when the job ended, by the time of day.
 func (j *Job) Finished() time.Time { return j.finished }
 
--- a/internal/workload/record.go
+++ b/internal/workload/record.go
@@ -193,7 +193,8 @@
 	p := progress{Version: recordVersion, Opened: j.opened}
 	if j.Final() {
 		p.Final, p.FinishedMS, p.Queue, p.Customer = j.final, j.finished.UnixMilli(), j.Queue, j.Customer
-	} else {
+	}
+	if !j.Final() || j.Unresolved() {
 		for _, o := range j.live {
 			p.Live = append(p.Live, storedOccurrence(o))
 		}
@@ -264,7 +265,6 @@
 	}
 	if p.Final != "" {
 		j.final, j.finished = p.Final, time.UnixMilli(p.FinishedMS)
-		return nil
 	}
 	if p.Opened < 0 || p.Opened > j.Spec.Occurrences() {
 		return errors.Errorf("the progress of job %s has opened %d of %d occurrences", j.ID, p.Opened, j.Spec.Occurrences())
