Keep heartbeats and hand-overs off the connections for callers' work

What callers could see: a holder that is replaced although it works, and with it seconds without service.

Cause: heartbeats and hand-overs shared the 32 connections to a daemon with submissions, reads and questions. With all of them in wait for the holder, a heartbeat ran into its 450 ms, and the holder counted as silent after 0.8 s.

Change: two connections of their own.

--- a/internal/fleetpeer/client.go
+++ b/internal/fleetpeer/client.go
@@ -26,8 +26,11 @@
 	dialTimeout = 400 * time.Millisecond
 	// unackedTimeout ends a connection to a daemon that acknowledges nothing.
 	unackedTimeout = time.Second
-	// maxConnections bounds the connections to one daemon.
+	// maxConnections bounds the connections to one daemon for its callers' work.
 	maxConnections = 32
+	// controlConnections bounds those for heartbeats and hand-overs, which must
+	// not wait behind that work: a holder that can't be asked is replaced.
+	controlConnections = 2
 	// idleTimeout closes unused connections.
 	idleTimeout = 30 * time.Second
 	// maxMessageBytes bounds a message; a job has a few kilobytes.
@@ -47,7 +50,8 @@
 // Clients hands out clients by address and shares their connections. It is
 // safe for concurrent use.
 type Clients struct {
-	http *http.Client
+	work    *http.Client
+	control *http.Client
 
 	mu      sync.Mutex
 	clients map[string]*Client
@@ -55,20 +59,23 @@
 
 // NewClients returns clients without connections. wrap may count their bytes.
 func NewClients(wrap func(address string, c net.Conn) net.Conn) *Clients {
-	return &Clients{
-		http: transport.NewClient(transport.Options{
+	client := func(most int) *http.Client {
+		return transport.NewClient(transport.Options{
 			DialTimeout:    dialTimeout,
 			UnackedTimeout: unackedTimeout,
-			MaxPerHost:     maxConnections,
+			MaxPerHost:     most,
 			IdleTimeout:    idleTimeout,
 			Wrap:           wrap,
-		}),
-		clients: make(map[string]*Client),
+		})
 	}
+	return &Clients{work: client(maxConnections), control: client(controlConnections), clients: make(map[string]*Client)}
 }
 
 // Close closes idle connections.
-func (c *Clients) Close() { c.http.CloseIdleConnections() }
+func (c *Clients) Close() {
+	c.work.CloseIdleConnections()
+	c.control.CloseIdleConnections()
+}
 
 // To returns the client for a daemon's address.
 func (c *Clients) To(address string) *Client {
@@ -76,7 +83,10 @@
 	defer c.mu.Unlock()
 	client, ok := c.clients[address]
 	if !ok {
-		client = &Client{rpc: fleetv1connect.NewFleetServiceClient(c.http, "http://"+address, connect.WithReadMaxBytes(maxMessageBytes))}
+		rpc := func(h *http.Client) fleetv1connect.FleetServiceClient {
+			return fleetv1connect.NewFleetServiceClient(h, "http://"+address, connect.WithReadMaxBytes(maxMessageBytes))
+		}
+		client = &Client{work: rpc(c.work), control: rpc(c.control)}
 		c.clients[address] = client
 	}
 	return client
@@ -85,7 +95,7 @@
 // Heartbeat implements leadership.Peers.
 func (c *Clients) Heartbeat(ctx context.Context, address string) (leadership.Beat, bool, error) {
 	var sent transport.Sent
-	r, err := c.To(address).rpc.Heartbeat(sent.Observe(ctx), connect.NewRequest(&fleetv1.HeartbeatRequest{}))
+	r, err := c.To(address).control.Heartbeat(sent.Observe(ctx), connect.NewRequest(&fleetv1.HeartbeatRequest{}))
 	if err != nil {
 		return leadership.Beat{}, transport.Refused(err), errors.WithMessagef(err, "%s in wait for a connection", sent.Waited().Round(time.Millisecond))
 	}
@@ -121,7 +131,8 @@
 // Client calls one daemon. Its errors are ErrNotHolder, ErrNotSent and
 // ErrUnanswered, wrapped with the cause.
 type Client struct {
-	rpc fleetv1connect.FleetServiceClient
+	work    fleetv1connect.FleetServiceClient
+	control fleetv1connect.FleetServiceClient
 }
 
 // call makes a call and sorts its failure by what the caller may conclude.
@@ -142,7 +153,7 @@
 
 // TakeOver asks the daemon to claim the cell from a term.
 func (c *Client) TakeOver(ctx context.Context, epoch int64) (leadership.Claim, error) {
-	r, err := call(ctx, c.rpc.TakeOver, &fleetv1.TakeOverRequest{Epoch: epoch})
+	r, err := call(ctx, c.control.TakeOver, &fleetv1.TakeOverRequest{Epoch: epoch})
 	if err != nil {
 		return leadership.Claim{}, err
 	}
@@ -156,7 +167,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r, err := call(ctx, c.rpc.Submit, &fleetv1.SubmitRequest{Id: string(job.ID), Admission: admission, ConfigVersion: version})
+	r, err := call(ctx, c.work.Submit, &fleetv1.SubmitRequest{Id: string(job.ID), Admission: admission, ConfigVersion: version})
 	if err != nil {
 		return nil, err
 	}
@@ -166,7 +177,7 @@
 // Status returns the state of a job, empty if the customer has none with the
 // id.
 func (c *Client) Status(ctx context.Context, id workload.ID, customer string) (workload.State, error) {
-	r, err := call(ctx, c.rpc.Status, &fleetv1.StatusRequest{Id: string(id), Customer: customer})
+	r, err := call(ctx, c.work.Status, &fleetv1.StatusRequest{Id: string(id), Customer: customer})
 	if err != nil {
 		return "", err
 	}
@@ -175,7 +186,7 @@
 
 // Cancel ends a job and reports whether there is such a job.
 func (c *Client) Cancel(ctx context.Context, id workload.ID, customer string) (bool, error) {
-	r, err := call(ctx, c.rpc.Cancel, &fleetv1.CancelRequest{Id: string(id), Customer: customer})
+	r, err := call(ctx, c.work.Cancel, &fleetv1.CancelRequest{Id: string(id), Customer: customer})
 	if err != nil {
 		return false, err
 	}
@@ -184,7 +195,7 @@
 
 // Waiting counts a queue's jobs of which no task has started.
 func (c *Client) Waiting(ctx context.Context, queue string) (int, error) {
-	r, err := call(ctx, c.rpc.Waiting, &fleetv1.WaitingRequest{Queue: queue})
+	r, err := call(ctx, c.work.Waiting, &fleetv1.WaitingRequest{Queue: queue})
 	if err != nil {
 		return 0, err
 	}
@@ -193,7 +204,7 @@
 
 // Ask has the daemon ask which endpoints may run a step.
 func (c *Client) Ask(ctx context.Context, step string, endpoints []string) (controller.Answer, error) {
-	r, err := call(ctx, c.rpc.Ask, &fleetv1.AskRequest{Step: step, Endpoints: endpoints})
+	r, err := call(ctx, c.work.Ask, &fleetv1.AskRequest{Step: step, Endpoints: endpoints})
 	if err != nil {
 		return controller.Answer{}, err
 	}
