Ask endpoints in turn when there are fewer looks than endpoints

What callers would see: leases that lapse, and ends that go unnoticed, at the same endpoints while the holder is busy or many endpoints don't answer.

The place to begin at the next time was the last endpoint that was left out instead of the first, and shared by endpoints with runs and without, so the first ones in order were asked again and again.

Change: each of the two begins at the first one that it left out.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -57,8 +57,10 @@
 	rates map[string]*bucket
 	// goodShare is the share of endpoints that may run a queue's steps.
 	goodShare map[string]float64
-	// holdFrom is the endpoint, by its place, whose hold is handed out first.
-	holdFrom int
+	// busyFrom and idleFrom are the endpoints, by their place, whose holds are
+	// handed out first, of those with runs and those without.
+	busyFrom int
+	idleFrom int
 	// control is what the core remembers of each endpoint beside its account.
 	control map[*fleet.Endpoint]*endpointControl
 
--- a/internal/controller/flow_test.go
+++ b/internal/controller/flow_test.go
@@ -111,3 +111,28 @@
 		}
 	}
 }
+
+// TestLooksStarveEndpoints has more endpoints to be asked than looks, and none of
+// them answers: each is asked again and again, and all have their turn.
+func TestLooksStarveEndpoints(t *testing.T) {
+	w := newWorld(t, 1, faults{})
+	const endpoints = 300
+	core := New(w.bounds, w.catalog, w.now, w.logger)
+	for i := range endpoints {
+		w.addEndpoint(fmt.Sprintf("e%03d", i))
+		core.EndpointListed(w.instant(), w.endpoints[fmt.Sprintf("e%03d", i)].registration())
+	}
+	asked := make(map[string]bool)
+	for range endpoints/mostLooks + 1 {
+		core.Tick(w.instant())
+		for _, o := range core.TakeOrders() {
+			hold := o.(*HoldOrder)
+			asked[hold.Target.ID] = true
+			core.HoldAnswered(w.instant(), hold, Report{}, Outcome{Fate: FateUnanswered})
+		}
+		w.now += 2 * holdRetry
+	}
+	if len(asked) < endpoints {
+		t.Errorf("%d of %d endpoints were asked", len(asked), endpoints)
+	}
+}
--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -35,29 +35,34 @@
 // dueHolds hands out the holds that are due.
 func (c *Core) dueHolds(now clock.Instant) {
 	// Endpoints with runs go first: their leases and gangs wait for it.
-	c.dueHoldsOf(now, func(e *fleet.Endpoint) bool { return len(e.Runs()) > 0 })
-	c.dueHoldsOf(now, func(e *fleet.Endpoint) bool { return len(e.Runs()) == 0 })
+	c.busyFrom = c.dueHoldsOf(now, c.busyFrom, true)
+	c.idleFrom = c.dueHoldsOf(now, c.idleFrom, false)
 }
 
-// dueHoldsOf hands out the due holds of some of the endpoints, in turn from the
-// one at which it ran out of looks.
-func (c *Core) dueHoldsOf(now clock.Instant, which func(*fleet.Endpoint) bool) {
+// dueHoldsOf hands out the due holds of the endpoints with runs, or of those
+// without, beginning at a place. It returns the place to begin at the next time:
+// of the first one that was left out, so that all have their turn.
+func (c *Core) dueHoldsOf(now clock.Instant, from int, busy bool) (next int) {
 	endpoints := c.fleet.Endpoints()
-	first := c.holdFrom
+	next = from
+	leftOut := false
 	for i := range endpoints {
-		at := (first + i) % len(endpoints)
+		at := (from + i) % len(endpoints)
 		e := endpoints[at]
 		ec := c.controlOf(e)
-		if ec.holding || now.Steady < ec.holdAt || !which(e) {
+		if ec.holding || now.Steady < ec.holdAt || busy != (len(e.Runs()) > 0) {
 			continue
 		}
 		wait := c.holdWait(e, ec)
-		if wait == 0 && c.flow.looks >= mostLooks {
-			c.holdFrom = at
+		if wait > 0 || c.flow.looks < mostLooks {
+			c.sendHold(now, e, ec, wait)
 			continue
 		}
-		c.sendHold(now, e, ec, wait)
+		if !leftOut {
+			next, leftOut = at, true
+		}
 	}
+	return next
 }
 
 // holdWait returns how long an endpoint may wait for an end before it answers;
