--- a/internal/controller/flow.go
+++ b/internal/controller/flow.go
@@ -7,9 +7,8 @@
 )
 
 const (
-	// mostPlanned bounds the starts that were decided on and not sent. A slow
-	// log has four appends under way that take up to 0.3 s together; with this
-	// many for each, 800 tasks a second still start.
+	// mostPlanned bounds the starts that were decided on and not sent: while a
+	// slow log takes 0.3 s for an append, 800 tasks a second still start.
 	mostPlanned = 256
 	// urgentStarts of them are left to urgent work: what arrives during one
 	// plan of a burst.
