Give a holder the time to begin after others have had none

Cause: reading the jobs takes a new holder 4.4 s over that link, and heartbeats wait behind it. After 0.8 s of silence the next daemon claims, and reads as well. No term lasts, and nothing ends it.

Change: each claim that replaced a silent holder before its term had lasted 10 s doubles the silence that the next one is given, up to 12.8 s; a term that lasts sets it back. Known ends, hand-overs and asked reliefs count as before. A term may take 12 s to begin rather than 5.

TestHolderReplacedBeforeItsTermBegins: without the doubling no term begins in 20 claims, with it the fifth at the latest.

--- a/internal/leadership/claim_test.go
+++ b/internal/leadership/claim_test.go
@@ -158,6 +158,9 @@
 		"gone just now":                 {func(v *View) { v.Gone = now }, false},
 		"gone":                          {func(v *View) { v.Gone = now - goneAfter }, true},
 		"asks for relief":               {func(v *View) { v.Relieve = now - goneAfter }, true},
+		"silent, terms don't last":      {func(v *View) { v.Heard, v.Patience = now-silentAfter<<2+1, 2 }, false},
+		"silent for long":               {func(v *View) { v.Heard, v.Patience = now-silentAfter<<2, 2 }, true},
+		"gone, terms don't last":        {func(v *View) { v.Gone, v.Patience = now-goneAfter, mostPatience }, true},
 		"silent, the log is just back":  {func(v *View) { v.Heard, v.LogFailed = now-time.Minute, now-logSettle+1 }, false},
 		"silent, the log is back":       {func(v *View) { v.Heard, v.LogFailed = now-time.Minute, now-logSettle }, true},
 		"log is back, another is first": {func(v *View) { v.Heard, v.LogFailed, v.Rank = now-time.Minute, now-logSettle, 1 }, false},
@@ -290,3 +293,47 @@
 		t.Errorf("the weak daemon claims after %s, the strong one after %s", claims["weak"], claims["strong"])
 	}
 }
+
+// fakeClock is a clock that a test sets.
+type fakeClock struct{ now time.Duration }
+
+func (c *fakeClock) Now() time.Duration { return c.now }
+func (c *fakeClock) Wall() time.Time    { return time.Unix(0, 0).Add(c.now) }
+
+// TestHolderReplacedBeforeItsTermBegins has daemons whose terms take 4.4 s to
+// begin and that answer no heartbeat meanwhile: after some claims, one is given
+// the time. Once its term has lasted, a silent holder is replaced at once again.
+func TestHolderReplacedBeforeItsTermBegins(t *testing.T) {
+	const begins = 4400 * time.Millisecond
+	c := &fakeClock{now: time.Hour}
+	d := NewDirectory(&claimLog{}, keyedlog.Partition{Topic: "cell"}, c, Member{Name: "self"}, quiet())
+	d.reset(nil)
+	d.Learn(Claim{Epoch: 1, Holder: Member{Name: "other", Incarnation: "x"}})
+	e := NewElector(d, nil, c, func() time.Duration { return c.now }, nil, nil, quiet())
+	e.observe()
+	claims := 0
+	for began := c.now; c.now-began < begins; c.now += decideInterval {
+		if _, due := e.due(c.now); due {
+			claims++
+			began = c.now
+			d.Learn(Claim{Epoch: int64(1 + claims), Holder: Member{Name: "other", Incarnation: "x"}})
+			e.observe()
+		}
+		if claims > 20 {
+			t.Fatal("no term can begin")
+		}
+	}
+	if claims > mostPatience {
+		t.Errorf("%d holders were replaced before one could begin", claims)
+	}
+	claim := d.Current()
+	for range int(settled/beatInterval) + 1 {
+		c.now += beatInterval
+		e.take(claim, Beat{Incarnation: "x", Epoch: claim.Epoch}, false, nil)
+		e.observe()
+	}
+	c.now += silentAfter
+	if _, due := e.due(c.now); !due {
+		t.Error("a silent holder whose term had lasted is not replaced at once")
+	}
+}
--- a/internal/leadership/decide.go
+++ b/internal/leadership/decide.go
@@ -23,6 +23,11 @@
 	// so that all daemons have registered: they start within 0.3 s of each
 	// other, and who claims first should be the one that fits best.
 	firstWait = 600 * time.Millisecond
+	// settled is how long a holder has to be heard of for its term to count as
+	// one that lasts, and mostPatience bounds the doublings of silentAfter while
+	// terms don't: 12.8 s, which is longer than a term may take to begin.
+	settled      = 10 * time.Second
+	mostPatience = 4
 	// logFresh is the age of the last sign of the log up to which a candidate
 	// may claim: one that can't write would only disturb.
 	logFresh = 2500 * time.Millisecond
@@ -47,6 +52,9 @@
 	Relieve time.Duration
 	// LogSeen is when the log last answered this daemon.
 	LogSeen time.Duration
+	// Patience is how often the time is doubled after which a silent holder is
+	// replaced.
+	Patience int
 	// LogFailed is when the log last failed this daemon; 0 if it has not.
 	LogFailed time.Duration
 	// Rank is this daemon's place among the candidates, from 0.
@@ -70,7 +78,7 @@
 	case v.Relieve > 0:
 		return v.Now-v.Relieve >= goneAfter+stagger
 	default:
-		return v.Now-v.Heard >= silentAfter+stagger
+		return v.Now-v.Heard >= silentAfter<<v.Patience+stagger
 	}
 }
 
--- a/internal/leadership/elector.go
+++ b/internal/leadership/elector.go
@@ -65,12 +65,17 @@
 	mu      sync.Mutex
 	watched int64
 	heard   time.Duration
-	gone    time.Duration
-	relieve time.Duration
-	idle    time.Duration
-	begun   int64
-	ended   int64
-	claimed time.Duration
+	// seen is when the watched claim was first known, patience how often the time
+	// is doubled after which its holder is replaced. Where a holder is replaced
+	// before its term has begun, so is the next one, and none ever works.
+	seen     time.Duration
+	patience int
+	gone     time.Duration
+	relieve  time.Duration
+	idle     time.Duration
+	begun    int64
+	ended    int64
+	claimed  time.Duration
 	// failed is when the log last failed this daemon.
 	failed   time.Duration
 	claiming bool
@@ -141,7 +146,14 @@
 		e.heard = now
 	}
 	if claim.Epoch != e.watched {
-		e.watched, e.heard, e.gone, e.relieve, e.idle = claim.Epoch, now, 0, 0, 0
+		silent := e.watched > 0 && e.gone == 0 && e.relieve == 0 && now-e.heard >= silentAfter
+		if silent && e.heard-e.seen < settled {
+			e.patience = min(e.patience+1, mostPatience)
+		}
+		e.watched, e.heard, e.seen, e.gone, e.relieve, e.idle = claim.Epoch, now, now, 0, 0, 0
+	}
+	if e.heard-e.seen >= settled {
+		e.patience = 0
 	}
 	own := claim.Epoch > e.begun && claim.Holder.Name == e.directory.self.Name && claim.Holder.Incarnation == e.directory.self.Incarnation
 	if own {
@@ -200,7 +212,7 @@
 	default:
 		e.gone = 0
 		since(&e.idle, b.Epoch == 0, now)
-		if e.idle == 0 || now-e.idle < beginAllowance {
+		if e.idle == 0 || now-e.idle < beginAllowance<<e.patience {
 			e.heard = now
 		}
 		since(&e.relieve, b.Relieve, now)
@@ -247,6 +259,7 @@
 		Gone:      e.gone,
 		Relieve:   e.relieve,
 		LogSeen:   seen,
+		Patience:  e.patience,
 		LogFailed: e.failed,
 		Rank:      Rank(e.directory.Members(), e.directory.self.Name, holder.Name, e.watched),
 	})
--- a/internal/node/terms.go
+++ b/internal/node/terms.go
@@ -22,9 +22,9 @@
 const (
 	// producerName is the name under which holders append jobs' records.
 	producerName = "holder"
-	// beginTimeout bounds the beginning of a term: reading all jobs from a
-	// slow log.
-	beginTimeout = 5 * time.Second
+	// beginTimeout bounds the beginning of a term: reading all jobs from a slow
+	// log, or over a slow link, which others give it if it is needed.
+	beginTimeout = 12 * time.Second
 	// ableTimeout bounds the look whether the jobs can be read.
 	ableTimeout = 350 * time.Millisecond
 	// versionWait is how long a job waits for the configuration that admitted
