--- a/internal/controller/lag.go
+++ b/internal/controller/lag.go
@@ -22,7 +22,8 @@
 func (c *Controller) watchLag() error {
 	timer := time.NewTimer(lagInterval)
 	defer timer.Stop()
-	due, worst, noted := c.clock.Now()+lagInterval, time.Duration(0), time.Duration(0)
+	due, worst, noted := c.clock.Now()+lagInterval, time.Duration(0), c.clock.Now()
+	used := metrics.ProcessorTime()
 	for {
 		select {
 		case <-c.tomb.Dying():
@@ -33,8 +34,9 @@
 		lag := now - due
 		metrics.HolderLag.Observe(lag)
 		if worst = max(worst, lag); worst >= lagNoted && now-noted >= lagPause {
-			c.log.Warn("the holder gets its processor late", "epoch", c.epoch, "worst", worst.Round(time.Millisecond), "orders_open", c.open.Load())
-			worst, noted = 0, now
+			c.log.Warn("the holder gets its processor late", "epoch", c.epoch, "worst", worst.Round(time.Millisecond), "orders_open", c.open.Load(),
+				"processors_used", (metrics.ProcessorTime() - used).Seconds()/(now-noted).Seconds())
+			worst, noted, used = 0, now, metrics.ProcessorTime()
 		}
 		due = now + lagInterval
 		timer.Reset(lagInterval)
--- /dev/null
+++ b/internal/metrics/processor.go
@@ -0,0 +1,16 @@
+package metrics
+
+import (
+	"syscall"
+	"time"
+)
+
+// ProcessorTime returns the processor time that this process has used.
+func ProcessorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		// The call fails only for another argument.
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/internal/node/gauges.go
+++ b/internal/node/gauges.go
@@ -22,6 +22,7 @@
 		case <-n.tomb.Dying():
 			return nil
 		}
+		metrics.ProcessorMS.Set(metrics.ProcessorTime().Milliseconds())
 		if c := n.catalogs.Catalog(); c != nil {
 			metrics.ConfigVersion.Set(c.Version)
 			metrics.FreshAgeMS.Set((n.options.Clock.Now() - n.catalogs.Proven()).Milliseconds())
