--- a/internal/fleetpeer/client.go
+++ b/internal/fleetpeer/client.go
@@ -94,7 +94,7 @@
 	client, ok := c.clients[address]
 	if !ok {
 		rpc := func(h *http.Client) fleetv1connect.FleetServiceClient {
-			return fleetv1connect.NewFleetServiceClient(h, "http://"+address, connect.WithReadMaxBytes(maxMessageBytes))
+			return fleetv1connect.NewFleetServiceClient(h, "http://"+address, connect.WithReadMaxBytes(maxMessageBytes), connect.WithAcceptCompression("gzip", nil, nil))
 		}
 		client = &Client{work: rpc(c.work), control: rpc(c.control), orders: rpc(c.orders)}
 		c.clients[address] = client
--- a/internal/fleetpeer/server.go
+++ b/internal/fleetpeer/server.go
@@ -43,7 +43,7 @@
 
 // NewHandler returns the path and handler of the daemon's service.
 func NewHandler(local Local) (string, http.Handler) {
-	return fleetv1connect.NewFleetServiceHandler(&server{local: local}, connect.WithReadMaxBytes(maxMessageBytes))
+	return fleetv1connect.NewFleetServiceHandler(&server{local: local}, connect.WithReadMaxBytes(maxMessageBytes), connect.WithCompression("gzip", nil, nil))
 }
 
 type server struct{ local Local }
