--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -162,14 +162,18 @@
 	return c.Start(ctx, 7, &controller.StartOrder{Target: controller.Target{ID: endpoint}})
 }
 
-// startMany gives n orders to each endpoint at once and counts their fates.
-func (c *cell) startMany(zone string, endpointCount, n int) map[controller.Fate]int {
+// tenEndpoints is to how many endpoints of a zone startMany gives orders.
+const tenEndpoints = 10
+
+// startMany gives n orders to each of ten endpoints at once and counts their
+// fates.
+func (c *cell) startMany(zone string, n int) map[controller.Fate]int {
 	var mu sync.Mutex
 	var all sync.WaitGroup
 	fates := make(map[controller.Fate]int)
-	for i := range endpointCount * n {
+	for i := range tenEndpoints * n {
 		all.Go(func() {
-			out := c.start(fmt.Sprintf("%s-%d", zone, i%endpointCount))
+			out := c.start(fmt.Sprintf("%s-%d", zone, i%tenEndpoints))
 			mu.Lock()
 			defer mu.Unlock()
 			fates[out.Fate]++
@@ -189,7 +193,7 @@
 func TestOrdersGoToTheZoneOfTheirEndpoint(t *testing.T) {
 	c := newCell(t, map[string]string{"a": "z1", "b": "z2"}, map[string]int{"z1": 20, "z2": 20})
 	for zone, name := range map[string]string{"z1": "a", "z2": "b"} {
-		if fates := c.startMany(zone, 10, 5); fates[controller.FateDone] != 50 {
+		if fates := c.startMany(zone, 5); fates[controller.FateDone] != 50 {
 			t.Errorf("%s: %v", zone, fates)
 		}
 		d := c.daemons[name]
@@ -223,7 +227,7 @@
 	c := newCell(t, map[string]string{"a": "z1"}, map[string]int{"z1": 20})
 	c.start("z1-0")
 	c.daemons["a"].lossy.Store(true)
-	if fates := c.startMany("z1", 10, 1); fates[controller.FateUnanswered] != 10 {
+	if fates := c.startMany("z1", 1); fates[controller.FateUnanswered] != 10 {
 		t.Errorf("%v, though the sender has carried out all", fates)
 	}
 	// Without a sender, the holder serves the endpoints.
@@ -237,11 +241,11 @@
 	c.daemons["a"].down.Store(true)
 	// Those given before this is noticed are not sent, the others go to a
 	// daemon further away.
-	first := c.startMany("z1", 10, 1)
+	first := c.startMany("z1", 1)
 	if first[controller.FateNotSent] == 0 || first[controller.FateNotSent]+first[controller.FateDone] != 10 {
 		t.Errorf("%v", first)
 	}
-	if fates := c.startMany("z1", 10, 1); fates[controller.FateDone] != 10 {
+	if fates := c.startMany("z1", 1); fates[controller.FateDone] != 10 {
 		t.Errorf("%v", fates)
 	}
 	if n := int(c.daemons["b"].starts.Load()); n != 10+first[controller.FateDone] {
@@ -268,9 +272,9 @@
 	c := newCell(t, map[string]string{"a": "z1", "b": "z2"}, map[string]int{"z1": 20})
 	c.daemons["a"].silent.Store(true)
 	for range 2 {
-		c.startMany("z1", 10, 1)
+		c.startMany("z1", 1)
 	}
-	if fates := c.startMany("z1", 10, 1); fates[controller.FateDone] != 10 {
+	if fates := c.startMany("z1", 1); fates[controller.FateDone] != 10 {
 		t.Errorf("%v", fates)
 	}
 }
@@ -284,7 +288,7 @@
 		t.Errorf("the order by which it is noticed: %+v", out)
 	}
 	sent := d.starts.Load()
-	if fates := c.startMany("z1", 10, 1); fates[controller.FateDone] != 10 {
+	if fates := c.startMany("z1", 1); fates[controller.FateDone] != 10 {
 		t.Errorf("%v", fates)
 	}
 	if n := d.starts.Load(); n != sent {
