--- a/internal/eligibility/pool_test.go
+++ b/internal/eligibility/pool_test.go
@@ -172,3 +172,17 @@
 		t.Errorf("%d questions failed afterwards", failed)
 	}
 }
+
+func TestGroupedLaneGoesFirst(t *testing.T) {
+	single, grouped := &fakeLane{took: time.Millisecond}, &fakeLane{took: time.Millisecond}
+	p := pool(nil)
+	p.SetLanes([]Lane{{Name: "a", Asker: single}, {Name: "b", Asker: grouped, Grouped: func() bool { return true }}})
+	for range 5 {
+		if _, err := p.Ask(context.Background(), question(true)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if single.calls != 0 || grouped.calls != 5 {
+		t.Errorf("%d questions alone, %d in groups", single.calls, grouped.calls)
+	}
+}
