--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -203,7 +203,7 @@
 		if epoch := d.epoch.Load(); epoch != 7 {
 			t.Errorf("%s has sent under epoch %d", name, epoch)
 		}
-		// One call opens no more than a few groups.
+		// A call of its own for each order would be 50 and more.
 		if calls := d.calls.Load(); calls > 25 {
 			t.Errorf("%s got 50 orders and their results in %d calls", name, calls)
 		}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -110,6 +110,7 @@
 	return r
 }
 
+// lost is the result of an order for which its sender has given none.
 func lost(fate controller.Fate, detail string) Result {
 	return Result{Outcome: controller.Outcome{Fate: fate, Detail: detail}}
 }
--- a/internal/node/registry.go
+++ b/internal/node/registry.go
@@ -30,14 +30,13 @@
 
 // registry tells a term what endpoints have registered.
 type registry struct {
-	feed   RegistryFeed
-	log    keyedlog.Log
-	clock  clock.Clock
-	logger *slog.Logger
-	term   *controller.Controller
-	listed map[string]bool
-
+	feed       RegistryFeed
+	log        keyedlog.Log
+	clock      clock.Clock
+	logger     *slog.Logger
+	term       *controller.Controller
 	dispatcher *dispatch.Dispatcher
+	listed     map[string]bool
 }
 
 // load returns the endpoints registered at present.
