Test what no test of sessions would have missed, and split the choice of a sender

A session with a daemon that was removed ends once its orders have their results, where it went on without any until the end of the term. The choice of a sender, one function of 55 lines, is three; no other behaviour.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -31,8 +31,9 @@
 // endpoints counts the orders that it carries out.
 type endpoints struct {
 	starts atomic.Int64
-	// silent orders get no answer.
+	// silent orders get no answer; stuck ones end with the test.
 	silent atomic.Bool
+	stuck  atomic.Pointer[chan struct{}]
 	epoch  atomic.Int64
 }
 
@@ -46,6 +47,9 @@
 
 func (e *endpoints) Start(_ context.Context, epoch int64, _ *controller.StartOrder) controller.Outcome {
 	e.starts.Add(1)
+	if stuck := e.stuck.Load(); stuck != nil {
+		<-*stuck
+	}
 	return e.outcome(epoch)
 }
 
@@ -333,3 +337,92 @@
 		t.Errorf("a question without an answer: %t %v", ok, err)
 	}
 }
+
+func TestOrdersForALostSessionAreNotSent(t *testing.T) {
+	c := newCell(t, map[string]string{"a": "z1"}, map[string]int{"z1": 20})
+	c.start("z1-0")
+	d := c.daemons["a"]
+	sent := d.starts.Load()
+	d.down.Store(true)
+	if out := c.start("z1-0"); out.Fate != controller.FateNotSent || d.starts.Load() != sent {
+		t.Errorf("%+v, though no call has reached the sender", out)
+	}
+}
+
+func TestOrderWithoutAResultIsUnanswered(t *testing.T) {
+	c := newCell(t, map[string]string{"a": "z1"}, map[string]int{"z1": 20})
+	c.start("z1-0")
+	stuck := make(chan struct{})
+	defer close(stuck)
+	c.daemons["a"].stuck.Store(&stuck)
+	done := make(chan controller.Outcome, 1)
+	go func() { done <- c.start("z1-0") }()
+	select {
+	case out := <-done:
+		if out.Fate != controller.FateUnanswered {
+			t.Errorf("%+v", out)
+		}
+	case <-time.After(5 * orderAllowance):
+		t.Error("the holder waits for ever")
+	}
+}
+
+func TestFailedQuestionsEndNoSession(t *testing.T) {
+	c := newCell(t, map[string]string{"a": "z1"}, map[string]int{"z1": 20})
+	c.start("z1-0")
+	c.daemons["a"].silent.Store(true)
+	ctx := c.tomb.Context(context.Background())
+	for range mostFailed + 1 {
+		if _, ok, err := c.Ask(ctx, "a", "s", []string{"z1-0"}); !ok || err == nil {
+			t.Fatalf("ok %t, %v", ok, err)
+		}
+	}
+}
+
+func TestWeakDaemonSendsNothing(t *testing.T) {
+	c := newCell(t, map[string]string{"a": "z1", "b": "z2"}, map[string]int{"z1": 20})
+	members := []leadership.Member{
+		{Name: "a", AvailabilityZone: "z1", Region: "g1", Processors: 0.1},
+		{Name: "b", AvailabilityZone: "z2", Region: "g2", Processors: 0.4},
+	}
+	c.SetMembers(members)
+	if fates := c.startMany("z1", 1); fates[controller.FateDone] != tenEndpoints {
+		t.Errorf("%v", fates)
+	}
+	if weak, strong := c.daemons["a"].starts.Load(), c.daemons["b"].starts.Load(); weak != 0 || strong != tenEndpoints {
+		t.Errorf("%d orders by the weak daemon, %d by the strong one", weak, strong)
+	}
+}
+
+func TestEndpointsThatHaveLeftNeedNoSender(t *testing.T) {
+	c := newCell(t, map[string]string{"a": "z1"}, map[string]int{"z1": 20})
+	for i := 10; i < 20; i++ {
+		c.EndpointUnlisted(fmt.Sprintf("z1-%d", i))
+		c.EndpointUnlisted(fmt.Sprintf("z1-%d", i))
+	}
+	c.start("z1-0")
+	if n := c.own.starts.Load(); n != 1 {
+		t.Errorf("the holder has sent %d orders, though it can serve ten endpoints", n)
+	}
+	if n := c.listed["z1"]; n != 10 {
+		t.Errorf("%d endpoints are counted", n)
+	}
+}
+
+func TestSessionWithARemovedDaemonEnds(t *testing.T) {
+	c := newCell(t, map[string]string{"a": "z1"}, map[string]int{"z1": 20})
+	c.start("z1-0")
+	s := c.sessions["a"]
+	c.SetMembers(nil)
+	for deadline := time.Now().Add(5 * answerWait); s.takes() || !s.ended(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("it goes on")
+		}
+	}
+}
+
+func (s *session) ended() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -86,6 +86,7 @@
 	defer d.mu.Unlock()
 	for name, s := range d.sessions {
 		if !slices.ContainsFunc(strong, func(m leadership.Member) bool { return m.Name == name }) {
+			s.retire()
 			d.forget(s)
 		}
 	}
@@ -139,54 +140,71 @@
 	return s
 }
 
+// candidate is a daemon that may send to an endpoint. far is 0 in the endpoint's
+// availability zone, 1 in its region, 2 elsewhere.
+type candidate struct {
+	member leadership.Member
+	far    int
+	// rank orders the daemons of a zone alike for all endpoints.
+	rank uint64
+}
+
 // choose returns the sender for an endpoint: one in its availability zone, else
 // in its region, else any. Of the daemons of a zone, only as many send as its
 // endpoints need, as orders in large groups cost less.
 func (d *Dispatcher) choose(endpoint string) (leadership.Member, bool) {
-	now := d.options.Clock.Now()
 	zone := d.zones[endpoint]
-	region := d.regionOf(zone)
-	type candidate struct {
-		member leadership.Member
-		far    int
-		rank   uint64
+	nearest := d.nearest(zone)
+	if len(nearest) == 0 {
+		return leadership.Member{}, false
 	}
-	var candidates []candidate
+	wanted := len(nearest)
+	// The endpoints of a zone without a sender are spread over all.
+	if nearest[0].far == 0 {
+		room := max(endpointsPerProcessor*nearest[0].member.Processors, 1)
+		wanted = min(wanted, 1+int(float64(d.listed[zone])/room))
+	}
+	return nearest[xxhash.Sum64String(endpoint)%uint64(wanted)].member, true
+}
+
+// nearest returns the candidates that are nearest to a zone, in order of rank.
+func (d *Dispatcher) nearest(zone string) []candidate {
+	d.endSessions()
+	now := d.options.Clock.Now()
+	region := d.regionOf(zone)
+	var all []candidate
 	for _, m := range d.members {
-		if s := d.sessions[m.Name]; s != nil && !s.takes() {
-			d.forget(s)
-			d.rest[m.Name] = now + senderRest
-		}
 		if now < d.rest[m.Name] {
 			continue
 		}
-		c := candidate{member: m, rank: xxhash.Sum64String(m.Name)}
+		c := candidate{member: m, far: 2, rank: xxhash.Sum64String(m.Name)}
 		switch {
 		case m.AvailabilityZone == zone:
+			c.far = 0
 		case m.Region == region:
 			c.far = 1
-		default:
-			c.far = 2
 		}
-		candidates = append(candidates, c)
+		all = append(all, c)
 	}
-	if len(candidates) == 0 {
-		return leadership.Member{}, false
-	}
-	slices.SortFunc(candidates, func(a, b candidate) int {
+	slices.SortFunc(all, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(a.far, b.far), cmp.Compare(a.rank, b.rank))
 	})
-	nearest := slices.IndexFunc(candidates, func(c candidate) bool { return c.far > candidates[0].far })
-	if nearest < 0 {
-		nearest = len(candidates)
+	end := slices.IndexFunc(all, func(c candidate) bool { return c.far > all[0].far })
+	if end < 0 {
+		end = len(all)
 	}
-	room := max(endpointsPerProcessor*candidates[0].member.Processors, 1)
-	wanted := min(1+int(float64(d.listed[zone])/room), nearest)
-	if candidates[0].far > 0 {
-		// The endpoints of a zone without a sender are spread over all.
-		wanted = nearest
+	return all[:end]
+}
+
+// endSessions drops the sessions that take no orders any more; their senders
+// rest for a while.
+func (d *Dispatcher) endSessions() {
+	for name, s := range d.sessions {
+		if !s.takes() {
+			d.forget(s)
+			d.rest[name] = d.options.Clock.Now() + senderRest
+		}
 	}
-	return candidates[xxhash.Sum64String(endpoint)%uint64(wanted)].member, true
 }
 
 // regionOf returns the region of an availability zone as the daemons there say,
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -75,6 +75,14 @@
 	return s.id != "" && !s.closed && !s.leaving
 }
 
+// retire makes the session end once its orders have their results.
+func (s *session) retire() {
+	s.mu.Lock()
+	s.leaving = true
+	s.mu.Unlock()
+	s.rouse()
+}
+
 // do gives an order and returns its result. The endpoint may wait before it
 // answers.
 func (s *session) do(ctx context.Context, o Order, wait time.Duration) Result {
--- a/internal/fleetpeer/client_test.go
+++ b/internal/fleetpeer/client_test.go
@@ -9,9 +9,11 @@
 	"testing"
 	"time"
 
+	"github.com/bluebellstile/bluebellstile/internal/clock"
 	"github.com/bluebellstile/bluebellstile/internal/controller"
 	"github.com/bluebellstile/bluebellstile/internal/dispatch"
 	"github.com/bluebellstile/bluebellstile/internal/leadership"
+	"github.com/pkg/errors"
 )
 
 // stuckHolder holds the cell and answers no caller's request until release.
@@ -42,7 +44,9 @@
 	return controller.Answer{}, nil
 }
 
-func (d daemon) Sender() *dispatch.Sender { return nil }
+func (d daemon) Sender() *dispatch.Sender {
+	return dispatch.NewSender(clock.System(), nil, nil, func() bool { return false })
+}
 
 // TestHeartbeatWaitsBehindRequests uses up the connections for callers' work:
 // a heartbeat and a hand-over are answered nevertheless.
@@ -77,6 +81,12 @@
 	if claim, err := clients.To(address).TakeOver(soon, 7); err != nil || claim.Epoch != 8 {
 		t.Errorf("a hand-over beside %d requests: epoch %d, %v", requests, claim.Epoch, err)
 	}
+	if session, _, err := clients.To(address).OpenSession(soon, 7); err != nil || session == "" {
+		t.Errorf("a session beside %d requests: %v", requests, err)
+	}
+	if _, _, err := clients.To(address).Exchange(soon, "none", 0, nil); !errors.Is(err, ErrNotHolder) {
+		t.Errorf("orders beside %d requests: %v", requests, err)
+	}
 	close(holder.release)
 	for range requests {
 		if err := <-done; err != nil {
--- a/internal/fleetpeer/orders_test.go
+++ b/internal/fleetpeer/orders_test.go
@@ -1,7 +1,12 @@
 package fleetpeer
 
 import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
 	"reflect"
+	"strings"
 	"testing"
 	"time"
 
@@ -70,3 +75,47 @@
 		}
 	}
 }
+
+// TestFailedExchange tells the calls that have reached their sender from those
+// that have not: the former's orders may have been carried out.
+func TestFailedExchange(t *testing.T) {
+	serve := func(h http.Handler) string {
+		server := httptest.NewServer(h)
+		t.Cleanup(server.Close)
+		return strings.TrimPrefix(server.URL, "http://")
+	}
+	cut := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		_ = conn.Close()
+	})
+	nobody, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	gone := nobody.Addr().String()
+	if err := nobody.Close(); err != nil {
+		t.Fatal(err)
+	}
+	mux := http.NewServeMux()
+	mux.Handle(NewHandler(daemon{}))
+	clients := NewClients(nil)
+	defer clients.Close()
+	for name, c := range map[string]struct {
+		address string
+		sent    bool
+	}{
+		"nothing listens":         {gone, false},
+		"no such session":         {serve(mux), false},
+		"cut without an answer":   {serve(cut), true},
+		"an answer without sense": {serve(http.NotFoundHandler()), true},
+	} {
+		_, sent, err := clients.To(c.address).Exchange(context.Background(), "none", time.Hour, []dispatch.Order{{Number: 1, Hold: &controller.HoldOrder{}}})
+		if err == nil || sent != c.sent {
+			t.Errorf("%s: sent %t, %v", name, sent, err)
+		}
+	}
+}
