Count a response's bytes before the caller can read them

Cause: the meter of the capacity measurements added the bytes of a write after the write, so that a caller who had read a whole response could find them not yet counted. Change: the bytes are counted before the write, and corrected if it was short.

--- a/internal/capacity/meter.go
+++ b/internal/capacity/meter.go
@@ -152,9 +152,11 @@
 	return n, err
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. It counts the bytes before it writes them, so that they are
+// counted when the peer has read them.
 func (c *meteredConn) Write(b []byte) (int, error) {
+	c.meter.bytes.Add(int64(len(b)))
 	n, err := c.Conn.Write(b)
-	c.meter.bytes.Add(int64(n))
+	c.meter.bytes.Add(int64(n - len(b)))
 	return n, err
 }
