Acknowledge ends of tasks only once the log holds their outcome

Cause: the end of a cancelled attempt, and an ended attempt that an inventory lists and nobody waits for, were acknowledged at once. If the zone changed hands before the outcome was in the log, the next holder found neither an outcome nor the end at the endpoint and started the non-idempotent task again. Ruled out: a lost incarnation (none restarts in the failing schedule), a second copy of the job's record (the job is known), an order of the fenced term. Change: every end of a job's task waits for its outcome in the log. The platform's path does so already; it has a test now.

--- a/internal/controller/final_test.go
+++ b/internal/controller/final_test.go
@@ -79,3 +79,39 @@
 		t.Errorf("the cancelled job is %s", state)
 	}
 }
+
+// TestEndIsAcknowledgedOnceStored ends tasks while the log is away, some of them by a cancel,
+// and changes the holder. An endpoint must keep each end until the log holds it, and no task
+// that is done may start again.
+func TestEndIsAcknowledgedOnceStored(t *testing.T) {
+	w := newWorld(t, 1, faults{})
+	addEndpoints(w)
+	w.beginTerm()
+	const done, cancelled = workload.ID("b000000000000001"), workload.ID("b000000000000002")
+	for _, id := range []workload.ID{done, cancelled} {
+		w.submit(id, "c2", workload.Spec{Steps: []workload.Step{{Count: 4, Size: resource.Vector{MilliCores: 1000, MemoryMB: 100}, Estimate: time.Second}}})
+	}
+	w.run(500 * time.Millisecond)
+	w.logDown = true
+	w.cancel(cancelled)
+	w.run(4 * time.Second)
+	kept := 0
+	for _, e := range w.endpoints {
+		kept += len(e.ended)
+	}
+	if kept != 8 {
+		t.Errorf("the endpoints keep %d of 8 ends that are not stored", kept)
+	}
+	w.logDown = false
+	w.beginTerm()
+	w.run(20 * time.Second)
+	core := w.current().core
+	if state, _ := core.Status(done, "c2"); state != workload.StateCompleted {
+		t.Errorf("the job is %s", state)
+	}
+	for _, e := range w.endpoints {
+		if len(e.ended) > 0 {
+			t.Errorf("%s still keeps %d ends", e.id, len(e.ended))
+		}
+	}
+}
--- a/internal/holder/adopt.go
+++ b/internal/holder/adopt.go
@@ -161,7 +161,7 @@
 		t.trackOrphan(s, status.Task)
 		return
 	}
-	s.queueAck(status.Task.ID)
+	t.ackDiscarded(s, status.Task.ID)
 }
 
 // trackOrphan creates a unit for a running task that is about to be stopped, with
--- a/internal/holder/commit.go
+++ b/internal/holder/commit.go
@@ -127,10 +127,10 @@
 	if state == nil {
 		return
 	}
-	if ack := state.acks[o.Index]; ack != nil {
+	for _, ack := range state.acks[o.Index] {
 		ack()
-		delete(state.acks, o.Index)
 	}
+	delete(state.acks, o.Index)
 	if u := state.units[o.Index]; u != nil && u.phase == phaseFinal {
 		delete(t.units, u.key)
 		delete(state.units, o.Index)
--- a/internal/holder/jobs.go
+++ b/internal/holder/jobs.go
@@ -21,9 +21,9 @@
 	spec record.Job
 	// units are the units of the unfinished tasks, by task index.
 	units map[int]*unit
-	// acks holds, by task index, the functions that acknowledge a finished task to
-	// its endpoint. They are called once the task's outcome is in the log.
-	acks map[int]func()
+	// acks holds, by task index, the functions that acknowledge the ended attempts of
+	// a task to their endpoints. They are called once the task's outcome is in the log.
+	acks map[int][]func()
 }
 
 // jobEntry is a submitted job that waits for its group commit.
@@ -253,7 +253,7 @@
 
 // newJob registers a job without tasks.
 func (t *Term) newJob(j *record.Job) *jobState {
-	state := &jobState{spec: *j, units: make(map[int]*unit), acks: make(map[int]func())}
+	state := &jobState{spec: *j, units: make(map[int]*unit), acks: make(map[int][]func())}
 	t.jobs[j.ID] = state
 	return state
 }
--- a/internal/holder/jobs_test.go
+++ b/internal/holder/jobs_test.go
@@ -42,6 +42,53 @@
 	})
 }
 
+// A task of a non-idempotent job ends before the log holds its outcome, and the next holder
+// must not start it again: its endpoint keeps the end until the outcome is in the log.
+func TestEndedTaskIsKeptUntilItsOutcomeIsLogged(t *testing.T) {
+	tests := map[string]func(w *testZone, id string){
+		"cancelled": func(w *testZone, id string) { _ = w.current().term.CancelJob(id, blueTeam) },
+		"lapsed while cut off": func(w *testZone, _ string) {
+			for _, on := range []bool{true, false} {
+				for _, e := range w.endpoints {
+					e.setFaults(func(e *testEndpoint) { e.dropAll = on })
+				}
+				time.Sleep(3 * testLease)
+			}
+		},
+	}
+	for name, end := range tests {
+		t.Run(name, func(t *testing.T) {
+			withTestZone(t, func(t *testing.T, w *testZone) {
+				w.waitUntil(func() bool { return w.usable("w1") && w.usable("w2") })
+				j := w.newJob(1, false, false, "30s")
+				if p := w.submit(t.Context(), j); p != nil {
+					t.Fatal(p)
+				}
+				w.waitStarted()
+				w.log.setAppendRule(func(e *record.Envelope) appendResult {
+					if e.Kind == record.KindOutcomes {
+						return appendRefused
+					}
+					return appendAnswered
+				})
+				end(w, j.ID)
+				time.Sleep(testLease)
+				old := w.current()
+				w.takeOver()
+				old.term.Stop(ErrSuperseded)
+				w.log.setAppendRule(nil)
+				time.Sleep(10 * time.Second)
+				if w.startCount() != 1 {
+					t.Errorf("a non-idempotent task was started %d times", w.startCount())
+				}
+				if open := w.recordOutcomes(); open > 0 {
+					t.Errorf("%d tasks have no outcome", open)
+				}
+			})
+		})
+	}
+}
+
 // A job's ticket that is sent with another job must be refused.
 func TestJobTicketIsBoundToItsJob(t *testing.T) {
 	withTestZone(t, func(t *testing.T, w *testZone) {
--- a/internal/holder/schedule.go
+++ b/internal/holder/schedule.go
@@ -253,7 +253,7 @@
 		}
 		t.settleDone(s, u, attempt)
 	case u.cancelled:
-		s.queueAck(attempt)
+		t.ackDiscarded(s, attempt)
 		t.settle(u, problemResult(cancelledAfterStart()))
 	case u.answer.state == endpoint.TaskFailed && u.failures >= u.retryBudget:
 		t.settleFailed(s, u, attempt)
--- a/internal/holder/settle.go
+++ b/internal/holder/settle.go
@@ -135,8 +135,19 @@
 func (u *unit) deferAck(s *session, attempt string) {
 	ack := func() { s.queueAck(attempt) }
 	if u.job != nil {
-		u.job.acks[u.spec.Index] = ack
+		u.job.acks[u.spec.Index] = append(u.job.acks[u.spec.Index], ack)
 		return
 	}
 	u.request.ack = ack
 }
+
+// ackDiscarded acknowledges an ended attempt whose answer nobody waits for. That of a job's
+// task waits until the log holds the task's outcome: a next holder that found neither would
+// start the task again.
+func (t *Term) ackDiscarded(s *session, attempt string) {
+	if u := t.units[unitKeyOf(attempt)]; u != nil && u.job != nil {
+		u.deferAck(s, attempt)
+		return
+	}
+	s.queueAck(attempt)
+}
