Close the ticket of a request that is refused at admission

Cause: a refusal at admission left no trace. While the holder waited for the proof that it still held the zone, another sending of the ticket could be admitted and start before the first was answered "not run". An ended term also declared tickets as not started whose refusal had been told to a caller. A refused submission of a job with a ticket is unknown at the front door. The wait for the proof covers two reads of a quiet log.

--- a/internal/holder/admit.go
+++ b/internal/holder/admit.go
@@ -24,7 +24,7 @@
 		return nil, problem.Refuse(problem.Moved, "the front door tries the next holder", "this daemon no longer holds the zone").WithRetryAfter(retryHint)
 	}
 	if p := t.checkAdmission(r); p != nil {
-		p = t.adjustVerdict(r, p)
+		p = t.closeRefused(r, t.adjustVerdict(r, p))
 		t.reportRefusal(r, p)
 		return nil, p
 	}
@@ -84,6 +84,22 @@
 	return &unknown
 }
 
+// closeRefused closes the ticket of a request that is refused as "not run", since another
+// sending of it may be on its way and would start. It returns the refusal, with verdict
+// "unknown" if the ticket can't be closed.
+func (t *Term) closeRefused(r *Request, p *problem.Problem) *problem.Problem {
+	if p.Verdict != problem.NotRun || r.Sole {
+		return p
+	}
+	closed := *p
+	closed.Remedy += ", with a new ticket"
+	if !t.closeTicket(r.Ticket.String(), closedByRefusal, &closed) {
+		closed.Verdict = problem.Unknown
+		closed.Remedy = "ask again with the same ticket"
+	}
+	return &closed
+}
+
 // restartable reports whether a unit ended without having run and no caller has
 // received that result, as when the front door failed while the unit waited. A new
 // request with the ticket may then start over.
--- a/internal/holder/registry.go
+++ b/internal/holder/registry.go
@@ -111,8 +111,8 @@
 	if tk, err := ticket.Parse(key); err == nil && tk.Epoch != t.epoch {
 		return
 	}
-	if u.barred {
-		t.barredTickets--
+	if u.closing != notClosed {
+		t.closedTickets[u.closing]--
 	}
 	delete(t.units, key)
 }
--- a/internal/holder/request.go
+++ b/internal/holder/request.go
@@ -57,6 +57,9 @@
 	waiters int
 	// delivered is set once the result has been given to a waiter.
 	delivered bool
+	// sealed is set once a caller may have been told that the ticket has not run, declared
+	// once a next holder may have been told so and may run it. Only one of them is set.
+	sealed, declared bool
 	// done is closed when result is set.
 	done   chan struct{}
 	result Result
@@ -74,8 +77,9 @@
 	// endpoint to report how it ended.
 	expireGrace = 250 * time.Millisecond
 	// proofTimeout bounds the wait for the proof that this daemon held the zone,
-	// which an answer "not run" needs; see confirmNotRun.
-	proofTimeout = 900 * time.Millisecond
+	// which an answer "not run" needs; see confirmNotRun. While nothing is appended, a
+	// read of the log takes 500 ms, and only one that begins after the decision proves it.
+	proofTimeout = 1200 * time.Millisecond
 	// proofPollInterval is the interval at which the proof is looked for.
 	proofPollInterval = 20 * time.Millisecond
 	// retryHint is the retry delay suggested with refusals for lack of capacity.
@@ -108,7 +112,7 @@
 	if result.verdict() != problem.NotRun || r.Sole || result.Problem.Code == problem.Moved {
 		return result
 	}
-	if t.waitForProof(ctx, time.Now()) {
+	if t.waitForProof(ctx, time.Now()) && t.sealRefusal(r.Ticket.String()) {
 		return result
 	}
 	unknown := *result.Problem
--- a/internal/holder/term.go
+++ b/internal/holder/term.go
@@ -108,8 +108,8 @@
 	gate         gate
 	backlog      backlog
 	serviceRates map[backlogKey]*serviceRate
-	// barredTickets counts the barred tickets that are still remembered.
-	barredTickets int
+	// closedTickets counts the closed tickets that are still remembered.
+	closedTickets map[ticketClosing]int
 	// overBoundSince holds the time since which a team has run more tasks than its bound.
 	overBoundSince map[string]time.Time
 	// handingOver is set while the term starts no more tasks because it hands over or ends.
@@ -149,6 +149,7 @@
 		backlog:        newBacklog(),
 		serviceRates:   make(map[backlogKey]*serviceRate),
 		overBoundSince: make(map[string]time.Time),
+		closedTickets:  make(map[ticketClosing]int),
 		registry:       newTicketRegistry(),
 		transferLimit:  rate.NewLimiter(transferRate, transferBurst),
 	}
--- a/internal/holder/unit.go
+++ b/internal/holder/unit.go
@@ -47,8 +47,8 @@
 	// attempts counts the attempts of this term, failures those that ended as failed.
 	attempts int
 	failures int
-	// barred is set for a ticket that was barred before a request with it arrived.
-	barred bool
+	// closing is set for a closed ticket, whose request was never queued.
+	closing ticketClosing
 	// mayHaveRun is set once any attempt may have run.
 	mayHaveRun bool
 	// session is the session of the endpoint that the unit is placed on, or nil.
