--- a/internal/workload/validate.go
+++ b/internal/workload/validate.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 )
 
 // Bounds of a submitted job.
@@ -17,6 +18,11 @@
 	MaxTasks = 5000
 	// MaxOccurrences bounds the occurrences of a recurring job.
 	MaxOccurrences = 1_000_000
+	// MaxAmount bounds each amount of a task's size, so that no sum overflows.
+	MaxAmount = 1 << 40
+	// MaxSpan bounds the time between the first and the last occurrence of a
+	// recurring job.
+	MaxSpan = 100 * 365 * 24 * time.Hour
 )
 
 // InvalidError describes an invalid field of a submitted job.
@@ -66,6 +72,10 @@
 	switch {
 	case step.Count < 1:
 		return invalid(at("count"), "is %d, at least 1 task is required", step.Count)
+	case step.Count > MaxTasks:
+		return invalid(at("count"), "is %d, a job may have %d tasks", step.Count, MaxTasks)
+	case max(step.Size.MilliCores, step.Size.MemoryMB, step.Size.Accelerators) > MaxAmount:
+		return invalid(at("size"), "is %+v, at most %d of each is allowed", step.Size, int64(MaxAmount))
 	case step.Size.MilliCores < 0 || step.Size.MemoryMB < 0 || step.Size.Accelerators < 0:
 		return invalid(at("size"), "is negative")
 	case step.Estimate < 0:
@@ -129,5 +139,8 @@
 	if r.Interval < 0 {
 		return invalid("interval", "is negative")
 	}
+	if r.Interval > MaxSpan/time.Duration(r.Times) {
+		return invalid("interval", "is %v, %d occurrences may span at most %v", r.Interval, r.Times, MaxSpan)
+	}
 	return nil
 }
