Count jobs whose runs never began as waiting

Cause: a job left the count of waiting jobs when a run of it was ordered. Ruled out: the age of the number; every daemon asks the holder each time. Change: a job waits until a run of it is known to have begun: by the answer to its start, by a report, a checkpoint or an end. Progress records keep their form; after a change of the holder a job counts as waiting until its endpoint reports. The shown state stays as it was. Result: TestWaitingCountsJobsThatNeverBegan counts 0 of 5 before and 5 after; TestRecordsRoundTrip also requires that a decoded job has begun only if the encoded one had.

--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -183,6 +183,9 @@
 
 // confirmRunning records that a run has begun.
 func (c *Core) confirmRunning(now clock.Instant, r *fleet.Run) {
+	if r.Step != nil {
+		r.Step.Job.MarkBegun()
+	}
 	if r.ConfirmedAt == 0 {
 		r.ConfirmedAt, r.ProgressedAt = now.Steady, now.Steady
 		// An endpoint without runs is asked rarely, so that its next hold may
--- a/internal/controller/submit.go
+++ b/internal/controller/submit.go
@@ -202,12 +202,12 @@
 	}
 }
 
-// Waiting returns the number of stored jobs of a queue of which no task was
-// ordered.
+// Waiting returns the number of stored jobs of a queue of which no task is known
+// to have begun.
 func (c *Core) Waiting(queue string) int {
 	n := 0
 	for _, e := range c.jobs {
-		if e.job.Queue == queue && e.admitted && e.job.State() == workload.StateQueued {
+		if e.job.Queue == queue && e.admitted && e.job.Waiting() {
 			n++
 		}
 	}
--- a/internal/controller/submit_test.go
+++ b/internal/controller/submit_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -95,3 +96,39 @@
 		t.Errorf("a customer beyond its rate: got %v", last)
 	}
 }
+
+// TestWaitingCountsJobsThatNeverBegan orders the tasks of jobs on endpoints that don't answer
+// any more. No task of theirs has begun, so that the jobs still wait, also for the next
+// holder.
+func TestWaitingCountsJobsThatNeverBegan(t *testing.T) {
+	w := newWorld(t, 1, faults{})
+	addEndpoints(w)
+	w.beginTerm()
+	w.run(300 * time.Millisecond)
+	for _, e := range w.endpoints {
+		e.disconnected = true
+	}
+	const jobs = 5
+	for i := range jobs {
+		w.submit(workload.ID(fmt.Sprintf("b%015x", i)), "c2", largeJob(10))
+	}
+	w.run(time.Second)
+	core := w.current().core
+	if state, _ := core.Status("b000000000000000", "c2"); state != workload.StateRunning {
+		t.Fatalf("the job is %s, no run of it was ordered", state)
+	}
+	if n := core.Waiting("bulk"); n != jobs {
+		t.Errorf("%d of %d jobs wait", n, jobs)
+	}
+	w.beginTerm()
+	if n := w.current().core.Waiting("bulk"); n != jobs {
+		t.Errorf("after a change of the holder %d of %d jobs wait", n, jobs)
+	}
+	for _, e := range w.endpoints {
+		e.disconnected = false
+	}
+	w.run(30 * time.Second)
+	if n := w.current().core.Waiting("bulk"); n != 0 {
+		t.Errorf("%d jobs wait after all have run", n)
+	}
+}
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -44,6 +44,8 @@
 	live   []*Occurrence
 	// started is set once a run of any task was ordered.
 	started bool
+	// begun is set once a run of any task is known to have begun.
+	begun bool
 }
 
 // Occurrence is one execution of a job's steps.
@@ -71,6 +73,13 @@
 	}
 }
 
+// Waiting reports whether the job is open and no run of it is known to have begun. A run
+// that was ordered may never begin, as on an endpoint that doesn't answer.
+func (j *Job) Waiting() bool { return j.final == "" && !j.begun }
+
+// MarkBegun records that a run of the job has begun.
+func (j *Job) MarkBegun() { j.begun = true }
+
 // Final reports whether the job has ended.
 func (j *Job) Final() bool { return j.final != "" }
 
--- a/internal/workload/record.go
+++ b/internal/workload/record.go
@@ -277,6 +277,7 @@
 	j.opened = p.Opened
 	// Occurrences that were opened and are no longer live are done.
 	j.started = p.Opened > len(p.Live)
+	j.begun = j.started
 	for i := range p.Live {
 		if err := j.restoreOccurrence(&p.Live[i]); err != nil {
 			return err
@@ -305,7 +306,7 @@
 func (s *StepRun) restore(p *stepProgress) error {
 	s.gangFailures, s.lastFailedGangRun, s.gangCheckpoint = p.GangFailures, p.GangFailed, p.GangCheckpoint
 	if p.Done {
-		s.Job.started = true
+		s.Job.started, s.Job.begun = true, true
 		for i := range s.Tasks {
 			s.Tasks[i].done = true
 		}
@@ -334,4 +335,7 @@
 	if t.lastRunNumber > 0 {
 		s.Job.started = true
 	}
+	if t.done || t.failures > 0 || t.checkpoint != "" || s.gangFailures > 0 || s.gangCheckpoint != "" {
+		s.Job.begun = true
+	}
 }
--- a/internal/workload/step.go
+++ b/internal/workload/step.go
@@ -110,6 +110,7 @@
 	if checkpoint == "" {
 		return
 	}
+	s.Job.begun = true
 	if s.Spec.Gang {
 		s.gangCheckpoint = checkpoint
 		return
@@ -183,6 +184,9 @@
 		return false
 	}
 	s.SaveCheckpoint(index, checkpoint)
+	if end != EndNeverRan && end != EndLost {
+		s.Job.begun = true
+	}
 	if t.done || s.Job.Final() {
 		return true
 	}
--- a/internal/workload/workload_test.go
+++ b/internal/workload/workload_test.go
@@ -188,6 +188,11 @@
 			t.Fatal(err)
 		}
 		forgetDoneSteps(j)
+		if decoded.begun && !j.begun {
+			t.Fatal("the decoded job has begun, the encoded one has not")
+		}
+		// Records don't say of every job whether it has begun; reports do.
+		decoded.begun = j.begun
 		same := cmp.Options{cmp.AllowUnexported(Job{}, Occurrence{}, StepRun{}, Task{}), cmpopts.EquateEmpty()}
 		if diff := cmp.Diff(j, decoded, same); diff != "" {
 			t.Fatal(diff)
