Ask about all hosts of a gang in one round of questions

Cause: a question about a gang named 100 hosts at once, the fullest first, and the next one followed after its answer: 1.2 s each on the large site, at 30% eligible. A gang of many members needs several rounds, and its permits expire before the last; over 100 hosts they were never renewed. Weighed: a longer question (named hosts are paid one by one in time), several questions at once over instances that the service serves side by side, and a question without limit by room alone (a gang then asks again when room frees). Change: a gang is asked about on hosts with capacity first, until those expected eligible could run it four times over when idle, in parts that name hosts for at most half of the call's fixed time, with at most half of the questions that may be asked now. Permits of a gang are renewed in parts too.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -146,9 +146,11 @@
 	// objective.
 	latestStart time.Duration
 	eligibility *scheduler.Eligibility
-	// askSequence numbers the step's questions; only the answer to the last one
-	// counts. No question is asked before askAfter.
+	// askSequence numbers the step's questions; those that are asked at once share a
+	// number, and only the answers to the last ones count. unanswered counts the last
+	// ones without an answer. No question is asked before askAfter.
 	askSequence int
+	unanswered  int
 	askAfter    time.Duration
 	// begun is set once a task of the step was placed in this term.
 	begun bool
--- a/internal/controller/flow_test.go
+++ b/internal/controller/flow_test.go
@@ -138,3 +138,27 @@
 		t.Errorf("%d of %d endpoints were asked", len(asked), endpoints)
 	}
 }
+
+// TestLargeGangStartsAfterOneRoundOfQuestions starts a gang that needs half of a fleet of
+// which two thirds are eligible: more hosts than one question may name.
+func TestLargeGangStartsAfterOneRoundOfQuestions(t *testing.T) {
+	w := newWorld(t, 1, faults{})
+	for i := range 300 {
+		w.addEndpoint(fmt.Sprintf("e%03d", i))
+	}
+	w.beginTerm()
+	w.current().core.SetEligibilityInstances(40)
+	w.run(time.Second)
+	const id, tasks = workload.ID("c000000000000001"), 150
+	w.submit(id, "c2", workload.Spec{Steps: []workload.Step{{
+		Count: tasks, Size: resource.Vector{MilliCores: 1000, MemoryMB: 100}, Estimate: 5 * time.Second, Gang: true, MaxPerEndpoint: 1,
+	}}})
+	w.run(2 * time.Second)
+	running := 0
+	for _, e := range w.endpoints {
+		running += len(e.running)
+	}
+	if running != tasks {
+		t.Errorf("a second after its submission %d of %d members run", running, tasks)
+	}
+}
--- a/internal/controller/held_test.go
+++ b/internal/controller/held_test.go
@@ -27,6 +27,7 @@
 	}
 	entry.eligibility.QuestionInFlight, entry.eligibility.HeldTasks = true, map[string]int{"e1": 2}
 	entry.askSequence++
+	entry.unanswered++
 	order := &AskOrder{Step: entry.step.Name(), Endpoints: []string{"e1"}, step: entry, sequence: entry.askSequence}
 	core.questionsInFlight++
 	core.AskAnswered(w.instant(), order, EligibilityAnswer{Valid: time.Second}, nil)
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -200,6 +200,9 @@
 	}
 	if e.eligibility != nil {
 		e.eligibility.EligibleShare = c.eligibleShareOf(q.Name)
+		if q.Eligibility != nil {
+			e.eligibility.QuestionBase, e.eligibility.QuestionPerEndpoint = q.Eligibility.Base, q.Eligibility.PerEndpoint
+		}
 		e.eligibility.QuestionInFlight = e.eligibility.QuestionInFlight || now.Steady < e.askAfter
 	}
 	if e.step.Spec.MaxPerEndpoint > 0 {
@@ -321,7 +324,10 @@
 	if service == nil {
 		return
 	}
-	entry.askSequence++
+	if entry.unanswered == 0 {
+		entry.askSequence++
+	}
+	entry.unanswered++
 	entry.eligibility.QuestionInFlight = true
 	entry.eligibility.HeldTasks = q.HeldTasks
 	o := &AskOrder{
@@ -365,7 +371,8 @@
 	a := entry.eligibility
 	// The capacity stays held until the next plan, in which more urgent work
 	// would take it otherwise.
-	a.QuestionInFlight = false
+	entry.unanswered--
+	a.QuestionInFlight = entry.unanswered > 0
 	if err != nil {
 		c.log.Warn("question about eligible endpoints failed", "job", entry.jobEntry.job.ID, "step", o.Step, "error", err)
 		entry.askAfter = now.Steady + askRetry
--- a/internal/controller/tick.go
+++ b/internal/controller/tick.go
@@ -51,7 +51,7 @@
 	for _, e := range c.steps {
 		if e.askAfter > 0 && now.Steady >= e.askAfter {
 			e.askAfter = 0
-			e.eligibility.QuestionInFlight = false
+			e.eligibility.QuestionInFlight = e.unanswered > 0
 			c.planDue = true
 		}
 	}
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -168,26 +168,12 @@
 		heldTasks[pl.host.Endpoint.ID] = pl.tasks
 		endpoints = append(endpoints, pl.host.Endpoint)
 	}
-	if d.Eligibility.QuestionInFlight || len(endpoints) > maxQuestionEndpoints || !p.mayAsk(d) {
+	if d.Eligibility.QuestionInFlight || !p.mayAsk(d) {
 		return
 	}
-	p.addQuestion(Question{Demand: d, Endpoints: endpoints, HeldTasks: heldTasks})
-}
-
-// askAboutUnknown asks about the hosts whose eligibility is unknown, whether
-// they have free capacity or not: their eligibility does not change, and
-// capacity will become free.
-func (p *planner) askAboutUnknown(d *Demand, hosts []*Host) {
-	if d.Eligibility == nil || d.Eligibility.QuestionInFlight || !p.mayAsk(d) {
-		return
-	}
-	var endpoints []*fleet.Endpoint
-	for _, h := range hosts {
-		if _, known := d.Eligibility.Eligible[h.Endpoint]; !known && len(endpoints) < maxQuestionEndpoints {
-			endpoints = append(endpoints, h.Endpoint)
-		}
+	for _, part := range evenParts(endpoints, d.Eligibility.questionSize(), p.questionsLeft(d)) {
+		p.addQuestion(Question{Demand: d, Endpoints: part, HeldTasks: heldTasks})
 	}
-	p.addQuestion(Question{Demand: d, Endpoints: endpoints})
 }
 
 // reserve reserves the capacity on which a blocked gang is expected to start
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -422,11 +422,14 @@
 }
 
 // mayAsk reports whether another question may be asked for a demand.
-func (p *planner) mayAsk(d *Demand) bool {
+func (p *planner) mayAsk(d *Demand) bool { return p.questionsLeft(d) > 0 }
+
+// questionsLeft returns how many more questions the plan may ask for demands of this kind.
+func (p *planner) questionsLeft(d *Demand) int {
 	if d.Urgent {
-		return p.UrgentQuestions > 0
+		return p.UrgentQuestions
 	}
-	return p.Questions > 0
+	return p.Questions
 }
 
 // addQuestion adds a question to the plan, unless it names no endpoints.
--- /dev/null
+++ b/internal/scheduler/question.go
@@ -0,0 +1,123 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/bluebellstile/bluebellstile/internal/fleet"
+)
+
+// Bounds of the questions about a gang.
+const (
+	// gangAskFactor is the ratio of the tasks that the eligible ones of the hosts asked
+	// about could run if they were idle to the tasks of the gang. A busy fleet has a
+	// fraction of that free at a time.
+	gangAskFactor = 4
+	// namingShare is the largest part of a question's time, beyond its fixed part and
+	// relative to it, that naming the endpoints may take.
+	namingShare = 0.5
+	// questionReserve divides the questions that a plan may ask: one gang leaves as many
+	// to others as it takes.
+	questionReserve = 2
+)
+
+// askAboutUnknown asks about hosts whose eligibility is unknown, those with capacity first,
+// and others as well: their eligibility does not change, and capacity will become free. A
+// gang that needs many hosts is asked about in several questions at once, since it can't
+// start before the last of its hosts is known; it answers a load of gangs of many sizes.
+func (p *planner) askAboutUnknown(d *Demand, hosts []*Host) {
+	if d.Eligibility == nil || d.Eligibility.QuestionInFlight || !p.mayAsk(d) {
+		return
+	}
+	size := d.Eligibility.questionSize()
+	questions := max(p.questionsLeft(d)/questionReserve, 1)
+	endpoints := p.endpointsForGang(d, hosts, size, size*questions)
+	for _, part := range evenParts(endpoints, size, questions) {
+		p.addQuestion(Question{Demand: d, Endpoints: part})
+	}
+}
+
+// endpointsForGang returns the endpoints to ask about, at least least if there are as many
+// and at most the given number.
+func (p *planner) endpointsForGang(d *Demand, hosts []*Host, least, most int) []*fleet.Endpoint {
+	n := len(d.Tasks)
+	expected := 0.0
+	for _, h := range hosts {
+		if d.Eligibility.Eligible[h.Endpoint] {
+			expected += float64(d.idleSlots(h))
+		}
+	}
+	var endpoints []*fleet.Endpoint
+	for _, h := range p.roomiestFirst(d, hosts) {
+		e := h.Endpoint
+		if _, known := d.Eligibility.Eligible[e]; known {
+			continue
+		}
+		if len(endpoints) >= most || len(endpoints) >= least && expected >= gangAskFactor*float64(n) {
+			break
+		}
+		endpoints = append(endpoints, e)
+		expected += d.Eligibility.EligibleShare * float64(d.idleSlots(h))
+	}
+	return endpoints
+}
+
+// idleSlots returns how many tasks of a demand a host could run if it were idle.
+func (d *Demand) idleSlots(h *Host) int {
+	n := int(d.Step.Spec.Charge().Copies(h.Endpoint.Capacity, int64(len(d.Tasks))))
+	if limit := d.Step.Spec.MaxPerEndpoint; limit > 0 {
+		n = min(n, limit)
+	}
+	return n
+}
+
+// roomiestFirst returns the hosts in the order in which a gang asks about them: those with
+// capacity for a task before the others, and for a gang that belongs in one rack those in
+// the rack with the most capacity before that.
+func (p *planner) roomiestFirst(d *Demand, hosts []*Host) []*Host {
+	n := len(d.Tasks)
+	slots := make(map[*Host]int, len(hosts))
+	inRack := make(map[string]int)
+	for _, h := range hosts {
+		slots[h] = p.slots(d, h, n)
+		if d.Step.Spec.SameRack {
+			inRack[h.Endpoint.Rack] += slots[h]
+		}
+	}
+	ordered := slices.Clone(hosts)
+	slices.SortStableFunc(ordered, func(a, b *Host) int {
+		return cmp.Or(
+			cmp.Compare(inRack[b.Endpoint.Rack], inRack[a.Endpoint.Rack]),
+			falseFirst(slots[a] == 0, slots[b] == 0),
+		)
+	})
+	return ordered
+}
+
+// questionSize returns how many endpoints one question names at most, so that naming them
+// takes no longer than namingShare of the question's fixed time.
+func (e *Eligibility) questionSize() int {
+	if e.QuestionPerEndpoint <= 0 {
+		return maxQuestionEndpoints
+	}
+	size := int(namingShare * float64(e.QuestionBase) / float64(e.QuestionPerEndpoint))
+	return min(max(size, minQuestionEndpoints), maxQuestionEndpoints)
+}
+
+// evenParts splits endpoints into the fewest parts of at most size, of about equal length.
+// Parts are larger if there may be no more than most of them; if they would exceed what a
+// question takes, there are none.
+func evenParts(endpoints []*fleet.Endpoint, size, most int) [][]*fleet.Endpoint {
+	count := min(ceilDiv(len(endpoints), size), most)
+	if count == 0 || ceilDiv(len(endpoints), count) > maxQuestionEndpoints {
+		return nil
+	}
+	parts := make([][]*fleet.Endpoint, 0, count)
+	for i := range count {
+		parts = append(parts, endpoints[i*len(endpoints)/count:(i+1)*len(endpoints)/count])
+	}
+	return parts
+}
+
+// ceilDiv returns a/b rounded up.
+func ceilDiv(a, b int) int { return (a + b - 1) / b }
--- a/internal/scheduler/snapshot.go
+++ b/internal/scheduler/snapshot.go
@@ -109,6 +109,9 @@
 	// HeldTasks is the number of tasks by endpoint for which capacity is held
 	// until the answer to a question has arrived and the next plan has used it.
 	HeldTasks map[string]int
+	// QuestionBase and QuestionPerEndpoint are how long a question takes: its fixed part
+	// and that for each endpoint it names.
+	QuestionBase, QuestionPerEndpoint time.Duration
 	// EligibleShare is the estimated share of endpoints that may run steps of
 	// the queue, learned from earlier answers; it is in (0, 1].
 	EligibleShare float64
@@ -125,7 +128,7 @@
 	// Starts are the tasks to start. The members of a gang are adjacent.
 	Starts []Start
 	// Questions are to be sent to the service that decides which endpoints may
-	// run the steps of a queue.
+	// run the steps of a queue. A gang may have several, which are adjacent.
 	Questions []Question
 	// Blocked counts the demands for which there was not enough capacity, and
 	// those that were not considered.
@@ -150,6 +153,6 @@
 	Demand    *Demand
 	Endpoints []*fleet.Endpoint
 	// HeldTasks is the number of tasks by endpoint for which capacity is held
-	// until the answer arrives.
+	// until the answer arrives; questions that are asked at once share it.
 	HeldTasks map[string]int
 }
