Count entries of other writers that are left out

Cause: a registry entry that names no usable endpoint was left out with a line at level debug, which nobody sees on a site, and without a metric.

--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -88,6 +88,7 @@
 	HolderLag            = histogram("holder_lag_ms", "delay with which the holder's periodic timer ran, as a sign of missing processor time")
 	ProofAgeMS           = counter("term_proof_age_ms", "milliseconds since the held term was last proven current; 0 if none is held")
 	PlanTime             = histogram("plan_ms", "time to plan which tasks start next")
+	OddEntries           = counterMap("odd_entries_total", "entries of other writers that were left out, by list: registry, configuration; each reading of one counts")
 	ProcessorMS          = counter("processor_ms_total", "milliseconds of processor time used by the daemon")
 	LogLinesDropped      = counter("log_lines_dropped_total", "log lines dropped because their reader was too slow")
 )
--- a/internal/node/catalogs.go
+++ b/internal/node/catalogs.go
@@ -8,6 +8,7 @@
 	"github.com/bluebellstile/bluebellstile/internal/catalog"
 	"github.com/bluebellstile/bluebellstile/internal/clock"
 	"github.com/bluebellstile/bluebellstile/internal/keyedlog"
+	"github.com/bluebellstile/bluebellstile/internal/metrics"
 	"gopkg.in/tomb.v2"
 )
 
@@ -64,6 +65,7 @@
 	for i := range entries {
 		next, err := c.feed.Decode(entries[i].Record)
 		if err != nil {
+			metrics.OddEntries.Add("configuration", 1)
 			c.logger.Error("skipping a configuration that can't be decoded", "offset", entries[i].Offset, "error", err)
 			continue
 		}
--- a/internal/node/registry.go
+++ b/internal/node/registry.go
@@ -10,6 +10,7 @@
 	"github.com/bluebellstile/bluebellstile/internal/dispatch"
 	"github.com/bluebellstile/bluebellstile/internal/fleet"
 	"github.com/bluebellstile/bluebellstile/internal/keyedlog"
+	"github.com/bluebellstile/bluebellstile/internal/metrics"
 	"gopkg.in/tomb.v2"
 )
 
@@ -40,6 +41,8 @@
 	controller *controller.Controller
 	dispatcher *dispatch.Dispatcher
 	listed     map[string]bool
+	// odd are the keys whose odd entries have been logged.
+	odd map[string]bool
 }
 
 // load returns the endpoints that are currently registered.
@@ -65,12 +68,29 @@
 	}
 	registration, err := r.feed.Decode(e.Record)
 	if err != nil {
-		r.logger.Debug("skipping a registration that can't be decoded", "endpoint", e.Key, "error", err)
+		r.reportOdd(e.Key, err)
 		return fleet.Registration{}, false
 	}
 	return registration, true
 }
 
+// maxReportedOdd bounds the keys whose odd entries are remembered as reported.
+const maxReportedOdd = 1000
+
+// reportOdd counts an entry that names no usable endpoint, and logs the first one under
+// each key: its writer may write it again with every heartbeat.
+func (r *registryFollower) reportOdd(key string, err error) {
+	metrics.OddEntries.Add("registry", 1)
+	if r.odd[key] || len(r.odd) >= maxReportedOdd {
+		return
+	}
+	if r.odd == nil {
+		r.odd = make(map[string]bool)
+	}
+	r.odd[key] = true
+	r.logger.Warn("an entry of the registry names no usable endpoint and is left out; correct its writer", "key", key, "error", err)
+}
+
 // run reads changes of the registry until t dies.
 func (r *registryFollower) run(t *tomb.Tomb) error {
 	f := keyedlog.Follower{
