Leave questions to steps whose tasks start one by one

Change: gangs leave a quarter of the questions that may be in flight to others. Result: TestGangsLeaveQuestionsToOtherSteps fails without it (gangs ask 96 of 96) and passes (72).

--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -96,7 +96,8 @@
 	}
 	c.backlog.reset()
 	// Non-urgent questions use all instances but one, or the only one.
-	s.Questions = max(max(c.eligibilityInstances-1, 1)-c.questionsInFlight, 0)
+	s.QuestionsInAll = max(c.eligibilityInstances-1, 1)
+	s.Questions = max(s.QuestionsInAll-c.questionsInFlight, 0)
 	s.UrgentQuestions = max(urgentQuestionsPerInstance*c.eligibilityInstances-c.urgentQuestionsInFlight, 0)
 	for _, e := range c.steps {
 		if d := c.demand(now, e); d != nil {
--- a/internal/scheduler/question.go
+++ b/internal/scheduler/question.go
@@ -16,9 +16,13 @@
 	// namingShare is the largest part of a question's time, beyond its fixed part and
 	// relative to it, that naming the endpoints may take.
 	namingShare = 0.5
-	// questionReserve divides the questions that a plan may ask: one gang leaves as many
-	// to others as it takes.
-	questionReserve = 2
+	// gangDivisor divides the questions that gangs may ask: one gang leaves as many to
+	// the next ones as it takes.
+	gangDivisor = 2
+	// reserveDivisor divides the questions that may be in flight: gangs leave this part
+	// to steps whose tasks start one by one, whose questions are short. After a restart,
+	// when all gangs ask again, those would wait for seconds.
+	reserveDivisor = 4
 )
 
 // askAboutUnknown asks about hosts whose eligibility is unknown, those with capacity first,
@@ -26,11 +30,15 @@
 // gang that needs many hosts is asked about in several questions at once, since it can't
 // start before the last of its hosts is known; it answers a load of gangs of many sizes.
 func (p *planner) askAboutUnknown(d *Demand, hosts []*Host) {
-	if d.Eligibility == nil || d.Eligibility.QuestionInFlight || !p.mayAsk(d) {
+	left := p.questionsLeft(d)
+	if !d.Urgent {
+		left -= p.QuestionsInAll / reserveDivisor
+	}
+	if d.Eligibility == nil || d.Eligibility.QuestionInFlight || left <= 0 {
 		return
 	}
 	size := d.Eligibility.questionSize()
-	questions := max(p.questionsLeft(d)/questionReserve, 1)
+	questions := max(left/gangDivisor, 1)
 	endpoints := p.endpointsForGang(d, hosts, size, size*questions)
 	for _, part := range evenParts(endpoints, size, questions) {
 		p.addQuestion(Question{Demand: d, Endpoints: part})
--- a/internal/scheduler/question_test.go
+++ b/internal/scheduler/question_test.go
@@ -56,6 +56,31 @@
 	}
 }
 
+// TestGangsLeaveQuestionsToOtherSteps requires that many gangs that wait at once, as after a
+// restart, leave questions to a step of lower priority whose tasks start one by one.
+func TestGangsLeaveQuestionsToOtherSteps(t *testing.T) {
+	s := snapshot(540)
+	s.Questions, s.QuestionsInAll = 96, 96
+	for range 30 {
+		s.Demands = append(s.Demands, gangDemand(40))
+	}
+	other := gangDemand(10)
+	other.Step = newSteps("b", "c", workload.Step{Count: 10, Size: cores(4)})[0]
+	other.Priority = 2
+	s.Demands = append(s.Demands, other)
+	byGangs, asked := 0, false
+	for _, q := range MakePlan(s).Questions {
+		if q.Demand == other {
+			asked = true
+		} else {
+			byGangs++
+		}
+	}
+	if !asked || byGangs < 60 || byGangs > 72 {
+		t.Errorf("gangs ask %d of 96 questions, the other step asks: %t", byGangs, asked)
+	}
+}
+
 // TestGangAsksAboutHostsWithCapacityFirst fills the first hosts: a gang asks about the ones
 // on which it could start.
 func TestGangAsksAboutHostsWithCapacityFirst(t *testing.T) {
--- a/internal/scheduler/snapshot.go
+++ b/internal/scheduler/snapshot.go
@@ -21,7 +21,9 @@
 	// Questions is how many eligibility questions the plan may ask for
 	// non-urgent work.
 	Questions int
-	// UrgentQuestions is the same for urgent work.
+	// QuestionsInAll is how many of them may be in flight at a time.
+	QuestionsInAll int
+	// UrgentQuestions is how many may be asked for urgent work.
 	UrgentQuestions int
 	// MaxStarts is how many tasks may start. A gang whose first task is below
 	// this bound may exceed it, because its members start together or not at
