Share the steps of the tests that change the holder without outcomes

Cause: three cases played the same submission, refusal of outcomes and change of the holder, written twice.

--- a/internal/holder/jobs_test.go
+++ b/internal/holder/jobs_test.go
@@ -23,10 +23,21 @@
 }
 
 // loseIncarnationBeforeOutcomes restarts the endpoint of a job's task while the log takes no
-// outcome, changes the holder and requires that the task has started once.
+// outcome, and changes the holder.
 func loseIncarnationBeforeOutcomes(t *testing.T, w *testZone, gang bool) {
+	w.changeHolderWithoutOutcomes(t, w.newJob(1, gang, false, "30s"), func() {
+		for _, id := range []string{"w1", "w2"} {
+			w.endpoints[id].restart()
+		}
+		time.Sleep(5 * time.Second)
+	})
+}
+
+// changeHolderWithoutOutcomes submits a job of one task, waits for its start, and changes the
+// holder after end, while the log takes no outcome. The task must have started once.
+func (w *testZone) changeHolderWithoutOutcomes(t *testing.T, j record.Job, end func()) {
 	w.waitUntil(func() bool { return w.usable("w1") && w.usable("w2") })
-	if p := w.submit(t.Context(), w.newJob(1, gang, false, "30s")); p != nil {
+	if p := w.submit(t.Context(), j); p != nil {
 		t.Fatal(p)
 	}
 	w.waitStarted()
@@ -36,10 +47,7 @@
 		}
 		return appendAnswered
 	})
-	for _, id := range []string{"w1", "w2"} {
-		w.endpoints[id].restart()
-	}
-	time.Sleep(5 * time.Second)
+	end()
 	old := w.current()
 	w.takeOver()
 	old.term.Stop(ErrSuperseded)
@@ -67,28 +75,11 @@
 	for name, end := range tests {
 		t.Run(name, func(t *testing.T) {
 			withTestZone(t, func(t *testing.T, w *testZone) {
-				w.waitUntil(func() bool { return w.usable("w1") && w.usable("w2") })
 				j := w.newJob(1, false, false, "30s")
-				if p := w.submit(t.Context(), j); p != nil {
-					t.Fatal(p)
-				}
-				w.waitStarted()
-				w.log.setAppendRule(func(e *record.Envelope) appendResult {
-					if e.Kind == record.KindOutcomes {
-						return appendRefused
-					}
-					return appendAnswered
+				w.changeHolderWithoutOutcomes(t, j, func() {
+					end(w, j.ID)
+					time.Sleep(testLease)
 				})
-				end(w, j.ID)
-				time.Sleep(testLease)
-				old := w.current()
-				w.takeOver()
-				old.term.Stop(ErrSuperseded)
-				w.log.setAppendRule(nil)
-				time.Sleep(10 * time.Second)
-				if w.startCount() != 1 {
-					t.Errorf("a non-idempotent task was started %d times", w.startCount())
-				}
 				if open := w.recordOutcomes(); open > 0 {
 					t.Errorf("%d tasks have no outcome", open)
 				}
