--- a/internal/scheduler/question.go
+++ b/internal/scheduler/question.go
@@ -131,3 +131,90 @@
 
 // ceilDiv returns a/b rounded up.
 func ceilDiv(a, b int) int { return (a + b - 1) / b }
+
+// Bounds of a question.
+const (
+	// maxQuestionEndpoints bounds the endpoints in one question; the service
+	// accepts no more.
+	maxQuestionEndpoints = 100
+	// minQuestionEndpoints is how many endpoints a question names if there are
+	// that many: another endpoint costs little compared with the call itself.
+	minQuestionEndpoints = 8
+	// askFactor is the ratio of the slots that the endpoints asked about are
+	// expected to allow to the slots needed. urgentAskFactor is the ratio for
+	// urgent work, whose questions are cheap and which has no time for a second
+	// one.
+	askFactor       = 1.5
+	urgentAskFactor = 3
+)
+
+// ask adds a question about hosts with free capacity, unless one is in flight.
+// For non-urgent work the capacity is held until the answer arrives, so that
+// lower-ranked work does not ask for it too.
+func (p *planner) ask(d *Demand, tasks int) {
+	a := d.Eligibility
+	if a == nil || a.QuestionInFlight || !p.mayAsk(d) {
+		return
+	}
+	q := Question{Demand: d, HeldTasks: make(map[string]int)}
+	wanted, expected := askFactor*float64(tasks), 0.0
+	if d.Urgent {
+		wanted = urgentAskFactor * float64(tasks)
+	}
+	for _, h := range p.candidates(d) {
+		n := p.slots(d, h, tasks)
+		if n == 0 || p.waitsForRack(d, h) {
+			continue
+		}
+		if _, ok := p.permit(d, h.Endpoint); ok {
+			continue
+		}
+		q.Endpoints = append(q.Endpoints, h.Endpoint)
+		if expected < wanted {
+			expected += p.holdTasks(d, h, n, &q)
+		}
+		if len(q.Endpoints) >= maxQuestionEndpoints || len(q.Endpoints) >= minQuestionEndpoints && expected >= wanted {
+			break
+		}
+	}
+	p.addQuestion(q)
+}
+
+// holdTasks holds capacity for n tasks on a host that is asked about, unless
+// the demand is urgent. It returns how many of the tasks the host is expected
+// to run.
+func (p *planner) holdTasks(d *Demand, h *Host, n int, q *Question) float64 {
+	share := d.Eligibility.EligibleShare
+	if d.Eligibility.Eligible[h.Endpoint] {
+		share = 1
+	}
+	if !d.Urgent {
+		p.charge(h, d.Step.Spec.Charge().Scale(int64(n)))
+		q.HeldTasks[h.Endpoint.ID] = n
+	}
+	return share * float64(n)
+}
+
+// mayAsk reports whether another question may be asked for a demand.
+func (p *planner) mayAsk(d *Demand) bool { return p.questionsLeft(d) > 0 }
+
+// questionsLeft returns how many more questions the plan may ask for demands of this kind.
+func (p *planner) questionsLeft(d *Demand) int {
+	if d.Urgent {
+		return p.UrgentQuestions
+	}
+	return p.Questions
+}
+
+// addQuestion adds a question to the plan, unless it names no endpoints.
+func (p *planner) addQuestion(q Question) {
+	if len(q.Endpoints) == 0 {
+		return
+	}
+	if q.Demand.Urgent {
+		p.UrgentQuestions--
+	} else {
+		p.Questions--
+	}
+	p.plan.Questions = append(p.plan.Questions, q)
+}
