Ask about a gang in one question where questions are scarce

Cause: with seven questions at most in flight, two questions of 24 hosts hold two instances for 1.3 s together, where one of 48 holds one for 0.8 s. Change: a gang takes a quarter of the free questions, and one of up to 100 hosts where that is one or less; the part left to other steps is an eighth.

--- a/internal/scheduler/question.go
+++ b/internal/scheduler/question.go
@@ -16,13 +16,13 @@
 	// namingShare is the largest part of a question's time, beyond its fixed part and
 	// relative to it, that naming the endpoints may take.
 	namingShare = 0.5
-	// gangDivisor divides the questions that gangs may ask: one gang leaves as many to
-	// the next ones as it takes.
-	gangDivisor = 2
+	// gangDivisor divides the questions that gangs may ask: one gang leaves three times
+	// as many to the next ones as it takes.
+	gangDivisor = 4
 	// reserveDivisor divides the questions that may be in flight: gangs leave this part
 	// to steps whose tasks start one by one, whose questions are short. After a restart,
 	// when all gangs ask again, those would wait for seconds.
-	reserveDivisor = 4
+	reserveDivisor = 8
 )
 
 // askAboutUnknown asks about hosts whose eligibility is unknown, those with capacity first,
@@ -37,8 +37,12 @@
 	if d.Eligibility == nil || d.Eligibility.QuestionInFlight || left <= 0 {
 		return
 	}
-	size := d.Eligibility.questionSize()
-	questions := max(left/gangDivisor, 1)
+	size, questions := d.Eligibility.questionSize(), left/gangDivisor
+	if questions <= 1 {
+		// Where questions are scarce, several take more of the service's time than
+		// they save: one names as many hosts as it may.
+		size, questions = maxQuestionEndpoints, 1
+	}
 	endpoints := p.endpointsForGang(d, size, size*questions)
 	for _, part := range evenParts(endpoints, size, questions) {
 		p.addQuestion(Question{Demand: d, Endpoints: part})
