Say again that a refused job has not run

Cause: since the refusals at admission close their ticket, a refused submission of a job with a ticket was said to be unknown. The command line always sends a ticket, so that a job that can never run ended with exit 4 instead of 3; make demo in a clean clone found it.

--- a/internal/api/jobs.go
+++ b/internal/api/jobs.go
@@ -114,7 +114,7 @@
 	})
 	a.observe(r, grant, p)
 	if p != nil {
-		return t.String(), adjustJobVerdict(p, job.Ticket)
+		return t.String(), p
 	}
 	w.Header().Set(HeaderTicket, t.String())
 	writeJSON(w, http.StatusAccepted, acceptedBody{Job: id})
