Review case 4: machines that were replaced keep jobs from starting

Cause: the daemon never forgets a machine that was removed, and goes on asking the adviser through it. Nothing is fixed.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -5,4 +5,4 @@
   echo "run the build line of deploy/system.toml and review/build.sh first" >&2
   exit 2
 fi
-exec ../../target/reviewkit route "$PWD"
+exec ../../target/reviewkit replaced "$PWD"
--- a/review/kit/daemons.go
+++ b/review/kit/daemons.go
@@ -19,6 +19,7 @@
 	Name   string
 	Front  string
 	Ready  string
+	Peer   string
 	record *Record
 	root   string
 	config string
@@ -53,7 +54,7 @@
 		return nil, err
 	}
 	at := func(i int) string { return fmt.Sprintf("127.0.0.1:%d", ports[i]) }
-	d := &Daemon{Name: name, Front: at(0), Ready: at(1), record: record, root: root,
+	d := &Daemon{Name: name, Front: at(0), Ready: at(1), Peer: at(2), record: record, root: root,
 		config: filepath.Join(dir, name+".ini"), log: filepath.Join(dir, name+".log")}
 	text := fmt.Sprintf(`[instance]
 name = %s
--- a/review/kit/main.go
+++ b/review/kit/main.go
@@ -54,6 +54,7 @@
 	"route":    playRoute,
 	"address":  playAddress,
 	"urgent":   playUrgent,
+	"replaced": playReplaced,
 }
 
 func main() { os.Exit(play()) }
