--- a/review/kit/cases.go
+++ b/review/kit/cases.go
@@ -129,13 +129,11 @@
 	}
 	const jobs, width = 22, 60
 	for range jobs {
-		s.Clients.Submit("/lots/", s.Clients.NewID(), object{"spec": "work 1000 to 2500",
-			"steps": []object{{"count": width, "cpu": 80, "mem_mb": 100, "estimate_ms": 1800}}})
+		s.Clients.Submit("/lots/", s.Clients.NewID(), object{"spec": "work 1800 to 3300",
+			"steps": []object{{"count": width, "cpu": 80, "mem_mb": 100, "estimate_ms": 2500}}})
 	}
-	for until := time.Now().Add(10 * time.Second); s.Runners[0].Runs()+s.Runners[1].Runs() < jobs*width; time.Sleep(10 * time.Millisecond) {
-		if time.Now().After(until) {
-			break
-		}
+	for until := time.Now().Add(1200 * time.Millisecond); s.Watch.TotalStarts() < jobs*width && time.Now().Before(until); {
+		time.Sleep(10 * time.Millisecond)
 	}
 	s.Record.Say("%d and %d runs are at work", s.Runners[0].Runs(), s.Runners[1].Runs())
 	if s.Trouble {
@@ -143,7 +141,12 @@
 			d.Kill()
 		}
 		s.Record.Say("all daemons were killed")
-		time.Sleep(2 * time.Second)
+		// They start again after 1 to 3.5 s, once enough runs have ended.
+		time.Sleep(time.Second)
+		for until := time.Now().Add(2500 * time.Millisecond); s.Runners[0].Ends() < 700 && time.Now().Before(until); {
+			time.Sleep(10 * time.Millisecond)
+		}
+		s.Record.Say("they start again; the runners list %d and %d ends", s.Runners[0].Ends(), s.Runners[1].Ends())
 		for _, d := range s.Daemons {
 			if err := d.Start(); err != nil {
 				return nil, err
--- a/review/kit/runner.go
+++ b/review/kit/runner.go
@@ -324,6 +324,13 @@
 	return len(r.running)
 }
 
+// Ends returns how many ends are not acknowledged.
+func (r *Runner) Ends() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.ended)
+}
+
 // Watch sees all runs and checks the rule TWICE.
 type Watch struct {
 	record *Record
@@ -334,9 +341,8 @@
 	// Starts and Done count the starts and the ends that were done.
 	Starts, Done int
 	misdirected  int
-	// lastStart is the time of the last start of each task.
-	together []string
-	active   map[string]string
+	together     []string
+	active       map[string]string
 }
 
 type startSeen struct {
@@ -399,7 +405,14 @@
 	}
 }
 
-// Begun reports whether a task of a job has been started.
+// TotalStarts returns the number of starts.
+func (w *Watch) TotalStarts() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.Starts
+}
+
+// Begun returns how often a task has been started.
 func (w *Watch) Begun(task string) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
