Eligibility: questions no longer wait for instance after instance that is gone

Cause: a failed instance was set aside for one second, shorter than it takes to try three others that don't answer, and then it was preferred again, as it had no question in flight. A question could so go round the dead instances for good.

Change: an instance that failed its last question is used after all others, its backoff doubles up to 8 s, and a question that another instance has failed may go through the local one, which is always reachable. Failures during a backoff count once.

TestQuestionsAmongDeadInstances failed before: none of 60 normal questions was answered within 3 s; a failing instance was asked 60 times a minute (TestFailedInstanceIsUsedAgain). Both pass now. That the dead instances are still members is a fault of its own.

--- a/internal/eligibility/pool.go
+++ b/internal/eligibility/pool.go
@@ -17,8 +17,11 @@
 	// time of the service. It covers latency between regions and a busy
 	// instance.
 	responseAllowance = 600 * time.Millisecond
-	// failureBackoff is how long an instance is not used after a failure.
-	failureBackoff = time.Second
+	// failureBackoff is how long an instance is not used after a failure. It
+	// doubles with each further one, up to maxFailureBackoff: an instance on a
+	// machine that is gone times out each time.
+	failureBackoff    = time.Second
+	maxFailureBackoff = 8 * time.Second
 	// maxAttempts bounds the attempts to ask one question.
 	maxAttempts = 3
 	// maxUrgentPerInstance bounds the urgent questions in flight per instance. It
@@ -50,7 +53,8 @@
 }
 
 // Pool asks each question through the available instance with the lowest load.
-// Questions wait while no instance is available. It is safe for concurrent use.
+// Instances that failed the last question are used last. Questions wait while no
+// instance is available. It is safe for concurrent use.
 type Pool struct {
 	now func() time.Duration
 
@@ -68,10 +72,13 @@
 	inFlightCost   time.Duration
 	inFlight       int
 	inFlightNormal int
-	backoffUntil   time.Duration
+	// failures counts the backoffs since the last answer.
+	failures     int
+	backoffUntil time.Duration
 }
 
-// waiter is a question that waits for an instance.
+// waiter is a question that waits for an instance. exclude are the instances
+// that have failed it.
 type waiter struct {
 	assigned chan *instance
 	cost     time.Duration
@@ -115,7 +122,7 @@
 			return controller.EligibilityAnswer{}, err
 		}
 		answer, err := p.ask(ctx, inst, o)
-		p.release(inst, o, err)
+		p.finish(inst, o, err)
 		if err == nil {
 			return answer, nil
 		}
@@ -165,7 +172,9 @@
 	p.mu.Unlock()
 	select {
 	case inst := <-w.assigned:
-		p.release(inst, o, nil)
+		p.mu.Lock()
+		p.release(inst, o)
+		p.mu.Unlock()
 	default:
 	}
 }
@@ -188,20 +197,46 @@
 	}
 }
 
-// release ends a question on an instance and assigns available instances to
-// waiters. After an error the instance is not used for failureBackoff.
-func (p *Pool) release(inst *instance, o *controller.AskOrder, err error) {
+// finish ends a question that was asked through an instance. After an error the
+// instance is not used for some time.
+func (p *Pool) finish(inst *instance, o *controller.AskOrder, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if err != nil {
+		p.backOff(inst)
+	} else {
+		inst.failures = 0
+	}
+	p.release(inst, o)
+}
+
+// backOff begins the backoff of an instance that failed. Further questions in
+// flight that fail during the backoff don't extend it. The local instance is
+// reachable at all times, so that its backoff does not grow.
+func (p *Pool) backOff(inst *instance) {
+	now := p.now()
+	if now < inst.backoffUntil {
+		return
+	}
+	pause := failureBackoff
+	if !inst.Local {
+		pause = min(failureBackoff<<inst.failures, maxFailureBackoff)
+	}
+	if pause < maxFailureBackoff {
+		inst.failures++
+	}
+	inst.backoffUntil = now + pause
+	time.AfterFunc(pause, p.resumeWaiters)
+}
+
+// release ends the reservation of a question on an instance and assigns
+// available instances to waiters. The caller holds p.mu.
+func (p *Pool) release(inst *instance, o *controller.AskOrder) {
 	inst.inFlight--
 	inst.inFlightCost -= o.Cost
 	if !o.Urgent {
 		inst.inFlightNormal--
 	}
-	if err != nil {
-		inst.backoffUntil = p.now() + failureBackoff
-		time.AfterFunc(failureBackoff, p.resumeWaiters)
-	}
 	p.assignWaiters()
 }
 
@@ -245,7 +280,7 @@
 	now := p.now()
 	var best *instance
 	for _, inst := range p.instances {
-		if now < inst.backoffUntil || exclude[inst.Name] || !p.hasCapacity(inst, urgent) {
+		if now < inst.backoffUntil || exclude[inst.Name] || !p.hasCapacity(inst, urgent, len(exclude) > 0) {
 			continue
 		}
 		if best == nil || inst.before(best) {
@@ -256,12 +291,13 @@
 }
 
 // hasCapacity reports whether an instance may take a question now. Urgent
-// questions share an instance with each other but not with normal ones.
-func (p *Pool) hasCapacity(inst *instance, urgent bool) bool {
+// questions share an instance with each other but not with normal ones. The
+// local instance takes a normal question if another instance has failed it.
+func (p *Pool) hasCapacity(inst *instance, urgent, retried bool) bool {
 	if urgent {
 		return inst.inFlightNormal == 0 && inst.inFlight < maxUrgentPerInstance
 	}
-	return inst.inFlight == 0 && (!inst.Local || p.onlyLocal())
+	return inst.inFlight == 0 && (!inst.Local || retried || p.onlyLocal())
 }
 
 // onlyLocal reports whether this daemon's own instance is the only usable one.
@@ -284,9 +320,13 @@
 	return inst.inFlightCost + unbatchedCost
 }
 
-// before reports whether inst is preferred to o. The lower load is preferred, then
-// the local instance, which has the lowest latency, then the lower name.
+// before reports whether inst is preferred to o: one whose last question was
+// answered, then the lower load, then the local instance, which has the lowest
+// latency, then the lower name.
 func (inst *instance) before(o *instance) bool {
+	if a, b := inst.failures > 0, o.failures > 0; a != b {
+		return b
+	}
 	if a, b := inst.load(), o.load(); a != b {
 		return a < b
 	}
--- a/internal/eligibility/pool_test.go
+++ b/internal/eligibility/pool_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/bluebellstile/bluebellstile/internal/controller"
@@ -187,3 +189,87 @@
 		t.Errorf("%d unbatched questions, %d batched; want 0 and 5", unbatched.calls, batched.calls)
 	}
 }
+
+// deadInstance is an Asker on a machine that is gone: no call is answered.
+type deadInstance struct{}
+
+func (deadInstance) Ask(ctx context.Context, _ string, _ []string) (controller.EligibilityAnswer, error) {
+	<-ctx.Done()
+	return controller.EligibilityAnswer{}, ctx.Err()
+}
+
+// TestQuestionsAmongDeadInstances guards against jobs that never start because
+// their questions go to one dead instance after the other: of 42 instances, the
+// 40 that sort first are on machines that are gone.
+func TestQuestionsAmongDeadInstances(t *testing.T) {
+	for name, urgent := range map[string]bool{"normal": false, "urgent": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newTestPool(nil)
+				list := []Instance{
+					{Name: "x-local", Asker: &fakeInstance{responseTime: 20 * time.Millisecond}, Local: true},
+					{Name: "y-remote", Asker: &fakeInstance{responseTime: 20 * time.Millisecond}},
+				}
+				for i := range 40 {
+					list = append(list, Instance{Name: fmt.Sprintf("dead-%02d", i), Asker: deadInstance{}})
+				}
+				p.SetInstances(list)
+				// A job may have nothing running for 3 s while there is room for it.
+				const bound = 3 * time.Second
+				var group sync.WaitGroup
+				for range 60 {
+					group.Go(func() {
+						began := time.Now()
+						ctx, cancel := context.WithTimeout(t.Context(), bound)
+						defer cancel()
+						for {
+							_, err := p.Ask(ctx, question(urgent))
+							if err == nil {
+								return
+							}
+							if ctx.Err() != nil {
+								t.Errorf("a question was not answered within %s: %v", time.Since(began), err)
+								return
+							}
+							time.Sleep(100 * time.Millisecond)
+						}
+					})
+					time.Sleep(250 * time.Millisecond)
+				}
+				group.Wait()
+			})
+		})
+	}
+}
+
+// TestFailedInstanceIsUsedAgain checks that an instance that has failed often
+// takes questions again once it answers.
+func TestFailedInstanceIsUsedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		remote := &fakeInstance{fails: true}
+		p := newTestPool(nil)
+		p.SetInstances([]Instance{
+			{Name: "local", Asker: &fakeInstance{responseTime: 20 * time.Millisecond}, Local: true},
+			{Name: "remote", Asker: remote},
+		})
+		for range 60 {
+			if _, err := p.Ask(t.Context(), question(false)); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(time.Second)
+		}
+		if remote.calls > 10 {
+			t.Errorf("a failing instance was asked %d times in a minute", remote.calls)
+		}
+		remote.fails, remote.calls = false, 0
+		for range 20 {
+			if _, err := p.Ask(t.Context(), question(false)); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(time.Second)
+		}
+		if remote.calls == 0 {
+			t.Error("an instance that answers again is not used")
+		}
+	})
+}
