Members: a daemon that was stopped or lost leaves the cell

Cause: a daemon registered as a member and nothing ever removed it. A planned stop did not deregister, and a machine that is lost can't. The holder asked the eligibility service through all that ever were, and each of them counted for the rank of candidates, the pause between heartbeats, the order of a handover and the choice of senders.

Change: a planned stop removes the daemon's record. The removal is conditional on the end of the topic, so that it spares a registration that the holder has not read; a daemon whose record is gone registers again. Metrics members and members_removed_total.

--- a/internal/fleetpeer/client.go
+++ b/internal/fleetpeer/client.go
@@ -115,9 +115,10 @@
 }
 
 // Heartbeat implements leadership.Peers.
-func (c *Clients) Heartbeat(ctx context.Context, address string) (leadership.HeartbeatResponse, bool, error) {
+func (c *Clients) Heartbeat(ctx context.Context, address string, self leadership.Member) (leadership.HeartbeatResponse, bool, error) {
 	var sent transport.SendTracker
-	r, err := c.To(address).control.Heartbeat(sent.Observe(ctx), connect.NewRequest(&fleetv1.HeartbeatRequest{}))
+	request := &fleetv1.HeartbeatRequest{Name: self.Name, Incarnation: self.Incarnation}
+	r, err := c.To(address).control.Heartbeat(sent.Observe(ctx), connect.NewRequest(request))
 	if err != nil {
 		return leadership.HeartbeatResponse{}, transport.IsConnectionRefused(err), errors.WithMessagef(err, "after waiting %s for a connection", sent.Waited().Round(time.Millisecond))
 	}
--- a/internal/fleetpeer/client_test.go
+++ b/internal/fleetpeer/client_test.go
@@ -33,8 +33,8 @@
 // daemon is a LocalDaemon on which holder runs.
 type daemon struct{ holder Holder }
 
-func (d daemon) Heartbeat() leadership.HeartbeatResponse {
-	return leadership.HeartbeatResponse{Epoch: 7}
+func (d daemon) Heartbeat(name, incarnation string) leadership.HeartbeatResponse {
+	return leadership.HeartbeatResponse{Incarnation: "answers " + name + "/" + incarnation, Epoch: 7}
 }
 
 func (d daemon) TakeOver(context.Context, int64) (leadership.Claim, error) {
@@ -79,8 +79,9 @@
 	}
 	shortCtx, cancelShort := context.WithTimeout(ctx, time.Second)
 	defer cancelShort()
-	if b, _, err := clients.Heartbeat(shortCtx, address); err != nil || b.Epoch != 7 {
-		t.Errorf("a heartbeat beside %d requests: epoch %d, %v", requests, b.Epoch, err)
+	self := leadership.Member{Name: "caller", Incarnation: "x"}
+	if b, _, err := clients.Heartbeat(shortCtx, address, self); err != nil || b.Epoch != 7 || b.Incarnation != "answers caller/x" {
+		t.Errorf("a heartbeat beside %d requests: %+v, %v", requests, b, err)
 	}
 	if claim, err := clients.To(address).TakeOver(shortCtx, 7); err != nil || claim.Epoch != 8 {
 		t.Errorf("a handover beside %d requests: epoch %d, %v", requests, claim.Epoch, err)
--- a/internal/fleetpeer/server.go
+++ b/internal/fleetpeer/server.go
@@ -30,8 +30,9 @@
 
 // LocalDaemon is the daemon that serves the calls of other daemons.
 type LocalDaemon interface {
-	// Heartbeat returns the response to a heartbeat.
-	Heartbeat() leadership.HeartbeatResponse
+	// Heartbeat returns the response to a heartbeat of another daemon. The name is
+	// empty if the caller does not identify itself.
+	Heartbeat(name, incarnation string) leadership.HeartbeatResponse
 	// TakeOver claims the cell from the term with the epoch.
 	TakeOver(ctx context.Context, epoch int64) (leadership.Claim, error)
 	// Holder returns the term that runs here, or nil if there is none.
@@ -62,8 +63,8 @@
 }
 
 // Heartbeat implements the service.
-func (s *server) Heartbeat(context.Context, *connect.Request[fleetv1.HeartbeatRequest]) (*connect.Response[fleetv1.HeartbeatResponse], error) {
-	b := s.local.Heartbeat()
+func (s *server) Heartbeat(_ context.Context, r *connect.Request[fleetv1.HeartbeatRequest]) (*connect.Response[fleetv1.HeartbeatResponse], error) {
+	b := s.local.Heartbeat(r.Msg.Name, r.Msg.Incarnation)
 	return connect.NewResponse(&fleetv1.HeartbeatResponse{
 		Incarnation: b.Incarnation,
 		Epoch:       b.Epoch,
--- a/internal/leadership/decide.go
+++ b/internal/leadership/decide.go
@@ -90,6 +90,16 @@
 // a bad candidate does not always come first. It returns the number of
 // candidates if self is not one of them.
 func Rank(members []Member, self, holder string, epoch int64) int {
+	ranks := Ranks(members, holder, epoch)
+	if rank, ok := ranks[self]; ok {
+		return rank
+	}
+	return len(ranks)
+}
+
+// Ranks returns the rank of each member that may replace a holder, by name; see
+// Rank.
+func Ranks(members []Member, holder string, epoch int64) map[string]int {
 	var candidates []Member
 	for _, m := range members {
 		if m.Name != holder {
@@ -104,12 +114,11 @@
 		}
 		return tieBreak(a.Name, epoch) < tieBreak(b.Name, epoch)
 	})
+	ranks := make(map[string]int, len(candidates))
 	for i, m := range candidates {
-		if m.Name == self {
-			return i
-		}
+		ranks[m.Name] = i
 	}
-	return len(candidates)
+	return ranks
 }
 
 // tieBreak returns a sort key for a member that differs by epoch.
--- a/internal/leadership/directory.go
+++ b/internal/leadership/directory.go
@@ -123,8 +123,10 @@
 	claim   Claim
 	// nextOffset is the offset after the newest known record of the topic.
 	nextOffset int64
-	loaded     bool
-	changed    chan struct{}
+	// registeredAt is the offset of this daemon's newest registration.
+	registeredAt int64
+	loaded       bool
+	changed      chan struct{}
 }
 
 // NewDirectory returns a Directory that is empty until Run has read the topic.
@@ -237,7 +239,22 @@
 	if err != nil {
 		return errors.Wrap(err, "encode the member's record")
 	}
-	return d.appendRecord(ctx, keyedlog.Record{Key: memberPrefix + d.self.Name, Value: value})
+	appended, err := d.append(ctx, keyedlog.Append{Records: []keyedlog.Record{{Key: memberPrefix + d.self.Name, Value: value}}})
+	if err != nil {
+		return err
+	}
+	d.mu.Lock()
+	d.registeredAt = appended.Offset
+	d.mu.Unlock()
+	return nil
+}
+
+// Removed reports whether the record of this daemon was removed after its newest
+// registration, or replaced by another incarnation's.
+func (d *Directory) Removed() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.nextOffset > d.registeredAt && d.members[d.self.Name].Incarnation != d.self.Incarnation
 }
 
 // Deregister removes this daemon from the members, unless a later incarnation
@@ -249,15 +266,35 @@
 	if current.Incarnation != d.self.Incarnation {
 		return nil
 	}
-	return d.appendRecord(ctx, keyedlog.Record{Key: memberPrefix + d.self.Name})
+	_, err := d.append(ctx, keyedlog.Append{Records: []keyedlog.Record{{Key: memberPrefix + d.self.Name}}})
+	return err
 }
 
-// appendRecord appends a record for which duplicates are harmless.
-func (d *Directory) appendRecord(ctx context.Context, r keyedlog.Record) error {
+// Remove removes members, unless one of them has registered again. It fails with
+// keyedlog.KindConflict if the topic has records that this daemon has not read.
+func (d *Directory) Remove(ctx context.Context, members []Member) error {
+	var records []keyedlog.Record
+	d.mu.Lock()
+	end := d.nextOffset
+	for _, m := range members {
+		if d.members[m.Name].Incarnation == m.Incarnation {
+			records = append(records, keyedlog.Record{Key: memberPrefix + m.Name})
+		}
+	}
+	d.mu.Unlock()
+	if len(records) == 0 {
+		return nil
+	}
+	_, err := d.append(ctx, keyedlog.Append{Records: records, At: &end})
+	return err
+}
+
+// append appends records to the cell's topic.
+func (d *Directory) append(ctx context.Context, a keyedlog.Append) (keyedlog.AppendResult, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	_, err := d.log.Append(ctx, keyedlog.Append{Partition: d.partition, Records: []keyedlog.Record{r}})
-	return err
+	a.Partition = d.partition
+	return d.log.Append(ctx, a)
 }
 
 // ErrReplaced means that the newest claim is not the one that the caller
@@ -282,13 +319,7 @@
 	if err != nil {
 		return Claim{}, errors.Wrap(err, "encode the claim")
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	appended, err := d.log.Append(ctx, keyedlog.Append{
-		Partition: d.partition,
-		Records:   []keyedlog.Record{{Key: claimKey, Value: value}},
-		At:        &end,
-	})
+	appended, err := d.append(ctx, keyedlog.Append{Records: []keyedlog.Record{{Key: claimKey, Value: value}}, At: &end})
 	if err != nil {
 		return Claim{}, err
 	}
--- a/internal/leadership/elector.go
+++ b/internal/leadership/elector.go
@@ -45,9 +45,10 @@
 
 // Peers sends heartbeats to other daemons.
 type Peers interface {
-	// Heartbeat asks the daemon at an address for its term. On an error, gone
-	// is set if nothing listens at the address any more.
-	Heartbeat(ctx context.Context, address string) (resp HeartbeatResponse, gone bool, err error)
+	// Heartbeat asks the daemon at an address for its term, and tells it that
+	// this daemon is alive. On an error, gone is set if nothing listens at the
+	// address any more.
+	Heartbeat(ctx context.Context, address string, self Member) (resp HeartbeatResponse, gone bool, err error)
 }
 
 // Elector monitors the holder and claims the cell when the holder has failed or
@@ -148,6 +149,11 @@
 		return heartbeatInterval
 	}
 	rank := Rank(e.directory.Members(), e.directory.self.Name, claim.Holder.Name, claim.Epoch)
+	return heartbeatPauseOf(rank)
+}
+
+// heartbeatPauseOf returns the time between two heartbeats of a candidate.
+func heartbeatPauseOf(rank int) time.Duration {
 	return time.Duration(1+rank/ranksPerInterval) * heartbeatInterval
 }
 
@@ -202,7 +208,7 @@
 	t.Go(func() error {
 		ctx, cancel := context.WithTimeout(t.Context(context.Background()), heartbeatTimeout)
 		defer cancel()
-		resp, gone, err := e.peers.Heartbeat(ctx, claim.Holder.Address)
+		resp, gone, err := e.peers.Heartbeat(ctx, claim.Holder.Address, e.directory.Self())
 		if err != nil && t.Alive() {
 			e.logger.Info("heartbeat to the holder failed", "holder", claim.Holder.Name, "epoch", claim.Epoch, "gone", gone, "error", err)
 		}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -67,6 +67,8 @@
 	PlatformBytes        = counterMap("platform_bytes_total", "bytes exchanged with the platform, by purpose and direction")
 	Jobs                 = counterMap("jobs_total", "requests for jobs answered here, by operation and verdict")
 	JobRefusals          = counterMap("job_refusals_total", "requests for jobs refused here or left open, by problem code")
+	Members              = counter("members", "daemons of the cell, this one included")
+	MembersRemoved       = counter("members_removed_total", "members that this daemon removed, as holder, because it heard nothing from them")
 	OpenJobs             = counter("jobs_open", "jobs of the held cell that are not done; 0 if this daemon does not hold it")
 	TasksWaiting         = counter("tasks_waiting", "tasks of the held cell that wait for an endpoint")
 	TasksRunning         = counter("tasks_running", "tasks of the held cell that run or may run")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,13 +29,18 @@
 	"github.com/bluebellstile/bluebellstile/internal/gateway"
 	"github.com/bluebellstile/bluebellstile/internal/keyedlog"
 	"github.com/bluebellstile/bluebellstile/internal/leadership"
+	"github.com/bluebellstile/bluebellstile/internal/metrics"
 	"github.com/pkg/errors"
 	"gopkg.in/tomb.v2"
 )
 
 const (
-	// registerRetryDelay is the delay before a failed registration is retried.
+	// registerRetryDelay is the delay before a failed registration is retried, and
+	// the least time between two registrations.
 	registerRetryDelay = 300 * time.Millisecond
+	// presenceCheckInterval is how often the holder looks for members from which it
+	// hears nothing.
+	presenceCheckInterval = time.Second
 	// maxLogAge is how long ago the log may last have answered before the
 	// daemon reports not ready and refuses to take the cell over, as other
 	// daemons may still reach the log.
@@ -92,6 +97,7 @@
 	self         leadership.Member
 	catalogs     *catalogFollower
 	directory    *leadership.Directory
+	presence     *leadership.Presence
 	elector      *leadership.Elector
 	terms        *termManager
 	pool         *eligibility.Pool
@@ -138,6 +144,7 @@
 		peer:        func(m leadership.Member) dispatch.Peer { return n.peers.To(m.Address) },
 	}
 	n.catalogs.onChange = n.terms.setCatalog
+	n.presence = leadership.NewPresence()
 	n.elector = leadership.NewElector(n.directory, n.peers, o.Clock, n.logLastSeen, n.terms.checkJobsReadable, n.terms.begin, o.Logger)
 	n.terms.onTermEnd = n.elector.TermEnded
 	n.gateway = gateway.New(n.catalogs, (*holderLocator)(n), o.Clock, o.KeyBound, o.Logger)
@@ -187,32 +194,75 @@
 	n.tomb.Go(func() error { return n.catalogs.run(n.tomb) })
 	n.tomb.Go(func() error { return n.directory.Run(n.tomb) })
 	n.tomb.Go(func() error { return n.elector.Run(n.tomb) })
-	n.tomb.Go(n.register)
+	n.tomb.Go(n.stayRegistered)
+	n.tomb.Go(n.removeSilentMembers)
 	n.tomb.Go(n.handOverWhenNeeded)
 	n.tomb.Go(n.followDirectory)
 	n.tomb.Go(n.updateMetrics)
 	return nil
 }
 
-// register registers the daemon in the directory, retrying until it succeeds.
-func (n *Node) register() error {
+// stayRegistered registers the daemon in the directory, and again whenever its
+// record was removed, until the daemon leaves.
+func (n *Node) stayRegistered() error {
 	ctx := n.tomb.Context(context.Background())
+	registered := false
 	for n.tomb.Alive() {
-		err := n.directory.Register(ctx)
-		if err == nil {
-			return nil
+		changed := n.directory.Changed()
+		if !n.leaving.Load() && (!registered || n.directory.Removed()) {
+			if err := n.directory.Register(ctx); err != nil {
+				n.options.Logger.Warn("registration of the daemon failed, retrying", "error", err)
+			} else {
+				n.options.Logger.Info("registered as a member of the cell", "again", registered)
+				registered = true
+			}
+			sleep(n.tomb, registerRetryDelay)
+			continue
 		}
-		n.options.Logger.Warn("registration of the daemon failed, retrying", "error", err)
-		timer := time.NewTimer(registerRetryDelay)
 		select {
-		case <-timer.C:
+		case <-changed:
 		case <-n.tomb.Dying():
-			timer.Stop()
 		}
 	}
 	return nil
 }
 
+// removeSilentMembers removes members from which this daemon, while it is the
+// holder, hears nothing. It runs until the daemon stops.
+func (n *Node) removeSilentMembers() error {
+	ctx := n.tomb.Context(context.Background())
+	for n.tomb.Alive() {
+		sleep(n.tomb, presenceCheckInterval)
+		t := n.terms.term()
+		if t == nil || n.leaving.Load() {
+			continue
+		}
+		silent := n.presence.Silent(n.directory.Members(), n.self.Name, t.controller.Epoch(), n.options.Clock.Now())
+		if len(silent) == 0 {
+			continue
+		}
+		if err := n.directory.Remove(ctx, silent); err != nil {
+			n.options.Logger.Info("silent members can't be removed, retrying", "members", len(silent), "error", err)
+			continue
+		}
+		metrics.MembersRemoved.Add(int64(len(silent)))
+		for _, m := range silent {
+			n.options.Logger.Info("member was silent and is removed", "member", m.Name, "incarnation", m.Incarnation)
+		}
+	}
+	return nil
+}
+
+// sleep waits for d or until t is dying.
+func sleep(t *tomb.Tomb, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-t.Dying():
+	}
+}
+
 // followDirectory passes the newest claim, the members and their instances on
 // whenever the directory changes.
 func (n *Node) followDirectory() error {
@@ -223,6 +273,7 @@
 		n.pool.SetInstances(instances)
 		n.terms.setInstances(len(instances))
 		n.terms.setMembers(n.directory.Members())
+		metrics.Members.Set(int64(len(instances)))
 		select {
 		case <-changed:
 		case <-n.tomb.Dying():
@@ -257,11 +308,14 @@
 func (n *Node) Dying() <-chan struct{} { return n.tomb.Dying() }
 
 // BeginStop begins a planned stop: the daemon reports not ready, stops claiming
-// the cell, and hands over its term if it has one.
+// the cell, hands over its term if it has one, and leaves the members.
 func (n *Node) BeginStop(ctx context.Context) {
 	n.leaving.Store(true)
 	n.elector.StopClaiming()
 	n.handOver(ctx, n.successors())
+	if err := n.directory.Deregister(ctx); err != nil {
+		n.options.Logger.Info("the daemon's record was not removed; the holder will remove it", "error", err)
+	}
 }
 
 // handOver asks the candidates in turn to claim the cell, until one does. The
@@ -364,7 +418,8 @@
 type localDaemon Node
 
 // Heartbeat implements fleetpeer.LocalDaemon.
-func (l *localDaemon) Heartbeat() leadership.HeartbeatResponse {
+func (l *localDaemon) Heartbeat(name, incarnation string) leadership.HeartbeatResponse {
+	l.presence.Heard(name, incarnation, l.options.Clock.Now())
 	b := leadership.HeartbeatResponse{Incarnation: l.self.Incarnation, Claim: l.directory.Current()}
 	if t := l.terms.term(); t != nil {
 		b.Epoch = t.controller.Epoch()
