Workload: chains of steps are computed once for each step, not for each path

Cause: Spec.ChainFrom walked every path from a step to the end of the job, 4^19 here, for each step that became ready and under the controller's lock; the next holder did the same when it read the job back. LongestChain did so where all estimates are 0.

Change: Spec.Chains computes both in one pass over the dependencies, with sums that are bounded, and the controller keeps a job's chains.

TestChainsOfLayeredSteps failed before (80 steps not computed within 5 s) and passes now.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -134,6 +134,9 @@
 	ended bool
 	// waiters are called once the admission is in the log.
 	waiters []func(SubmitResult)
+	// chains caches the chains of the job's steps for chainsQuestionTime.
+	chains             workload.Chains
+	chainsQuestionTime time.Duration
 }
 
 // stepEntry is a ready step with its scheduling state.
@@ -299,12 +302,22 @@
 	if r := e.job.Spec.Recurrence; r != nil {
 		openedAt = r.Due(s.Occurrence.Index)
 	}
-	objective := time.Duration(q.Stretch*float64(e.job.Spec.LongestChain(questionTime))) + q.Objective
-	left := openedAt.Add(objective).Sub(now.Wall) - e.job.Spec.ChainFrom(s.Index, questionTime)
+	chains := e.chainsWith(questionTime)
+	objective := time.Duration(min(q.Stretch*float64(chains.Longest), float64(workload.MaxSpan))) + q.Objective
+	left := max(openedAt.Add(objective).Sub(now.Wall), -workload.MaxSpan) - chains.From[s.Index]
 	entry.latestStart = now.Steady + left
 	return entry
 }
 
+// chainsWith returns the chains of the job's steps, with the time of a question
+// added for each step.
+func (e *jobEntry) chainsWith(questionTime time.Duration) workload.Chains {
+	if e.chains.From == nil || e.chainsQuestionTime != questionTime {
+		e.chains, e.chainsQuestionTime = e.job.Spec.Chains(questionTime), questionTime
+	}
+	return e.chains
+}
+
 // removeSteps removes the steps of an occurrence that are done, or all of them
 // if the job has ended.
 func (c *Core) removeSteps(j *workload.Job, o *workload.Occurrence) {
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -195,41 +195,47 @@
 	}
 }
 
-// LongestChain returns the estimated duration of the longest chain of dependent
-// steps, with extra added for each step.
-func (s *Spec) LongestChain(extra time.Duration) time.Duration {
-	longest := time.Duration(0)
-	memo := make([]time.Duration, len(s.Steps))
+// Chains holds the estimated durations of the chains of dependent steps of a job.
+type Chains struct {
+	// Longest is the duration of the longest chain.
+	Longest time.Duration
+	// From is the duration of the longest chain that begins with each step.
+	From []time.Duration
+}
+
+// Chains returns the chains of a valid spec, with extra added for each step. It
+// visits each dependency once: the number of paths grows exponentially with the
+// number of steps.
+func (s *Spec) Chains(extra time.Duration) Chains {
+	dependents := make([][]int, len(s.Steps))
 	for i := range s.Steps {
-		longest = max(longest, s.chainTo(i, extra, memo))
-	}
-	return longest
-}
-
-// chainTo returns the estimated duration of the longest chain that ends with
-// step i.
-func (s *Spec) chainTo(i int, extra time.Duration, memo []time.Duration) time.Duration {
-	if memo[i] > 0 {
-		return memo[i]
-	}
-	before := time.Duration(0)
-	for _, b := range s.Steps[i].After {
-		before = max(before, s.chainTo(b, extra, memo))
+		for _, before := range s.Steps[i].After {
+			dependents[before] = append(dependents[before], i)
+		}
 	}
-	memo[i] = before + s.Steps[i].Estimate + extra
-	return memo[i]
-}
-
-// ChainFrom returns the estimated duration of the longest chain that begins
-// with step i, with extra added for each step.
-func (s *Spec) ChainFrom(i int, extra time.Duration) time.Duration {
-	after := time.Duration(0)
-	for k := range s.Steps {
-		for _, b := range s.Steps[k].After {
-			if b == i {
-				after = max(after, s.ChainFrom(k, extra))
-			}
+	c := Chains{From: make([]time.Duration, len(s.Steps))}
+	computed := make([]bool, len(s.Steps))
+	var from func(int) time.Duration
+	from = func(i int) time.Duration {
+		if computed[i] {
+			return c.From[i]
 		}
+		after := time.Duration(0)
+		for _, k := range dependents[i] {
+			after = max(after, from(k))
+		}
+		computed[i] = true
+		c.From[i] = addBounded(addBounded(s.Steps[i].Estimate, extra), after)
+		return c.From[i]
+	}
+	for i := range s.Steps {
+		c.Longest = max(c.Longest, from(i))
 	}
-	return s.Steps[i].Estimate + extra + after
+	return c
+}
+
+// addBounded returns the sum of two durations that are not negative, at most
+// MaxSpan. Estimates are the caller's, and their sum may overflow.
+func addBounded(a, b time.Duration) time.Duration {
+	return min(min(a, MaxSpan)+min(b, MaxSpan), MaxSpan)
 }
--- a/internal/workload/validate.go
+++ b/internal/workload/validate.go
@@ -21,7 +21,7 @@
 	// MaxAmount bounds each amount of a task's size, so that no sum overflows.
 	MaxAmount = 1 << 40
 	// MaxSpan bounds the time between the first and the last occurrence of a
-	// recurring job.
+	// recurring job, and the estimated duration of a chain of steps.
 	MaxSpan = 100 * 365 * 24 * time.Hour
 )
 
--- a/internal/workload/workload_test.go
+++ b/internal/workload/workload_test.go
@@ -149,14 +149,54 @@
 
 func TestLongestChain(t *testing.T) {
 	s := Spec{Steps: []Step{step(1), step(1, 0), step(1)}}
-	if got := s.LongestChain(time.Millisecond); got != 2*time.Second+2*time.Millisecond {
+	if got := s.Chains(time.Millisecond).Longest; got != 2*time.Second+2*time.Millisecond {
 		t.Errorf("longest chain is %s", got)
 	}
-	if got := s.ChainFrom(1, 0); got != time.Second {
+	if got := s.Chains(0).From[1]; got != time.Second {
 		t.Errorf("chain from step 1 is %s", got)
 	}
 }
 
+// layeredSpec returns a spec whose steps depend on all steps of the layer before.
+func layeredSpec(layers, width int, estimate time.Duration) Spec {
+	var s Spec
+	for layer := range layers {
+		for range width {
+			next := step(1)
+			next.Estimate = estimate
+			for i := range width {
+				if layer > 0 {
+					next.After = append(next.After, (layer-1)*width+i)
+				}
+			}
+			s.Steps = append(s.Steps, next)
+		}
+	}
+	return s
+}
+
+// TestChainsOfLayeredSteps guards against a holder that never finishes computing
+// the chains of an accepted job: 20 layers of 4 steps have 4^19 paths from the
+// first layer to the last. Steps without an estimate count as well.
+func TestChainsOfLayeredSteps(t *testing.T) {
+	for estimate, want := range map[time.Duration]time.Duration{0: 0, time.Second: 20 * time.Second, MaxSpan: MaxSpan} {
+		s := layeredSpec(20, 4, estimate)
+		if err := s.Validate(); err != nil {
+			t.Fatal(err)
+		}
+		done := make(chan Chains, 1)
+		go func() { done <- s.Chains(0) }()
+		select {
+		case c := <-done:
+			if c.Longest != want || c.From[0] != want {
+				t.Errorf("with estimates of %s the longest chain is %s, from the first step %s; want %s", estimate, c.Longest, c.From[0], want)
+			}
+		case <-time.After(5 * time.Second):
+			t.Fatalf("the chains of 80 steps with estimates of %s are not computed within 5 s", estimate)
+		}
+	}
+}
+
 // TestRecordsRoundTrip applies random changes to a job and checks that decoding
 // its records returns an equal job.
 func TestRecordsRoundTrip(t *testing.T) {
