Workload: the state of a schedule or a large job fits into what the log takes

Cause: a job's progress was one record with all its open occurrences. Beyond 262,144 bytes the store refuses the append, and the term ends; the next holder reads the job back and writes the same record. A job that runs once, with 5,000 tasks that ran and run again, took 274,739 bytes.

Change: live occurrences of schedules, and of jobs of more than 500 tasks, have records of their own, of at most 500 tasks each. At most 256 occurrences and 10,200 steps and tasks of a job are live; the next opens when one is done. A checkpoint beyond 64 bytes is not kept. Records of the earlier form are read.

--- a/internal/controller/batch.go
+++ b/internal/controller/batch.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"sort"
 	"time"
 
 	"github.com/bluebellstile/bluebellstile/internal/clock"
@@ -13,7 +12,8 @@
 	"github.com/bluebellstile/bluebellstile/internal/workload"
 )
 
-// Key prefixes of the two records of a job.
+// Key prefixes of the records of a job. The job's id follows, and for progress the
+// name of the record.
 const (
 	admissionPrefix = "a/"
 	progressPrefix  = "p/"
@@ -107,12 +107,12 @@
 		return nil
 	}
 	c.batch = newBatch()
-	for _, id := range sortedIDs(b.admitted) {
-		c.appendRecord(b, admissionPrefix, id, b.admitted[id].job.EncodeAdmission)
+	for _, id := range sortedKeys(b.admitted) {
+		c.appendAdmission(b, b.admitted[id].job)
 	}
-	for _, id := range sortedIDs(b.progressed) {
+	for _, id := range sortedKeys(b.progressed) {
 		e := b.progressed[id]
-		c.appendRecord(b, progressPrefix, id, e.job.EncodeProgress)
+		c.appendProgress(b, e.job)
 		if !e.job.Final() {
 			continue
 		}
@@ -137,27 +137,35 @@
 	return b
 }
 
-// appendRecord encodes a record of a job and adds it to the batch.
-func (c *Core) appendRecord(b *Batch, prefix string, id workload.ID, encode func() ([]byte, error)) {
-	value, err := encode()
+// errEncode is logged if a record can't be encoded. The types hold nothing that
+// can't be, so this is a bug; the job continues.
+const errEncode = "can't encode a job's record, the job is lost when this term ends"
+
+// appendAdmission adds the admission of a job to the batch.
+func (c *Core) appendAdmission(b *Batch, j *workload.Job) {
+	value, err := j.EncodeAdmission()
 	if err != nil {
-		// The types hold nothing that can't be encoded, so this is a bug. The
-		// job continues and is lost when the term ends.
-		c.log.Error("can't encode a job's record, the job is lost when this term ends", "job", id, "error", err)
+		c.log.Error(errEncode, "job", j.ID, "error", err)
 		return
 	}
-	b.Records = append(b.Records, keyedlog.Record{Key: prefix + string(id), Value: value})
+	b.Records = append(b.Records, keyedlog.Record{Key: admissionPrefix + string(j.ID), Value: value})
 }
 
-func sortedIDs(m map[workload.ID]*jobEntry) []workload.ID {
-	ids := make([]workload.ID, 0, len(m))
-	for id := range m {
-		ids = append(ids, id)
+// appendProgress adds the changed progress records of a job to the batch.
+func (c *Core) appendProgress(b *Batch, j *workload.Job) {
+	records, err := j.EncodeProgress()
+	if err != nil {
+		c.log.Error(errEncode, "job", j.ID, "error", err)
+		return
+	}
+	for _, r := range records {
+		b.Records = append(b.Records, keyedlog.Record{Key: progressPrefix + string(j.ID) + r.Name.String(), Value: r.Data})
 	}
-	sort.Slice(ids, func(i, k int) bool { return ids[i] < ids[k] })
-	return ids
 }
 
+// sortedKeys returns the ids of the jobs in a map, in order.
+func sortedKeys[V any](m map[workload.ID]V) []workload.ID { return slices.Sorted(maps.Keys(m)) }
+
 // Committed processes a batch that is now in the log: it answers callers, sends
 // the recorded starts and allows ends to be acknowledged.
 func (c *Core) Committed(now clock.Instant, b *Batch) {
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -250,7 +250,8 @@
 	}
 }
 
-// openDueOccurrences opens the occurrences of a job that are due.
+// openDueOccurrences opens the occurrences of a job that are due, as far as it may
+// have more of them at a time.
 func (c *Core) openDueOccurrences(now clock.Instant, e *jobEntry) {
 	for {
 		due, ok := e.job.NextDue()
@@ -258,7 +259,7 @@
 			delete(c.recurring, e.job.ID)
 			return
 		}
-		if due.After(now.Wall) {
+		if due.After(now.Wall) || !e.job.MayOpen() {
 			c.recurring[e.job.ID] = e
 			return
 		}
--- a/internal/controller/restore.go
+++ b/internal/controller/restore.go
@@ -2,7 +2,6 @@
 
 import (
 	"sort"
-	"strings"
 
 	"github.com/bluebellstile/bluebellstile/internal/clock"
 	"github.com/bluebellstile/bluebellstile/internal/fleet"
@@ -25,52 +24,51 @@
 // log. It must be called before any event other than EndpointListed.
 func (c *Core) Restore(now clock.Instant, entries []keyedlog.Entry) {
 	admissions := make(map[workload.ID][]byte)
-	progress := make(map[workload.ID][]byte)
+	progress := make(map[workload.ID]map[workload.RecordName][]byte)
 	for _, e := range entries {
 		prefix, rest := e.Key[:min(2, len(e.Key))], e.Key[min(2, len(e.Key)):]
+		if len(e.Value) == 0 {
+			continue
+		}
 		if prefix == silentPrefix {
-			if len(e.Value) > 0 {
-				c.restoreSilence(rest, e.Value)
-			}
+			c.restoreSilence(rest, e.Value)
 			continue
 		}
-		id, ok := workload.ParseID(rest)
+		id, name, ok := parseJobKey(rest)
 		switch {
-		case !ok || len(e.Value) == 0:
-			if len(e.Value) > 0 {
-				c.log.Warn("ignoring a record with an unknown key", "key", e.Key)
-			}
-		case prefix == admissionPrefix:
+		case ok && prefix == admissionPrefix:
 			admissions[id] = e.Value
-		case prefix == progressPrefix:
-			progress[id] = e.Value
+		case ok && prefix == progressPrefix:
+			if progress[id] == nil {
+				progress[id] = make(map[workload.RecordName][]byte)
+			}
+			progress[id][name] = e.Value
 		default:
 			c.log.Warn("ignoring a record with an unknown key", "key", e.Key)
 		}
 	}
-	for _, id := range sortedJobs(progress) {
+	for _, id := range sortedKeys(progress) {
 		if admissions[id] == nil {
 			c.restoreFinal(id, progress[id])
 		}
 	}
-	for _, id := range sortedJobs(admissions) {
+	for _, id := range sortedKeys(admissions) {
 		c.restoreJob(now, id, admissions[id], progress[id])
 	}
 	sort.SliceStable(c.ended, func(i, k int) bool { return c.ended[i].job.Finished().Before(c.ended[k].job.Finished()) })
 }
 
-func sortedJobs(m map[workload.ID][]byte) []workload.ID {
-	ids := make([]workload.ID, 0, len(m))
-	for id := range m {
-		ids = append(ids, id)
-	}
-	sort.Slice(ids, func(i, k int) bool { return strings.Compare(string(ids[i]), string(ids[k])) < 0 })
-	return ids
+// parseJobKey parses what follows the prefix in the key of a job's record.
+func parseJobKey(text string) (id workload.ID, name workload.RecordName, ok bool) {
+	end := min(workload.IDLength, len(text))
+	id, idOK := workload.ParseID(text[:end])
+	name, nameOK := workload.ParseRecordName(text[end:])
+	return id, name, idOK && nameOK
 }
 
 // restoreFinal adds a job that has ended.
-func (c *Core) restoreFinal(id workload.ID, data []byte) {
-	j, ok, err := workload.DecodeFinalJob(id, data)
+func (c *Core) restoreFinal(id workload.ID, progress map[workload.RecordName][]byte) {
+	j, ok, err := workload.DecodeFinalJob(id, progress)
 	if err != nil || !ok {
 		c.log.Error("job not restored, its record can't be decoded or its admission is missing", "job", id, "error", err)
 		return
@@ -81,7 +79,7 @@
 }
 
 // restoreJob adds a job that may have runs.
-func (c *Core) restoreJob(now clock.Instant, id workload.ID, admission, progress []byte) {
+func (c *Core) restoreJob(now clock.Instant, id workload.ID, admission []byte, progress map[workload.RecordName][]byte) {
 	j, err := workload.DecodeAdmission(id, admission)
 	if err == nil && progress != nil {
 		err = j.Restore(progress)
--- a/internal/controller/tick.go
+++ b/internal/controller/tick.go
@@ -25,7 +25,7 @@
 	if len(c.recurring) == 0 {
 		return
 	}
-	for _, id := range sortedIDs(c.recurring) {
+	for _, id := range sortedKeys(c.recurring) {
 		c.openDueOccurrences(now, c.recurring[id])
 	}
 }
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -300,35 +300,63 @@
 		return
 	}
 	t.appending = true
-	w.append(t, b, w.now)
+	var calls [][]keyedlog.Record
+	if b != nil {
+		calls = [][]keyedlog.Record{b.Records}
+	}
+	w.append(t, b, calls, w.now)
 }
 
-// append retries the append of a batch until its result is known.
-func (w *world) append(t *simTerm, b *Batch, began time.Duration) {
+// What the users' platform takes in a record and in a call.
+const (
+	simRecordBytes = 262_144
+	simCallBytes   = 2 << 20
+)
+
+// store applies the records of one call to the log.
+func (w *world) store(records []keyedlog.Record) {
+	size := 0
+	for _, r := range records {
+		size += len(r.Key) + len(r.Value)
+		if len(r.Key)+len(r.Value) > simRecordBytes {
+			w.violation("SIZE", "the record %s has %d bytes", r.Key, len(r.Value))
+		}
+		if len(r.Value) == 0 {
+			delete(w.records, r.Key)
+		} else {
+			w.records[r.Key] = r.Value
+		}
+	}
+	if size > simCallBytes {
+		w.violation("SIZE", "an append has %d bytes", size)
+	}
+}
+
+// append appends the calls that are left of a batch, one after the other, and
+// retries each until its result is known.
+func (w *world) append(t *simTerm, b *Batch, calls [][]keyedlog.Record, began time.Duration) {
 	w.after(w.between(2*time.Millisecond, 8*time.Millisecond), func() {
 		if t.dead {
 			return
 		}
 		if w.logDown {
-			w.after(100*time.Millisecond, func() { w.append(t, b, w.now) })
+			w.after(100*time.Millisecond, func() { w.append(t, b, calls, w.now) })
 			return
 		}
 		if t.epoch < w.epoch {
 			t.dead = true
 			return
 		}
-		if b != nil {
-			for _, r := range b.Records {
-				if len(r.Value) == 0 {
-					delete(w.records, r.Key)
-				} else {
-					w.records[r.Key] = r.Value
-				}
-			}
+		if len(calls) > 0 {
+			w.store(calls[0])
 		}
 		if w.chance(w.faults.lostAppends) {
 			// The retry gets the answer of the first attempt.
-			w.after(250*time.Millisecond, func() { w.append(t, b, w.now) })
+			w.after(250*time.Millisecond, func() { w.append(t, b, calls, w.now) })
+			return
+		}
+		if len(calls) > 1 {
+			w.append(t, b, calls[1:], began)
 			return
 		}
 		w.after(w.between(2*time.Millisecond, 8*time.Millisecond), func() {
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -46,6 +46,8 @@
 	started bool
 	// begun is set once a run of any task is known to have begun.
 	begun bool
+	// saved is what the log holds of the job; see EncodeProgress.
+	saved savedProgress
 }
 
 // Occurrence is one execution of a job's steps.
@@ -54,6 +56,10 @@
 	Steps []*StepRun
 	// open counts the steps that are not done.
 	open int
+	// changed is set while the occurrence differs from its record, stored while
+	// there is such a record.
+	changed bool
+	stored  bool
 }
 
 // NewJob returns a newly accepted job.
@@ -114,8 +120,18 @@
 	return j.Spec.Recurrence.Due(j.opened), true
 }
 
+// MayOpen reports whether another occurrence may become live. It bounds the state
+// of a job whose occurrences become due faster than they are done, or never are.
+func (j *Job) MayOpen() bool {
+	size := 0
+	for i := range j.Spec.Steps {
+		size += 1 + j.Spec.Steps[i].Count
+	}
+	return len(j.live) == 0 || len(j.live) < MaxLiveOccurrences && (len(j.live)+1)*size <= maxLiveSize
+}
+
 // OpenNext makes the next occurrence live and returns it. The caller must have
-// checked NextDue.
+// checked NextDue and MayOpen.
 func (j *Job) OpenNext() *Occurrence {
 	o := newOccurrence(j, j.opened)
 	j.opened++
@@ -124,7 +140,7 @@
 }
 
 func newOccurrence(j *Job, index int) *Occurrence {
-	o := &Occurrence{Index: index, open: len(j.Spec.Steps)}
+	o := &Occurrence{Index: index, open: len(j.Spec.Steps), changed: true}
 	for i := range j.Spec.Steps {
 		spec := &j.Spec.Steps[i]
 		o.Steps = append(o.Steps, &StepRun{
@@ -187,6 +203,7 @@
 	for i := range j.live {
 		if j.live[i] == o {
 			j.live = append(j.live[:i], j.live[i+1:]...)
+			j.saved.drop(o)
 			break
 		}
 	}
--- a/internal/workload/spec.go
+++ b/internal/workload/spec.go
@@ -10,8 +10,8 @@
 	"github.com/bluebellstile/bluebellstile/internal/resource"
 )
 
-// idLength is the number of hexadecimal digits of a job id.
-const idLength = 16
+// IDLength is the number of hexadecimal digits of a job id.
+const IDLength = 16
 
 // ID identifies a job. It consists of 16 lower-case hexadecimal digits chosen
 // by the caller.
@@ -20,7 +20,7 @@
 // ParseID returns text as an ID; ok is false if text does not have the form of
 // one.
 func ParseID(text string) (ID, bool) {
-	if len(text) != idLength {
+	if len(text) != IDLength {
 		return "", false
 	}
 	for i := range len(text) {
@@ -143,15 +143,15 @@
 
 // ParseTaskID parses a task's name; ok is false if it is malformed.
 func ParseTaskID(text string) (TaskID, bool) {
-	if len(text) <= idLength || text[idLength] != '.' {
+	if len(text) <= IDLength || text[IDLength] != '.' {
 		return TaskID{}, false
 	}
-	id, ok := ParseID(text[:idLength])
+	id, ok := ParseID(text[:IDLength])
 	if !ok {
 		return TaskID{}, false
 	}
 	t := TaskID{Job: id}
-	rest := text[idLength+1:]
+	rest := text[IDLength+1:]
 	for i, to := range []*int{&t.Occurrence, &t.Step, &t.Index} {
 		end := len(rest)
 		if i < 2 {
--- a/internal/workload/step.go
+++ b/internal/workload/step.go
@@ -104,13 +104,14 @@
 	return s.Tasks[index].checkpoint
 }
 
-// SaveCheckpoint records the newest checkpoint of a running task. An empty
-// checkpoint is ignored.
+// SaveCheckpoint records the newest checkpoint of a running task. A checkpoint that
+// is empty or too long to be stored is ignored.
 func (s *StepRun) SaveCheckpoint(index int, checkpoint string) {
-	if checkpoint == "" {
+	if checkpoint == "" || len(checkpoint) > MaxCheckpointBytes {
 		return
 	}
 	s.Job.begun = true
+	s.Occurrence.changed = true
 	if s.Spec.Gang {
 		s.gangCheckpoint = checkpoint
 		return
@@ -156,6 +157,7 @@
 func (s *StepRun) begin(t *Task, endpoint string, incarnation int64) {
 	t.runs = append(t.runs, Run{Number: t.lastRunNumber, Endpoint: endpoint, Incarnation: incarnation})
 	s.Job.started = true
+	s.Occurrence.changed = true
 }
 
 // Runs returns the runs of a task that are not known to have ended. The caller
@@ -173,6 +175,7 @@
 func (s *StepRun) RaiseRunNumber(index, number int) {
 	t := &s.Tasks[index]
 	t.lastRunNumber = max(t.lastRunNumber, number)
+	s.Occurrence.changed = true
 }
 
 // FinishRun records the end of a run. attempts is the number of failed runs of a
@@ -183,6 +186,7 @@
 	if !t.remove(number) {
 		return false
 	}
+	s.Occurrence.changed = true
 	s.SaveCheckpoint(index, checkpoint)
 	if end != EndNeverRan && end != EndLost {
 		s.Job.begun = true
--- a/internal/workload/validate.go
+++ b/internal/workload/validate.go
@@ -13,11 +13,19 @@
 	// MaxSteps bounds the steps of a job, so that its state fits into one
 	// record.
 	MaxSteps = 100
+	// MaxCheckpointBytes bounds a checkpoint. A longer one is not kept.
+	MaxCheckpointBytes = 64
 	// MaxTasks bounds the tasks of all steps of one occurrence, for the same
 	// reason as MaxSteps.
 	MaxTasks = 5000
 	// MaxOccurrences bounds the occurrences of a recurring job.
 	MaxOccurrences = 1_000_000
+	// MaxLiveOccurrences bounds the occurrences of a job that are live at the
+	// same time. Further ones wait until one of them is done.
+	MaxLiveOccurrences = 256
+	// maxLiveSize bounds the steps and tasks of these occurrences together: two
+	// occurrences of the largest job may overlap.
+	maxLiveSize = 2 * (MaxTasks + MaxSteps)
 	// MaxAmount bounds each amount of a task's size, so that no sum overflows.
 	MaxAmount = 1 << 40
 	// MaxSpan bounds the time between the first and the last occurrence of a
--- a/internal/workload/workload_test.go
+++ b/internal/workload/workload_test.go
@@ -3,10 +3,13 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/bluebellstile/bluebellstile/internal/resource"
+	"github.com/fxamacker/cbor/v2"
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
 	"pgregory.net/rapid"
@@ -197,46 +200,106 @@
 	}
 }
 
-// TestRecordsRoundTrip applies random changes to a job and checks that decoding
-// its records returns an equal job.
+// jobLog holds the newest records of a job, as the log does.
+type jobLog struct {
+	admission []byte
+	progress  map[RecordName][]byte
+}
+
+// save stores the changed records of a job.
+func (l *jobLog) save(t require, j *Job) {
+	records, err := j.EncodeProgress()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range records {
+		if len(r.Data) == 0 {
+			delete(l.progress, r.Name)
+			continue
+		}
+		l.progress[r.Name] = r.Data
+	}
+}
+
+// load decodes the job from its records.
+func (l *jobLog) load(t require, id ID) *Job {
+	j, err := DecodeAdmission(id, l.admission)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(l.progress) == 0 {
+		return j
+	}
+	if err := j.Restore(l.progress); err != nil {
+		t.Fatal(err)
+	}
+	return j
+}
+
+// headName is the name of the record about the job itself.
+var headName = RecordName{Occurrence: wholeJob}
+
+// require is what testing.T and rapid.T have in common.
+type require interface{ Fatal(args ...any) }
+
+func newJobLog(t require, j *Job) *jobLog {
+	admission, err := j.EncodeAdmission()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &jobLog{admission: admission, progress: make(map[RecordName][]byte)}
+}
+
+// TestRecordsRoundTrip applies random changes to a job, saves it between them,
+// and checks that decoding its records returns an equal job.
 func TestRecordsRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		j := drawJob(t)
+		log := newJobLog(t, j)
 		for range rapid.IntRange(0, 60).Draw(t, "steps") {
 			randomChange(t, j)
+			switch rapid.IntRange(0, 5).Draw(t, "save") {
+			case 0:
+				log.save(t, j)
+			case 1:
+				// The next holder continues with the job.
+				log.save(t, j)
+				if !j.Final() {
+					begun := j.begun
+					j = log.load(t, j.ID)
+					j.begun = begun
+				}
+			}
 		}
-		data, err := j.EncodeProgress()
-		if err != nil {
-			t.Fatal(err)
-		}
+		log.save(t, j)
 		if j.Final() {
-			decoded, ok, err := DecodeFinalJob(j.ID, data)
+			decoded, ok, err := DecodeFinalJob(j.ID, log.progress)
 			if err != nil || !ok || decoded.State() != j.State() || decoded.Customer != j.Customer {
 				t.Fatalf("final job is decoded as %v, %v, %v", decoded, ok, err)
 			}
+			if len(log.progress) > 1 && !j.HasUnfinishedRuns() {
+				t.Fatalf("a job that has ended keeps %d records", len(log.progress))
+			}
 			return
 		}
-		admission, err := j.EncodeAdmission()
-		if err != nil {
-			t.Fatal(err)
-		}
-		decoded, err := DecodeAdmission(j.ID, admission)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if err := decoded.Restore(data); err != nil {
-			t.Fatal(err)
-		}
+		decoded := log.load(t, j.ID)
 		forgetDoneSteps(j)
 		if decoded.begun && !j.begun {
 			t.Fatal("the decoded job has begun, the encoded one has not")
 		}
 		// Records don't say of every job whether it has begun; reports do.
 		decoded.begun = j.begun
-		same := cmp.Options{cmp.AllowUnexported(Job{}, Occurrence{}, StepRun{}, Task{}), cmpopts.EquateEmpty()}
+		same := cmp.Options{
+			cmp.AllowUnexported(Job{}, Occurrence{}, StepRun{}, Task{}), cmpopts.EquateEmpty(),
+			// What was saved is no part of the job's state; the records are compared.
+			cmpopts.IgnoreFields(Job{}, "saved"), cmpopts.IgnoreFields(Occurrence{}, "changed", "stored"),
+		}
 		if diff := cmp.Diff(j, decoded, same); diff != "" {
 			t.Fatal(diff)
 		}
+		if records, err := decoded.EncodeProgress(); err != nil || len(records) > 0 {
+			t.Fatalf("a job that has just been decoded has %d changed records, %v", len(records), err)
+		}
 	})
 }
 
@@ -248,23 +311,127 @@
 	j := NewJob("00000000000000aa", "q", "c", epoch, spec)
 	s := j.OpenNext().Steps[0]
 	s.FinishRun(0, s.BeginRun(0, "e", 1), EndDone, "", 3, epoch)
-	admission, err := j.EncodeAdmission()
-	if err != nil {
-		t.Fatal(err)
+	log := newJobLog(t, j)
+	log.save(t, j)
+	if decoded := log.load(t, j.ID); decoded.State() != j.State() || j.State() == StateQueued {
+		t.Errorf("state %s after decoding, was %s", decoded.State(), j.State())
 	}
-	progress, err := j.EncodeProgress()
-	if err != nil {
-		t.Fatal(err)
+}
+
+// TestOccurrencesInOneRecordAreRead decodes a recurring job whose live occurrences
+// are in the record about the job, as earlier versions stored them.
+func TestOccurrencesInOneRecordAreRead(t *testing.T) {
+	j := NewJob("00000000000000aa", "q", "c", epoch, Spec{Steps: []Step{step(2)}, Recurrence: &Recurrence{Times: 3, First: epoch}})
+	log := newJobLog(t, j)
+	p := progress{Version: recordVersion}
+	for range 2 {
+		o := j.OpenNext()
+		o.Steps[0].BeginRun(1, "e1", 7)
+		p.Live = append(p.Live, newOccurrenceProgress(o))
 	}
-	decoded, err := DecodeAdmission(j.ID, admission)
-	if err != nil {
+	p.Opened = j.opened
+	var err error
+	if log.progress[headName], err = cbor.Marshal(p); err != nil {
 		t.Fatal(err)
 	}
-	if err := decoded.Restore(progress); err != nil {
-		t.Fatal(err)
+	decoded := log.load(t, j.ID)
+	log.save(t, decoded)
+	if len(log.progress) != 3 {
+		t.Fatalf("%d records, want one about the job and two about its occurrences", len(log.progress))
 	}
-	if decoded.State() != j.State() || j.State() == StateQueued {
-		t.Errorf("state %s after decoding, was %s", decoded.State(), j.State())
+	for _, o := range log.load(t, j.ID).Live() {
+		if runs := o.Steps[0].Runs(1); len(runs) != 1 || runs[0].Endpoint != "e1" {
+			t.Errorf("the runs of occurrence %d are %v", o.Index, runs)
+		}
+	}
+}
+
+func TestRecordNames(t *testing.T) {
+	for _, n := range []RecordName{headName, {Occurrence: 0}, {Occurrence: 999_999}, {Occurrence: 7, Part: 4}} {
+		if got, ok := ParseRecordName(n.String()); !ok || got != n {
+			t.Errorf("%q is parsed as %+v, %v", n, got, ok)
+		}
+	}
+	for _, text := range []string{".", "1", ".x", ".1.", ".1.0", ".-1", ".01", ".1.2.3", ".99999999999999999999"} {
+		if got, ok := ParseRecordName(text); ok {
+			t.Errorf("%q is parsed as %+v", text, got)
+		}
+	}
+}
+
+// TestRecordsFitTheLog guards against a job whose state the log doesn't take. The
+// users' platform takes 262,144 bytes a record and 2 MB a call. The job has all
+// occurrences live that may be, every task has run and runs again, and all strings
+// are as long as allowed. A longer checkpoint, which an endpoint may report, is not
+// kept.
+func TestRecordsFitTheLog(t *testing.T) {
+	const (
+		recordBytes, callBytes = 262_144, 2 << 20
+		maxEndpointID          = 100
+	)
+	endpoint, checkpoint := strings.Repeat("e", maxEndpointID), strings.Repeat("c", MaxCheckpointBytes)
+	tooLong := strings.Repeat("x", 300_000)
+	checkpointing := func(count int) Step {
+		s := step(count)
+		s.Checkpoints = true
+		return s
+	}
+	var many []Step
+	for range MaxSteps {
+		many = append(many, checkpointing(MaxTasks/MaxSteps))
+	}
+	for name, spec := range map[string]Spec{
+		"once, as many tasks as allowed":   {Steps: []Step{checkpointing(MaxTasks)}},
+		"once, many steps":                 {Steps: many},
+		"schedule, one task":               {Steps: []Step{checkpointing(1)}},
+		"schedule, ten steps":              {Steps: many[:10]},
+		"schedule, as many tasks":          {Steps: []Step{checkpointing(MaxTasks)}},
+		"schedule, many steps of one task": {Steps: slices.Repeat([]Step{checkpointing(1)}, MaxSteps)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if name[:4] != "once" {
+				spec.Recurrence = &Recurrence{Times: MaxOccurrences, First: epoch}
+			}
+			j := NewJob("00000000000000aa", "q", "c", epoch, spec)
+			for _, ok := j.NextDue(); ok && j.MayOpen(); _, ok = j.NextDue() {
+				for _, s := range j.OpenNext().Steps {
+					for i := range s.Tasks {
+						number := s.BeginRun(i, endpoint, 1_790_000_000_000)
+						s.FinishRun(i, number, EndFailed, checkpoint, 0, epoch)
+						s.SaveCheckpoint(i, tooLong)
+						s.RaiseRunNumber(i, 300)
+						s.BeginRun(i, endpoint, 1_790_000_000_000)
+					}
+				}
+			}
+			records, err := j.EncodeProgress()
+			if err != nil {
+				t.Fatal(err)
+			}
+			total := 0
+			for _, r := range records {
+				total += len(r.Data)
+				if len(r.Data) > recordBytes {
+					t.Errorf("the record %q has %d bytes", r.Name, len(r.Data))
+				}
+			}
+			if total > callBytes {
+				t.Errorf("%d records have %d bytes", len(records), total)
+			}
+			t.Logf("%d occurrences are live, %d bytes in %d records", len(j.Live()), total, len(records))
+			log := newJobLog(t, j)
+			for _, r := range records {
+				log.progress[r.Name] = r.Data
+			}
+			decoded := log.load(t, j.ID)
+			for k, o := range decoded.Live() {
+				for i, s := range o.Steps {
+					if diff := cmp.Diff(j.Live()[k].Steps[i].Tasks, s.Tasks, cmp.AllowUnexported(Task{})); diff != "" {
+						t.Fatalf("occurrence %d, step %d: %s", o.Index, i, diff)
+					}
+				}
+			}
+		})
 	}
 }
 
