Controller: a batch is stored in several appends if it is too large for one

Change: a batch beyond 1 MB is stored in several appends, one after the other, in which the records of a job stay together. No other append starts in between, and orders and answers wait for the last one, so that a term that ends half-way has sent nothing.

TestBatchIsSplitIntoCalls failed before ("an append has 3057732 bytes") and passes now. The simulated log of the controller's tests takes one call at a time and refuses those that are too large.

--- a/internal/controller/batch.go
+++ b/internal/controller/batch.go
@@ -19,8 +19,8 @@
 	progressPrefix  = "p/"
 )
 
-// Batch is a group of changes that are appended to the log together, with the
-// actions to take once they are committed.
+// Batch is a group of changes that are appended to the log one after the other, with
+// the actions to take once all are committed.
 type Batch struct {
 	// Records is filled by Seal.
 	Records []keyedlog.Record
@@ -166,6 +166,41 @@
 // sortedKeys returns the ids of the jobs in a map, in order.
 func sortedKeys[V any](m map[workload.ID]V) []workload.ID { return slices.Sorted(maps.Keys(m)) }
 
+// maxCallBytes bounds the records of one append: half of what the users' platform
+// takes in one call. Only the records of a single job may exceed it.
+const maxCallBytes = 1 << 20
+
+// Calls splits the records of a batch into those of one append each, in order. The
+// progress records of a job stay together, as they have to be stored together.
+func (b *Batch) Calls() [][]keyedlog.Record {
+	var calls [][]keyedlog.Record
+	from, size := 0, 0
+	for i := 0; i < len(b.Records); {
+		end, groupSize := i, 0
+		for end < len(b.Records) && (end == i || jobOf(b.Records[end].Key) == jobOf(b.Records[i].Key)) {
+			groupSize += len(b.Records[end].Key) + len(b.Records[end].Value)
+			end++
+		}
+		if size+groupSize > maxCallBytes && i > from {
+			calls = append(calls, b.Records[from:i])
+			from, size = i, 0
+		}
+		size += groupSize
+		i = end
+	}
+	if from < len(b.Records) {
+		calls = append(calls, b.Records[from:])
+	}
+	return calls
+}
+
+// jobOf returns the id of the job that a key is about; for other keys, what follows
+// their prefix.
+func jobOf(key string) string {
+	rest := key[min(len(progressPrefix), len(key)):]
+	return rest[:min(workload.IDLength, len(rest))]
+}
+
 // Committed processes a batch that is now in the log: it answers callers, sends
 // the recorded starts and allows ends to be acknowledged.
 func (c *Core) Committed(now clock.Instant, b *Batch) {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -208,8 +208,10 @@
 type inFlightAppend struct {
 	// batch is nil if the append only proves that the term is current.
 	batch *Batch
-	// pending is nil if the batch has no records.
+	// pending is nil if the batch has no records. rest are the records of the
+	// calls that follow once it is stored.
 	pending   *keyedlog.Pending
+	rest      [][]keyedlog.Record
 	startedAt time.Duration
 	// previous is the append that must finish first, nil if none. done is
 	// closed once this one has finished.
@@ -233,11 +235,12 @@
 
 // untilNextAppend returns how long to wait before the next append may start. It
 // normally starts after the last has finished; while the log is slow, several
-// are in flight.
+// are in flight. A batch of several calls is stored before the next one starts, as
+// the calls take their position in the log one by one.
 func (c *Controller) untilNextAppend(now time.Duration) time.Duration {
 	gap := minAppendInterval
 	if !c.latestAppend.isDone() {
-		if c.writer.InFlight() >= keyedlog.MaxInFlight {
+		if c.writer.InFlight() >= keyedlog.MaxInFlight || len(c.latestAppend.rest) > 0 {
 			return tickInterval
 		}
 		gap = max(gap, time.Duration(slowAppendFraction*float64(c.writer.TypicalLatency())))
@@ -255,7 +258,8 @@
 		a.previous = c.latestAppend
 	}
 	if batch != nil && len(batch.Records) > 0 {
-		a.pending = c.writer.BeginAppend(batch.Records)
+		calls := batch.Calls()
+		a.pending, a.rest = c.writer.BeginAppend(calls[0]), calls[1:]
 	}
 	c.latestAppend = a
 	c.tomb.Go(func() error {
@@ -311,6 +315,9 @@
 		return nil
 	default:
 		err = a.pending.Wait(ctx, c.noteAppendFailure)
+		for i := 0; i < len(a.rest) && err == nil; i++ {
+			err = c.writer.BeginAppend(a.rest[i]).Wait(ctx, c.noteAppendFailure)
+		}
 	}
 	if err == nil {
 		metrics.AppendTime.Observe(c.clock.Now() - a.startedAt)
--- a/internal/controller/size_test.go
+++ b/internal/controller/size_test.go
@@ -69,3 +69,46 @@
 		t.Errorf("the job is %q", state)
 	}
 }
+
+// TestBatchIsSplitIntoCalls guards against an append that the log doesn't take, which
+// ends every term: twelve of the largest jobs change at once, as after a change of
+// the holder.
+func TestBatchIsSplitIntoCalls(t *testing.T) {
+	w := newWorld(t, 1, faults{})
+	w.addEndpoint("e1")
+	w.beginTerm()
+	core := w.current().core
+	const jobs = 12
+	for i := range jobs {
+		id := workload.ID(fmt.Sprintf("b0000000000000%02d", i))
+		core.Submit(w.instant(), Submission{ID: id, Queue: "bulk", Customer: "c2", Accepted: simWall, Spec: workload.Spec{Steps: []workload.Step{{
+			Count: workload.MaxTasks, Size: resource.Vector{MilliCores: 1000}, Checkpoints: true,
+		}}}}, func(SubmitResult) {})
+		s := core.jobs[id].job.Live()[0].Steps[0]
+		for k := range s.Tasks {
+			s.FinishRun(k, s.BeginRun(k, "i-0123456789ab", 1_790_000_000_000), workload.EndFailed, "0123456789abcdef", 0, simWall)
+			s.BeginRun(k, "i-0123456789ab", 1_790_000_000_000)
+		}
+		core.batch.addProgress(core.jobs[id])
+	}
+	batch := core.Seal()
+	calls := batch.Calls()
+	records := 0
+	for _, call := range calls {
+		w.store(call)
+		records += len(call)
+	}
+	if records != len(batch.Records) || len(calls) < 2 {
+		t.Errorf("%d calls have %d records, the batch has %d", len(calls), records, len(batch.Records))
+	}
+	next := NewCore(w.params, w.catalog, w.now, w.logger)
+	next.Restore(w.instant(), w.entries())
+	for id, e := range next.jobs {
+		if n := len(e.job.Live()[0].Steps[0].Runs(workload.MaxTasks - 1)); n != 1 {
+			t.Errorf("job %s is restored with %d runs of its last task", id, n)
+		}
+	}
+	if n := len(next.jobs); n != jobs {
+		t.Errorf("%d jobs are restored, want %d", n, jobs)
+	}
+}
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -302,7 +302,7 @@
 	t.appending = true
 	var calls [][]keyedlog.Record
 	if b != nil {
-		calls = [][]keyedlog.Record{b.Records}
+		calls = b.Calls()
 	}
 	w.append(t, b, calls, w.now)
 }
