--- a/internal/workload/validate.go
+++ b/internal/workload/validate.go
@@ -15,6 +15,8 @@
 	MaxSteps = 100
 	// MaxCheckpointBytes bounds a checkpoint. A longer one is not kept.
 	MaxCheckpointBytes = 64
+	// MaxNameBytes bounds each name in a step, such as a label.
+	MaxNameBytes = 256
 	// MaxTasks bounds the tasks of all steps of one occurrence, for the same
 	// reason as MaxSteps.
 	MaxTasks = 5000
@@ -94,6 +96,10 @@
 		return invalid(at("target"), "is negative")
 	case step.MaxUnavailable < 0:
 		return invalid(at("may miss"), "is negative")
+	case max(len(step.RequiredLabel), len(step.PreferredRack), len(step.Image)) > MaxNameBytes:
+		return invalid(at("names"), "label, rack and image may have %d bytes each", MaxNameBytes)
+	case len(step.After) > MaxSteps:
+		return invalid(at("after"), "has %d entries, at most %d are allowed", len(step.After), MaxSteps)
 	}
 	for _, before := range step.After {
 		if before < 0 || before >= len(s.Steps) || before == i {
--- a/internal/workload/workload_test.go
+++ b/internal/workload/workload_test.go
@@ -49,6 +49,10 @@
 		"itself":         {Steps: []Step{step(1, 0)}},
 		"cycle":          {Steps: []Step{step(1, 1), step(1, 2), step(1, 0)}},
 		"negative size":  {Steps: []Step{{Count: 1, Size: resource.Vector{MemoryMB: -1}}}},
+		"long label":     {Steps: []Step{{Count: 1, RequiredLabel: strings.Repeat("x", MaxNameBytes+1)}}},
+		"long rack":      {Steps: []Step{{Count: 1, PreferredRack: strings.Repeat("x", MaxNameBytes+1)}}},
+		"long image":     {Steps: []Step{{Count: 1, Image: strings.Repeat("x", MaxNameBytes+1)}}},
+		"after":          {Steps: []Step{step(1), step(1, make([]int, MaxSteps+1)...)}},
 		"payload":        {Payload: string(make([]byte, MaxPayloadBytes+1)), Steps: []Step{step(1)}},
 		"times":          {Steps: []Step{step(1)}, Recurrence: &Recurrence{Times: 0}},
 		"interval":       {Steps: []Step{step(1)}, Recurrence: &Recurrence{Times: 2, Interval: -1}},
@@ -346,6 +350,34 @@
 	}
 }
 
+// TestAdmissionFitsTheLog guards against a submission whose admission the log doesn't
+// take: the append would end the term of each holder that gets it.
+func TestAdmissionFitsTheLog(t *testing.T) {
+	name := strings.Repeat("n", MaxNameBytes)
+	spec := Spec{
+		Payload:    strings.Repeat("p", MaxPayloadBytes),
+		Recurrence: &Recurrence{Times: MaxOccurrences, First: epoch, Interval: time.Minute},
+	}
+	for i := range MaxSteps {
+		s := step(MaxTasks / MaxSteps)
+		s.RequiredLabel, s.PreferredRack, s.Image = name, name, name
+		for before := range i {
+			s.After = append(s.After, before)
+		}
+		spec.Steps = append(spec.Steps, s)
+	}
+	if err := spec.Validate(); err != nil {
+		t.Fatal(err)
+	}
+	data, err := NewJob("00000000000000aa", name, name, epoch, spec).EncodeAdmission()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(data) > 262_144 {
+		t.Errorf("the admission has %d bytes", len(data))
+	}
+}
+
 func TestRecordNames(t *testing.T) {
 	for _, n := range []RecordName{headName, {Occurrence: 0}, {Occurrence: 999_999}, {Occurrence: 7, Part: 4}} {
 		if got, ok := ParseRecordName(n.String()); !ok || got != n {
