Controller: a report with a part of the ends ends no other runs

Cause: an endpoint lists 500 ends at a time. The holder took the first report for the whole and ended each inherited run that it doesn't list as one that never began. Confirmed runs that aren't listed were stopped and counted as lost.

Change: a report tells whether the endpoint may have more ends, also through a daemon that sends orders. Nothing is concluded from what such a report lacks, and the next one is requested as soon as its ends are stored.

--- a/internal/controller/faults_test.go
+++ b/internal/controller/faults_test.go
@@ -243,31 +243,42 @@
 }
 
 func TestHolderChanges(t *testing.T) {
-	forEachSeed(t, func(t *testing.T, seed uint64) {
-		w := newWorld(t, seed, faults{delayed: 0.03, unanswered: 0.02, taskFailure: 0.02, lostAppends: 0.03})
-		addEndpoints(w)
-		w.beginTerm()
-		w.submitTraffic(6)
-		for i := range 8 {
-			w.after(time.Duration(i+1)*2300*time.Millisecond, w.replaceHolder)
-		}
-		for i := range 5 {
-			w.after(time.Duration(i)*4*time.Second, func() {
-				e := w.endpoints[w.ids()[w.rand.IntN(len(w.endpoints))]]
-				switch {
-				case !e.up:
-				case w.chance(0.5):
-					w.crash(e, w.between(300*time.Millisecond, 6*time.Second))
-				default:
-					e.disconnected = true
-					w.after(w.between(time.Second, 9*time.Second), func() { e.disconnected = false })
-				}
-			})
-		}
-		w.after(40*time.Second, func() { w.faults = faults{} })
-		w.run(110 * time.Second)
-		w.requireAllEnded()
-	})
+	forEachSeed(t, func(t *testing.T, seed uint64) { playHolderChanges(t, seed, 500) })
+}
+
+// TestHolderChangesWithPartialReports is TestHolderChanges with reports that list
+// two ends at most.
+func TestHolderChangesWithPartialReports(t *testing.T) {
+	forEachSeed(t, func(t *testing.T, seed uint64) { playHolderChanges(t, seed, 2) })
+}
+
+// playHolderChanges changes the holder while endpoints crash and are cut off.
+// listedEnds is how many ends a report lists.
+func playHolderChanges(t *testing.T, seed uint64, listedEnds int) {
+	w := newWorld(t, seed, faults{delayed: 0.03, unanswered: 0.02, taskFailure: 0.02, lostAppends: 0.03})
+	w.listedEnds = listedEnds
+	addEndpoints(w)
+	w.beginTerm()
+	w.submitTraffic(6)
+	for i := range 8 {
+		w.after(time.Duration(i+1)*2300*time.Millisecond, w.replaceHolder)
+	}
+	for i := range 5 {
+		w.after(time.Duration(i)*4*time.Second, func() {
+			e := w.endpoints[w.ids()[w.rand.IntN(len(w.endpoints))]]
+			switch {
+			case !e.up:
+			case w.chance(0.5):
+				w.crash(e, w.between(300*time.Millisecond, 6*time.Second))
+			default:
+				e.disconnected = true
+				w.after(w.between(time.Second, 9*time.Second), func() { e.disconnected = false })
+			}
+		})
+	}
+	w.after(40*time.Second, func() { w.faults = faults{} })
+	w.run(110 * time.Second)
+	w.requireAllEnded()
 }
 
 func TestLogOutage(t *testing.T) {
--- a/internal/controller/final_test.go
+++ b/internal/controller/final_test.go
@@ -115,3 +115,34 @@
 		}
 	}
 }
+
+// TestEndsBeyondOneReport guards against tasks that are started again although they
+// are done, because a report that lists only a part of the ends is taken for the
+// whole. The holder is away while more tasks end than a report lists.
+func TestEndsBeyondOneReport(t *testing.T) {
+	w := newWorld(t, 1, faults{})
+	w.listedEnds = 5
+	addEndpoints(w)
+	w.beginTerm()
+	const id, tasks = workload.ID("b000000000000001"), 200
+	w.submit(id, "c2", workload.Spec{Steps: []workload.Step{{Count: tasks, Size: resource.Vector{MilliCores: 100, MemoryMB: 10}, Estimate: time.Second}}})
+	w.run(500 * time.Millisecond)
+	w.terms[len(w.terms)-1].dead = true
+	w.run(3 * time.Second)
+	most := 0
+	for _, e := range w.endpoints {
+		most = max(most, len(e.ended))
+	}
+	if most <= 2*w.listedEnds {
+		t.Fatalf("an endpoint has %d ends, too few for this test", most)
+	}
+	w.beginTerm()
+	w.run(20 * time.Second)
+	core := w.current().core
+	if state, _ := core.Status(id, "c2"); state != workload.StateCompleted {
+		t.Errorf("the job is %s", state)
+	}
+	if core.stats.Starts > 0 {
+		t.Errorf("%d tasks that were done were started again", core.stats.Starts)
+	}
+}
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -163,6 +163,9 @@
 	Incarnation int64
 	Running     []RunningRow
 	Ended       []EndedRow
+	// Partial is set if the endpoint may have more ends than it lists. It lists
+	// them once those in the report are acknowledged.
+	Partial bool
 	// Draining is set if the endpoint leaves, after Remaining at the earliest.
 	Draining  bool
 	Remaining time.Duration
--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -156,7 +156,9 @@
 		listed[report.Ended[i].Key] = true
 		c.handleEndedRow(now, e, es, &report.Ended[i])
 	}
-	c.resolveUnlisted(now, e, listed, out.Reading.Sent)
+	if !report.Partial {
+		c.resolveUnlisted(now, e, listed, out.Reading.Sent)
+	}
 	for key := range es.unwantedRuns {
 		if !listed[key] {
 			delete(es.unwantedRuns, key)
@@ -170,6 +172,10 @@
 		c.planDue = true
 	}
 	c.scheduleHold(now, e, es, len(report.Ended) > 0)
+	if report.Partial {
+		// The other ends are listed once these are acknowledged.
+		es.holdNotBefore = now.Steady
+	}
 }
 
 // scheduleHold sets when the endpoint is asked for the next report.
@@ -266,8 +272,8 @@
 	c.finishRun(now, r, row.End, row.Checkpoint)
 }
 
-// resolveUnlisted resolves the runs that a report doesn't list. sent is when
-// the report was requested.
+// resolveUnlisted resolves the runs that a complete report doesn't list. sent is
+// when the report was requested.
 func (c *Core) resolveUnlisted(now clock.Instant, e *fleet.Endpoint, listed map[fleet.Key]bool, sent time.Duration) {
 	for _, r := range runsOf(e) {
 		if listed[r.Key] {
--- a/internal/controller/world_endpoint_test.go
+++ b/internal/controller/world_endpoint_test.go
@@ -366,9 +366,10 @@
 	if e.draining {
 		report.Draining, report.Remaining = true, max(0, e.leavesAt-w.now)
 	}
-	for _, row := range e.ended {
+	for _, row := range e.ended[:min(len(e.ended), w.listedEnds)] {
 		report.Ended = append(report.Ended, row.EndedRow)
 	}
+	report.Partial = len(report.Ended) == w.listedEnds
 	out.Reading.Received = w.now
 	out.Reading.Clock = e.clock(w.now)
 	w.after(w.faults.reportDelay+w.between(minTransit, maxTransit), func() {
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -50,6 +50,8 @@
 	// fillingLatency is the latency that a filling task at full pace adds to
 	// the tail of a serving task.
 	fillingLatency time.Duration
+	// listedEnds is how many ends a report lists at most.
+	listedEnds int
 	// hideProgress makes endpoints report unknown progress.
 	hideProgress bool
 	// orderCost is the processor time that a holder needs to send an order, and
@@ -156,9 +158,10 @@
 			FarFactor:  1.5,
 			RateWindow: 5 * time.Second,
 		},
-		records:   make(map[string][]byte),
-		endpoints: make(map[string]*simEndpoint),
-		jobs:      make(map[workload.ID]*simJob),
+		listedEnds: 500,
+		records:    make(map[string][]byte),
+		endpoints:  make(map[string]*simEndpoint),
+		jobs:       make(map[workload.ID]*simJob),
 	}
 	w.logger = slog.New(slog.NewTextHandler(simWriter{w}, &slog.HandlerOptions{Level: level, ReplaceAttr: func(_ []string, a slog.Attr) slog.Attr {
 		if a.Key == slog.TimeKey {
--- a/internal/fleetpeer/orders.go
+++ b/internal/fleetpeer/orders.go
@@ -200,7 +200,7 @@
 }
 
 func reportToWire(r *controller.Report) *fleetv1.Report {
-	out := &fleetv1.Report{Incarnation: r.Incarnation, Draining: r.Draining, RemainingUs: r.Remaining.Microseconds()}
+	out := &fleetv1.Report{Incarnation: r.Incarnation, Partial: r.Partial, Draining: r.Draining, RemainingUs: r.Remaining.Microseconds()}
 	for i := range r.Running {
 		row := &r.Running[i]
 		out.Running = append(out.Running, &fleetv1.RunningRow{Run: keyToWire(row.Key), Checkpoint: row.Checkpoint, Progress: row.Progress, Load: row.Load})
@@ -213,7 +213,7 @@
 }
 
 func reportFromWire(r *fleetv1.Report) (controller.Report, error) {
-	out := controller.Report{Incarnation: r.Incarnation, Draining: r.Draining, Remaining: fromMicros(r.RemainingUs)}
+	out := controller.Report{Incarnation: r.Incarnation, Partial: r.Partial, Draining: r.Draining, Remaining: fromMicros(r.RemainingUs)}
 	for _, row := range r.Running {
 		key, err := keyFromWire(row.Run)
 		if err != nil {
--- a/internal/fleetpeer/orders_test.go
+++ b/internal/fleetpeer/orders_test.go
@@ -63,7 +63,7 @@
 			Reading: fleet.ClockReading{Clock: time.Hour}, Connecting: time.Millisecond, Took: time.Second,
 		}},
 		{Number: 2, Report: controller.Report{
-			Incarnation: 9, Draining: true, Remaining: time.Second,
+			Incarnation: 9, Partial: true, Draining: true, Remaining: time.Second,
 			Running: []controller.RunningRow{{Key: key, Checkpoint: "c", Progress: 0.5, Load: 7}},
 			Ended:   []controller.EndedRow{{Number: 4, Key: key, End: workload.EndAlone, Checkpoint: "c"}},
 		}},
--- a/internal/standin/site_runner.go
+++ b/internal/standin/site_runner.go
@@ -454,6 +454,10 @@
 	return http.StatusOK, ""
 }
 
+// siteListedEnds is how many ends a response lists. The others follow once these are
+// acknowledged.
+const siteListedEnds = 500
+
 // listing returns the state of the runner in the form of the hold response,
 // whether it has ended runs, and the channel that the next change closes.
 func (r *SiteRunner) listing() (listing map[string]any, ends bool, changed chan struct{}) {
@@ -469,7 +473,7 @@
 		"clock_ms": r.clock().Milliseconds(),
 		"born":     r.born.UnixMilli(),
 		"running":  running,
-		"ended":    append([][]any{}, r.ended...),
+		"ended":    append([][]any{}, r.ended[:min(len(r.ended), siteListedEnds)]...),
 	}
 	if !r.drainingSince.IsZero() {
 		// A drain takes 2.5 seconds.
