Leadership: silent members and ranks are read from one list of candidates

Ranks built a map for each call of Rank, which every daemon makes forty times a second. Both now use the ordered candidates; the message about a record that can't be encoded has a name that doesn't look like an error value. No change of behaviour; the tests of both packages pass.

--- a/internal/controller/batch.go
+++ b/internal/controller/batch.go
@@ -137,15 +137,15 @@
 	return b
 }
 
-// errEncode is logged if a record can't be encoded. The types hold nothing that
+// encodeFailed is the message logged if a record can't be encoded. The types hold nothing that
 // can't be, so this is a bug; the job continues.
-const errEncode = "can't encode a job's record, the job is lost when this term ends"
+const encodeFailed = "can't encode a job's record, the job is lost when this term ends"
 
 // appendAdmission adds the admission of a job to the batch.
 func (c *Core) appendAdmission(b *Batch, j *workload.Job) {
 	value, err := j.EncodeAdmission()
 	if err != nil {
-		c.log.Error(errEncode, "job", j.ID, "error", err)
+		c.log.Error(encodeFailed, "job", j.ID, "error", err)
 		return
 	}
 	b.Records = append(b.Records, keyedlog.Record{Key: admissionPrefix + string(j.ID), Value: value})
@@ -155,7 +155,7 @@
 func (c *Core) appendProgress(b *Batch, j *workload.Job) {
 	records, err := j.EncodeProgress()
 	if err != nil {
-		c.log.Error(errEncode, "job", j.ID, "error", err)
+		c.log.Error(encodeFailed, "job", j.ID, "error", err)
 		return
 	}
 	for _, r := range records {
--- a/internal/leadership/decide.go
+++ b/internal/leadership/decide.go
@@ -90,16 +90,18 @@
 // a bad candidate does not always come first. It returns the number of
 // candidates if self is not one of them.
 func Rank(members []Member, self, holder string, epoch int64) int {
-	ranks := Ranks(members, holder, epoch)
-	if rank, ok := ranks[self]; ok {
-		return rank
+	candidates := candidatesByRank(members, holder, epoch)
+	for i, m := range candidates {
+		if m.Name == self {
+			return i
+		}
 	}
-	return len(ranks)
+	return len(candidates)
 }
 
-// Ranks returns the rank of each member that may replace a holder, by name; see
-// Rank.
-func Ranks(members []Member, holder string, epoch int64) map[string]int {
+// candidatesByRank returns the members that may replace a holder, in the order of
+// their ranks.
+func candidatesByRank(members []Member, holder string, epoch int64) []Member {
 	var candidates []Member
 	for _, m := range members {
 		if m.Name != holder {
@@ -114,11 +116,7 @@
 		}
 		return tieBreak(a.Name, epoch) < tieBreak(b.Name, epoch)
 	})
-	ranks := make(map[string]int, len(candidates))
-	for i, m := range candidates {
-		ranks[m.Name] = i
-	}
-	return ranks
+	return candidates
 }
 
 // tieBreak returns a sort key for a member that differs by epoch.
--- a/internal/leadership/members_test.go
+++ b/internal/leadership/members_test.go
@@ -185,8 +185,8 @@
 	}
 	p := NewPresence()
 	pauses := make(map[string]time.Duration)
-	for name, rank := range Ranks(members, "d000", 1) {
-		pauses[name] = heartbeatPauseOf(rank)
+	for rank, m := range candidatesByRank(members, "d000", 1) {
+		pauses[m.Name] = heartbeatPauseOf(rank)
 	}
 	next := make(map[string]time.Duration)
 	for now := time.Hour; now < time.Hour+5*time.Minute; now += 200 * time.Millisecond {
--- a/internal/leadership/presence.go
+++ b/internal/leadership/presence.go
@@ -54,19 +54,20 @@
 	paused := epoch != p.epoch || now-p.checkedAt > maxPresenceGap
 	p.epoch, p.checkedAt = epoch, now
 	heard := make(map[string]sighting, len(members))
-	ranks := Ranks(members, holder, epoch)
-	var silent []Member
 	for _, m := range members {
 		s, known := p.heard[m.Name]
 		if !known || s.incarnation != m.Incarnation || paused {
 			s = sighting{incarnation: m.Incarnation, at: now}
 		}
 		heard[m.Name] = s
-		if m.Name != holder && now-s.at > maxMemberSilence(ranks[m.Name]) {
+	}
+	p.heard = heard
+	var silent []Member
+	for rank, m := range candidatesByRank(members, holder, epoch) {
+		if now-heard[m.Name].at > maxMemberSilence(rank) {
 			silent = append(silent, m)
 		}
 	}
-	p.heard = heard
 	return silent
 }
 
