Workload: a stored job beyond the new lengths is still read

Change: lengths are checked when a job is submitted; reading checks only what the scheduler relies on.

TestStoredJobBeyondLengthsIsRead failed before ("the admission record is invalid") and passes now.

--- a/internal/workload/record.go
+++ b/internal/workload/record.go
@@ -140,7 +140,7 @@
 			Interval: time.Duration(a.IntervalMS) * time.Millisecond,
 		}
 	}
-	if err := spec.Validate(); err != nil {
+	if err := spec.validateStored(); err != nil {
 		return nil, errors.Wrapf(err, "the admission record of job %s is invalid", id)
 	}
 	j := NewJob(id, a.Queue, a.Customer, time.UnixMilli(a.AcceptedMS), spec)
--- a/internal/workload/validate.go
+++ b/internal/workload/validate.go
@@ -54,6 +54,29 @@
 
 // Validate checks a job as submitted. Its error is an *InvalidError.
 func (s *Spec) Validate() error {
+	if err := s.validateStored(); err != nil {
+		return err
+	}
+	return s.validateLengths()
+}
+
+// validateLengths checks the bounds that only make sure that a job fits into the
+// log, which a job that is stored already does.
+func (s *Spec) validateLengths() error {
+	for i := range s.Steps {
+		step := &s.Steps[i]
+		if max(len(step.RequiredLabel), len(step.PreferredRack), len(step.Image)) > MaxNameBytes {
+			return invalid(fmt.Sprintf("steps[%d]", i), "label, rack and image may have %d bytes each", MaxNameBytes)
+		}
+		if len(step.After) > MaxSteps {
+			return invalid(fmt.Sprintf("steps[%d].after", i), "has %d entries, at most %d are allowed", len(step.After), MaxSteps)
+		}
+	}
+	return nil
+}
+
+// validateStored checks what the scheduler relies on.
+func (s *Spec) validateStored() error {
 	if len(s.Payload) > MaxPayloadBytes {
 		return invalid("spec", "has %d bytes, at most %d are allowed", len(s.Payload), MaxPayloadBytes)
 	}
@@ -96,10 +119,6 @@
 		return invalid(at("target"), "is negative")
 	case step.MaxUnavailable < 0:
 		return invalid(at("may miss"), "is negative")
-	case max(len(step.RequiredLabel), len(step.PreferredRack), len(step.Image)) > MaxNameBytes:
-		return invalid(at("names"), "label, rack and image may have %d bytes each", MaxNameBytes)
-	case len(step.After) > MaxSteps:
-		return invalid(at("after"), "has %d entries, at most %d are allowed", len(step.After), MaxSteps)
 	}
 	for _, before := range step.After {
 		if before < 0 || before >= len(s.Steps) || before == i {
--- a/internal/workload/workload_test.go
+++ b/internal/workload/workload_test.go
@@ -378,6 +378,27 @@
 	}
 }
 
+// TestStoredJobBeyondLengthsIsRead guards against an accepted job that is lost because
+// a later version refuses to read it: lengths are bounded when a job is submitted.
+func TestStoredJobBeyondLengthsIsRead(t *testing.T) {
+	for name, s := range map[string]Step{
+		"label": {Count: 1, RequiredLabel: strings.Repeat("x", MaxNameBytes+1)},
+		"after": {Count: 1, After: make([]int, MaxSteps+1)},
+	} {
+		stored := NewJob("00000000000000aa", "q", "c", epoch, Spec{Steps: []Step{step(1), s}})
+		data, err := stored.EncodeAdmission()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := DecodeAdmission(stored.ID, data); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+		if stored.Spec.Validate() == nil {
+			t.Errorf("%s: a submission of the job is accepted", name)
+		}
+	}
+}
+
 func TestRecordNames(t *testing.T) {
 	for _, n := range []RecordName{headName, {Occurrence: 0}, {Occurrence: 999_999}, {Occurrence: 7, Part: 4}} {
 		if got, ok := ParseRecordName(n.String()); !ok || got != n {
