Controller: each plan takes from the configuration whether a step needs permits

Callers' jobs stood still: a route was removed by mistake while a job of two steps was at work, and added again.

Cause: whether a step needs permits was decided once, when it became ready. If the queue was missing at that moment, as also for a new holder that reads the job back, the step counted as one that every endpoint may run. The reverse hung too: if a queue lost its eligibility service while a question had no answer, its step went on asking for permits, and there was no service to ask.

Change: the plan takes it from the configuration in force. What is known of the endpoints stays with the step, so that a queue that is away for a moment costs no new questions.

The simulated endpoints check permits in all worlds now.

--- /dev/null
+++ b/internal/controller/catalog_changes_test.go
@@ -0,0 +1,83 @@
+package controller
+
+import (
+	"testing"
+	"time"
+
+	"github.com/bluebellstile/bluebellstile/internal/catalog"
+)
+
+// withoutService removes the eligibility service of a queue.
+func withoutService(q *catalog.Queue) { q.Eligibility = nil }
+
+// withService gives a queue the eligibility service of the queue "urgent".
+func withService(q *catalog.Queue) {
+	q.Eligibility = &catalog.Eligibility{Base: 7 * time.Millisecond, PerEndpoint: 100 * time.Microsecond, Valid: 2 * time.Second}
+}
+
+// TestStepFollowsServiceOfItsQueue changes whether a queue is configured and has an
+// eligibility service while a job of two steps of a second each is under way. A step
+// must ask the service if, and only if, its queue has one when it starts.
+func TestStepFollowsServiceOfItsQueue(t *testing.T) {
+	const jobID = "a000000000000001"
+	type change struct {
+		at time.Duration
+		do func(w *world)
+	}
+	publish := func(at time.Duration, what func(w *world) func(*catalog.Catalog)) change {
+		return change{at: at, do: func(w *world) { w.publish(what(w)) }}
+	}
+	remove := func(*world) func(*catalog.Catalog) { return removeQueue("urgent") }
+	add := func(w *world) func(*catalog.Catalog) { return w.addQueue("urgent") }
+	gain := func(w *world) func(*catalog.Catalog) { return w.changeQueue("urgent", withService) }
+	lose := func(w *world) func(*catalog.Catalog) { return w.changeQueue("urgent", withoutService) }
+	newHolder := func(at time.Duration) change {
+		return change{at: at, do: func(w *world) {
+			w.current().dead = true
+			w.beginTerm()
+		}}
+	}
+	tests := []struct {
+		name string
+		// before is the state of the queue at the submission.
+		before  func(w *world) func(*catalog.Catalog)
+		changes []change
+		// silentUntil is until when the service doesn't answer.
+		silentUntil time.Duration
+		// maxRefused bounds the starts that endpoints refuse for want of a permit.
+		maxRefused int
+	}{
+		{name: "no change"},
+		{name: "removed while a step becomes ready", changes: []change{publish(500*time.Millisecond, remove), publish(5*time.Second, add)}},
+		{name: "removed when a new holder reads the job", changes: []change{publish(500*time.Millisecond, remove), newHolder(4 * time.Second), publish(5*time.Second, add)}},
+		{name: "removed before the first question is answered", silentUntil: time.Second, changes: []change{publish(200*time.Millisecond, remove), publish(3*time.Second, add)}},
+		{name: "removed and back with a question in flight", silentUntil: 2 * time.Second, changes: []change{publish(200*time.Millisecond, remove), publish(600*time.Millisecond, add)}},
+		{name: "service gained while a step runs", before: lose, changes: []change{publish(500*time.Millisecond, gain)}},
+		{name: "service gained while the queue is away", before: lose, changes: []change{publish(500*time.Millisecond, remove), publish(4*time.Second, gain)}},
+		{name: "service lost while a question has no answer", silentUntil: time.Minute, changes: []change{publish(time.Second, lose)}},
+		{name: "service lost while a step runs", changes: []change{publish(500*time.Millisecond, lose)}},
+		{name: "service lost and regained with a question in flight", silentUntil: 2 * time.Second, changes: []change{publish(300*time.Millisecond, lose), publish(700*time.Millisecond, gain)}, maxRefused: 1},
+		{name: "service lost when a new holder reads the job", silentUntil: time.Minute, changes: []change{publish(time.Second, lose), newHolder(2 * time.Second)}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w := newWorld(t, 1, faults{})
+			w.addEndpoint("e1")
+			w.addEndpoint("e2")
+			if test.before != nil {
+				w.publish(test.before(w))
+			}
+			w.beginTerm()
+			w.serviceSilentUntil = w.now + test.silentUntil
+			w.after(maxConfigDelay, func() { w.submitSteps(jobID, "c2", time.Second, time.Second) })
+			for _, c := range test.changes {
+				w.after(maxConfigDelay+c.at, func() { c.do(w) })
+			}
+			w.run(15 * time.Second)
+			w.requireAllEnded()
+			if w.refusedPermits > test.maxRefused {
+				t.Errorf("%d starts were refused for want of a permit, at most %d are expected", w.refusedPermits, test.maxRefused)
+			}
+		})
+	}
+}
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -148,6 +148,8 @@
 	// latestStart is when the step has to start for its job to meet its
 	// objective.
 	latestStart time.Duration
+	// eligibility is what is known of the endpoints that may run the step. Whether
+	// that matters depends on the configuration in force; see eligibilityOf.
 	eligibility *scheduler.Eligibility
 	// askSequence numbers the step's questions; those that are asked at once share a
 	// number, and only the answers to the last ones count. unanswered counts the last
@@ -285,7 +287,7 @@
 const objectiveEndpoints = 30
 
 func (c *Core) newStepEntry(now clock.Instant, e *jobEntry, s *workload.StepRun) *stepEntry {
-	entry := &stepEntry{step: s, jobEntry: e, since: now.Steady, waitingStale: true}
+	entry := &stepEntry{step: s, jobEntry: e, since: now.Steady, waitingStale: true, eligibility: scheduler.NewEligibility()}
 	questionTime := time.Duration(0)
 	q := c.catalog.Queue(e.job.Queue)
 	if q == nil {
@@ -294,10 +296,6 @@
 	}
 	if q.Eligibility != nil {
 		questionTime = q.Eligibility.Cost(objectiveEndpoints)
-		entry.eligibility = &scheduler.Eligibility{
-			Eligible: make(map[*fleet.Endpoint]bool),
-			Permits:  make(map[*fleet.Endpoint]scheduler.Permit),
-		}
 	}
 	openedAt := e.job.Accepted
 	if r := e.job.Spec.Recurrence; r != nil {
--- a/internal/controller/judge_test.go
+++ b/internal/controller/judge_test.go
@@ -27,7 +27,7 @@
 	if r.job.cancelled > 0 && w.now > r.job.cancelled+3*time.Second {
 		w.violation("UNASKED", "%s starts %s after its job was cancelled", id, w.now-r.job.cancelled)
 	}
-	q := w.catalog.Queue(w.queueOf(id.Job))
+	q := w.lastQueues[w.queueOf(id.Job)]
 	failures := id
 	if r.step.Gang {
 		failures.Index = 0
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/bluebellstile/bluebellstile/internal/catalog"
 	"github.com/bluebellstile/bluebellstile/internal/clock"
 	"github.com/bluebellstile/bluebellstile/internal/fleet"
 	"github.com/bluebellstile/bluebellstile/internal/resource"
@@ -73,7 +74,7 @@
 // releaseHeld releases the capacity held for questions that have been answered.
 func (c *Core) releaseHeld() {
 	for _, e := range c.steps {
-		if e.eligibility != nil && !e.eligibility.QuestionInFlight {
+		if !e.eligibility.QuestionInFlight {
 			e.eligibility.HeldTasks = nil
 		}
 	}
@@ -206,14 +207,7 @@
 		Excess:      e.jobEntry.job.Excess,
 		LatestStart: e.latestStart,
 		ReadyAt:     e.since,
-		Eligibility: e.eligibility,
-	}
-	if e.eligibility != nil {
-		e.eligibility.EligibleShare = c.eligibleShareOf(q.Name)
-		if q.Eligibility != nil {
-			e.eligibility.QuestionBase, e.eligibility.QuestionPerEndpoint = q.Eligibility.Base, q.Eligibility.PerEndpoint
-		}
-		e.eligibility.QuestionInFlight = e.eligibility.QuestionInFlight || now.Steady < e.askAfter
+		Eligibility: c.eligibilityOf(now, e, q),
 	}
 	if e.step.Spec.MaxPerEndpoint > 0 {
 		d.Occupied = c.runsPerEndpoint(e)
@@ -224,6 +218,19 @@
 	return d
 }
 
+// eligibilityOf returns what is known of the endpoints that may run a step, or nil if
+// its queue has no eligibility service in the configuration in force.
+func (c *Core) eligibilityOf(now clock.Instant, e *stepEntry, q *catalog.Queue) *scheduler.Eligibility {
+	if q.Eligibility == nil {
+		return nil
+	}
+	a := e.eligibility
+	a.EligibleShare = c.eligibleShareOf(q.Name)
+	a.QuestionBase, a.QuestionPerEndpoint = q.Eligibility.Base, q.Eligibility.PerEndpoint
+	a.QuestionInFlight = a.QuestionInFlight || now.Steady < e.askAfter
+	return a
+}
+
 // waitingTasks returns the indexes of the waiting tasks of a step. For a gang
 // there are none while any of its tasks occupies an endpoint.
 func (c *Core) waitingTasks(e *stepEntry) []int {
@@ -279,9 +286,7 @@
 	}
 	entry := c.steps[s]
 	entry.waitingStale = true
-	if entry.eligibility != nil {
-		entry.eligibility.HeldTasks = nil
-	}
+	entry.eligibility.HeldTasks = nil
 	for _, start := range group {
 		n := number
 		if !s.Spec.Gang {
@@ -320,8 +325,8 @@
 	c.log.Info("run placed", "task", r.Task, "run", r.Number, "endpoint", start.Endpoint.ID, "waited", waited.Round(time.Millisecond),
 		"free_millicores", start.Endpoint.Free().MilliCores, "pace", start.Endpoint.History.Slowdown(), "config", c.catalog.Version)
 	planned := &plannedStart{run: r, permit: start.Permit, waited: waited}
-	if entry.eligibility != nil {
-		planned.expires = entry.eligibility.Permits[start.Endpoint].Expires
+	if a := start.Demand.Eligibility; a != nil {
+		planned.expires = a.Permits[start.Endpoint].Expires
 	}
 	c.batch.starts = append(c.batch.starts, planned)
 	c.flow.planned++
@@ -422,7 +427,7 @@
 
 // dropPermit removes a permit that an endpoint refused.
 func (c *Core) dropPermit(r *fleet.Run) {
-	if entry := c.steps[r.Step]; entry != nil && entry.eligibility != nil {
+	if entry := c.steps[r.Step]; entry != nil {
 		delete(entry.eligibility.Permits, r.Endpoint)
 	}
 }
--- a/internal/controller/world_endpoint_test.go
+++ b/internal/controller/world_endpoint_test.go
@@ -192,6 +192,10 @@
 	if o.Deadline < e.clock(w.now) {
 		return refusal(ReasonLate)
 	}
+	if !w.permits(e, o) {
+		w.refusedPermits++
+		return refusal(ReasonPermit)
+	}
 	w.extendLease(e, o.Deadline)
 	job := w.jobs[o.Key.Task.Job]
 	step := &job.spec.Steps[o.Key.Task.Step]
--- a/internal/controller/world_orders_test.go
+++ b/internal/controller/world_orders_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"errors"
 	"time"
 
 	"github.com/bluebellstile/bluebellstile/internal/fleet"
@@ -160,9 +161,22 @@
 
 func refusal(r Reason) Outcome { return Outcome{Fate: FateRefused, Reason: r} }
 
+// questionTimeout is how long an answer is awaited beyond the cost of a question.
+const questionTimeout = 600 * time.Millisecond
+
 // answerQuestion answers that about two thirds of the endpoints may run a step,
 // the same ones each time.
 func (w *world) answerQuestion(t *simTerm, o *AskOrder) {
+	if w.now < w.serviceSilentUntil {
+		w.after(o.Cost+questionTimeout, func() {
+			if t.dead {
+				return
+			}
+			t.core.AskAnswered(w.instant(), o, EligibilityAnswer{}, errors.New("no answer"))
+			w.flush(t)
+		})
+		return
+	}
 	w.after(o.Cost+w.between(minTransit, maxTransit), func() {
 		if t.dead {
 			return
@@ -171,6 +185,7 @@
 		for _, id := range o.Endpoints {
 			if sum := int(o.Step[0]) + int(o.Step[7]) + int(id[len(id)-1]); sum%3 > 0 {
 				answer.Permits[id] = "permit"
+				w.permitsUntil[simPermit{step: o.Step, endpoint: id, incarnation: w.endpoints[id].incarnation}] = w.now + answer.Valid
 			}
 		}
 		w.whenResumed(t, func() {
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -27,9 +27,21 @@
 	events eventQueue
 	serial int
 
-	faults  faults
-	params  Params
-	catalog *catalog.Catalog
+	faults faults
+	params Params
+	// catalog is the newest configuration, replaced the one before, until
+	// replacedAt.
+	catalog    *catalog.Catalog
+	replaced   *catalog.Catalog
+	replacedAt time.Duration
+	// lastQueues holds each queue as it was configured last.
+	lastQueues map[string]*catalog.Queue
+	// permitsUntil gives the end of each permit.
+	permitsUntil map[simPermit]time.Duration
+	// refusedPermits counts the starts refused for want of a permit.
+	refusedPermits int
+	// serviceSilentUntil is until when questions get no answer.
+	serviceSilentUntil time.Duration
 
 	// records is the content of the log, epoch the highest epoch that has
 	// written.
@@ -162,6 +174,9 @@
 		records:    make(map[string][]byte),
 		endpoints:  make(map[string]*simEndpoint),
 		jobs:       make(map[workload.ID]*simJob),
+
+		lastQueues:   make(map[string]*catalog.Queue),
+		permitsUntil: make(map[simPermit]time.Duration),
 	}
 	w.logger = slog.New(slog.NewTextHandler(simWriter{w}, &slog.HandlerOptions{Level: level, ReplaceAttr: func(_ []string, a slog.Attr) slog.Attr {
 		if a.Key == slog.TimeKey {
@@ -187,6 +202,9 @@
 	if err := w.catalog.Index(); err != nil {
 		t.Fatal(err)
 	}
+	for i := range w.catalog.Queues {
+		w.lastQueues[w.catalog.Queues[i].Name] = &w.catalog.Queues[i]
+	}
 	return w
 }
 
@@ -232,7 +250,8 @@
 func (w *world) beginTerm() {
 	w.epoch++
 	t := &simTerm{epoch: w.epoch, provenAt: w.now}
-	t.core = NewCore(w.params, w.catalog, w.now, w.logger.With("epoch", t.epoch))
+	begun := w.catalogOfNewTerm()
+	t.core = NewCore(w.params, begun, w.now, w.logger.With("epoch", t.epoch))
 	for _, id := range w.ids() {
 		if e := w.endpoints[id]; e.up {
 			t.core.EndpointListed(w.instant(), e.registration())
@@ -240,6 +259,9 @@
 	}
 	t.core.Restore(w.instant(), w.entries())
 	w.terms = append(w.terms, t)
+	if begun != w.catalog {
+		w.readCatalog(t, w.catalog)
+	}
 	w.tick(t)
 }
 
--- a/internal/scheduler/snapshot.go
+++ b/internal/scheduler/snapshot.go
@@ -121,6 +121,11 @@
 	EligibleShare float64
 }
 
+// NewEligibility returns an Eligibility of a step about which nothing is known.
+func NewEligibility() *Eligibility {
+	return &Eligibility{Eligible: make(map[*fleet.Endpoint]bool), Permits: make(map[*fleet.Endpoint]Permit)}
+}
+
 // SetEligible records whether an endpoint may run the step.
 func (e *Eligibility) SetEligible(endpoint *fleet.Endpoint, eligible bool) {
 	if eligible && !e.Eligible[endpoint] {
