Controller: repeated refusals of a step's starts are paced

Cause: a refused run ends as one that never ran and its task waits again; only refusals for room and health had a backoff, that of the endpoint.

Change: from the second refused round on, a step pauses for 50 ms, doubled up to one second. A confirmed start or a new configuration ends the pause.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -157,6 +157,12 @@
 	askSequence int
 	unanswered  int
 	askAfter    time.Duration
+	// refusals counts the rounds of refused starts since a start was confirmed,
+	// refusedAt is when the last one was refused. No task is placed before
+	// placeAfter.
+	refusals   int
+	refusedAt  time.Duration
+	placeAfter time.Duration
 	// begun is set once a task of the step was placed in this term.
 	begun bool
 	// waiting caches the indexes of the waiting tasks. waitingStale is set when
@@ -194,9 +200,13 @@
 // SetCatalog puts a configuration into force if it is newer than the current
 // one.
 func (c *Core) SetCatalog(next *catalog.Catalog) {
-	if next.Version > c.catalog.Version {
-		c.catalog = next
-		c.planDue = true
+	if next.Version <= c.catalog.Version {
+		return
+	}
+	c.catalog = next
+	c.planDue = true
+	for _, e := range c.steps {
+		e.resetRefusals()
 	}
 }
 
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -188,14 +188,14 @@
 }
 
 // demand builds the scheduler's input for a step. It returns nil if none of the
-// step's tasks waits.
+// step's tasks waits, its queue is not configured or its starts are paused.
 func (c *Core) demand(now clock.Instant, e *stepEntry) *scheduler.Demand {
 	waiting := c.waitingTasks(e)
 	if len(waiting) == 0 {
 		return nil
 	}
 	q := c.catalog.Queue(e.jobEntry.job.Queue)
-	if q == nil {
+	if q == nil || now.Steady < e.placeAfter {
 		return nil
 	}
 	d := &scheduler.Demand{
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -153,6 +153,9 @@
 	case FateDone:
 		c.confirmRunning(now, r)
 		rs.startConfirmedAt = now.Steady
+		if entry := c.steps[r.Step]; entry != nil {
+			entry.resetRefusals()
+		}
 		c.log.Info("run started", "task", r.Task, "run", r.Number, "endpoint", r.Endpoint.ID, "after", now.Steady-r.OrderedAt, "tries", rs.tries, "times", out)
 	case FateNotSent:
 		c.log.Warn("start not sent", "task", o.Key.Task, "run", o.Key.Number, "endpoint", o.Target.ID, "cause", out.Detail, "times", out)
@@ -208,7 +211,10 @@
 		r.Endpoint.AvoidUntil = now.Steady + unhealthyBackoff
 	case ReasonPermit:
 		c.dropPermit(r)
-	case ReasonFenced, ReasonSuperseded, ReasonLate, ReasonIncarnation, ReasonInvalid:
+		c.noteRefusal(now, r)
+	case ReasonSuperseded, ReasonLate, ReasonIncarnation, ReasonInvalid:
+		c.noteRefusal(now, r)
+	case ReasonFenced:
 	}
 	c.startHadNoEffect(now, r, rs)
 }
--- a/internal/controller/tick.go
+++ b/internal/controller/tick.go
@@ -7,7 +7,7 @@
 // Tick performs the time-driven work: updating the start rate, opening
 // occurrences, expiring leases, retrying stops, forgetting jobs that ended long
 // ago, evicting runs from draining endpoints, recording silent endpoints,
-// sending holds and retrying questions.
+// sending holds and resuming steps after a pause.
 func (c *Core) Tick(now clock.Instant) {
 	c.backlog.updateRate(now.Steady)
 	c.openRecurring(now)
@@ -17,7 +17,7 @@
 	c.evictFromDraining(now)
 	c.recordSilences(now)
 	c.sendDueHolds(now)
-	c.retryQuestions(now)
+	c.resumeSteps(now)
 }
 
 // openRecurring opens the occurrences that are due.
@@ -46,9 +46,13 @@
 	}
 }
 
-// retryQuestions makes a plan due when a step may be asked about again.
-func (c *Core) retryQuestions(now clock.Instant) {
+// resumeSteps makes a plan due when a step may be asked about or placed again.
+func (c *Core) resumeSteps(now clock.Instant) {
 	for _, e := range c.steps {
+		if e.placeAfter > 0 && now.Steady >= e.placeAfter {
+			e.placeAfter = 0
+			c.planDue = true
+		}
 		if e.askAfter > 0 && now.Steady >= e.askAfter {
 			e.askAfter = 0
 			e.eligibility.QuestionInFlight = e.unanswered > 0
--- a/internal/controller/world_endpoint_test.go
+++ b/internal/controller/world_endpoint_test.go
@@ -192,6 +192,9 @@
 	if o.Deadline < e.clock(w.now) {
 		return refusal(ReasonLate)
 	}
+	if w.refuseStarts != "" {
+		return refusal(w.refuseStarts)
+	}
 	if !w.permits(e, o) {
 		w.refusedPermits++
 		return refusal(ReasonPermit)
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -40,6 +40,8 @@
 	permitsUntil map[simPermit]time.Duration
 	// refusedPermits counts the starts refused for want of a permit.
 	refusedPermits int
+	// refuseStarts is the reason for which endpoints refuse all starts, if set.
+	refuseStarts Reason
 	// serviceSilentUntil is until when questions get no answer.
 	serviceSilentUntil time.Duration
 
