Controller: a new configuration moves the latest start of waiting steps

A step that became ready while its queue was not configured counted as late for good, and was ranked behind all work in time after the queue was back. If the objective of a queue changed, waiting steps kept the old one.

Cause: the latest start was derived from the queue once, when the step became ready.

Change: a new configuration derives it again for all waiting steps.

Failed before: 3 of the 4 cases of TestLatestStartFollowsQueue; all pass now.

--- a/internal/controller/calls.go
+++ b/internal/controller/calls.go
@@ -111,7 +111,7 @@
 // SetCatalog puts a configuration into force if it is newer than the current
 // one.
 func (c *Controller) SetCatalog(next *catalog.Catalog) {
-	c.withCore(func(_ clock.Instant, core *Core) { core.SetCatalog(next) })
+	c.withCore(func(now clock.Instant, core *Core) { core.SetCatalog(now, next) })
 }
 
 // SetEligibilityInstances sets through how many instances eligibility questions
--- a/internal/controller/catalog_changes_test.go
+++ b/internal/controller/catalog_changes_test.go
@@ -81,3 +81,56 @@
 		})
 	}
 }
+
+// TestLatestStartFollowsQueue changes the objective of a queue, or removes the queue and
+// adds it again, while a step waits. The step must be ranked as one that becomes ready
+// under the last configuration, and not as late for good.
+func TestLatestStartFollowsQueue(t *testing.T) {
+	slower := func(q *catalog.Queue) { q.Objective = time.Minute }
+	tests := []struct {
+		name    string
+		changes func(w *world) []func(*catalog.Catalog)
+		// want is the latest end of the job.
+		want time.Duration
+	}{
+		{name: "no change", want: 7 * time.Second},
+		{name: "another objective", want: 64 * time.Second, changes: func(w *world) []func(*catalog.Catalog) {
+			return []func(*catalog.Catalog){w.changeQueue("bulk", slower)}
+		}},
+		{name: "ready while the queue is away", want: 7 * time.Second, changes: func(w *world) []func(*catalog.Catalog) {
+			return []func(*catalog.Catalog){removeQueue("bulk"), w.addQueue("bulk")}
+		}},
+		{name: "back with another objective", want: 64 * time.Second, changes: func(w *world) []func(*catalog.Catalog) {
+			return []func(*catalog.Catalog){removeQueue("bulk"), w.changeQueue("bulk", slower)}
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w := newWorld(t, 1, faults{})
+			w.beginTerm()
+			w.submitSteps("b000000000000001", "c2", time.Second)
+			w.run(time.Second)
+			var changes []func(*catalog.Catalog)
+			if test.changes != nil {
+				changes = test.changes(w)
+			}
+			for i, change := range changes {
+				w.publish(change)
+				w.run(time.Duration(i+2) * time.Second)
+				if i == 0 && len(changes) > 1 {
+					// Another holder reads the job while the queue is away.
+					w.current().dead = true
+					w.beginTerm()
+				}
+			}
+			for _, e := range w.current().core.steps {
+				// The job was accepted at simStart.
+				if got := e.latestStart - simStart; got != test.want-time.Second {
+					t.Errorf("the latest start is at %s, want %s", got, test.want-time.Second)
+				}
+				return
+			}
+			t.Error("no step waits")
+		})
+	}
+}
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -198,8 +198,8 @@
 }
 
 // SetCatalog puts a configuration into force if it is newer than the current
-// one.
-func (c *Core) SetCatalog(next *catalog.Catalog) {
+// one, and updates what the steps keep of it.
+func (c *Core) SetCatalog(now clock.Instant, next *catalog.Catalog) {
 	if next.Version <= c.catalog.Version {
 		return
 	}
@@ -207,6 +207,7 @@
 	c.planDue = true
 	for _, e := range c.steps {
 		e.resetRefusals()
+		c.setLatestStart(now, e)
 	}
 }
 
@@ -297,25 +298,31 @@
 const objectiveEndpoints = 30
 
 func (c *Core) newStepEntry(now clock.Instant, e *jobEntry, s *workload.StepRun) *stepEntry {
-	entry := &stepEntry{step: s, jobEntry: e, since: now.Steady, waitingStale: true, eligibility: scheduler.NewEligibility()}
-	questionTime := time.Duration(0)
-	q := c.catalog.Queue(e.job.Queue)
+	entry := &stepEntry{step: s, jobEntry: e, since: now.Steady, latestStart: now.Steady, waitingStale: true, eligibility: scheduler.NewEligibility()}
+	c.setLatestStart(now, entry)
+	return entry
+}
+
+// setLatestStart derives the latest start of a step from the objective of its queue. It
+// remains as it is while the queue is not configured.
+func (c *Core) setLatestStart(now clock.Instant, entry *stepEntry) {
+	job := entry.jobEntry.job
+	q := c.catalog.Queue(job.Queue)
 	if q == nil {
-		entry.latestStart = now.Steady
-		return entry
+		return
 	}
+	questionTime := time.Duration(0)
 	if q.Eligibility != nil {
 		questionTime = q.Eligibility.Cost(objectiveEndpoints)
 	}
-	openedAt := e.job.Accepted
-	if r := e.job.Spec.Recurrence; r != nil {
-		openedAt = r.Due(s.Occurrence.Index)
+	openedAt := job.Accepted
+	if r := job.Spec.Recurrence; r != nil {
+		openedAt = r.Due(entry.step.Occurrence.Index)
 	}
-	chains := e.chainsWith(questionTime)
+	chains := entry.jobEntry.chainsWith(questionTime)
 	objective := time.Duration(min(q.Stretch*float64(chains.Longest), float64(workload.MaxSpan))) + q.Objective
-	left := max(openedAt.Add(objective).Sub(now.Wall), -workload.MaxSpan) - chains.From[s.Index]
+	left := max(openedAt.Add(objective).Sub(now.Wall), -workload.MaxSpan) - chains.From[entry.step.Index]
 	entry.latestStart = now.Steady + left
-	return entry
 }
 
 // chainsWith returns the chains of the job's steps, with the time of a question
--- a/internal/controller/world_config_test.go
+++ b/internal/controller/world_config_test.go
@@ -43,7 +43,7 @@
 			return
 		}
 		w.whenResumed(t, func() {
-			t.core.SetCatalog(c)
+			t.core.SetCatalog(w.instant(), c)
 			w.flush(t)
 		})
 	})
