Controller: failures count against the attempts of a queue that comes back

A task that failed for the last time while its queue was not configured started again once the queue was back, beyond its attempts, and its job was not shown as failed. The same if a queue came back with fewer attempts, also for a new holder that read the job.

Cause: the limit was compared with the failures only at the moment of a failure; without the queue there was no limit, and nothing looked again.

Change: a job of which a waiting task has no attempt left fails when a configuration comes into force, when its step is added, and when a run ends in another way. A run at work is left alone, as it may end as done.

Failed before: 3 of the 5 cases of TestFailuresCountWhileQueueIsAway ("the job is completed, want failed"); all pass now.

--- a/internal/controller/catalog_changes_test.go
+++ b/internal/controller/catalog_changes_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/bluebellstile/bluebellstile/internal/catalog"
+	"github.com/bluebellstile/bluebellstile/internal/workload"
 )
 
 // withoutService removes the eligibility service of a queue.
@@ -134,3 +135,49 @@
 		})
 	}
 }
+
+// TestFailuresCountWhileQueueIsAway lets a task fail as often as its queue allows, the
+// last time while the queue is not configured. Once the queue is back, the job must be
+// shown as failed and its task must not start again, also by another holder.
+func TestFailuresCountWhileQueueIsAway(t *testing.T) {
+	attempts := func(n int) func(*catalog.Queue) { return func(q *catalog.Queue) { q.Attempts = n } }
+	tests := []struct {
+		name      string
+		before    int
+		after     int
+		newHolder bool
+		want      workload.State
+	}{
+		{name: "back as it was", before: 1, after: 1, want: workload.StateFailed},
+		{name: "another holder reads the job", before: 1, after: 1, newHolder: true, want: workload.StateFailed},
+		{name: "back with fewer attempts", before: 3, after: 1, want: workload.StateFailed},
+		{name: "back with more attempts", before: 1, after: 3, want: workload.StateCompleted},
+		{name: "back without a limit", before: 1, after: 0, want: workload.StateCompleted},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			const id = workload.ID("b000000000000001")
+			w := newWorld(t, 1, faults{taskFailure: 1})
+			w.addEndpoint("e1")
+			w.publish(w.changeQueue("bulk", attempts(test.before)))
+			w.beginTerm()
+			w.run(maxConfigDelay)
+			w.submitSteps(id, "c2", 2*time.Second)
+			w.after(500*time.Millisecond, func() { w.publish(removeQueue("bulk")) })
+			w.run(6 * time.Second)
+			w.faults = faults{}
+			if test.newHolder {
+				w.current().dead = true
+			}
+			w.publish(w.changeQueue("bulk", attempts(test.after)))
+			if test.newHolder {
+				w.run(6*time.Second + maxConfigDelay)
+				w.beginTerm()
+			}
+			w.run(16 * time.Second)
+			if state, _ := w.current().core.Status(id, "c2"); state != test.want {
+				t.Errorf("the job is %s, want %s", state, test.want)
+			}
+		})
+	}
+}
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -208,6 +208,7 @@
 	for _, e := range c.steps {
 		e.resetRefusals()
 		c.setLatestStart(now, e)
+		c.failExhausted(now, e)
 	}
 }
 
@@ -288,9 +289,25 @@
 		if s.Done() || !s.Ready() || c.steps[s] != nil {
 			continue
 		}
-		c.steps[s] = c.newStepEntry(now, e, s)
+		entry := c.newStepEntry(now, e, s)
+		c.steps[s] = entry
 		c.planDue = true
+		c.failExhausted(now, entry)
+		if e.job.Final() {
+			return
+		}
+	}
+}
+
+// failExhausted fails the job of a step if one of its tasks may not run again under the
+// configuration in force.
+func (c *Core) failExhausted(now clock.Instant, entry *stepEntry) {
+	if !entry.step.FailExhausted(c.maxAttempts(entry.step), now.Wall) {
+		return
 	}
+	c.log.Info("job failed, a task has no attempt left", "job", entry.jobEntry.job.ID, "step", entry.step.Name(), "config", c.catalog.Version)
+	c.batch.addProgress(entry.jobEntry)
+	c.removeJobSteps(entry.jobEntry)
 }
 
 // objectiveEndpoints is the number of endpoints per question that the latency
--- a/internal/workload/step.go
+++ b/internal/workload/step.go
@@ -200,10 +200,26 @@
 	case EndFailed:
 		s.fail(index, number, attempts, now)
 	case EndStopped, EndLapsed, EndBroken, EndAlone, EndLost, EndNeverRan:
+		s.FailExhausted(attempts, now)
 	}
 	return true
 }
 
+// FailExhausted fails the job if a task of the step waits for a run that it may not
+// have, because it, or its gang, has failed attempts times. It reports whether it did.
+// That happens if the limit was not known at the failure, or is lower now.
+func (s *StepRun) FailExhausted(attempts int, now time.Time) bool {
+	if attempts <= 0 || s.Spec.LongRunning {
+		return false
+	}
+	for i := range s.Tasks {
+		if s.Pending(i) && s.Failures(i) >= attempts {
+			return s.Job.finish(StateFailed, now)
+		}
+	}
+	return false
+}
+
 // remove removes a run of the task and reports whether it was present.
 func (t *Task) remove(number int) bool {
 	for i := range t.runs {
