Controller: planned starts are checked against a service that their queue has gained

If a queue gained an eligibility service while starts waited for their record, they were sent without a permit and refused, a gang with all its members.

Cause: whether a start needs a permit was decided by the plan, an append before it is sent; seconds before while the log is slow.

Change: it is decided again when the start is sent, where the end of a permit is checked already. The runs end as ones that never ran, and the next plan asks.

Failed before: both cases of TestPlannedStartNeedsPermitOfNewService; they pass now.

--- a/internal/controller/catalog_changes_test.go
+++ b/internal/controller/catalog_changes_test.go
@@ -1,10 +1,12 @@
 package controller
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/bluebellstile/bluebellstile/internal/catalog"
+	"github.com/bluebellstile/bluebellstile/internal/resource"
 	"github.com/bluebellstile/bluebellstile/internal/workload"
 )
 
@@ -181,3 +183,44 @@
 		})
 	}
 }
+
+// TestPlannedStartNeedsPermitOfNewService gives a queue an eligibility service while
+// starts wait for their record. They would be refused and must not be sent.
+func TestPlannedStartNeedsPermitOfNewService(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		t.Run(fmt.Sprintf("gang %t", gang), func(t *testing.T) {
+			w := newWorld(t, 1, faults{})
+			w.addEndpoint("e1")
+			w.addEndpoint("e2")
+			w.beginTerm()
+			w.run(time.Second)
+			core := w.current().core
+			core.Submit(w.instant(), Submission{ID: "b000000000000001", Queue: "bulk", Customer: "c2", Accepted: simWall.Add(w.now), Spec: workload.Spec{
+				Steps: []workload.Step{{Count: 2, Size: resource.Vector{MilliCores: 1000, MemoryMB: 100}, Estimate: time.Second, Gang: gang}},
+			}}, func(SubmitResult) {})
+			core.Plan(w.instant())
+			batch := core.Seal()
+			if len(batch.starts) != 2 {
+				t.Fatalf("%d starts are planned, want 2", len(batch.starts))
+			}
+			w.publish(w.changeQueue("bulk", withService))
+			core.SetCatalog(w.instant(), w.catalog)
+			core.Committed(w.instant(), batch)
+			for _, o := range core.TakeOrders() {
+				if start, ok := o.(*StartOrder); ok {
+					t.Errorf("%s is started without a permit", start.Key.Task)
+				}
+			}
+			core.Plan(w.instant())
+			questions := 0
+			for _, o := range core.TakeOrders() {
+				if _, ok := o.(*AskOrder); ok {
+					questions++
+				}
+			}
+			if questions == 0 {
+				t.Error("no question is asked after that")
+			}
+		})
+	}
+}
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -105,15 +105,15 @@
 	delete(es.runs, r)
 }
 
-// sendStart emits the start of a run whose record is in the log, unless its
-// permit or that of another member of its gang has expired.
-func (c *Core) sendStart(now clock.Instant, s *plannedStart, expired bool) {
+// sendStart emits the start of a run whose record is in the log. permitted tells
+// whether its permit and those of the other members of its gang are valid.
+func (c *Core) sendStart(now clock.Instant, s *plannedStart, permitted bool) {
 	r := s.run
 	if c.fleet.Find(r.Key) != r {
 		return
 	}
 	rs := c.runStateOf(r)
-	if r.Step.Job.Final() || rs.stopDecided || c.endpointStateOf(r.Endpoint).silent || expired {
+	if r.Step.Job.Final() || rs.stopDecided || c.endpointStateOf(r.Endpoint).silent || !permitted {
 		c.finishNeverRan(now, r)
 		return
 	}
