Controller: a new configuration sets the priorities of runs

A holder that read an urgent run back while its queue was not configured counted it as the least urgent one for good: its end was noticed up to 300 ms later, and it didn't count when room for urgent work is kept. A changed priority didn't reach runs at work either.

Cause: the priority was copied from the queue once, when the run was placed or read.

Change: a configuration that comes into force sets the priorities of all runs whose queue it has.

--- a/internal/controller/catalog_changes_test.go
+++ b/internal/controller/catalog_changes_test.go
@@ -224,3 +224,49 @@
 		})
 	}
 }
+
+// TestPriorityOfRunsFollowsQueue changes the priority of a queue while a task of it runs,
+// and lets a new holder read the task while the queue is away. The end of an urgent run is
+// noticed early only if the run is known to be urgent.
+func TestPriorityOfRunsFollowsQueue(t *testing.T) {
+	tests := []struct {
+		name      string
+		newHolder bool
+		changes   func(w *world) []func(*catalog.Catalog)
+		want      int
+	}{
+		{name: "another priority", want: 0, changes: func(w *world) []func(*catalog.Catalog) {
+			return []func(*catalog.Catalog){w.changeQueue("bulk", func(q *catalog.Queue) { q.Priority = 0 })}
+		}},
+		{name: "removed", want: 2, changes: func(*world) []func(*catalog.Catalog) {
+			return []func(*catalog.Catalog){removeQueue("bulk")}
+		}},
+		{name: "read while the queue is away", newHolder: true, want: 2, changes: func(w *world) []func(*catalog.Catalog) {
+			return []func(*catalog.Catalog){removeQueue("bulk"), w.addQueue("bulk")}
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w := newWorld(t, 1, faults{})
+			w.addEndpoint("e1")
+			w.beginTerm()
+			w.submitSteps("b000000000000001", "c2", time.Minute)
+			w.run(time.Second)
+			for i, change := range test.changes(w) {
+				w.publish(change)
+				w.run(time.Duration(i+2) * time.Second)
+				if test.newHolder && i == 0 {
+					w.current().dead = true
+					w.beginTerm()
+				}
+			}
+			runs := w.current().core.fleet.Endpoint("e1").Runs()
+			if len(runs) != 1 {
+				t.Fatalf("%d tasks run, want 1", len(runs))
+			}
+			if got := runs[0].Priority; got != test.want {
+				t.Errorf("the priority of the run is %d, want %d", got, test.want)
+			}
+		})
+	}
+}
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -210,6 +210,19 @@
 		c.setLatestStart(now, e)
 		c.failExhausted(now, e)
 	}
+	c.updatePriorities()
+}
+
+// updatePriorities gives the runs the priorities of their queues. They remain as they are
+// for a queue that is not configured.
+func (c *Core) updatePriorities() {
+	for _, e := range c.fleet.Endpoints() {
+		for _, r := range e.Runs() {
+			if q := c.catalog.Queue(r.Queue); q != nil {
+				r.Priority = q.Priority
+			}
+		}
+	}
 }
 
 // SetEligibilityInstances sets through how many instances eligibility questions
