Controller: jobs stay reachable if their queue opens or closes

After a queue that needs a key was opened to all, or closed, callers were told that the jobs it had accepted are unknown, couldn't cancel them, and a job sent again was refused as that of another customer.

Cause: calls to an open queue carry no customer, and the holder compared that with the customer with which the job was stored.

Change: a job without a customer, or whose queue is open in the configuration in force, is accessible to every caller that its queue admits. Jobs of queues that need a key stay invisible to other customers and to callers of open queues.

Failed before: 2 of the 7 cases of TestJobIsReachableAfterItsQueueOpensOrCloses, in each the status, the repetition and the cancelling; all pass now.

--- a/internal/controller/catalog_changes_test.go
+++ b/internal/controller/catalog_changes_test.go
@@ -270,3 +270,55 @@
 		})
 	}
 }
+
+// TestJobIsReachableAfterItsQueueOpensOrCloses changes whether a queue is open to all after
+// it has accepted a job. Callers that the queue admits must find the job: its status is
+// known, sending it again is no conflict, and it can be cancelled.
+func TestJobIsReachableAfterItsQueueOpensOrCloses(t *testing.T) {
+	open := func(yes bool) func(*catalog.Queue) { return func(q *catalog.Queue) { q.Open = yes } }
+	tests := []struct {
+		name             string
+		openBefore       bool
+		openAfter        bool
+		customer, caller string
+		want             bool
+	}{
+		{name: "own job", customer: "c1", caller: "c1", want: true},
+		{name: "job of another customer", customer: "c1", caller: "c2"},
+		{name: "caller of another queue, which is open", customer: "c1", caller: ""},
+		{name: "opened", openAfter: true, customer: "c1", caller: "", want: true},
+		{name: "opened, caller of another queue", openAfter: true, customer: "c1", caller: "c2"},
+		{name: "open", openBefore: true, openAfter: true, customer: "", caller: "", want: true},
+		{name: "closed", openBefore: true, customer: "", caller: "c1", want: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			const id = "b000000000000001"
+			w := newWorld(t, 1, faults{})
+			w.publish(w.changeQueue("bulk", open(test.openBefore)))
+			w.replaced = nil
+			w.beginTerm()
+			w.submitSteps(id, test.customer, time.Second)
+			w.run(time.Second)
+			w.publish(w.changeQueue("bulk", open(test.openAfter)))
+			w.run(time.Second + maxConfigDelay)
+			core := w.current().core
+			if _, known := core.Status(id, test.caller); known != test.want {
+				t.Errorf("the job is known: %t, want %t", known, test.want)
+			}
+			again := Submission{ID: id, Queue: "bulk", Customer: test.caller, Accepted: simWall.Add(w.now), Spec: w.jobs[id].spec}
+			core.Submit(w.instant(), again, func(r SubmitResult) {
+				if accepted := r.Problem == nil; accepted != test.want {
+					t.Errorf("sent again, the job is accepted: %t, want %t", accepted, test.want)
+				}
+			})
+			core.Cancel(w.instant(), id, test.caller, func(found bool) {
+				if found != test.want {
+					t.Errorf("the job to cancel is found: %t, want %t", found, test.want)
+				}
+			})
+			w.flush(w.current())
+			w.run(2 * time.Second)
+		})
+	}
+}
--- a/internal/controller/submit.go
+++ b/internal/controller/submit.go
@@ -69,7 +69,7 @@
 // resubmit answers a submission whose id is known.
 func (c *Core) resubmit(e *jobEntry, s Submission, reply func(SubmitResult)) {
 	switch {
-	case e.job.Customer != s.Customer:
+	case !c.mayAccess(e.job, s.Customer):
 		reply(SubmitResult{Problem: problem.Refuse(problem.TicketConflict, "choose another id",
 			"job %s belongs to another customer", s.ID)})
 	case e.admitted:
@@ -79,6 +79,18 @@
 	}
 }
 
+// mayAccess reports whether a customer may see and cancel a job. An empty customer is a
+// caller of a queue that is open to all. A queue may have been opened or closed since the
+// job was accepted: a job of a queue that is open now is accessible to all, and so is one
+// that was accepted without a customer.
+func (c *Core) mayAccess(j *workload.Job, customer string) bool {
+	if j.Customer == customer || j.Customer == "" {
+		return true
+	}
+	q := c.catalog.Queue(j.Queue)
+	return customer == "" && q != nil && q.Open
+}
+
 // checkAdmission returns the problem for which a job is refused, or nil.
 func (c *Core) checkAdmission(now clock.Instant, s Submission) *problem.Problem {
 	if c.catalog.Queue(s.Queue) == nil {
@@ -164,7 +176,7 @@
 // customer has no such job.
 func (c *Core) Status(id workload.ID, customer string) (state workload.State, ok bool) {
 	e := c.jobs[id]
-	if e == nil || e.job.Customer != customer {
+	if e == nil || !c.mayAccess(e.job, customer) {
 		return "", false
 	}
 	if e.job.Final() && !e.ended {
@@ -177,7 +189,7 @@
 // the cancellation is in the log.
 func (c *Core) Cancel(now clock.Instant, id workload.ID, customer string, reply func(found bool)) {
 	e := c.jobs[id]
-	if e == nil || e.job.Customer != customer {
+	if e == nil || !c.mayAccess(e.job, customer) {
 		reply(false)
 		return
 	}
