Controller: a job whose customer was removed is refused at once

A job that a daemon admitted just before it read a configuration without the customer was accepted by a holder that had read it, and waited for good. A job without a customer was accepted for a queue that needs a key by now, and ran outside of every limit.

Cause: the holder checked the queue against its configuration, but not the customer.

Change: it checks the customer too, and refuses with the code that the admitting daemon would have used. Stored jobs are not affected.

--- a/internal/controller/catalog_changes_test.go
+++ b/internal/controller/catalog_changes_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bluebellstile/bluebellstile/internal/catalog"
+	"github.com/bluebellstile/bluebellstile/internal/problem"
 	"github.com/bluebellstile/bluebellstile/internal/resource"
 	"github.com/bluebellstile/bluebellstile/internal/workload"
 )
@@ -322,3 +323,46 @@
 		})
 	}
 }
+
+// TestJobOfRemovedCustomerIsRefused submits jobs that another daemon has admitted under an
+// older configuration than the holder's. What can't run must be refused at once: without
+// its customer a job has no limit to run within, and would wait for good.
+func TestJobOfRemovedCustomerIsRefused(t *testing.T) {
+	tests := []struct {
+		name     string
+		customer string
+		change   func(w *world) func(*catalog.Catalog)
+		want     problem.Code
+	}{
+		{name: "customer in force", customer: "c1"},
+		{name: "customer removed", customer: "c1", want: problem.KeyRefused, change: func(*world) func(*catalog.Catalog) {
+			return func(c *catalog.Catalog) { delete(c.Customers, "c1") }
+		}},
+		{name: "queue removed", customer: "c1", want: problem.UnknownQueue, change: func(*world) func(*catalog.Catalog) { return removeQueue("bulk") }},
+		{name: "queue needs a key", want: problem.KeyRefused},
+		{name: "queue is open", change: func(w *world) func(*catalog.Catalog) {
+			return w.changeQueue("bulk", func(q *catalog.Queue) { q.Open = true })
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w := newWorld(t, 1, faults{})
+			w.beginTerm()
+			if test.change != nil {
+				w.publish(test.change(w))
+				w.run(maxConfigDelay)
+			}
+			var got *SubmitResult
+			job := Submission{ID: "b000000000000001", Queue: "bulk", Customer: test.customer, Accepted: simWall.Add(w.now), Spec: largeJob(1)}
+			w.current().core.Submit(w.instant(), job, func(r SubmitResult) { got = &r })
+			w.flush(w.current())
+			w.run(maxConfigDelay + time.Second)
+			switch {
+			case got == nil:
+				t.Error("there is no answer")
+			case test.want == "" && got.Problem != nil, test.want != "" && (got.Problem == nil || got.Problem.Code != test.want || got.Problem.Verdict != problem.NotRun):
+				t.Errorf("the answer is %v, want %q", got.Problem, test.want)
+			}
+		})
+	}
+}
--- a/internal/controller/submit.go
+++ b/internal/controller/submit.go
@@ -93,9 +93,13 @@
 
 // checkAdmission returns the problem for which a job is refused, or nil.
 func (c *Core) checkAdmission(now clock.Instant, s Submission) *problem.Problem {
-	if c.catalog.Queue(s.Queue) == nil {
+	q := c.catalog.Queue(s.Queue)
+	if q == nil {
 		return problem.Refuse(problem.UnknownQueue, "check the address", "queue %q is not configured", s.Queue)
 	}
+	if p := c.checkCustomer(q, s.Customer); p != nil {
+		return p
+	}
 	if open := len(c.jobs) - len(c.ended); open >= maxOpenJobs {
 		return problem.Refuse(problem.QueueFull, "try again later", "%d jobs are open", open).WithRetryAfter(excessRetry)
 	}
@@ -114,6 +118,22 @@
 	return nil
 }
 
+// checkCustomer returns the problem of a job whose customer may not use the queue, or nil.
+// The daemon that admitted it may have had an older configuration.
+func (c *Core) checkCustomer(q *catalog.Queue, customer string) *problem.Problem {
+	const remedy = "use a key that is in force"
+	if customer == "" {
+		if q.Open {
+			return nil
+		}
+		return problem.Refuse(problem.KeyRefused, remedy, "queue %q needs a key", q.Name)
+	}
+	if _, known := c.catalog.Customers[customer]; !known {
+		return problem.Refuse(problem.KeyRefused, remedy, "customer %q is not configured", customer)
+	}
+	return nil
+}
+
 func (c *Core) countExcessJobs(customer string) int {
 	n := 0
 	for _, e := range c.jobs {
