Catalog: a key in the sets of two customers belongs to the first by name

Daemons disagreed about the customer of a key that two customers have, and each changed its mind with new versions, so that a caller's own job could be unknown to it.

Cause: the index of keys was filled in the order of a map.

Change: it is filled in the order of the customers' names, and the first one has the key.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -4,6 +4,8 @@
 package catalog
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -119,9 +121,11 @@
 	for _, queues := range c.byHost {
 		sort.SliceStable(queues, func(i, k int) bool { return len(queues[i].Prefix) > len(queues[k].Prefix) })
 	}
-	for _, customer := range c.Customers {
-		for _, key := range customer.Keys {
-			c.customerByKey[key] = customer.Name
+	for _, name := range slices.Sorted(maps.Keys(c.Customers)) {
+		for _, key := range c.Customers[name].Keys {
+			if _, taken := c.customerByKey[key]; !taken {
+				c.customerByKey[key] = name
+			}
 		}
 	}
 	return nil
@@ -141,7 +145,8 @@
 	return nil, ""
 }
 
-// CustomerOfKey returns the customer that a key belongs to.
+// CustomerOfKey returns the customer that a key belongs to. Of several it is the first by
+// name, so that all daemons agree.
 func (c *Catalog) CustomerOfKey(key string) (customer string, ok bool) {
 	customer, ok = c.customerByKey[key]
 	return customer, ok
