Terms: a term begins with the newest configuration

A daemon that was behind, as after an outage of the log, could take the cell over and read the jobs back with an older configuration than the last holder had: it would start steps without a permit, or fail a job under a limit of attempts that was raised since.

Cause: the jobs and the registry were read when the term began, the configuration was taken as the daemon had it.

Change: it is read after the earlier terms are fenced, while the jobs are read; one more call to the log for each term. Configurations are applied one at a time.

TestTermBeginsWithNewestConfiguration failed before (version 1, want 2) and passes.

--- a/internal/node/catalogs.go
+++ b/internal/node/catalogs.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"context"
 	"log/slog"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -35,6 +37,9 @@
 	confirmedAt atomic.Int64
 	// onChange is called with each newer configuration.
 	onChange func(*catalog.Catalog)
+	// applying serializes apply, so that an older configuration never replaces a
+	// newer one.
+	applying sync.Mutex
 }
 
 // Catalog implements gateway.CatalogSource.
@@ -60,8 +65,22 @@
 	return f.Run(t)
 }
 
+// refresh reads the newest configuration and puts it into force. The follower may be
+// behind, as its reads fail one by one while the log is away and wait before they are
+// repeated.
+func (c *catalogFollower) refresh(ctx context.Context) error {
+	entries, _, err := keyedlog.NewestAll(ctx, c.log, c.feed.Partition)
+	if err != nil {
+		return err
+	}
+	c.apply(entries)
+	return nil
+}
+
 // apply puts the newest configuration among the entries into force.
 func (c *catalogFollower) apply(entries []keyedlog.Entry) {
+	c.applying.Lock()
+	defer c.applying.Unlock()
 	for i := range entries {
 		next, err := c.feed.Decode(entries[i].Record)
 		if err != nil {
--- a/internal/node/terms.go
+++ b/internal/node/terms.go
@@ -114,8 +114,7 @@
 func (ts *termManager) startTerm(t *tomb.Tomb, epoch int64) (*term, error) {
 	ctx, cancel := context.WithTimeout(ts.tomb.Context(context.Background()), beginTimeout)
 	defer cancel()
-	configuration := ts.catalogs.Catalog()
-	if configuration == nil {
+	if ts.catalogs.Catalog() == nil {
 		return nil, errors.New("no configuration has been read yet")
 	}
 	registry := &registryFollower{feed: ts.registry, log: ts.log, clock: ts.clock, logger: ts.logger, listed: make(map[string]bool)}
@@ -132,6 +131,8 @@
 		return nil, errors.WithMessage(err, "fence earlier terms")
 	}
 	fenced := ts.clock.Now()
+	refreshed := make(chan error, 1)
+	go func() { refreshed <- ts.catalogs.refresh(ctx) }()
 	entries, err := keyedlog.NewestInRanges(ctx, ts.log, ts.jobs, controller.RecordSplitKeys())
 	if err != nil {
 		return nil, errors.WithMessage(err, "read the jobs")
@@ -139,7 +140,12 @@
 	if err := <-registered; err != nil {
 		return nil, errors.WithMessage(err, "read the registry of endpoints")
 	}
-	core := ts.newCore(epoch, configuration, fenced, registrations, entries)
+	// Earlier terms are fenced, so that this configuration is at least as new as
+	// that of any decision in the records.
+	if err := <-refreshed; err != nil {
+		return nil, errors.WithMessage(err, "read the configuration")
+	}
+	core := ts.newCore(epoch, ts.catalogs.Catalog(), fenced, registrations, entries)
 	dispatcher := ts.newDispatcher(t, epoch)
 	c := controller.NewController(core, controller.Options{
 		Epoch:       epoch,
