Terms: a stored job is confirmed whatever configuration the holder has

A caller that sent its job again after a lost answer was refused with 503, "not run", if the holder had not yet read the configuration of the daemon that took the call, although the job was stored and ran.

Cause: the holder waited for that configuration before it looked whether it has the job.

Change: it looks first. New jobs wait for the configuration as before.

TestStoredJobIsConfirmedByHolderThatIsBehind failed before (config_not_fresh) and passes now.

--- a/internal/controller/calls.go
+++ b/internal/controller/calls.go
@@ -19,7 +19,7 @@
 // Submit accepts a job. It returns ErrTermEnded if the term ends before it is
 // known whether the job was stored.
 func (c *Controller) Submit(ctx context.Context, s Submission) (SubmitResult, error) {
-	if stalled := c.AppendStalledFor(); stalled > maxAppendStall && !c.knowsJob(s.ID) {
+	if stalled := c.AppendStalledFor(); stalled > maxAppendStall && !c.KnowsJob(s.ID) {
 		return SubmitResult{Problem: problem.Refuse(problem.LogUnavailable, "try again later",
 			"the log has accepted no append for %s", stalled.Round(time.Millisecond)).WithRetryAfter(logRetryAfter)}, nil
 	}
@@ -34,8 +34,8 @@
 // because appends stall.
 const logRetryAfter = time.Second
 
-// knowsJob reports whether the core has a job with this id, stored or not.
-func (c *Controller) knowsJob(id workload.ID) bool {
+// KnowsJob reports whether the core has a job with this id, stored or not.
+func (c *Controller) KnowsJob(id workload.ID) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.core.jobs[id] != nil
--- a/internal/node/terms.go
+++ b/internal/node/terms.go
@@ -277,8 +277,11 @@
 
 // Submit implements fleetpeer.Holder.
 func (t *term) Submit(ctx context.Context, job *workload.Job, version int64) (*problem.Problem, error) {
-	if p := t.awaitVersion(ctx, version); p != nil {
-		return p, nil
+	if !t.controller.KnowsJob(job.ID) {
+		// A job that is stored was admitted before, whatever is configured now.
+		if p := t.awaitVersion(ctx, version); p != nil {
+			return p, nil
+		}
 	}
 	r, err := t.controller.Submit(ctx, controller.Submission{
 		ID:       job.ID,
--- a/internal/node/terms_test.go
+++ b/internal/node/terms_test.go
@@ -13,6 +13,8 @@
 	"github.com/bluebellstile/bluebellstile/internal/controller"
 	"github.com/bluebellstile/bluebellstile/internal/fleet"
 	"github.com/bluebellstile/bluebellstile/internal/keyedlog"
+	"github.com/bluebellstile/bluebellstile/internal/problem"
+	"github.com/bluebellstile/bluebellstile/internal/workload"
 	"github.com/pkg/errors"
 	"gopkg.in/tomb.v2"
 )
@@ -140,3 +142,25 @@
 		t.Errorf("the term begins with configuration %d, want 2", version)
 	}
 }
+
+// TestStoredJobIsConfirmedByHolderThatIsBehind sends a stored job again, through a daemon
+// with a newer configuration than the holder's. "Not run" would be untrue.
+func TestStoredJobIsConfirmedByHolderThatIsBehind(t *testing.T) {
+	begun := newTestTerm(t, &memoryLog{entries: make(map[keyedlog.Partition][]keyedlog.Entry)})
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	job := func(id workload.ID) *workload.Job {
+		return workload.NewJob(id, "queue", "customer", time.Now(), workload.Spec{Steps: []workload.Step{{Count: 1, Estimate: time.Second}}})
+	}
+	const stored, unknown = "0000000000000001", "0000000000000002"
+	current := begun.controller.Version()
+	if p, err := begun.Submit(ctx, job(stored), current); p != nil || err != nil {
+		t.Fatalf("the job is not accepted: %v, %v", p, err)
+	}
+	if p, err := begun.Submit(ctx, job(stored), current+1); p != nil || err != nil {
+		t.Errorf("sent again, the job is not confirmed: %v, %v", p, err)
+	}
+	if p, err := begun.Submit(ctx, job(unknown), current+1); p == nil || p.Code != problem.ConfigNotFresh || err != nil {
+		t.Errorf("a new job gets %v, %v; want a refusal until the configuration is read", p, err)
+	}
+}
