Controller: model test of work beside changes of the configuration

Drawn are changes of queues and customers, also several within a second, silences of the eligibility service, crashes of endpoints and changes of the holder, beside jobs of all kinds. No start may break a guarantee or be refused again and again, a job fails only for a cause, and after the changes all jobs end.

It doesn't notice a missing pause between refused starts, which has a test of its own.

--- a/internal/controller/world_endpoint_test.go
+++ b/internal/controller/world_endpoint_test.go
@@ -197,6 +197,7 @@
 	}
 	if !w.permits(e, o) {
 		w.refusedPermits++
+		w.refusedByTask[o.Key.Task]++
 		return refusal(ReasonPermit)
 	}
 	w.extendLease(e, o.Deadline)
@@ -287,6 +288,13 @@
 	e.barred[r.key.Task] = max(e.barred[r.key.Task], r.key.Number)
 	e.lastEnd++
 	e.ended = append(e.ended, simEnd{EndedRow: EndedRow{Number: e.lastEnd, Key: r.key, End: how}, lapses: e.lapses})
+	if how == workload.EndFailed {
+		id := r.key.Task
+		if r.step.Gang {
+			id.Index = 0
+		}
+		r.job.failedEnds[id]++
+	}
 	if how == workload.EndDone {
 		r.job.done[r.key.Task] = true
 		if r.step.Gang {
