Controller: blocked work is planned again without an event

Not seen by callers; found while the pause after refused starts was tested. A job that was alone in a quiet cell stayed queued for good if its endpoint refused it once for want of room or health, didn't answer for a second, or if the rack of its data was full.

Cause: plans follow events, and the end of a backoff, an answer after failures and the end of a wait for a rack are none. On a busy cell other events hide it.

Change: while the last plan left work without capacity, the next one is made after 250 ms at the latest.

The task of TestRefusedStartsArePaced is longer, as it could end before the check.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -83,7 +83,11 @@
 	orders []Order
 	// planDue is set when a new plan might find something to do.
 	planDue bool
-	stats   Stats
+	// plannedAt is when the last plan was made, and blocked is set if it left work
+	// for which there was no capacity.
+	plannedAt time.Duration
+	blocked   bool
+	stats     Stats
 
 	urgent  urgentLoad
 	backlog backlog
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -56,6 +56,7 @@
 	}
 	c.planDue = false
 	c.stats.Plans++
+	c.plannedAt, c.blocked = now.Steady, false
 	snapshot := c.snapshot(now)
 	if len(snapshot.Demands) == 0 {
 		return
@@ -65,6 +66,7 @@
 	c.applyStarts(now, plan.Starts)
 	c.releaseHeld()
 	c.wanted = plan.GangWaiting
+	c.blocked = plan.Blocked > 0
 	c.flow.planLimited = plan.Limited
 	for i := range plan.Questions {
 		c.askEligibility(&plan.Questions[i])
--- a/internal/controller/refusals_test.go
+++ b/internal/controller/refusals_test.go
@@ -16,7 +16,7 @@
 			w.addEndpoint("e2")
 			w.beginTerm()
 			w.refuseStarts = reason
-			w.submitSteps("b000000000000001", "c2", time.Second)
+			w.submitSteps("b000000000000001", "c2", time.Minute)
 			w.run(10 * time.Second)
 			const maxAttempts = 20
 			if n := w.current().core.Stats().Starts; n > maxAttempts {
--- a/internal/controller/tick.go
+++ b/internal/controller/tick.go
@@ -1,13 +1,16 @@
 package controller
 
 import (
+	"time"
+
 	"github.com/bluebellstile/bluebellstile/internal/clock"
 )
 
 // Tick performs the time-driven work: updating the start rate, opening
 // occurrences, expiring leases, retrying stops, forgetting jobs that ended long
 // ago, evicting runs from draining endpoints, recording silent endpoints,
-// sending holds and resuming steps after a pause.
+// sending holds, resuming steps after a pause and planning again for blocked
+// ones.
 func (c *Core) Tick(now clock.Instant) {
 	c.backlog.updateRate(now.Steady)
 	c.openRecurring(now)
@@ -18,6 +21,20 @@
 	c.recordSilences(now)
 	c.sendDueHolds(now)
 	c.resumeSteps(now)
+	c.replanBlocked(now)
+}
+
+// replanInterval is how often a plan is made for work that could not start, if no event
+// causes one.
+const replanInterval = 250 * time.Millisecond
+
+// replanBlocked makes a plan due for work that could not start. Some of what it waits for
+// passes without an event: an endpoint answers again, its backoff ends, or a task has
+// waited long enough for the rack of its data.
+func (c *Core) replanBlocked(now clock.Instant) {
+	if c.blocked && now.Steady-c.plannedAt >= replanInterval {
+		c.planDue = true
+	}
 }
 
 // openRecurring opens the occurrences that are due.
