Controller: an answer from another endpoint is no sign of life

Cause: any refusal counted as an answer, also the one by which another endpoint says that it isn't the target. The holder went on extending the lease of the lost endpoint, so that its runs were never known to have ended.

Change: such an answer counts as a failure to reach the target. Its lease is left to lapse, and the reading of the other clock is not used.

--- a/internal/controller/faults_test.go
+++ b/internal/controller/faults_test.go
@@ -316,6 +316,30 @@
 	})
 }
 
+// TestLostEndpointWhoseAddressIsTaken loses an endpoint with runs. Another one that gets
+// its address refuses the orders for it, with readings of its own clock. The tasks must
+// run elsewhere.
+func TestLostEndpointWhoseAddressIsTaken(t *testing.T) {
+	forEachSeed(t, func(t *testing.T, seed uint64) {
+		w := newWorld(t, seed, faults{})
+		addEndpoints(w)
+		w.beginTerm()
+		w.submitTraffic(6)
+		w.after(10*time.Second, func() {
+			w.endpoints["e03"].up = false
+			w.endpoints["e03"].running = make(map[fleet.Key]*simRun)
+		})
+		// Sooner than the endpoint is noticed to be silent, or later.
+		w.after(w.between(10*time.Second, 13*time.Second), func() { w.endpoints["e03"].addressTaken = true })
+		w.after(16*time.Second, func() { w.current().core.EndpointUnlisted("e03") })
+		if seed%2 == 0 {
+			w.after(12*time.Second, func() { w.beginTerm() })
+		}
+		w.run(60 * time.Second)
+		w.requireAllEnded()
+	})
+}
+
 // TestQuickRestarts restarts endpoints within milliseconds, so that orders for
 // the old incarnation reach the new one.
 func TestQuickRestarts(t *testing.T) {
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -170,17 +170,17 @@
 // updateReachability updates what is known of an endpoint's reachability and
 // clock from the result of an order.
 func (c *Core) updateReachability(e *fleet.Endpoint, out Outcome) {
-	switch out.Fate {
-	case FateDone, FateRefused:
-		if out.Reading.Known() {
-			e.RecordAnswer(out.Reading)
-		}
-	case FateNotSent, FateUnanswered:
+	switch {
+	case out.Fate == FateNotSent, out.Fate == FateUnanswered, out.Reason == ReasonIncarnation:
+		// An answer from another endpoint or incarnation, which may have got the
+		// address of one that is lost, is no sign of life.
 		e.RecordFailure()
 		es := c.endpointStateOf(e)
 		if !es.holdInFlight {
 			es.nextHoldAt = 0
 		}
+	case out.Reading.Known():
+		e.RecordAnswer(out.Reading)
 	}
 }
 
--- a/internal/controller/world_endpoint_test.go
+++ b/internal/controller/world_endpoint_test.go
@@ -17,6 +17,9 @@
 	clockOrigin  time.Duration
 	up           bool
 	disconnected bool
+	// addressTaken is set once the endpoint is lost and another one has its address,
+	// which refuses the orders for it.
+	addressTaken bool
 	draining     bool
 	// leavesAt is until when a draining endpoint announces to stay.
 	leavesAt time.Duration
--- a/internal/controller/world_orders_test.go
+++ b/internal/controller/world_orders_test.go
@@ -101,10 +101,13 @@
 	e := w.endpoints[target.ID]
 	incarnation := e.incarnation
 	execute := func() Outcome {
-		if !e.up || e.disconnected {
-			return Outcome{Fate: FateUnanswered}
+		out := refusal(ReasonIncarnation)
+		if !e.addressTaken {
+			if !e.up || e.disconnected {
+				return Outcome{Fate: FateUnanswered}
+			}
+			out = do(e)
 		}
-		out := do(e)
 		out.Reading = fleet.ClockReading{Sent: sent, Received: w.now, Clock: e.clock(w.now)}
 		return out
 	}
