Controller: what follows from the configuration has a file of its own

After the end of a run only its own task is compared with the attempts: a step of 5,000 tasks whose lease lapses went through all of them for each. The tests of controller and workload pass.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -201,41 +201,10 @@
 	}
 }
 
-// SetCatalog puts a configuration into force if it is newer than the current
-// one, and updates what the steps keep of it.
-func (c *Core) SetCatalog(now clock.Instant, next *catalog.Catalog) {
-	if next.Version <= c.catalog.Version {
-		return
-	}
-	c.catalog = next
-	c.planDue = true
-	for _, e := range c.steps {
-		e.resetRefusals()
-		c.setLatestStart(now, e)
-		c.failExhausted(now, e)
-	}
-	c.updatePriorities()
-}
-
-// updatePriorities gives the runs the priorities of their queues. They remain as they are
-// for a queue that is not configured.
-func (c *Core) updatePriorities() {
-	for _, e := range c.fleet.Endpoints() {
-		for _, r := range e.Runs() {
-			if q := c.catalog.Queue(r.Queue); q != nil {
-				r.Priority = q.Priority
-			}
-		}
-	}
-}
-
 // SetEligibilityInstances sets through how many instances eligibility questions
 // can be asked.
 func (c *Core) SetEligibilityInstances(n int) { c.eligibilityInstances = n }
 
-// Version returns the version of the configuration in force.
-func (c *Core) Version() int64 { return c.catalog.Version }
-
 // TakeOrders returns and clears the pending orders. Stops come first: the
 // members of a gang wait for them, and cancelled work continues until they
 // arrive.
@@ -316,58 +285,12 @@
 	}
 }
 
-// failExhausted fails the job of a step if one of its tasks may not run again under the
-// configuration in force.
-func (c *Core) failExhausted(now clock.Instant, entry *stepEntry) {
-	if !entry.step.FailExhausted(c.maxAttempts(entry.step), now.Wall) {
-		return
-	}
-	c.log.Info("job failed, a task has no attempt left", "job", entry.jobEntry.job.ID, "step", entry.step.Name(), "config", c.catalog.Version)
-	c.batch.addProgress(entry.jobEntry)
-	c.removeJobSteps(entry.jobEntry)
-}
-
-// objectiveEndpoints is the number of endpoints per question that the latency
-// objective of a job allows for; the users' rules specify it.
-const objectiveEndpoints = 30
-
 func (c *Core) newStepEntry(now clock.Instant, e *jobEntry, s *workload.StepRun) *stepEntry {
 	entry := &stepEntry{step: s, jobEntry: e, since: now.Steady, latestStart: now.Steady, waitingStale: true, eligibility: scheduler.NewEligibility()}
 	c.setLatestStart(now, entry)
 	return entry
 }
 
-// setLatestStart derives the latest start of a step from the objective of its queue. It
-// remains as it is while the queue is not configured.
-func (c *Core) setLatestStart(now clock.Instant, entry *stepEntry) {
-	job := entry.jobEntry.job
-	q := c.catalog.Queue(job.Queue)
-	if q == nil {
-		return
-	}
-	questionTime := time.Duration(0)
-	if q.Eligibility != nil {
-		questionTime = q.Eligibility.Cost(objectiveEndpoints)
-	}
-	openedAt := job.Accepted
-	if r := job.Spec.Recurrence; r != nil {
-		openedAt = r.Due(entry.step.Occurrence.Index)
-	}
-	chains := entry.jobEntry.chainsWith(questionTime)
-	objective := time.Duration(min(q.Stretch*float64(chains.Longest), float64(workload.MaxSpan))) + q.Objective
-	left := max(openedAt.Add(objective).Sub(now.Wall), -workload.MaxSpan) - chains.From[entry.step.Index]
-	entry.latestStart = now.Steady + left
-}
-
-// chainsWith returns the chains of the job's steps, with the time of a question
-// added for each step.
-func (e *jobEntry) chainsWith(questionTime time.Duration) workload.Chains {
-	if e.chains.From == nil || e.chainsQuestionTime != questionTime {
-		e.chains, e.chainsQuestionTime = e.job.Spec.Chains(questionTime), questionTime
-	}
-	return e.chains
-}
-
 // removeSteps removes the steps of an occurrence that are done, or all of them
 // if the job has ended.
 func (c *Core) removeSteps(j *workload.Job, o *workload.Occurrence) {
--- a/internal/controller/flow.go
+++ b/internal/controller/flow.go
@@ -152,17 +152,6 @@
 	return min(max(1, 2*float64(f.typicalLatency)/float64(startLatencyTarget)), maxReportStretch)
 }
 
-// permitted reports whether a planned start has the permit that it needs under the
-// configuration in force, which may have changed since the plan, and whether that is
-// still valid when the start arrives.
-func (c *Core) permitted(now clock.Instant, s *plannedStart) bool {
-	if s.expires > 0 {
-		return now.Steady+startTransitTime <= s.expires
-	}
-	q := c.catalog.Queue(s.run.Queue)
-	return q == nil || q.Eligibility == nil
-}
-
 // sendReadyStarts sends the queued starts that the window allows.
 func (c *Core) sendReadyStarts(now clock.Instant) {
 	for group := c.flow.nextGroup(); group != nil; group = c.flow.nextGroup() {
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/bluebellstile/bluebellstile/internal/catalog"
 	"github.com/bluebellstile/bluebellstile/internal/clock"
 	"github.com/bluebellstile/bluebellstile/internal/fleet"
 	"github.com/bluebellstile/bluebellstile/internal/resource"
@@ -220,19 +219,6 @@
 	return d
 }
 
-// eligibilityOf returns what is known of the endpoints that may run a step, or nil if
-// its queue has no eligibility service in the configuration in force.
-func (c *Core) eligibilityOf(now clock.Instant, e *stepEntry, q *catalog.Queue) *scheduler.Eligibility {
-	if q.Eligibility == nil {
-		return nil
-	}
-	a := e.eligibility
-	a.EligibleShare = c.eligibleShareOf(q.Name)
-	a.QuestionBase, a.QuestionPerEndpoint = q.Eligibility.Base, q.Eligibility.PerEndpoint
-	a.QuestionInFlight = a.QuestionInFlight || now.Steady < e.askAfter
-	return a
-}
-
 // waitingTasks returns the indexes of the waiting tasks of a step. For a gang
 // there are none while any of its tasks occupies an endpoint.
 func (c *Core) waitingTasks(e *stepEntry) []int {
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -417,15 +417,6 @@
 	}
 }
 
-// maxAttempts returns how many failed runs of a task of the step make its job
-// fail; 0 means no limit.
-func (c *Core) maxAttempts(s *workload.StepRun) int {
-	if q := c.catalog.Queue(s.Job.Queue); q != nil {
-		return q.Attempts
-	}
-	return 0
-}
-
 // recordOutcome adds a run's end to the history of its endpoint.
 func (c *Core) recordOutcome(now clock.Instant, r *fleet.Run, end workload.End) {
 	switch end {
--- a/internal/controller/submit.go
+++ b/internal/controller/submit.go
@@ -245,13 +245,3 @@
 	}
 	return n
 }
-
-// priorityOf returns the priority of a queue; a queue that is no longer
-// configured comes last.
-func priorityOf(q *catalog.Queue) int {
-	const lowestPriority = 1000
-	if q == nil {
-		return lowestPriority
-	}
-	return q.Priority
-}
--- a/internal/workload/step.go
+++ b/internal/workload/step.go
@@ -200,7 +200,9 @@
 	case EndFailed:
 		s.fail(index, number, attempts, now)
 	case EndStopped, EndLapsed, EndBroken, EndAlone, EndLost, EndNeverRan:
-		s.FailExhausted(attempts, now)
+		if s.exhausted(index, attempts) {
+			s.Job.finish(StateFailed, now)
+		}
 	}
 	return true
 }
@@ -209,17 +211,19 @@
 // have, because it, or its gang, has failed attempts times. It reports whether it did.
 // That happens if the limit was not known at the failure, or is lower now.
 func (s *StepRun) FailExhausted(attempts int, now time.Time) bool {
-	if attempts <= 0 || s.Spec.LongRunning {
-		return false
-	}
 	for i := range s.Tasks {
-		if s.Pending(i) && s.Failures(i) >= attempts {
+		if s.exhausted(i, attempts) {
 			return s.Job.finish(StateFailed, now)
 		}
 	}
 	return false
 }
 
+// exhausted reports whether a task waits for a run although it has no attempt left.
+func (s *StepRun) exhausted(index, attempts int) bool {
+	return attempts > 0 && !s.Spec.LongRunning && s.Pending(index) && s.Failures(index) >= attempts
+}
+
 // remove removes a run of the task and reports whether it was present.
 func (t *Task) remove(number int) bool {
 	for i := range t.runs {
