Controller: the two tests of a lost endpoint share their scenario

playLostEndpoint plays what TestPermanentlyLostEndpoint and TestLostEndpointWhoseAddressIsTaken had in common.

--- a/internal/controller/faults_test.go
+++ b/internal/controller/faults_test.go
@@ -299,20 +299,7 @@
 // answers again run elsewhere.
 func TestPermanentlyLostEndpoint(t *testing.T) {
 	forEachSeed(t, func(t *testing.T, seed uint64) {
-		w := newWorld(t, seed, faults{})
-		addEndpoints(w)
-		w.beginTerm()
-		w.submitTraffic(6)
-		w.after(10*time.Second, func() {
-			w.endpoints["e03"].up = false
-			w.endpoints["e03"].running = make(map[fleet.Key]*simRun)
-		})
-		w.after(15*time.Second, func() { w.current().core.EndpointUnlisted("e03") })
-		if seed%2 == 0 {
-			w.after(12*time.Second, func() { w.beginTerm() })
-		}
-		w.run(60 * time.Second)
-		w.requireAllEnded()
+		playLostEndpoint(t, seed, 15*time.Second, func(*world) {})
 	})
 }
 
@@ -321,25 +308,33 @@
 // run elsewhere.
 func TestLostEndpointWhoseAddressIsTaken(t *testing.T) {
 	forEachSeed(t, func(t *testing.T, seed uint64) {
-		w := newWorld(t, seed, faults{})
-		addEndpoints(w)
-		w.beginTerm()
-		w.submitTraffic(6)
-		w.after(10*time.Second, func() {
-			w.endpoints["e03"].up = false
-			w.endpoints["e03"].running = make(map[fleet.Key]*simRun)
+		playLostEndpoint(t, seed, 16*time.Second, func(w *world) {
+			// Sooner than the endpoint is noticed to be silent, or later.
+			w.after(w.between(0, 3*time.Second), func() { w.endpoints["e03"].addressTaken = true })
 		})
-		// Sooner than the endpoint is noticed to be silent, or later.
-		w.after(w.between(10*time.Second, 13*time.Second), func() { w.endpoints["e03"].addressTaken = true })
-		w.after(16*time.Second, func() { w.current().core.EndpointUnlisted("e03") })
-		if seed%2 == 0 {
-			w.after(12*time.Second, func() { w.beginTerm() })
-		}
-		w.run(60 * time.Second)
-		w.requireAllEnded()
 	})
 }
 
+// playLostEndpoint loses an endpoint for good after 10 s. It leaves the registry at the
+// given time, and with every second seed the holder changes before.
+func playLostEndpoint(t *testing.T, seed uint64, unlistedAt time.Duration, lost func(*world)) {
+	w := newWorld(t, seed, faults{})
+	addEndpoints(w)
+	w.beginTerm()
+	w.submitTraffic(6)
+	w.after(10*time.Second, func() {
+		w.endpoints["e03"].up = false
+		w.endpoints["e03"].running = make(map[fleet.Key]*simRun)
+		lost(w)
+	})
+	w.after(unlistedAt, func() { w.current().core.EndpointUnlisted("e03") })
+	if seed%2 == 0 {
+		w.after(12*time.Second, func() { w.beginTerm() })
+	}
+	w.run(60 * time.Second)
+	w.requireAllEnded()
+}
+
 // TestQuickRestarts restarts endpoints within milliseconds, so that orders for
 // the old incarnation reach the new one.
 func TestQuickRestarts(t *testing.T) {
