Review: a runner whose clock was set back keeps its task for ever (case 9)

Change: the case, in the place of that of the rack, which stays a play of the kit; the case of the waiting jobs becomes number 10. The kit takes ports that outgoing connections don't use, and has plays of two further entries.

--- a/review/kit-2/cases.go
+++ b/review/kit-2/cases.go
@@ -157,3 +157,63 @@
 	}
 	return n
 }
+
+// urgent: on four runners of 64 cores, four urgent jobs of one wide task come at once.
+// When they have ended, a job of two tasks of half a runner comes.
+func urgent(rec *recorder, trouble bool) (*site, func() int, error) {
+	s, err := newSiteOf(rec, trouble, 4, 64000, 3)
+	return s, func() int {
+		if trouble {
+			for range 4 {
+				s.send(&job{queue: "/invoice-post/", key: "key-ocho", tenant: "ocho",
+					Steps: []step{{Count: 1, CPU: 36000, Mem: 19000, Estimate: 2000, work: 2 * time.Second}}})
+			}
+		}
+		time.Sleep(6 * time.Second)
+		s.send(&job{queue: "/lot-sort/", key: "key-negril", tenant: "negril",
+			Steps: []step{{Count: 2, CPU: 32000, Mem: 19000, Estimate: 2000, work: 2 * time.Second}}})
+		return s.verdict()
+	}, err
+}
+
+// setback: a runner is added whose machine's time of day is 2 s ahead. It crashes a
+// second after its start, and is back 0.4 s later, when the time of day is right again.
+func setback(rec *recorder, trouble bool) (*site, func() int, error) {
+	s, err := newSite(rec, trouble, 3, 3)
+	return s, func() int {
+		every(3*time.Second, 12, func(i int) { s.send(lots(1 + i%3)) })
+		s.ended.Wait()
+		ahead := time.Duration(0)
+		if trouble {
+			ahead = 2 * time.Second
+		}
+		if err := s.fleet.add("i-1f00", "a", "r-2", 32000, 131072, ahead); err != nil {
+			rec.line("no runner was added: %v", err)
+			return 2
+		}
+		time.Sleep(700 * time.Millisecond)
+		s.send(&job{queue: "/lot-sort/", key: "key-negril", tenant: "negril",
+			Steps: []step{{Count: 25, CPU: 2000, Mem: 4000, Estimate: 2000, Apart: 1, work: 2 * time.Second}}})
+		time.Sleep(300 * time.Millisecond)
+		if trouble {
+			s.fleet.crash(s.fleet.runners[24], 400*time.Millisecond)
+		}
+		return s.verdict()
+	}, err
+}
+
+// schedule: a job with 400 times, whose second step requires a label that no runner
+// has. Its first step can run each time.
+func schedule(rec *recorder, trouble bool) (*site, func() int, error) {
+	s, err := newSite(rec, trouble, 3, 3)
+	return s, func() int {
+		j := &job{queue: "/lot-sort/", key: "key-negril", tenant: "negril", Times: 400, First: time.Now().UnixMilli(), Interval: 50}
+		j.Steps = []step{{Count: 1, CPU: 500, Mem: 100, Estimate: 100, work: 100 * time.Millisecond}, {Count: 1, CPU: 500, Mem: 100, Estimate: 100, After: []int{0}, work: 100 * time.Millisecond}}
+		if trouble {
+			j.Steps[1].Requires = "c"
+		}
+		s.send(j)
+		time.Sleep(20 * time.Second)
+		return s.verdict()
+	}, err
+}
--- a/review/kit-2/daemons.go
+++ b/review/kit-2/daemons.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -21,18 +22,30 @@
 	exited             chan struct{}
 }
 
-// freePorts returns loopback addresses that nothing listens on.
+// freePorts returns loopback addresses that nothing listens on. They lie below the
+// ports that the system gives to outgoing connections, which could take them before
+// the daemons do.
 func freePorts(n int) ([]string, error) {
-	var out []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	const first, count, attempts = 20000, 10000, 1000
+	out := make([]string, 0, n)
+	taken := make(map[int]bool)
+	for range attempts {
+		port := first + rand.IntN(count)
+		if taken[port] {
+			continue
+		}
+		taken[port] = true
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		l, err := net.Listen("tcp", address)
 		if err != nil {
-			return nil, err
+			continue
+		}
+		_ = l.Close()
+		if out = append(out, address); len(out) == n {
+			return out, nil
 		}
-		defer func() { _ = l.Close() }()
-		out = append(out, l.Addr().String())
 	}
-	return out, nil
+	return nil, fmt.Errorf("fewer than %d free ports from %d on", n, first)
 }
 
 const settings = `[instance]
--- a/review/kit-2/main.go
+++ b/review/kit-2/main.go
@@ -67,6 +67,11 @@
 
 // newSite starts the stand-ins and the daemons: runners of 32 cores, eight a rack.
 func newSite(rec *recorder, trouble bool, racks, daemons int) (*site, error) {
+	return newSiteOf(rec, trouble, racks*8, 32000, daemons)
+}
+
+// newSiteOf starts a site with a number of runners of the same size.
+func newSiteOf(rec *recorder, trouble bool, runners int, cpu int64, daemons int) (*site, error) {
 	dir, err := os.MkdirTemp("", "review-2-")
 	if err != nil {
 		return nil, err
@@ -80,12 +85,12 @@
 	go func() { _ = http.Serve(l, s.store) }()
 	s.store.put(topicOperator, "config", configuration())
 	s.fleet = newFleet(s.store, rec)
-	for i := range racks * 8 {
+	for i := range runners {
 		kind := "a"
-		if i >= racks*8-2 {
+		if i >= runners-2 {
 			kind = "b"
 		}
-		if err := s.fleet.add(fmt.Sprintf("i-%04x", 0x1a00+i*7), kind, fmt.Sprintf("r-%d", i/8), 32000, 131072); err != nil {
+		if err := s.fleet.add(fmt.Sprintf("i-%04x", 0x1a00+i*7), kind, fmt.Sprintf("r-%d", i/8), cpu, 131072, 0); err != nil {
 			return s, err
 		}
 	}
@@ -120,7 +125,7 @@
 		}
 	}
 	time.Sleep(3 * time.Second)
-	rec.line("ready: %d daemons, %d runners", daemons, racks*8)
+	rec.line("ready: %d daemons, %d runners", daemons, runners)
 	return s, nil
 }
 
@@ -222,7 +227,7 @@
 	defer func() { _ = file.Close() }()
 	rec := &recorder{file: file, since: time.Now()}
 	plays := map[string]func(*recorder, bool) (*site, func() int, error){
-		"hopeless": hopeless, "gang": gang, "rack": rack, "waiting": waiting,
+		"hopeless": hopeless, "gang": gang, "rack": rack, "waiting": waiting, "urgent": urgent, "setback": setback, "schedule": schedule,
 	}
 	c := plays[os.Args[1]]
 	if c == nil {
--- a/review/kit-2/runner.go
+++ b/review/kit-2/runner.go
@@ -45,8 +45,9 @@
 	kind     string
 	addr     string
 	cpu, mem int64
-	born     time.Time
-	down     bool
+	// started is when this life began, born what its machine takes it for.
+	started, born time.Time
+	down          bool
 	// dark is set for a runner without power: it answers nothing.
 	dark     bool
 	fence    int64
@@ -96,13 +97,14 @@
 	return &fleet{store: s, rec: rec, jobs: make(map[string]*job), done: make(map[string]bool), runs: make(map[string]int), change: make(chan struct{})}
 }
 
-// add starts a runner in a rack.
-func (f *fleet) add(id, kind, rack string, cpu, mem int64) error {
+// add starts a runner in a rack. ahead is how far the time of day of its machine is
+// ahead, which shows in born.
+func (f *fleet) add(id, kind, rack string, cpu, mem int64, ahead time.Duration) error {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
-	r := &runner{f: f, id: id, kind: kind, rack: rack, addr: l.Addr().String(), cpu: cpu, mem: mem, born: time.Now(), running: make(map[string]*run), barred: make(map[string]int)}
+	r := &runner{f: f, id: id, kind: kind, rack: rack, addr: l.Addr().String(), cpu: cpu, mem: mem, started: time.Now(), born: time.Now().Add(ahead), running: make(map[string]*run), barred: make(map[string]int)}
 	r.server = &http.Server{Handler: r}
 	f.mu.Lock()
 	f.runners = append(f.runners, r)
@@ -136,6 +138,27 @@
 	}
 }
 
+// crash ends a runner's life, and begins the next one under the same id after a time,
+// with the right time of day.
+func (f *fleet) crash(r *runner, d time.Duration) {
+	f.mu.Lock()
+	r.down = true
+	f.rec.line("runner %s crashes with %d runs", r.id, len(r.running))
+	r.running = make(map[string]*run)
+	close(f.change)
+	f.change = make(chan struct{})
+	f.mu.Unlock()
+	time.Sleep(d)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r.started, r.born = time.Now(), time.Now()
+	r.fence, r.deadline, r.ends, r.ended = 0, 0, 0, nil
+	r.barred = make(map[string]int)
+	r.down = false
+	r.register()
+	f.rec.line("runner %s is back, born %d", r.id, r.born.UnixMilli())
+}
+
 // lose ends a runner for good: its channels are reset, and its entry goes after
 // three check-ins.
 func (f *fleet) lose(r *runner) {
@@ -150,7 +173,7 @@
 	time.AfterFunc(3*heartbeat, func() { f.store.put(topicServers, r.id, nil) })
 }
 
-func (r *runner) clock() time.Duration { return time.Since(r.born) + time.Hour }
+func (r *runner) clock() time.Duration { return time.Since(r.started) + time.Hour }
 
 // loop plays the runners until stop is closed.
 func (f *fleet) loop(stop chan struct{}) {
@@ -296,6 +319,10 @@
 	}
 	f := r.f
 	f.mu.Lock()
+	if r.down && !r.dark {
+		f.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}
 	if r.dark {
 		f.mu.Unlock()
 		f.rec.line("runner %s has no power and does not answer %s %s", r.id, req.URL.Path, o.Task)
@@ -336,8 +363,11 @@
 	defer timer.Stop()
 	for {
 		f.mu.Lock()
-		list, ends, changed, dark := r.list(), len(r.ended), f.change, r.dark
+		list, ends, changed, dark, down := r.list(), len(r.ended), f.change, r.dark, r.down
 		f.mu.Unlock()
+		if down && !dark {
+			panic(http.ErrAbortHandler)
+		}
 		if dark {
 			<-req.Context().Done()
 			return
