Review: the stand-ins record state queries and start nothing once ended

Cause: a check of the cases before landing. The state queries at the end were only summed up in record.txt, and an interrupt while daemons start could leave one.

--- a/review/kit-2/daemons.go
+++ b/review/kit-2/daemons.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -99,14 +100,17 @@
 	d.cmd = exec.Command("target/bluebellstiled", "-site")
 	d.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "BLUEBELLSTILE_CONFIG=" + d.config}
 	d.cmd.Stdout, d.cmd.Stderr = out, out
+	started.Lock()
+	defer started.Unlock()
+	if started.closed {
+		return errors.New("the case has ended")
+	}
 	if err := d.cmd.Start(); err != nil {
 		return err
 	}
 	d.exited = make(chan struct{})
 	go func(cmd *exec.Cmd, done chan struct{}) { _ = cmd.Wait(); close(done) }(d.cmd, d.exited)
-	started.Lock()
 	started.all = append(started.all, d)
-	started.Unlock()
 	return nil
 }
 
@@ -130,16 +134,19 @@
 	<-d.exited
 }
 
-// started holds the processes that the case has started.
+// started holds the processes that the case has started. Once it is closed, no more
+// are.
 var started struct {
 	sync.Mutex
-	all []*daemon
+	closed bool
+	all    []*daemon
 }
 
 // killAll ends all processes that the case has started.
 func killAll() {
 	started.Lock()
 	defer started.Unlock()
+	started.closed = true
 	for _, d := range started.all {
 		d.kill()
 	}
--- a/review/kit-2/job.go
+++ b/review/kit-2/job.go
@@ -141,6 +141,7 @@
 	for range tries {
 		var body []byte
 		status, body = c.call(http.MethodGet, c.door(), j.queue+j.id, j.key, nil)
+		c.rec.line("client: GET %s%s: %d %s", j.queue, j.id, status, bytes.TrimSpace(body))
 		if status == http.StatusOK {
 			var answer struct{ State string }
 			_ = json.Unmarshal(body, &answer)
