Work that can't start no longer keeps other work waiting

Cause: a plan gives up after 256 searches in vain, and each began at the head of the same order, where steps that can't start stay for good. Change: half of the searches follow the order; the demands below take turns from plan to plan, which go on after Plan.LastTurn. Work that needs as much as work for which the plan has found no room, on the same hosts, is left out without a search. Why this works: what is left out would not have been placed, and every demand is considered after a number of plans that its place in the order bounds.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -87,7 +87,9 @@
 	// for which there was no capacity.
 	plannedAt time.Duration
 	blocked   bool
-	stats     Stats
+	// lastTurn is scheduler.Plan.LastTurn of the last plan.
+	lastTurn *scheduler.Demand
+	stats    Stats
 
 	urgent  urgentLoad
 	backlog backlog
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -64,7 +64,7 @@
 	c.log.Debug("planned", "demands", len(snapshot.Demands), "hosts", len(snapshot.Hosts), "starts", len(plan.Starts), "questions", len(plan.Questions), "blocked", plan.Blocked)
 	c.applyStarts(now, plan.Starts)
 	c.releaseHeld()
-	c.wanted = plan.GangWaiting
+	c.wanted, c.lastTurn = plan.GangWaiting, plan.LastTurn
 	c.blocked = plan.Blocked > 0
 	c.flow.planLimited = plan.Limited
 	for i := range plan.Questions {
@@ -89,6 +89,7 @@
 		WithinQuota: func(customer string, size resource.Vector) bool {
 			return customer == "" || c.catalog.WithinQuota(customer, c.fleet.Usage(customer), size)
 		},
+		LastTurn:  c.lastTurn,
 		Policy: scheduler.Policy{
 			FarFactor:       c.params.FarFactor,
 			MaxReservations: maxReservations,
--- /dev/null
+++ b/internal/scheduler/full.go
@@ -0,0 +1,69 @@
+package scheduler
+
+import (
+	"slices"
+
+	"github.com/bluebellstile/bluebellstile/internal/resource"
+)
+
+// fullHosts remembers, for the hosts of each class, work for which a plan found no
+// room on them. The plan need not search for work that needs as much or more.
+type fullHosts map[hostClass][]needed
+
+// hostClass selects the hosts with a pool and a label, and what urgent or other work
+// may use of them.
+type hostClass struct {
+	pool, label string
+	urgent      bool
+}
+
+// needed is a number of tasks of one size.
+type needed struct {
+	size  resource.Vector
+	tasks int
+}
+
+// covers reports whether o needs at least as much as n.
+func (n needed) covers(o needed) bool { return n.tasks <= o.tasks && n.size.Fits(o.size) }
+
+// maxRemembered bounds the entries of a class.
+const maxRemembered = 8
+
+func classOf(d *Demand) hostClass {
+	return hostClass{pool: d.Pool, label: d.Step.Spec.RequiredLabel, urgent: d.Urgent}
+}
+
+// add records that no room was found for a number of a demand's tasks.
+func (f fullHosts) add(d *Demand, tasks int) {
+	class, n := classOf(d), needed{size: d.Step.Spec.Charge(), tasks: tasks}
+	entries := slices.DeleteFunc(f[class], func(o needed) bool { return n.covers(o) })
+	if len(entries) == maxRemembered {
+		entries = entries[1:]
+	}
+	f[class] = append(entries, n)
+}
+
+// includes reports whether there is certainly no room for a number of a demand's tasks.
+// Starts since the search have only taken room.
+func (f fullHosts) includes(d *Demand, tasks int) bool {
+	n := needed{size: d.Step.Spec.Charge(), tasks: tasks}
+	return slices.ContainsFunc(f[classOf(d)], func(o needed) bool { return o.covers(n) })
+}
+
+// rememberFullHosts records that no host has room for a task of a demand, if that is so.
+// The search for the demand may have failed because of its eligibility, its rack or the
+// tasks it has at work.
+func (p *planner) rememberFullHosts(d *Demand) {
+	for _, h := range p.Hosts {
+		if p.suits(d, h.Endpoint) && d.Step.Spec.Charge().Copies(h.available(d), 1) > 0 &&
+			(d.Urgent || p.limitForUrgent(d, h, 1) > 0) {
+			return
+		}
+	}
+	p.full.add(d, 1)
+}
+
+// holdsCapacity reports whether capacity is held for a demand.
+func (d *Demand) holdsCapacity() bool {
+	return d.Eligibility != nil && len(d.Eligibility.HeldTasks) > 0
+}
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -22,11 +22,18 @@
 		p.rechargeHeldTasks(d)
 		return
 	}
+	if d.Eligibility == nil && !p.mayReserve(d) && p.full.includes(d, n) {
+		p.plan.Blocked++
+		return
+	}
 	known := p.knownEligible(d)
 	placements := p.findPlacements(d, known, n)
 	if placements == nil {
 		p.plan.Blocked++
 		p.failedSearches++
+		if d.Eligibility == nil && d.Step.Spec.MaxPerEndpoint == 0 && (!d.Step.Spec.SameRack || p.rackWaitOver(d)) {
+			p.full.add(d, n)
+		}
 		p.rechargeHeldTasks(d)
 		p.askAboutUnknown(d)
 		p.reserve(d, known, n)
@@ -169,11 +176,16 @@
 	}
 }
 
+// mayReserve reports whether a blocked gang may reserve capacity.
+func (p *planner) mayReserve(d *Demand) bool {
+	return p.reservations < p.Policy.MaxReservations && !d.Excess
+}
+
 // reserve reserves the capacity on which a blocked gang is expected to start
 // earliest. Otherwise lower-ranked small tasks would take each gap as it
 // appears.
 func (p *planner) reserve(d *Demand, hosts []*Host, n int) {
-	if p.reservations >= p.Policy.MaxReservations || d.Excess {
+	if !p.mayReserve(d) {
 		return
 	}
 	type event struct {
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"sort"
 	"time"
 
 	"github.com/bluebellstile/bluebellstile/internal/fleet"
@@ -19,8 +20,9 @@
 	// reservations counts the gangs that have reserved capacity in this plan.
 	reservations int
 	// failedSearches counts the demands for which all hosts were searched
-	// without placing all tasks.
+	// without placing all tasks, and full remembers them.
 	failedSearches int
+	full           fullHosts
 	// urgentHosts and nonUrgentHosts are the hosts in the order that urgent and
 	// other work prefers, as of the start of the plan.
 	urgentHosts    []*Host
@@ -29,15 +31,21 @@
 	hosts map[*fleet.Endpoint]hostRank
 }
 
-// maxFailedSearches bounds the demands for which a plan searches all hosts in
-// vain. Without the bound a long queue would make plans so slow that nothing
-// starts: each search takes some ten microseconds per hundred hosts.
-const maxFailedSearches = 256
+// Bounds of the demands for which a plan searches all hosts in vain. Without them a
+// long queue would make plans so slow that nothing starts: each search takes some ten
+// microseconds per hundred hosts.
+const (
+	maxFailedSearches = 256
+	// maxFailedInOrder is the part for demands in scheduling order. The rest is for those
+	// below them, which take turns from plan to plan: demands that stay at the head
+	// of the order and can't start must not keep the others from being considered.
+	maxFailedInOrder = maxFailedSearches / 2
+)
 
 // MakePlan decides which tasks of the snapshot start where, and which questions
 // to ask. It modifies s.
 func MakePlan(s *Snapshot) Plan {
-	p := &planner{Snapshot: s, allocated: make(map[string]resource.Vector)}
+	p := &planner{Snapshot: s, allocated: make(map[string]resource.Vector), full: make(fullHosts)}
 	p.plan.GangWaiting = make(map[*fleet.Endpoint]bool)
 	for _, h := range s.Hosts {
 		p.freeUrgentSlots += p.urgentSlots(h)
@@ -46,20 +54,47 @@
 	p.urgentHosts = sortedByScore(s.Hosts, urgentScore)
 	p.nonUrgentHosts = sortedByScore(s.Hosts, nonUrgentScore)
 	p.hosts = rankHosts(p.urgentHosts, p.nonUrgentHosts)
-	for _, d := range rank(s) {
-		if p.failedSearches >= maxFailedSearches {
-			// Lower-ranked demands are considered once higher-ranked ones have
-			// started.
-			p.plan.Blocked++
-			continue
+	p.placeInTurns(p.placeInOrder(rank(s)))
+	return p.plan
+}
+
+// placeInOrder places demands in scheduling order until maxFailedInOrder searches have
+// failed, and returns the demands that are left.
+func (p *planner) placeInOrder(ordered []*Demand) []*Demand {
+	for i, d := range ordered {
+		if p.failedSearches >= maxFailedInOrder {
+			return ordered[i:]
 		}
-		if d.Step.Spec.Gang {
-			p.placeGang(d)
-		} else {
-			p.placeTasks(d)
+		p.place(d)
+	}
+	return nil
+}
+
+// placeInTurns places demands in scheduling order, beginning after the last one that the
+// plan before considered in this way, until maxFailedSearches searches have failed.
+func (p *planner) placeInTurns(ordered []*Demand) {
+	first := 0
+	if p.LastTurn != nil {
+		first = sort.Search(len(ordered), func(i int) bool { return p.compare(ordered[i], p.LastTurn) > 0 })
+	}
+	for i := range ordered {
+		if p.failedSearches >= maxFailedSearches {
+			p.plan.Blocked += len(ordered) - i
+			return
 		}
+		d := ordered[(first+i)%len(ordered)]
+		p.place(d)
+		p.plan.LastTurn = d
+	}
+}
+
+// place starts the tasks of a demand as far as possible.
+func (p *planner) place(d *Demand) {
+	if d.Step.Spec.Gang {
+		p.placeGang(d)
+	} else {
+		p.placeTasks(d)
 	}
-	return p.plan
 }
 
 // chargeHeldTasks subtracts the capacity that demands hold for the answer to a
@@ -82,6 +117,10 @@
 	if d.Eligibility == nil || len(d.Eligibility.HeldTasks) == 0 {
 		return
 	}
+	if !d.Eligibility.QuestionInFlight {
+		// What the demand doesn't use is free for others from now on.
+		clear(p.full)
+	}
 	for _, h := range p.Hosts {
 		if n := d.Eligibility.HeldTasks[h.Endpoint.ID]; n > 0 {
 			p.charge(h, d.Step.Spec.Charge().Scale(int64(-n)))
@@ -194,6 +233,10 @@
 		p.plan.Blocked++
 		return
 	}
+	if !d.holdsCapacity() && p.quotaAllows(d, 1) && p.full.includes(d, 1) {
+		p.plan.Blocked++
+		return
+	}
 	var hosts []*Host
 	if d.Eligibility != nil {
 		hosts = p.permitted(d)
@@ -218,6 +261,7 @@
 	}
 	p.plan.Blocked++
 	p.failedSearches++
+	p.rememberFullHosts(d)
 	p.ask(d, len(waiting))
 }
 
--- a/internal/scheduler/snapshot.go
+++ b/internal/scheduler/snapshot.go
@@ -34,6 +34,8 @@
 	// to the customer.
 	WithinQuota func(customer string, size resource.Vector) bool
 	Policy      Policy
+	// LastTurn is Plan.LastTurn of the plan before, nil if there is none.
+	LastTurn *Demand
 }
 
 // Policy holds the parameters of the scheduling rules.
@@ -154,6 +156,10 @@
 	Limited bool
 	// GangWaiting are the endpoints on which blocked gangs wait for capacity.
 	GangWaiting map[*fleet.Endpoint]bool
+	// LastTurn is the last demand that was considered out of scheduling order,
+	// nil if the plan considered all demands in order. The next plan continues
+	// after it.
+	LastTurn *Demand
 }
 
 // Start places a task on an endpoint.
