Steps that no endpoint could run are no backlog

Cause: a step counted as waiting to start whether or not the registered endpoints could run it, even idle. Change: such steps are left out of plans and of the backlog until the registered endpoints change; the log tells when a step becomes one of them or ceases to be one. Why this works: no host of a plan could have run them, as hosts are registered.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -171,6 +171,8 @@
 	placeAfter time.Duration
 	// begun is set once a task of the step was placed in this term.
 	begun bool
+	// impossible is set while the registered endpoints could not run the step.
+	impossible bool
 	// waiting caches the indexes of the waiting tasks. waitingStale is set when
 	// it must be recomputed.
 	waiting      []int
--- /dev/null
+++ b/internal/controller/hopeless_test.go
@@ -0,0 +1,57 @@
+package controller
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/bluebellstile/bluebellstile/internal/resource"
+	"github.com/bluebellstile/bluebellstile/internal/workload"
+)
+
+// TestImpossibleStepsLeaveOthersAlone guards against steps that no endpoint could run, all
+// of them late, keeping other late work from starting, and against their counting as a
+// backlog for which jobs are refused.
+func TestImpossibleStepsLeaveOthersAlone(t *testing.T) {
+	w := newWorld(t, 1, faults{})
+	addEndpoints(w)
+	w.beginTerm()
+	passed := 300 * time.Millisecond
+	pass := func(d time.Duration) {
+		passed += d
+		w.run(passed)
+	}
+	pass(0)
+	impossible := workload.Step{Count: 1, Size: resource.Vector{MilliCores: 1000, MemoryMB: 10}, Estimate: time.Second, RequiredLabel: "none has it"}
+	const jobs = 400
+	for i := range jobs {
+		w.submit(workload.ID(fmt.Sprintf("b0%014x", i)), "c2", workload.Spec{Steps: []workload.Step{impossible, impossible, impossible}})
+		pass(50 * time.Millisecond)
+	}
+	for _, e := range w.endpoints {
+		e.disconnected = true
+	}
+	pass(2 * time.Second)
+	const late, another = workload.ID("b100000000000000"), workload.ID("b100000000000001")
+	w.submit(late, "c1", largeJob(10))
+	w.submit(another, "c2", largeJob(10))
+	if w.current().core.jobs[another] == nil {
+		t.Error("a job is refused because of steps that can't start")
+	}
+	pass(30 * time.Second)
+	for _, e := range w.endpoints {
+		e.disconnected = false
+	}
+	pass(10 * time.Second)
+	if state, _ := w.current().core.Status(late, "c1"); state != workload.StateCompleted {
+		t.Errorf("the job that could run is %q", state)
+	}
+	// The label comes with a new endpoint.
+	w.addEndpoint("e09")
+	w.endpoints["e09"].labels = []string{impossible.RequiredLabel}
+	w.register(w.endpoints["e09"])
+	pass(10 * time.Second)
+	if state, _ := w.current().core.Status("b000000000000000", "c2"); state != workload.StateCompleted {
+		t.Errorf("the first job that could not run before is %q", state)
+	}
+}
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/bluebellstile/bluebellstile/internal/catalog"
 	"github.com/bluebellstile/bluebellstile/internal/clock"
 	"github.com/bluebellstile/bluebellstile/internal/fleet"
 	"github.com/bluebellstile/bluebellstile/internal/resource"
@@ -85,11 +86,11 @@
 func (c *Core) snapshot(now clock.Instant) *scheduler.Snapshot {
 	s := &scheduler.Snapshot{
 		Now:       now.Steady,
+		LastTurn:  c.lastTurn,
 		MaxStarts: c.flow.planCapacity(),
 		WithinQuota: func(customer string, size resource.Vector) bool {
 			return customer == "" || c.catalog.WithinQuota(customer, c.fleet.Usage(customer), size)
 		},
-		LastTurn:  c.lastTurn,
 		Policy: scheduler.Policy{
 			FarFactor:       c.params.FarFactor,
 			MaxReservations: maxReservations,
@@ -190,14 +191,15 @@
 }
 
 // demand builds the scheduler's input for a step. It returns nil if none of the
-// step's tasks waits, its queue is not configured or its starts are paused.
+// step's tasks waits, its queue is not configured, its starts are paused or the
+// registered endpoints could not run it.
 func (c *Core) demand(now clock.Instant, e *stepEntry) *scheduler.Demand {
 	waiting := c.waitingTasks(e)
 	if len(waiting) == 0 {
 		return nil
 	}
 	q := c.catalog.Queue(e.jobEntry.job.Queue)
-	if q == nil || now.Steady < e.placeAfter {
+	if q == nil || now.Steady < e.placeAfter || !c.couldRun(e, q) {
 		return nil
 	}
 	d := &scheduler.Demand{
@@ -220,6 +222,23 @@
 	return d
 }
 
+// couldRun reports whether the registered endpoints could run a step if they were idle.
+// A step that they can't run waits for others to register. It is left out of plans, in
+// which it would take the place of work that can start, and out of the backlog.
+func (c *Core) couldRun(e *stepEntry, q *catalog.Queue) bool {
+	spec, tasks := e.step.Spec, 1
+	if spec.Gang {
+		tasks = spec.Count
+	}
+	could := c.fleet.CouldHold(q.Pool, spec.RequiredLabel, spec.Charge(), spec.MaxPerEndpoint, tasks)
+	if could == e.impossible {
+		e.impossible = !could
+		c.log.Info("registered endpoints could run a step", "step", e.step.Name(), "queue", q.Name, "could", could,
+			"pool", q.Pool, "label", spec.RequiredLabel, "millicores", spec.Charge().MilliCores, "tasks_at_once", tasks)
+	}
+	return could
+}
+
 // waitingTasks returns the indexes of the waiting tasks of a step. For a gang
 // there are none while any of its tasks occupies an endpoint.
 func (c *Core) waitingTasks(e *stepEntry) []int {
--- a/internal/controller/registry.go
+++ b/internal/controller/registry.go
@@ -32,7 +32,7 @@
 func (c *Core) updateListed(now clock.Instant, e *fleet.Endpoint, r fleet.Registration) {
 	// An endpoint that has reported that it drains stays draining.
 	r.Draining = r.Draining || e.Draining
-	if !e.Listed || r.Draining != e.Draining {
+	if !e.Listed || r.Draining != e.Draining || !e.OffersSame(&r) {
 		c.planDue = true
 	}
 	if r.Draining && !e.Draining {
@@ -47,7 +47,7 @@
 // runs are kept until its lease has certainly ended.
 func (c *Core) EndpointUnlisted(id string) {
 	if e := c.fleet.Endpoint(id); e != nil && e.Listed {
-		e.Listed = false
+		c.fleet.Unlist(e)
 		c.log.Info("endpoint left the registry", "endpoint", id, "runs", len(e.Runs()))
 	}
 }
--- a/internal/controller/restore.go
+++ b/internal/controller/restore.go
@@ -113,7 +113,7 @@
 	e := c.fleet.Endpoint(r.Endpoint)
 	if e == nil || e.Incarnation < r.Incarnation {
 		e, _ = c.fleet.Register(fleet.Registration{ID: r.Endpoint, Incarnation: r.Incarnation})
-		e.Listed = false
+		c.fleet.Unlist(e)
 		c.boundInheritedLease(e)
 	}
 	e.Add(&fleet.Run{
--- a/internal/controller/world_endpoint_test.go
+++ b/internal/controller/world_endpoint_test.go
@@ -27,6 +27,7 @@
 	// progress.
 	stallsRuns   bool
 	capacity     resource.Vector
+	labels       []string
 	highestEpoch int64
 	deadline     time.Duration
 	running      map[fleet.Key]*simRun
@@ -128,7 +129,7 @@
 }
 
 func (e *simEndpoint) registration() fleet.Registration {
-	return fleet.Registration{ID: e.id, Incarnation: e.incarnation, Address: e.id, Pool: "p", Capacity: e.capacity, Draining: e.draining, Rack: "r-" + e.id[len(e.id)-1:]}
+	return fleet.Registration{ID: e.id, Incarnation: e.incarnation, Address: e.id, Pool: "p", Capacity: e.capacity, Draining: e.draining, Rack: "r-" + e.id[len(e.id)-1:], Labels: e.labels}
 }
 
 // crash loses the runs of an endpoint and boots it again after downFor.
--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -34,6 +34,11 @@
 	return label == "" || slices.Contains(r.Labels, label)
 }
 
+// OffersSame reports whether two registrations offer the same to tasks.
+func (r *Registration) OffersSame(o *Registration) bool {
+	return r.Pool == o.Pool && r.Capacity == o.Capacity && r.Rack == o.Rack && slices.Equal(r.Labels, o.Labels)
+}
+
 // Endpoint is one incarnation of an endpoint: its runs, its lease and its
 // health. An endpoint may work on its runs only while it has a lease, which the
 // holder's orders extend.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -23,6 +23,8 @@
 	// byTask holds the runs of each task. The controller starts no run of a task
 	// that has another one.
 	byTask map[workload.TaskID][]*Run
+	// reach is nil if an endpoint has changed since it was computed.
+	reach reach
 }
 
 // New returns a fleet without endpoints.
@@ -64,6 +66,9 @@
 func (f *Fleet) Register(r Registration) (current, replaced *Endpoint) {
 	old := f.endpoints[r.ID]
 	if old != nil && old.Incarnation == r.Incarnation {
+		if !old.Listed || !old.OffersSame(&r) {
+			f.reach = nil
+		}
 		old.Registration, old.Listed = r, true
 		return old, nil
 	}
@@ -81,9 +86,13 @@
 	}
 }
 
+// Unlist records that an endpoint has left the registry.
+func (f *Fleet) Unlist(e *Endpoint) { e.Listed, f.reach = false, nil }
+
 // rebuildOrder rebuilds the ordered list, in a new slice. Endpoints are added
 // and removed rarely.
 func (f *Fleet) rebuildOrder() {
+	f.reach = nil
 	f.ordered = make([]*Endpoint, 0, len(f.endpoints))
 	for _, e := range f.endpoints {
 		f.ordered = append(f.ordered, e)
