Headroom for urgent work follows the usable endpoints

Cause: the capacity kept free for urgent tasks came from what ran on all endpoints, or from their number, whatever the usable ones hold. Change: only usable endpoints count, and at most 0.4 of what they hold idle is kept free. Why this works: where less than half of the usable capacity is in use, more is free than is kept for urgent work.

--- a/internal/controller/hopeless_test.go
+++ b/internal/controller/hopeless_test.go
@@ -55,3 +55,19 @@
 		t.Errorf("the first job that could not run before is %q", state)
 	}
 }
+
+// TestHeadroomFollowsUsableEndpoints guards against headroom for the urgent work of
+// endpoints that are lost, in place of which the others stay idle.
+func TestHeadroomFollowsUsableEndpoints(t *testing.T) {
+	w := newWorld(t, 1, faults{})
+	w.addEndpoint("e1")
+	w.addEndpoint("e2")
+	w.beginTerm()
+	// As after a burst on a fleet of which two endpoints are left.
+	w.current().core.urgent = urgentLoad{size: resource.Vector{MilliCores: 1000, MemoryMB: 10}, averageRunning: 1000}
+	w.submit("b000000000000001", "c2", largeJob(10))
+	w.run(3 * time.Second)
+	if state, _ := w.current().core.Status("b000000000000001", "c2"); state != workload.StateCompleted {
+		t.Errorf("3 s after it was accepted, a job that idle endpoints could run is %q", state)
+	}
+}
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -21,6 +21,9 @@
 	// the urgent tasks within about a second, and other work frees its capacity
 	// within a few seconds.
 	headroomPerUrgent = 0.6
+	// maxHeadroom is the largest fraction of the usable endpoints that is kept free.
+	// What the running urgent tasks suggest is too much once endpoints are lost.
+	maxHeadroom = 0.4
 	// minUrgentSlots is the number of such slots kept free at all times.
 	minUrgentSlots = 4
 	// urgentSizeWeight is the weight of a new task in the smoothed size, and
@@ -113,32 +116,40 @@
 		return s
 	}
 	s.Hosts = c.hosts(now)
-	s.Policy.UrgentSize, s.Policy.UrgentSlots = c.urgentReserve()
+	s.Policy.UrgentSize, s.Policy.UrgentSlots = c.urgentReserve(s.Hosts)
 	return s
 }
 
 // urgentReserve returns the size of a typical urgent task and the number of such
-// tasks for which capacity is kept free.
-func (c *Core) urgentReserve() (resource.Vector, int) {
+// tasks for which capacity is kept free on the hosts. Endpoints that can't be used count
+// for neither: the others would keep all of their capacity free in place of them.
+func (c *Core) urgentReserve(hosts []*scheduler.Host) (resource.Vector, int) {
 	running, total := 0, resource.Vector{}
 	for _, e := range c.fleet.Endpoints() {
-		total = total.Add(e.Capacity)
 		for _, r := range e.Runs() {
 			if r.Priority == 0 {
 				running++
 			}
 		}
 	}
+	for _, h := range hosts {
+		total = total.Add(h.Endpoint.Capacity)
+	}
 	c.urgent.averageRunning += runningUrgentWeight * (float64(running) - c.urgent.averageRunning)
-	if c.urgent.size.MilliCores == 0 {
-		n := max(len(c.fleet.Endpoints()), 1)
-		size := resource.Vector{
+	size, wanted := c.urgent.size, max(minUrgentSlots, int(headroomPerUrgent*c.urgent.averageRunning))
+	if size.MilliCores == 0 {
+		n := max(len(hosts), 1)
+		size = resource.Vector{
 			MilliCores: int64(initialUrgentShare * float64(total.MilliCores) / float64(n)),
 			MemoryMB:   int64(initialUrgentShare * float64(total.MemoryMB) / float64(n)),
 		}
-		return size, int(initialHeadroom / initialUrgentShare * float64(n))
+		wanted = int(initialHeadroom / initialUrgentShare * float64(n))
+	}
+	idle := 0
+	for _, h := range hosts {
+		idle += int(size.Copies(h.Endpoint.Capacity, int64(wanted)))
 	}
-	return c.urgent.size, max(minUrgentSlots, int(headroomPerUrgent*c.urgent.averageRunning))
+	return size, min(wanted, int(maxHeadroom*float64(idle)))
 }
 
 // urgentLoad holds running averages of urgent work.
