Endpoints that don't answer leave others their holds

Cause: at most 48 holds without a wait are in flight, those of endpoints with runs first. One that isn't answered takes its place for the whole timeout and was repeated at once. Change: endpoints that did not answer the last call take at most half of the places.

--- a/internal/controller/flow.go
+++ b/internal/controller/flow.go
@@ -36,6 +36,10 @@
 	// maxImmediateHolds bounds the holds in flight that endpoints answer at
 	// once, such as the first ones of a term. Each costs less than a start.
 	maxImmediateHolds = 48
+	// maxRetriedHolds is the part of them for endpoints that did not answer the
+	// last call: each of these takes a whole timeout, while the others wait to be
+	// adopted or for their ends to be acknowledged.
+	maxRetriedHolds = maxImmediateHolds / 2
 	// maxReportStretch bounds the factor by which reports become rarer when the
 	// holder is busy: even then, a lease lasts four times the interval between
 	// reports.
@@ -52,11 +56,14 @@
 	// typicalLatency is the smoothed time from sending a start to its result.
 	typicalLatency time.Duration
 	decreasedAt    time.Duration
-	// inFlight counts the starts and immediateHolds the holds in flight.
-	// planned counts the starts whose records are not in the log yet.
-	inFlight       int
+	// inFlight counts the starts in flight. planned counts the starts whose
+	// records are not in the log yet.
+	inFlight int
+	planned  int
+	// immediateHolds counts the holds in flight that are answered at once, and
+	// retriedHolds those of them for endpoints that did not answer the last call.
 	immediateHolds int
-	planned        int
+	retriedHolds   int
 	// urgent and others are the starts that may be sent, in order. The starts
 	// of a gang are adjacent and are sent together.
 	urgent readyStarts
@@ -89,6 +96,19 @@
 
 func newFlowControl() flowControl { return flowControl{window: initialWindow} }
 
+// mayHold reports whether another immediate hold of an endpoint may be sent.
+func (f *flowControl) mayHold(retried bool) bool {
+	return f.immediateHolds < maxImmediateHolds && (!retried || f.retriedHolds < maxRetriedHolds)
+}
+
+// countHold adds n to the counts of immediate holds in flight.
+func (f *flowControl) countHold(n int, retried bool) {
+	f.immediateHolds += n
+	if retried {
+		f.retriedHolds += n
+	}
+}
+
 // planCapacity returns how many more starts may be planned.
 func (f *flowControl) planCapacity() int {
 	return maxPlannedStarts - f.planned - f.urgent.tasks - f.others.tasks
--- a/internal/controller/hopeless_test.go
+++ b/internal/controller/hopeless_test.go
@@ -56,6 +56,37 @@
 	}
 }
 
+// TestLostEndpointsLeaveOthersTheirHolds guards against endpoints that don't answer taking
+// up the holds that may be in flight, so that a new term adopts no others for seconds.
+func TestLostEndpointsLeaveOthersTheirHolds(t *testing.T) {
+	w := newWorld(t, 1, faults{})
+	const lost = 4 * maxImmediateHolds
+	for i := range lost {
+		w.addEndpoint(fmt.Sprintf("e%03d", i))
+	}
+	w.beginTerm()
+	w.run(3 * time.Second)
+	w.submit("b000000000000000", "c2", workload.Spec{Steps: []workload.Step{{
+		Count: lost, Size: resource.Vector{MilliCores: 20_000, MemoryMB: 10}, Estimate: time.Minute, MaxPerEndpoint: 1,
+	}}})
+	w.run(6 * time.Second)
+	for _, e := range w.endpoints {
+		if len(e.running) == 0 {
+			t.Fatalf("endpoint %s has no run", e.id)
+		}
+		e.disconnected = true
+	}
+	for i := range 4 {
+		w.addEndpoint(fmt.Sprintf("f%03d", i))
+	}
+	w.beginTerm()
+	w.submit("b000000000000001", "c2", largeJob(10))
+	w.run(9 * time.Second)
+	if state, _ := w.current().core.Status("b000000000000001", "c2"); state != workload.StateCompleted {
+		t.Errorf("3 s after the beginning of the term, a job that idle endpoints could run is %q", state)
+	}
+}
+
 // TestHeadroomFollowsUsableEndpoints guards against headroom for the urgent work of
 // endpoints that are lost, in place of which the others stay idle.
 func TestHeadroomFollowsUsableEndpoints(t *testing.T) {
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -64,6 +64,9 @@
 	// Wait is how long the endpoint may wait for a run to end before it
 	// answers.
 	Wait time.Duration
+
+	// retried is set if the endpoint did not answer the last call.
+	retried bool
 }
 
 // AskOrder asks the eligibility service which endpoints may run a step. The
--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -60,7 +60,7 @@
 			continue
 		}
 		wait := c.holdWaitOf(e, es)
-		if wait > 0 || c.flow.immediateHolds < maxImmediateHolds {
+		if wait > 0 || c.flow.mayHold(e.Failures > 0) {
 			c.sendHold(now, e, es, wait)
 			continue
 		}
@@ -88,9 +88,9 @@
 func (c *Core) sendHold(now clock.Instant, e *fleet.Endpoint, es *endpointState, wait time.Duration) {
 	es.holdInFlight = true
 	c.stats.Holds++
-	o := &HoldOrder{Target: targetOf(e), Wait: wait}
+	o := &HoldOrder{Target: targetOf(e), Wait: wait, retried: e.Failures > 0}
 	if wait == 0 {
-		c.flow.immediateHolds++
+		c.flow.countHold(1, o.retried)
 	}
 	if e.Acked > es.ackedEnd {
 		// Each end is acknowledged once only: a delayed hold could reach a new
@@ -120,7 +120,7 @@
 // HoldAnswered handles the result of a hold.
 func (c *Core) HoldAnswered(now clock.Instant, o *HoldOrder, report Report, out Outcome) {
 	if o.Wait == 0 {
-		c.flow.immediateHolds--
+		c.flow.countHold(-1, o.retried)
 	}
 	e := c.fleet.Endpoint(o.Target.ID)
 	if e == nil || e.Incarnation != o.Target.Incarnation {
