Jobs that never end leave others admitted

Cause: the bound of 20,000 open jobs is one for the cell. One customer's jobs that can't be done take it up, and those of all others are refused. Change: customers with less than half of an even share are accepted up to 25,000. Result: TestJobsThatNeverEndLeaveOthersAdmitted fails before, passes after.

--- a/internal/controller/hopeless_test.go
+++ b/internal/controller/hopeless_test.go
@@ -102,3 +102,33 @@
 		t.Errorf("3 s after it was accepted, a job that idle endpoints could run is %q", state)
 	}
 }
+
+// TestJobsThatNeverEndLeaveOthersAdmitted guards against one customer's jobs that can't
+// end causing those of all others to be refused for good.
+func TestJobsThatNeverEndLeaveOthersAdmitted(t *testing.T) {
+	w := newWorld(t, 1, faults{})
+	w.addEndpoint("e1")
+	w.beginTerm()
+	core := w.current().core
+	fill := func(customer string, n int) {
+		for range n {
+			id := workload.ID(fmt.Sprintf("b%015x", len(core.jobs)))
+			core.jobs[id] = &jobEntry{job: workload.NewJob(id, "bulk", customer, simWall, largeJob(10)), admitted: true}
+		}
+	}
+	refused := func(customer string) bool {
+		return core.checkAdmission(w.instant(), Submission{ID: "b100000000000000", Queue: "bulk", Customer: customer, Spec: largeJob(10)}) != nil
+	}
+	fill("c2", maxOpenJobs-1)
+	if refused("c2") || refused("c1") {
+		t.Error("a job is refused below the bound")
+	}
+	fill("c2", 1)
+	if !refused("c2") || refused("c1") {
+		t.Errorf("at the bound: refused %v for the customer with all jobs, %v for the other", refused("c2"), refused("c1"))
+	}
+	fill("c2", maxSharedJobs-maxOpenJobs)
+	if !refused("c1") {
+		t.Error("no job is refused at the bound for all customers")
+	}
+}
--- a/internal/controller/submit.go
+++ b/internal/controller/submit.go
@@ -11,7 +11,10 @@
 
 const (
 	// maxOpenJobs bounds the jobs that have not ended. Each takes about 2 KB.
-	maxOpenJobs = 20000
+	// Customers with few of them may exceed it up to maxSharedJobs, as the others
+	// may be jobs that never end.
+	maxOpenJobs   = 20000
+	maxSharedJobs = maxOpenJobs * 5 / 4
 	// maxExcessJobs bounds the open jobs that a customer submitted beyond its
 	// rate. They are served last, so that more of them would only wait longer.
 	maxExcessJobs = 200
@@ -100,7 +103,7 @@
 	if p := c.checkCustomer(q, s.Customer); p != nil {
 		return p
 	}
-	if open := len(c.jobs) - len(c.ended); open >= maxOpenJobs {
+	if open := len(c.jobs) - len(c.ended); open >= maxSharedJobs || open >= maxOpenJobs && !c.hasFewJobs(s.Customer, open) {
 		return problem.Refuse(problem.QueueFull, "try again later", "%d jobs are open", open).WithRetryAfter(excessRetry)
 	}
 	if wait, refused := c.backlog.refuses(s.Customer); refused {
@@ -134,6 +137,21 @@
 	return nil
 }
 
+// hasFewJobs reports whether a customer has a small share of the open jobs.
+func (c *Core) hasFewJobs(customer string, open int) bool {
+	own, customers := 0, make(map[string]bool)
+	for _, e := range c.jobs {
+		if e.job.Final() {
+			continue
+		}
+		customers[e.job.Customer] = true
+		if e.job.Customer == customer {
+			own++
+		}
+	}
+	return own*len(customers) < smallSharePercent*open/percent
+}
+
 func (c *Core) countExcessJobs(customer string) int {
 	n := 0
 	for _, e := range c.jobs {
