An ended job with unfinished runs does not keep later ones

Cause: ended jobs are forgotten in the order of their ends, and the first one with a run that isn't known to have ended stopped that: memory and the log grow. Change: such a job is passed over and looked at again. Result: TestUnfinishedRunsLeaveOthersForgotten fails before, passes after.

--- a/internal/controller/hopeless_test.go
+++ b/internal/controller/hopeless_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/bluebellstile/bluebellstile/internal/clock"
 	"github.com/bluebellstile/bluebellstile/internal/resource"
 	"github.com/bluebellstile/bluebellstile/internal/workload"
 )
@@ -132,3 +133,29 @@
 		t.Error("no job is refused at the bound for all customers")
 	}
 }
+
+// TestUnfinishedRunsLeaveOthersForgotten guards against an ended job whose run can't be
+// stopped keeping all jobs that ended after it.
+func TestUnfinishedRunsLeaveOthersForgotten(t *testing.T) {
+	w := newWorld(t, 1, faults{})
+	w.beginTerm()
+	core := w.current().core
+	ids := []workload.ID{"b000000000000001", "b000000000000002", "b000000000000003"}
+	for i, id := range ids {
+		e := &jobEntry{job: workload.NewJob(id, "bulk", "c2", simWall, largeJob(10)), admitted: true, ended: true}
+		if s := e.job.OpenNext().Steps[0]; i == 0 {
+			s.BeginRun(0, "e1", 1)
+		}
+		e.job.Cancel(w.instant().Wall)
+		core.jobs[id], core.ended = e, append(core.ended, e)
+	}
+	core.Tick(clock.Instant{Steady: w.now + 2*w.params.StateKept, Wall: w.instant().Wall.Add(2 * w.params.StateKept)})
+	for i, id := range ids {
+		if kept := core.jobs[id] != nil; kept != (i == 0) {
+			t.Errorf("job %s is kept: %v", id, kept)
+		}
+	}
+	if len(core.ended) != 1 {
+		t.Errorf("%d ended jobs are listed, want 1", len(core.ended))
+	}
+}
--- a/internal/controller/tick.go
+++ b/internal/controller/tick.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"slices"
 	"time"
 
 	"github.com/bluebellstile/bluebellstile/internal/clock"
@@ -78,15 +79,24 @@
 	}
 }
 
-// forgetEndedJobs drops the jobs whose state need not be kept any longer.
+// forgetEndedJobs drops the jobs whose state need not be kept any longer. A job with
+// unfinished runs is kept, and does not keep those that ended after it.
 func (c *Core) forgetEndedJobs(now clock.Instant) {
+	var unfinished []*jobEntry
 	for len(c.ended) > 0 {
 		e := c.ended[0]
-		if now.Wall.Sub(e.job.Finished()) <= c.params.StateKept || e.job.HasUnfinishedRuns() {
-			return
+		if now.Wall.Sub(e.job.Finished()) <= c.params.StateKept {
+			break
 		}
 		c.ended = c.ended[1:]
+		if e.job.HasUnfinishedRuns() {
+			unfinished = append(unfinished, e)
+			continue
+		}
 		delete(c.jobs, e.job.ID)
 		c.batch.dropped = append(c.batch.dropped, e.job.ID)
 	}
+	if len(unfinished) > 0 {
+		c.ended = slices.Concat(unfinished, c.ended)
+	}
 }
