Runs that may never have begun are no longer told as begun

Cause: a run whose start got no answer ended as lapsed once its endpoint's lease was over, like one that had worked until then, and every end but two proved that the run had begun. Related: an order alone made a job running and a step started, and a member that waits for its gang made the gang begin. Change: a run that its endpoint never reported ends as unheard. A job is running, and a step counts as started, once a run is known to have begun: by the answer to its start, a report or an end; for a gang by progress, or by a member that outlasts the wait. Runs of an earlier incarnation are logged as lost, not as never run. Why this works: what is told follows only from what an endpoint said of the run. TestStepsInOrder confirms its runs, as an order alone proves nothing, and checks the state before that as well.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -169,7 +169,7 @@
 	refusals   int
 	refusedAt  time.Duration
 	placeAfter time.Duration
-	// begun is set once a task of the step was placed in this term.
+	// begun is set once a run of the step is known in this term to have begun.
 	begun bool
 	// impossible is set while the registered endpoints could not run the step.
 	impossible bool
--- a/internal/controller/judge_test.go
+++ b/internal/controller/judge_test.go
@@ -107,3 +107,13 @@
 		return "gangs"
 	}
 }
+
+// checkTold checks that a term tells no job as begun of which no run has.
+func (w *world) checkTold(t *simTerm) {
+	for id, e := range t.core.jobs {
+		if j := w.jobs[id]; j != nil && !j.begun && !e.job.Final() && (!e.job.Waiting() || e.job.State() != workload.StateQueued) {
+			w.violation("MIXED", "job %s is told as %s, and no run of it has begun", id, e.job.State())
+			j.begun = true // Once is enough.
+		}
+	}
+}
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -333,10 +333,6 @@
 	}
 	r.ExpectedEnd = now.Steady + time.Duration(float64(s.Spec.Estimate)*start.Endpoint.History.Slowdown())
 	start.Endpoint.Add(r)
-	if !entry.begun {
-		entry.begun = true
-		c.backlog.begun++
-	}
 	if r.Priority == 0 {
 		c.urgent.updateSize(r.Charge)
 	}
--- a/internal/controller/registry.go
+++ b/internal/controller/registry.go
@@ -101,13 +101,20 @@
 	c.dropRunState(old, r)
 	old.Remove(r)
 	current.Add(r)
+	r.Moved = true
 	current.ExtendLeaseEnd(now.Steady + c.maxLease())
 }
 
 // maxLease is how long, by this daemon's clock, a lease may last that an order
 // in flight now grants. All holders of a cell grant leases of the same length.
 func (c *Core) maxLease() time.Duration {
-	return time.Duration(float64(c.params.Lease)*leaseClockFactor) + leaseMargin
+	return c.ownTime(c.params.Lease)
+}
+
+// ownTime is how long, by this daemon's clock, what an order grants may last if it lasts
+// for the given time on the endpoint's clock.
+func (c *Core) ownTime(length time.Duration) time.Duration {
+	return time.Duration(float64(length)*leaseClockFactor) + leaseMargin
 }
 
 // leaseClockFactor is the factor by which a lease may outlast its length by
@@ -127,7 +134,11 @@
 			}
 			c.stats.Lapsed++
 			c.log.Warn("run counted as ended, the endpoint's lease has lapsed", "task", r.Task, "run", r.Number, "endpoint", e.ID)
-			c.finishRun(now, r, workload.EndLapsed, "")
+			end := workload.EndLapsed
+			if r.ConfirmedAt == 0 {
+				end = workload.EndUnheard
+			}
+			c.finishRun(now, r, end, "")
 		}
 		if !e.Listed && len(e.Runs()) == 0 {
 			c.clearSilence(e)
--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -221,6 +221,7 @@
 	if row.Progress < 0 || row.Progress > r.Progress {
 		r.Progress, r.ProgressedAt = max(row.Progress, 0), now.Steady
 	}
+	c.markBegun(now, r)
 	r.Load = row.Load
 	c.updateExpectedEnd(now, r)
 	if c.isStalled(now, r) {
@@ -284,9 +285,9 @@
 		case r.Phase == fleet.PhaseInherited:
 			// The endpoint has seen this term's epoch, so that no order of an
 			// earlier term can start the run any more.
-			c.finishRun(now, r, workload.EndNeverRan, "")
+			c.finishRun(now, r, endOfUnlisted(r), "")
 		case rs.barredAt > 0 && rs.barredAt <= sent:
-			c.finishRun(now, r, c.endOfBarred(rs), "")
+			c.finishRun(now, r, endOfUnlisted(r), "")
 		case rs.startConfirmedAt > 0 && rs.startConfirmedAt < sent && !rs.stopDecided:
 			c.log.Warn("a confirmed run is not listed any more", "task", r.Task, "run", r.Number, "endpoint", e.ID)
 			r.Phase = fleet.PhaseDoubtful
@@ -295,9 +296,11 @@
 	}
 }
 
-// endOfBarred returns how a run ended that was barred and isn't listed.
-func (c *Core) endOfBarred(rs *runState) workload.End {
-	if rs.startConfirmedAt > 0 {
+// endOfUnlisted returns how a run ended that can't begin any more and isn't listed. An
+// endpoint lists the ends of its runs until they are acknowledged, but knows nothing of
+// those of earlier incarnations.
+func endOfUnlisted(r *fleet.Run) workload.End {
+	if r.ConfirmedAt > 0 || r.Moved {
 		return workload.EndLost
 	}
 	return workload.EndNeverRan
--- a/internal/controller/restore.go
+++ b/internal/controller/restore.go
@@ -125,6 +125,7 @@
 		Size:     s.Spec.Size,
 		Charge:   s.Spec.Charge(),
 		Phase:    fleet.PhaseInherited,
+		Moved:    e.Incarnation > r.Incarnation,
 		Pace:     100,
 	})
 	if se := c.steps[s]; se != nil {
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -186,20 +186,33 @@
 
 // confirmRunning records that a run has begun.
 func (c *Core) confirmRunning(now clock.Instant, r *fleet.Run) {
-	if r.Step != nil {
-		r.Step.Job.MarkBegun()
-	}
 	if r.ConfirmedAt == 0 {
 		r.ConfirmedAt, r.ProgressedAt = now.Steady, now.Steady
 		// An endpoint without runs is asked rarely, so that its next hold may
 		// be far off.
 		c.requestReport(r.Endpoint, now.Steady+c.reportDelay(now, r.Endpoint))
 	}
+	c.markBegun(now, r)
 	if r.Phase == fleet.PhaseOrdered || r.Phase == fleet.PhaseInherited || r.Phase == fleet.PhaseDoubtful && !c.runStateOf(r).stopDecided {
 		r.Phase = fleet.PhaseRunning
 	}
 }
 
+// markBegun records that a run on which its endpoint reports has begun. A member of a gang
+// waits for the others first, at most GangWait: it has begun once it makes progress, or is
+// still there after that time.
+func (c *Core) markBegun(now clock.Instant, r *fleet.Run) {
+	s := r.Step
+	if s == nil || s.Spec.Gang && r.Progress <= 0 && now.Steady-r.ConfirmedAt <= c.ownTime(c.params.GangWait) {
+		return
+	}
+	s.Job.MarkBegun()
+	if entry := c.steps[s]; entry != nil && !entry.begun {
+		entry.begun = true
+		c.backlog.begun++
+	}
+}
+
 // startRefused handles a start that the endpoint refused.
 func (c *Core) startRefused(now clock.Instant, r *fleet.Run, rs *runState, out Outcome) {
 	c.stats.Refused++
@@ -427,7 +440,7 @@
 		}
 	case workload.EndFailed:
 		c.recordFailedRun(now, r)
-	case workload.EndStopped, workload.EndLapsed, workload.EndBroken, workload.EndAlone, workload.EndLost, workload.EndNeverRan:
+	case workload.EndStopped, workload.EndLapsed, workload.EndBroken, workload.EndAlone, workload.EndLost, workload.EndNeverRan, workload.EndUnheard:
 	}
 }
 
--- a/internal/controller/submit.go
+++ b/internal/controller/submit.go
@@ -218,7 +218,7 @@
 		return "", false
 	}
 	if e.job.Final() && !e.ended {
-		return workload.StateRunning, true
+		return e.job.OpenState(), true
 	}
 	return e.job.State(), true
 }
--- a/internal/controller/submit_test.go
+++ b/internal/controller/submit_test.go
@@ -112,13 +112,19 @@
 	for i := range jobs {
 		w.submit(workload.ID(fmt.Sprintf("b%015x", i)), "c2", largeJob(10))
 	}
-	w.run(time.Second)
-	core := w.current().core
-	if state, _ := core.Status("b000000000000000", "c2"); state != workload.StateRunning {
-		t.Fatalf("the job is %s, no run of it was ordered", state)
-	}
-	if n := core.Waiting("bulk"); n != jobs {
-		t.Errorf("%d of %d jobs wait", n, jobs)
+	// Their leases lapse within 7 s.
+	for _, at := range []time.Duration{time.Second, 5 * time.Second, 12 * time.Second} {
+		w.run(at)
+		core := w.current().core
+		if starts := core.Stats().Starts; starts < jobs {
+			t.Fatalf("%d runs of %d jobs were ordered", starts, jobs)
+		}
+		if n := core.Waiting("bulk"); n != jobs {
+			t.Errorf("after %s %d of %d jobs wait", at, n, jobs)
+		}
+		if state, _ := core.Status("b000000000000000", "c2"); state != workload.StateQueued {
+			t.Errorf("after %s a job is %s that has not begun", at, state)
+		}
 	}
 	w.beginTerm()
 	if n := w.current().core.Waiting("bulk"); n != jobs {
--- a/internal/controller/world_endpoint_test.go
+++ b/internal/controller/world_endpoint_test.go
@@ -210,6 +210,7 @@
 	r := &simRun{key: o.Key, job: job, step: step, began: w.now, pace: 1}
 	w.checkStart(e, r, o)
 	e.running[o.Key] = r
+	job.begun = job.begun || !step.Gang
 	r.willFail = w.chance(w.faults.taskFailure)
 	r.stalled = e.stallsRuns
 	switch {
@@ -244,6 +245,7 @@
 	if len(members) == r.step.Count {
 		delay := w.between(r.step.Estimate/2, r.step.Estimate*2)
 		fails := w.chance(w.faults.taskFailure)
+		r.job.begun = true
 		for _, m := range members {
 			m.run.awaitsGang = false
 			m.run.willFail = fails && m.run == r
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -117,6 +117,9 @@
 	// acknowledged.
 	failedEnds map[workload.TaskID]int
 	accepted   bool
+	// begun is set once a run of the job has worked on its task. The members of a gang
+	// wait for each other before.
+	begun bool
 }
 
 // simTerm is a daemon's term. A superseded term continues until it learns of
@@ -323,6 +326,7 @@
 	}
 	if w.now >= t.suspendedUntil {
 		t.core.Tick(w.instant())
+		w.checkTold(t)
 		t.core.Plan(w.instant())
 		w.flush(t)
 	}
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -63,6 +63,10 @@
 	// ExpectedEnd is when the run is expected to free its resources.
 	ExpectedEnd time.Duration
 
+	// Moved is set if the run was ordered from an earlier incarnation of its
+	// endpoint.
+	Moved bool
+
 	// Progress is the fraction of the work that is done, 0 to 1, as last
 	// reported. ProgressedAt is when it last grew, or the pace was last set.
 	Progress     float64
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -42,8 +42,6 @@
 	// them that are not done.
 	opened int
 	live   []*Occurrence
-	// started is set once a run of any task was ordered.
-	started bool
 	// begun is set once a run of any task is known to have begun.
 	begun bool
 	// saved is what the log holds of the job; see EncodeProgress.
@@ -69,14 +67,20 @@
 
 // State returns the job's state.
 func (j *Job) State() State {
-	switch {
-	case j.final != "":
+	if j.final != "" {
 		return j.final
-	case j.started:
+	}
+	return j.OpenState()
+}
+
+// OpenState returns the job's state as if it had not ended. A job is running once a run
+// of it is known to have begun. Records don't say so of every job: after a change of the
+// holder it may be queued again until an endpoint reports its runs.
+func (j *Job) OpenState() State {
+	if j.begun {
 		return StateRunning
-	default:
-		return StateQueued
 	}
+	return StateQueued
 }
 
 // Waiting reports whether the job is open and no run of it is known to have begun. A run
--- a/internal/workload/progress.go
+++ b/internal/workload/progress.go
@@ -321,8 +321,7 @@
 	}
 	j.opened = p.Opened
 	// Occurrences that were opened and are no longer live are done.
-	j.started = p.Opened > len(p.Live)
-	j.begun = j.started
+	j.begun = p.Opened > len(p.Live)
 	for i := range p.Live {
 		o, err := j.restoreOccurrence(&p.Live[i])
 		if err != nil {
@@ -394,7 +393,7 @@
 func (s *StepRun) restore(p *stepProgress) error {
 	s.gangFailures, s.lastFailedGangRun, s.gangCheckpoint = p.GangFailures, p.GangFailed, p.GangCheckpoint
 	if p.Done {
-		s.Job.started, s.Job.begun = true, true
+		s.Job.begun = true
 		for i := range s.Tasks {
 			s.Tasks[i].done = true
 		}
@@ -420,9 +419,6 @@
 	if t.done {
 		s.open--
 	}
-	if t.lastRunNumber > 0 {
-		s.Job.started = true
-	}
 	if t.done || t.failures > 0 || t.checkpoint != "" || s.gangFailures > 0 || s.gangCheckpoint != "" {
 		s.Job.begun = true
 	}
--- a/internal/workload/step.go
+++ b/internal/workload/step.go
@@ -55,7 +55,8 @@
 	// EndStopped is the end after a stop order.
 	EndStopped
 	// EndLapsed is the end by expiry of the endpoint's lease, the time until
-	// which the endpoint may run tasks unless an order extends it.
+	// which the endpoint may run tasks unless an order extends it. The endpoint
+	// has reported the run before, or its end.
 	EndLapsed
 	// EndBroken is the end caused by the end of another member of the gang.
 	EndBroken
@@ -68,11 +69,14 @@
 	// EndNeverRan is the end of a run that was ordered and is known never to
 	// have started.
 	EndNeverRan
+	// EndUnheard is the end by expiry of the lease of a run that its endpoint
+	// never reported. Whether it had begun is not known.
+	EndUnheard
 )
 
 // String returns the end's name as used in logs.
 func (e End) String() string {
-	return [...]string{"done", "failed", "stopped", "lapsed", "broken", "alone", "lost", "never ran"}[e]
+	return [...]string{"done", "failed", "stopped", "lapsed", "broken", "alone", "lost", "never ran", "unheard"}[e]
 }
 
 // ID returns the ID of a task of the step.
@@ -156,7 +160,6 @@
 
 func (s *StepRun) begin(t *Task, endpoint string, incarnation int64) {
 	t.runs = append(t.runs, Run{Number: t.lastRunNumber, Endpoint: endpoint, Incarnation: incarnation})
-	s.Job.started = true
 	s.Occurrence.changed = true
 }
 
@@ -188,7 +191,7 @@
 	}
 	s.Occurrence.changed = true
 	s.SaveCheckpoint(index, checkpoint)
-	if end != EndNeverRan && end != EndLost {
+	if s.provesBegun(end) {
 		s.Job.begun = true
 	}
 	if t.done || s.Job.Final() {
@@ -199,7 +202,7 @@
 		s.succeed(index, now)
 	case EndFailed:
 		s.fail(index, number, attempts, now)
-	case EndStopped, EndLapsed, EndBroken, EndAlone, EndLost, EndNeverRan:
+	case EndStopped, EndLapsed, EndBroken, EndAlone, EndLost, EndNeverRan, EndUnheard:
 		if s.exhausted(index, attempts) {
 			s.Job.finish(StateFailed, now)
 		}
@@ -207,6 +210,19 @@
 	return true
 }
 
+// provesBegun reports whether a run with this end certainly worked on its task. A
+// member of a gang may have waited for the others until its end.
+func (s *StepRun) provesBegun(end End) bool {
+	switch end {
+	case EndDone, EndFailed:
+		return true
+	case EndStopped, EndLapsed:
+		return !s.Spec.Gang
+	case EndBroken, EndAlone, EndLost, EndNeverRan, EndUnheard:
+	}
+	return false
+}
+
 // FailExhausted fails the job if a task of the step waits for a run that it may not
 // have, because it, or its gang, has failed attempts times. It reports whether it did.
 // That happens if the limit was not known at the failure, or is lower now.
--- a/internal/workload/workload_test.go
+++ b/internal/workload/workload_test.go
@@ -76,6 +76,10 @@
 	}
 	for i := range 2 {
 		n := first.BeginRun(i, "e1", 7)
+		if i == 0 && j.State() != StateQueued {
+			t.Errorf("state is %s before the endpoint has confirmed the first run", j.State())
+		}
+		j.MarkBegun()
 		if j.State() != StateRunning {
 			t.Errorf("state is %s while a task runs", j.State())
 		}
@@ -93,7 +97,7 @@
 func TestOnlyFailedRunsCountAsAttempts(t *testing.T) {
 	j := job(step(1))
 	s := j.Live()[0].Steps[0]
-	for _, end := range []End{EndStopped, EndLapsed, EndLost, EndNeverRan, EndFailed, EndStopped} {
+	for _, end := range []End{EndStopped, EndLapsed, EndLost, EndNeverRan, EndUnheard, EndFailed, EndStopped} {
 		s.FinishRun(0, s.BeginRun(0, "e1", 7), end, "", 2, epoch)
 		if j.Final() {
 			t.Fatalf("the job failed after the end %q of a run", end)
@@ -105,6 +109,31 @@
 	}
 }
 
+// TestEndsThatProveARun guards against a job that is reported as begun because a run of
+// it was given up that may never have begun.
+func TestEndsThatProveARun(t *testing.T) {
+	for end, want := range map[End]struct{ single, gang bool }{
+		EndDone: {true, true}, EndFailed: {true, true},
+		EndStopped: {single: true}, EndLapsed: {single: true},
+		EndBroken: {}, EndAlone: {}, EndLost: {}, EndNeverRan: {}, EndUnheard: {},
+	} {
+		for gang, begun := range map[bool]bool{false: want.single, true: want.gang} {
+			spec := step(2)
+			spec.Gang = gang
+			j := job(spec, step(1))
+			s := j.Live()[0].Steps[0]
+			number := s.BeginRun(0, "e1", 7)
+			if !j.Waiting() || j.State() != StateQueued {
+				t.Errorf("a run was ordered: the job is %s", j.State())
+			}
+			s.FinishRun(0, number, end, "", 2, epoch)
+			if j.Waiting() == begun {
+				t.Errorf("after the end %q of a run, gang %v: the job waits: %v", end, gang, j.Waiting())
+			}
+		}
+	}
+}
+
 func TestGangCountsOneFailurePerRun(t *testing.T) {
 	gang := step(3)
 	gang.Gang = true
