An end without a report before says nothing of a run's speed

Cause: the first report of a run counted as its beginning, also if it was its end. Such a run took no time, and its endpoint passed for a fast one. Change: an end confirms no beginning. Result: TestUnheardRunSaysNothingOfItsSpeed fails before (1.60 times the estimate, not 2), passes after.

--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -267,9 +267,6 @@
 	if r == nil || r.Endpoint != e {
 		return
 	}
-	if r.ConfirmedAt == 0 {
-		r.ConfirmedAt = now.Steady
-	}
 	c.finishRun(now, r, row.End, row.Checkpoint)
 }
 
--- a/internal/controller/told_test.go
+++ b/internal/controller/told_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bluebellstile/bluebellstile/internal/fleet"
+	"github.com/bluebellstile/bluebellstile/internal/workload"
 	"pgregory.net/rapid"
 )
 
@@ -56,3 +57,27 @@
 		}
 	})
 }
+
+// TestUnheardRunSaysNothingOfItsSpeed guards against an endpoint that passes for a fast
+// one because the first that was heard of a run was its end.
+func TestUnheardRunSaysNothingOfItsSpeed(t *testing.T) {
+	w := newWorld(t, 1, faults{})
+	w.addEndpoint("e1")
+	w.beginTerm()
+	w.run(time.Second)
+	e := w.current().core.fleet.Endpoint("e1")
+	e.History.ObserveDuration(2*time.Second, time.Second)
+	w.faults.unanswered = 1
+	job := largeJob(10)
+	job.Steps[0].Estimate = 10 * time.Millisecond
+	w.submit("b000000000000001", "c2", job)
+	w.run(1200 * time.Millisecond)
+	w.faults.unanswered = 0
+	w.run(5 * time.Second)
+	if state, _ := w.current().core.Status("b000000000000001", "c2"); state != workload.StateCompleted {
+		t.Fatalf("the job is %q", state)
+	}
+	if got := e.History.Slowdown(); got != 2 {
+		t.Errorf("the endpoint takes %.2f times the estimate, want 2 as before the run", got)
+	}
+}
