A late report does not make a gang begin

Seen: by TestHolderChangesWithPartialReports, world 3, once its timing had changed. Cause: a member that is still there after the gang's wait has begun, and the time was that at which the report was handled. A holder that was suspended handles an old one. Change: the time at which the report was asked for counts. Why this works: the row was true at that time or later, and the run was confirmed before its wait could begin to count.

--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -150,7 +150,7 @@
 	listed := make(map[fleet.Key]bool, len(report.Running)+len(report.Ended))
 	for i := range report.Running {
 		listed[report.Running[i].Key] = true
-		c.handleRunningRow(now, e, es, &report.Running[i])
+		c.handleRunningRow(now, e, es, &report.Running[i], out.Reading.Sent)
 	}
 	for i := range report.Ended {
 		listed[report.Ended[i].Key] = true
@@ -206,14 +206,15 @@
 	return time.Duration(c.flow.reportStretch() * float64(max(wait, minHoldInterval)))
 }
 
-// handleRunningRow handles a run that is reported as running.
-func (c *Core) handleRunningRow(now clock.Instant, e *fleet.Endpoint, es *endpointState, row *RunningRow) {
+// handleRunningRow handles a run that is reported as running. asked is when the report was
+// requested.
+func (c *Core) handleRunningRow(now clock.Instant, e *fleet.Endpoint, es *endpointState, row *RunningRow, asked time.Duration) {
 	r := c.fleet.Find(row.Key)
 	if r == nil || r.Endpoint != e {
 		c.stopUnwanted(now, e, es, row.Key)
 		return
 	}
-	c.confirmRunning(now, r)
+	c.confirmRunning(now, r, asked)
 	c.runStateOf(r).listed = true
 	if r.Step != nil {
 		r.Step.SaveCheckpoint(r.Index(), row.Checkpoint)
@@ -221,7 +222,7 @@
 	if row.Progress < 0 || row.Progress > r.Progress {
 		r.Progress, r.ProgressedAt = max(row.Progress, 0), now.Steady
 	}
-	c.markBegun(now, r)
+	c.markBegun(r, asked)
 	r.Load = row.Load
 	c.updateExpectedEnd(now, r)
 	if c.isStalled(now, r) {
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -151,7 +151,7 @@
 	c.updateReachability(r.Endpoint, out)
 	switch out.Fate {
 	case FateDone:
-		c.confirmRunning(now, r)
+		c.confirmRunning(now, r, out.Reading.Sent)
 		rs.startConfirmedAt = now.Steady
 		if entry := c.steps[r.Step]; entry != nil {
 			entry.resetRefusals()
@@ -184,15 +184,15 @@
 	}
 }
 
-// confirmRunning records that a run has begun.
-func (c *Core) confirmRunning(now clock.Instant, r *fleet.Run) {
+// confirmRunning records that an endpoint that was asked at the given time has a run.
+func (c *Core) confirmRunning(now clock.Instant, r *fleet.Run, asked time.Duration) {
 	if r.ConfirmedAt == 0 {
 		r.ConfirmedAt, r.ProgressedAt = now.Steady, now.Steady
 		// An endpoint without runs is asked rarely, so that its next hold may
 		// be far off.
 		c.requestReport(r.Endpoint, now.Steady+c.reportDelay(now, r.Endpoint))
 	}
-	c.markBegun(now, r)
+	c.markBegun(r, asked)
 	if r.Phase == fleet.PhaseOrdered || r.Phase == fleet.PhaseInherited || r.Phase == fleet.PhaseDoubtful && !c.runStateOf(r).stopDecided {
 		r.Phase = fleet.PhaseRunning
 	}
@@ -200,10 +200,10 @@
 
 // markBegun records that a run on which its endpoint reports has begun. A member of a gang
 // waits for the others first, at most GangWait: it has begun once it makes progress, or is
-// still there after that time.
-func (c *Core) markBegun(now clock.Instant, r *fleet.Run) {
+// still there after that time. asked is when the endpoint was asked.
+func (c *Core) markBegun(r *fleet.Run, asked time.Duration) {
 	s := r.Step
-	if s == nil || s.Spec.Gang && r.Progress <= 0 && now.Steady-r.ConfirmedAt <= c.ownTime(c.params.GangWait) {
+	if s == nil || s.Spec.Gang && r.Progress <= 0 && asked-r.ConfirmedAt <= c.ownTime(c.params.GangWait) {
 		return
 	}
 	s.Job.MarkBegun()
