Orders for a former life of an endpoint count in its lease

Cause: the header of an order names the id alone, so that the next life takes it. Its deadline on the former life's clock lies far ahead and is cut to the longest lease that endpoints grant, 10 s there; the account began at none and assumed 6 s. The simulation and the stand-ins granted no more than holders ask for. Change: Params.LeaseMax; from the moment at which a later life is noticed, an order for a former one ends, or a new holder adopts the endpoint, the longest lease is assumed. Records of silent endpoints say so as long as it may last. A task whose start got no answer waits for the longest lease after that, and an answer with another clock is taken as a change of life at once. Why this works: each order that a later life may have taken by a time is followed by one of these events within its own timeout, and no lease is longer than LeaseMax. Result: TestRestartedEndpointsCutOff, the same with changes of the holder, and TestStartOnNextIncarnation fail before, pass after.

Orders that are carried out later than an order may take after the change was noticed aren't covered.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -32,6 +32,10 @@
 type Params struct {
 	// Lease is how long endpoints run tasks without a renewal.
 	Lease time.Duration
+	// LeaseMax is the longest lease that endpoints grant. An order for an earlier
+	// incarnation of an endpoint may give the next one that much, as its deadline is
+	// on another clock.
+	LeaseMax time.Duration
 	// StopGrace is the longest time that a stop takes.
 	StopGrace time.Duration
 	// GangWait is how long the members of a gang wait for each other.
@@ -94,9 +98,9 @@
 	urgent  urgentLoad
 	backlog backlog
 	flow    flowControl
-	// inheritedSilences gives the incarnations of the endpoints that an earlier
-	// term recorded as silent, by endpoint id.
-	inheritedSilences map[string]int64
+	// inheritedSilences holds the records of the endpoints that an earlier term
+	// found silent, by endpoint id.
+	inheritedSilences map[string]silentRecord
 	// wanted holds the endpoints on which blocked gangs waited for capacity in
 	// the last plan.
 	wanted map[*fleet.Endpoint]bool
@@ -197,7 +201,7 @@
 		eligibleShare:  make(map[string]float64),
 		endpointStates: make(map[*fleet.Endpoint]*endpointState),
 
-		inheritedSilences: make(map[string]int64),
+		inheritedSilences: make(map[string]silentRecord),
 
 		batch:                newBatch(),
 		eligibilityInstances: 1,
--- a/internal/controller/pace.go
+++ b/internal/controller/pace.go
@@ -108,7 +108,7 @@
 	if e == nil || e.Incarnation != o.Target.Incarnation {
 		return
 	}
-	c.updateReachability(e, out)
+	c.updateReachability(now, e, out)
 	r := c.fleet.Find(o.Key)
 	if r == nil || r.Endpoint != e {
 		return
--- a/internal/controller/registry.go
+++ b/internal/controller/registry.go
@@ -22,7 +22,9 @@
 	e, replaced := c.fleet.Register(r)
 	c.boundInheritedLease(e)
 	if replaced != nil {
-		c.log.Info("endpoint is back as a new incarnation", "endpoint", e.ID, "incarnation", e.Incarnation)
+		c.assumeLongestLease(now, e)
+		c.log.Info("endpoint is back as a new incarnation", "endpoint", e.ID, "incarnation", e.Incarnation,
+			"former", replaced.Incarnation, "runs", len(replaced.Runs()), "lapses_in", e.LeaseEnd()-now.Steady)
 		c.resolveReplacedRuns(now, replaced, e)
 	}
 	c.planDue = true
@@ -78,10 +80,10 @@
 		case rs.listed || !rs.mayHaveBeenSent(r):
 			c.finishRun(now, r, workload.EndLost, "")
 		case r.Phase == fleet.PhaseInherited, rs.startConfirmedAt > 0 && !rs.stopDecided:
-			c.moveRun(now, r, old, current)
+			c.moveRun(r, old, current)
 			r.Phase = fleet.PhaseInherited
 		default:
-			c.moveRun(now, r, old, current)
+			c.moveRun(r, old, current)
 			r.Phase = fleet.PhaseDoubtful
 			c.stopRun(now, r)
 			if r.Step.Spec.Gang {
@@ -93,24 +95,42 @@
 	delete(c.endpointStates, old)
 }
 
-// moveRun moves a run to the account of another incarnation. The run's order
-// may have given the new incarnation a lease. A deadline on the old
-// incarnation's clock means nothing there, so the longest possible lease is
-// assumed.
-func (c *Core) moveRun(now clock.Instant, r *fleet.Run, old, current *fleet.Endpoint) {
+// moveRun moves a run to the account of another incarnation.
+func (c *Core) moveRun(r *fleet.Run, old, current *fleet.Endpoint) {
 	c.dropRunState(old, r)
 	old.Remove(r)
 	current.Add(r)
 	r.Moved = true
-	current.ExtendLeaseEnd(now.Steady + c.maxLease())
 }
 
-// maxLease is how long, by this daemon's clock, a lease may last that an order
-// in flight now grants. All holders of a cell grant leases of the same length.
-func (c *Core) maxLease() time.Duration {
-	return c.ownTime(c.params.Lease)
+// assumeLongestLease accounts for orders for a former incarnation of an endpoint that
+// have reached this one: orders name an endpoint by its id alone. Their deadlines are on
+// the former incarnation's clock, so that each may have granted the longest lease.
+func (c *Core) assumeLongestLease(now clock.Instant, e *fleet.Endpoint) {
+	e.ExtendLeaseEnd(now.Steady + c.longestLease())
 }
 
+// noteFormerOrder handles the result of an order that extends the lease of an endpoint. If
+// the endpoint has a later incarnation than the order was meant for, that may have
+// executed it.
+func (c *Core) noteFormerOrder(now clock.Instant, target Target, deadline time.Duration, out Outcome) {
+	e := c.fleet.Endpoint(target.ID)
+	if e == nil || e.Incarnation <= target.Incarnation || deadline == 0 || out.Fate == FateNotSent {
+		return
+	}
+	c.assumeLongestLease(now, e)
+	c.log.Info("order for a former incarnation may have extended the lease", "endpoint", e.ID, "incarnation", e.Incarnation,
+		"former", target.Incarnation, "reason", out.Reason, "lapses_in", e.LeaseEnd()-now.Steady)
+}
+
+// usualLease is how long, by this daemon's clock, a lease may last that an order
+// in flight now grants to the incarnation that it is meant for. All holders of a cell
+// grant leases of the same length.
+func (c *Core) usualLease() time.Duration { return c.ownTime(c.params.Lease) }
+
+// longestLease is the same for an order that may reach any incarnation.
+func (c *Core) longestLease() time.Duration { return c.ownTime(c.params.LeaseMax) }
+
 // ownTime is how long, by this daemon's clock, what an order grants may last if it lasts
 // for the given time on the endpoint's clock.
 func (c *Core) ownTime(length time.Duration) time.Duration {
@@ -129,7 +149,7 @@
 			continue
 		}
 		for _, r := range runsOf(e) {
-			if !c.runStateOf(r).mayHaveBeenSent(r) {
+			if rs := c.runStateOf(r); !rs.mayHaveBeenSent(r) || now.Steady <= rs.mayRunUntil {
 				continue
 			}
 			c.stats.Lapsed++
--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -122,13 +122,14 @@
 	if o.Wait == 0 {
 		c.flow.countHold(-1, o.retried)
 	}
+	c.noteFormerOrder(now, o.Target, o.Deadline, out)
 	e := c.fleet.Endpoint(o.Target.ID)
 	if e == nil || e.Incarnation != o.Target.Incarnation {
 		return
 	}
 	es := c.endpointStateOf(e)
 	es.holdInFlight = false
-	c.updateReachability(e, out)
+	c.updateReachability(now, e, out)
 	if out.Fate != FateDone {
 		es.nextHoldAt = now.Steady + holdRetry
 		if out.Reason == ReasonIncarnation {
@@ -166,8 +167,9 @@
 	}
 	c.adjustPace(now, e, es)
 	if !e.Adopted {
-		// From now on the endpoint refuses the orders of earlier terms.
-		e.SetLeaseEnd(min(e.LeaseEnd(), now.Steady+c.maxLease()))
+		// From now on the endpoint refuses the orders of earlier terms. Until now, they
+		// may have been meant for a former incarnation.
+		e.SetLeaseEnd(min(e.LeaseEnd(), now.Steady+c.longestLease()))
 		e.Adopted = true
 		c.planDue = true
 	}
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -44,6 +44,10 @@
 	barredAt     time.Duration
 	// stopDecided is set once the run is to be stopped.
 	stopDecided bool
+	// mayRunUntil is until when the run may work although the lease of the incarnation
+	// that its start was meant for has lapsed: a start without an answer may have
+	// reached the next one.
+	mayRunUntil time.Duration
 }
 
 // endpointState is the scheduling state of an endpoint that fleet.Endpoint does
@@ -68,9 +72,10 @@
 	ackedEnd int64
 	// silent is set while a record in the log, or about to be there, says that
 	// the endpoint gets no lease; clearing is set while that record is being
-	// dropped.
+	// dropped, and longest while it says that the lease may be the longest one.
 	silent   bool
 	clearing bool
+	longest  bool
 	// pace is the pace of the filling tasks in percent, last changed at
 	// pacedAt.
 	pace    int
@@ -143,12 +148,13 @@
 func (c *Core) StartAnswered(now clock.Instant, o *StartOrder, out Outcome) {
 	c.flow.recordLatency(now.Steady, now.Steady-o.sent)
 	defer c.sendReadyStarts(now)
+	c.noteFormerOrder(now, o.Target, o.Deadline, out)
 	r := c.fleet.Find(o.Key)
 	if r == nil || r.Endpoint.ID != o.Target.ID || r.Endpoint.Incarnation != o.Target.Incarnation {
 		return
 	}
 	rs := c.runStateOf(r)
-	c.updateReachability(r.Endpoint, out)
+	c.updateReachability(now, r.Endpoint, out)
 	switch out.Fate {
 	case FateDone:
 		c.confirmRunning(now, r, out.Reading.Sent)
@@ -169,7 +175,7 @@
 
 // updateReachability updates what is known of an endpoint's reachability and
 // clock from the result of an order.
-func (c *Core) updateReachability(e *fleet.Endpoint, out Outcome) {
+func (c *Core) updateReachability(now clock.Instant, e *fleet.Endpoint, out Outcome) {
 	switch {
 	case out.Fate == FateNotSent, out.Fate == FateUnanswered, out.Reason == ReasonIncarnation:
 		// An answer from another endpoint or incarnation, which may have got the
@@ -179,8 +185,10 @@
 		if !es.holdInFlight {
 			es.nextHoldAt = 0
 		}
-	case out.Reading.Known():
-		e.RecordAnswer(out.Reading)
+	case out.Reading.Known() && e.RecordAnswer(out.Reading):
+		c.log.Info("endpoint answers with another clock", "endpoint", e.ID, "incarnation", e.Incarnation, "clock", out.Reading.Clock)
+		c.assumeLongestLease(now, e)
+		c.requestReport(e, now.Steady)
 	}
 }
 
@@ -264,7 +272,11 @@
 func (c *Core) startUnanswered(now clock.Instant, r *fleet.Run, rs *runState, out Outcome) {
 	c.stats.Doubtful++
 	c.log.Warn("start not answered", "task", r.Task, "run", r.Number, "endpoint", r.Endpoint.ID, "cause", out.Detail, "times", out)
-	if r.Phase == fleet.PhaseRunning || rs.stopDecided {
+	if r.Phase == fleet.PhaseRunning {
+		return
+	}
+	rs.mayRunUntil = now.Steady + c.longestLease()
+	if rs.stopDecided {
 		return
 	}
 	r.Phase = fleet.PhaseDoubtful
@@ -312,7 +324,7 @@
 	if e == nil || e.Incarnation != o.Target.Incarnation {
 		return
 	}
-	c.updateReachability(e, out)
+	c.updateReachability(now, e, out)
 	r := c.fleet.Find(o.Key)
 	if r == nil || r.Endpoint != e {
 		return
--- a/internal/controller/silence.go
+++ b/internal/controller/silence.go
@@ -11,6 +11,10 @@
 // silentPrefix is the key prefix of the records of silent endpoints.
 const silentPrefix = "s/"
 
+// maxOrderTime is how long an order may be on its way: a hold waits for holdWait, and
+// for its answer somewhat longer.
+const maxOrderTime = holdWait + 500*time.Millisecond
+
 // silentAfter is how long an endpoint with runs may fail to answer before it is
 // recorded as silent. It exceeds the timeout of an order.
 const silentAfter = 700 * time.Millisecond
@@ -22,12 +26,16 @@
 // term would ever know that the tasks of a lost endpoint have ended.
 type silentRecord struct {
 	Incarnation int64 `cbor:"1,keyasint"`
+	// Longest is set while the lease may last for Params.LeaseMax, because orders for a
+	// former incarnation may have granted it.
+	Longest bool `cbor:"2,keyasint,omitempty"`
 }
 
 // silenceChange is a change of the record of a silent endpoint in a batch. If
 // cleared is set, the record is dropped.
 type silenceChange struct {
 	incarnation int64
+	longest     bool
 	cleared     bool
 }
 
@@ -36,7 +44,7 @@
 	if s.cleared {
 		return nil, nil
 	}
-	return cbor.Marshal(silentRecord{Incarnation: s.incarnation})
+	return cbor.Marshal(silentRecord{Incarnation: s.incarnation, Longest: s.longest})
 }
 
 // mayExtendLease reports whether a hold may extend the lease of an endpoint.
@@ -59,9 +67,28 @@
 			es.silent = true
 			c.log.Info("endpoint is silent, its lease is left to lapse", "endpoint", e.ID, "runs", len(e.Runs()),
 				"unheard", now.Steady-e.LastAnswered, "lapses_in", e.LeaseEnd()-now.Steady)
-			c.batch.silences[e.ID] = silenceChange{incarnation: e.Incarnation}
+			es.longest = c.mayOutlastUsualLease(now, e)
+			c.batch.silences[e.ID] = silenceChange{incarnation: e.Incarnation, longest: es.longest}
+		case es.silent && !es.clearing && es.longest != c.mayOutlastUsualLease(now, e):
+			es.longest = !es.longest
+			c.batch.silences[e.ID] = silenceChange{incarnation: e.Incarnation, longest: es.longest}
+		}
+	}
+}
+
+// mayOutlastUsualLease reports whether runs of an endpoint may work for longer from now on
+// than the lease that holders ask for.
+func (c *Core) mayOutlastUsualLease(now clock.Instant, e *fleet.Endpoint) bool {
+	usual := now.Steady + c.usualLease()
+	if e.LeaseEnd() > usual {
+		return true
+	}
+	for _, r := range e.Runs() {
+		if c.runStateOf(r).mayRunUntil > usual {
+			return true
 		}
 	}
+	return false
 }
 
 // clearSilence drops the record of an endpoint that is removed or replaced.
@@ -93,7 +120,7 @@
 		c.log.Error("can't decode the record of a silent endpoint, assuming its lease lasts longer", "endpoint", id, "error", err)
 		return
 	}
-	c.inheritedSilences[id] = r.Incarnation
+	c.inheritedSilences[id] = r
 	if e := c.fleet.Endpoint(id); e != nil {
 		c.boundInheritedLease(e)
 	}
@@ -103,10 +130,16 @@
 // may have granted to an endpoint. They stop sending orders TermGrace after
 // this term began, or before it began if the endpoint was recorded as silent.
 func (c *Core) boundInheritedLease(e *fleet.Endpoint) {
-	if incarnation, known := c.inheritedSilences[e.ID]; known && incarnation == e.Incarnation {
-		c.endpointStateOf(e).silent = true
-		e.SetLeaseEnd(c.fencedAt + c.maxLease())
+	if r, known := c.inheritedSilences[e.ID]; known && r.Incarnation == e.Incarnation {
+		es := c.endpointStateOf(e)
+		es.silent, es.longest = true, r.Longest
+		lease := c.usualLease()
+		if r.Longest {
+			lease = c.longestLease()
+		}
+		e.SetLeaseEnd(c.fencedAt + lease)
 		return
 	}
-	e.ExtendLeaseEnd(c.fencedAt + c.params.TermGrace + c.maxLease())
+	// Its last orders for a former incarnation may still have been on their way.
+	e.ExtendLeaseEnd(c.fencedAt + max(c.params.TermGrace+c.usualLease(), maxOrderTime+c.longestLease()))
 }
--- a/internal/controller/world_endpoint_test.go
+++ b/internal/controller/world_endpoint_test.go
@@ -117,7 +117,15 @@
 	e.running = make(map[fleet.Key]*simRun)
 	e.barred = make(map[workload.TaskID]int)
 	e.ended = nil
-	w.register(e)
+	if w.registryDelay == 0 {
+		w.register(e)
+		return
+	}
+	w.after(w.between(0, w.registryDelay), func() {
+		if e.up {
+			w.register(e)
+		}
+	})
 }
 
 func (w *world) register(e *simEndpoint) {
@@ -161,7 +169,7 @@
 // extendLease extends the lease of an endpoint.
 func (w *world) extendLease(e *simEndpoint, deadline time.Duration) {
 	now := e.clock(w.now)
-	e.deadline = max(e.deadline, min(deadline, now+w.params.Lease))
+	e.deadline = max(e.deadline, min(deadline, now+w.params.LeaseMax))
 	incarnation := e.incarnation
 	w.after(e.deadline-now+time.Millisecond, func() {
 		if e.incarnation == incarnation && e.up && e.clock(w.now) > e.deadline {
@@ -191,6 +199,7 @@
 		return Outcome{Fate: FateDone}
 	}
 	if o.Key.Number <= e.barred[o.Key.Task] {
+		w.extendLease(e, o.Deadline)
 		return refusal(ReasonSuperseded)
 	}
 	if o.Deadline < e.clock(w.now) {
--- a/internal/controller/world_orders_test.go
+++ b/internal/controller/world_orders_test.go
@@ -124,10 +124,10 @@
 		})
 		answer(wait, Outcome{Fate: FateUnanswered})
 	case w.chance(w.faults.unanswered):
-		w.after(w.between(minTransit, maxTransit), func() { execute() })
+		w.whenUp(e, w.now+wait, func() { execute() })
 		answer(wait, Outcome{Fate: FateUnanswered})
 	default:
-		w.after(w.between(minTransit, maxTransit), func() {
+		w.whenUp(e, w.now+wait, func() {
 			out := execute()
 			if out.Fate == FateUnanswered {
 				answer(max(wait-(w.now-sent), 0), out)
@@ -139,6 +139,20 @@
 	}
 }
 
+// whenUp runs do when an order has arrived at an endpoint. The connection to one that is
+// down is retried: the order reaches its next incarnation if that is up before the sender
+// gives up.
+func (w *world) whenUp(e *simEndpoint, until time.Duration, do func()) {
+	delay := w.between(minTransit, maxTransit)
+	w.after(delay, func() {
+		if e.up || w.now+delay >= until {
+			do()
+			return
+		}
+		w.whenUp(e, until, do)
+	})
+}
+
 // whenResumed runs do, after a suspended daemon has resumed.
 func (w *world) whenResumed(t *simTerm, do func()) {
 	if w.now < t.suspendedUntil {
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -60,11 +60,13 @@
 	epoch   int64
 	logDown bool
 
-	endpoints  map[string]*simEndpoint
-	terms      []*simTerm
-	jobs       map[workload.ID]*simJob
-	logger     *slog.Logger
-	violations int
+	endpoints map[string]*simEndpoint
+	// registryDelay is the longest time until a restarted endpoint is listed.
+	registryDelay time.Duration
+	terms         []*simTerm
+	jobs          map[workload.ID]*simJob
+	logger        *slog.Logger
+	violations    int
 	// refused counts the refused starts, except those overtaken by the stop of
 	// a cancelled job.
 	refused int
@@ -180,6 +182,7 @@
 		faults: f,
 		params: Params{
 			Lease:      6 * time.Second,
+			LeaseMax:   10 * time.Second,
 			StopGrace:  400 * time.Millisecond,
 			GangWait:   3 * time.Second,
 			StateKept:  2 * time.Minute,
--- a/internal/fleet/clock.go
+++ b/internal/fleet/clock.go
@@ -25,6 +25,19 @@
 	return r.Clock + now - r.Received
 }
 
+// maxReadingDelay is how long an answer may be on its way, beyond which its reading can't
+// be compared.
+const maxReadingDelay = time.Second
+
+// follows reports whether two readings, the other one earlier, can be of one clock. A
+// reading is taken at some time between the request and the answer.
+func (r ClockReading) follows(earlier ClockReading) bool {
+	passed := r.Received - earlier.Received
+	off := r.Clock - earlier.Estimate(r.Received)
+	tolerance := maxReadingDelay + max(r.Received-r.Sent, 0) + time.Duration(2*maxDrift*float64(passed))
+	return -tolerance <= off && off <= tolerance
+}
+
 // LatestLocalTime returns the local instant by which the endpoint's clock has
 // certainly passed a deadline, even if it runs slow by maxDrift.
 func (r ClockReading) LatestLocalTime(deadline time.Duration) time.Duration {
--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -126,14 +126,21 @@
 func (e *Endpoint) LeaseEnd() time.Duration { return e.leaseEnd }
 
 // RecordAnswer records an answer with its reading of the endpoint's clock.
-// Older readings than the newest one are ignored.
-func (e *Endpoint) RecordAnswer(r ClockReading) {
+// Older readings than the newest one are ignored. It reports whether the clock
+// is certainly another one than before, that of a later incarnation.
+func (e *Endpoint) RecordAnswer(r ClockReading) (otherClock bool) {
 	e.Failures = 0
 	if r.Received <= e.LastAnswered && e.Clock.Known() {
-		return
+		return false
+	}
+	otherClock = e.Clock.Known() && !r.follows(e.Clock)
+	if otherClock {
+		// Deadlines on the earlier clock say nothing of later ones.
+		e.grantedUntil = 0
 	}
 	e.LastAnswered = r.Received
 	e.Clock = r
+	return otherClock
 }
 
 // RecordFailure records a call without an answer.
--- a/internal/standin/site_runner.go
+++ b/internal/standin/site_runner.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"sort"
 	"sync"
@@ -13,8 +14,12 @@
 const (
 	// siteRegisterInterval is the time between two registrations of a runner.
 	siteRegisterInterval = 500 * time.Millisecond
-	// maxSiteLease limits the lease that a runner grants.
-	maxSiteLease = 6 * time.Second
+	// maxSiteLease limits the lease that a runner grants. It exceeds what holders ask
+	// for, as a deadline on another clock may.
+	maxSiteLease = 10 * time.Second
+	// minSiteClock and maxSiteClock bound what a runner's clock shows when it starts.
+	minSiteClock = time.Minute
+	maxSiteClock = 10 * time.Hour
 	// maxSiteHoldWait limits the time that a hold request waits.
 	maxSiteHoldWait = 2 * time.Second
 	// siteLateOrderDelay is the delay of an order under the switch "late_orders".
@@ -62,6 +67,8 @@
 	mu      sync.Mutex
 	address string
 	born    time.Time
+	// clockAtBirth is what the runner's own clock showed when it started.
+	clockAtBirth time.Duration
 	// fence is the highest fencing token that has been seen.
 	fence int64
 	// deadline is the end of the lease on the runner's clock.
@@ -175,6 +182,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.born = time.Now()
+	r.clockAtBirth = minSiteClock + rand.N(maxSiteClock-minSiteClock)
 	r.fence, r.deadline, r.lastEndSeq, r.ended = 0, 0, 0, nil
 	r.running, r.barred = make(map[string]*siteRun), make(map[string]int)
 	r.drainingSince = time.Time{}
@@ -187,8 +195,8 @@
 	r.changed = make(chan struct{})
 }
 
-// clock returns the time on the runner's own clock, which starts at one hour.
-func (r *SiteRunner) clock() time.Duration { return time.Since(r.born) + time.Hour }
+// clock returns the time on the runner's own clock.
+func (r *SiteRunner) clock() time.Duration { return time.Since(r.born) + r.clockAtBirth }
 
 // register writes the runner's entry to the store, unless the runner is down or
 // the switch "unregistered" is set.
--- a/scripts/demo-site.sh
+++ b/scripts/demo-site.sh
@@ -31,6 +31,8 @@
 name = entry-$1
 zone = z1
 region = g1
+[bounds]
+lease_max = 10s
 [listen]
 callers = 127.0.0.1:$at
 ready = 127.0.0.1:$((at + 1))
