A gang for which there is certainly no room is only asked about

Cause: plans consider more of a long queue since work for which no room was found is left out without a search, and so more gangs, whose searches cost the most. Change: such a gang isn't searched for either, unless it may reserve capacity; what it may ask is asked.

--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -22,8 +22,12 @@
 		p.rechargeHeldTasks(d)
 		return
 	}
-	if d.Eligibility == nil && !p.mayReserve(d) && p.full.includes(d, n) {
+	if !d.holdsCapacity() && !p.mayReserve(d) && p.full.includes(d, n) {
 		p.plan.Blocked++
+		if p.gangQuestionsLeft(d) > 0 {
+			p.failedSearches++
+			p.askAboutUnknown(d)
+		}
 		return
 	}
 	known := p.knownEligible(d)
--- a/internal/scheduler/question.go
+++ b/internal/scheduler/question.go
@@ -30,11 +30,8 @@
 // gang that needs many hosts is asked about in several questions at once, since it can't
 // start before the last of its hosts is known; it answers a load of gangs of many sizes.
 func (p *planner) askAboutUnknown(d *Demand) {
-	left := p.questionsLeft(d)
-	if !d.Urgent {
-		left -= p.QuestionsInAll / reserveDivisor
-	}
-	if d.Eligibility == nil || d.Eligibility.QuestionInFlight || left <= 0 {
+	left := p.gangQuestionsLeft(d)
+	if left <= 0 {
 		return
 	}
 	size, questions := d.Eligibility.questionSize(), left/gangDivisor
@@ -49,6 +46,17 @@
 	}
 }
 
+// gangQuestionsLeft returns how many questions may be asked about a gang now.
+func (p *planner) gangQuestionsLeft(d *Demand) int {
+	if d.Eligibility == nil || d.Eligibility.QuestionInFlight {
+		return 0
+	}
+	if d.Urgent {
+		return p.questionsLeft(d)
+	}
+	return p.questionsLeft(d) - p.QuestionsInAll/reserveDivisor
+}
+
 // endpointsForGang returns the endpoints to ask about, at least least if there are as many
 // and at most the given number.
 func (p *planner) endpointsForGang(d *Demand, least, most int) []*fleet.Endpoint {
