--- a/internal/scheduler/full.go
+++ b/internal/scheduler/full.go
@@ -36,7 +36,7 @@
 // add records that no room was found for a number of a demand's tasks.
 func (f fullHosts) add(d *Demand, tasks int) {
 	class, n := classOf(d), needed{size: d.Step.Spec.Charge(), tasks: tasks}
-	entries := slices.DeleteFunc(f[class], func(o needed) bool { return n.covers(o) })
+	entries := slices.DeleteFunc(f[class], n.covers)
 	if len(entries) == maxRemembered {
 		entries = entries[1:]
 	}
--- a/internal/scheduler/turns_test.go
+++ b/internal/scheduler/turns_test.go
@@ -67,14 +67,13 @@
 		kinds := rapid.SliceOfN(rapid.SampledFrom(names), 1, 4).Draw(t, "kinds")
 		blocked := rapid.IntRange(1, 4*maxFailedSearches).Draw(t, "blocked")
 		last := rapid.Bool().Draw(t, "label") // The last demand needs a label.
-		snap := snapshot(0)
 		var turn *Demand
 		const turns = maxFailedSearches - maxFailedInOrder
 		for plans := 0; ; plans++ {
 			if plans > 1+(blocked+turns-1)/turns {
 				t.Fatalf("not started after %d plans beside %d demands that can't start: %v", plans, blocked, kinds)
 			}
-			snap = snapshot(4)
+			snap := snapshot(4)
 			snap.LastTurn, snap.Policy.MaxReservations = turn, 0
 			for _, h := range snap.Hosts {
 				h.Free = cores(1)
