The log tells what has changed for a step that no endpoint could run

Cause: one text said that endpoints could run a step, also when they could not. Change: the text says that something has changed, a field what. Result: no change of behaviour; the tests of the controller pass.

--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -241,13 +241,13 @@
 	if spec.Gang {
 		tasks = spec.Count
 	}
-	could := c.fleet.CouldHold(q.Pool, spec.RequiredLabel, spec.Charge(), spec.MaxPerEndpoint, tasks)
-	if could == e.impossible {
-		e.impossible = !could
-		c.log.Info("registered endpoints could run a step", "step", e.step.Name(), "queue", q.Name, "could", could,
+	impossible := !c.fleet.CouldHold(q.Pool, spec.RequiredLabel, spec.Charge(), spec.MaxPerEndpoint, tasks)
+	if impossible != e.impossible {
+		e.impossible = impossible
+		c.log.Info("registered endpoints have changed for a step", "step", e.step.Name(), "queue", q.Name, "could_run", !impossible,
 			"pool", q.Pool, "label", spec.RequiredLabel, "millicores", spec.Charge().MilliCores, "tasks_at_once", tasks)
 	}
-	return could
+	return !impossible
 }
 
 // waitingTasks returns the indexes of the waiting tasks of a step. For a gang
