A run of an earlier life that a new holder reads back may have the longest lease

Cause: read, not seen: a new holder finds a run recorded for an earlier life of an endpoint than the one in the registry. Holders of earlier terms that don't know that life may send it orders with deadlines on the former clock for as long as they send orders at all, and the account ended before. Change: the lease there is taken to last for the longest one after that time. An answer of another endpoint extends no lease. Result: the tests of the controller pass; no test shows it, as the simulated holders learn of a new life with the first answer.

--- a/internal/controller/registry.go
+++ b/internal/controller/registry.go
@@ -115,7 +115,7 @@
 // executed it.
 func (c *Core) noteFormerOrder(now clock.Instant, target Target, deadline time.Duration, out Outcome) {
 	e := c.fleet.Endpoint(target.ID)
-	if e == nil || e.Incarnation <= target.Incarnation || deadline == 0 || out.Fate == FateNotSent {
+	if e == nil || e.Incarnation <= target.Incarnation || deadline == 0 || out.Fate == FateNotSent || out.Reason == ReasonIncarnation {
 		return
 	}
 	c.assumeLongestLease(now, e)
--- a/internal/controller/restore.go
+++ b/internal/controller/restore.go
@@ -116,6 +116,11 @@
 		c.fleet.Unlist(e)
 		c.boundInheritedLease(e)
 	}
+	moved := e.Incarnation > r.Incarnation
+	if moved {
+		// Holders of earlier terms may not know the later incarnation.
+		e.ExtendLeaseEnd(c.fencedAt + c.params.TermGrace + maxOrderTime + c.longestLease())
+	}
 	e.Add(&fleet.Run{
 		Key:      fleet.Key{Task: s.ID(index), Number: r.Number},
 		Step:     s,
@@ -125,7 +130,7 @@
 		Size:     s.Spec.Size,
 		Charge:   s.Spec.Charge(),
 		Phase:    fleet.PhaseInherited,
-		Moved:    e.Incarnation > r.Incarnation,
+		Moved:    moved,
 		Pace:     100,
 	})
 	if se := c.steps[s]; se != nil {
