Switches for the new parts of the scheduling

Change: a section [scheduling] of the site's settings has a switch for each part, on by default. They reach the core as Params.Features and plans as fields of Policy. A demand has the expected run time of its tasks and says whether its customer is over its share, and a plan may name runs to stop.

Result: nothing reads the switches yet, so that plans are as before; the tests of settings and scheduler pass.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -50,6 +50,22 @@
 	FarFactor float64
 	// RateWindow is the window over which a customer's job rate is measured.
 	RateWindow time.Duration
+	Features   Features
+}
+
+// Features are the parts of the scheduling that the deployment has turned on.
+type Features struct {
+	// Evacuation starts nothing in availability zones that the operator empties.
+	Evacuation bool
+	// GangRoom keeps room for blocked gangs, Preemption stops runs of work that can
+	// wait, and Shares divides contended capacity among customers.
+	GangRoom   bool
+	Preemption bool
+	Shares     bool
+	// Admission refuses jobs that can't end in a time that is of use, and Estimates
+	// corrects stated run times from those seen.
+	Admission bool
+	Estimates bool
 }
 
 // Core is the scheduling state of one term. It is not safe for concurrent use.
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -99,6 +99,9 @@
 			MaxReservations: maxReservations,
 			PermitMargin:    permitMargin,
 			UrgentStarts:    urgentStartReserve,
+			GangRoom:        c.params.Features.GangRoom,
+			Preemption:      c.params.Features.Preemption,
+			Shares:          c.params.Features.Shares,
 		},
 	}
 	c.backlog.reset()
@@ -222,6 +225,7 @@
 		Excess:      e.jobEntry.job.Excess,
 		LatestStart: e.latestStart,
 		ReadyAt:     e.since,
+		Duration:    e.step.Spec.Estimate,
 		Eligibility: c.eligibilityOf(now, e, q),
 	}
 	if e.step.Spec.MaxPerEndpoint > 0 {
--- a/internal/scheduler/rank.go
+++ b/internal/scheduler/rank.go
@@ -7,7 +7,7 @@
 )
 
 // rank returns the demands in scheduling order. Jobs that a customer submitted
-// beyond its rate come last. Steps that can still meet their objective come
+// beyond its rate come last, before them those of customers over their shares. Steps that can still meet their objective come
 // before those that can't, as they are worth more. After that, priority and
 // latest start decide.
 func rank(s *Snapshot) []*Demand {
@@ -20,6 +20,7 @@
 func (s *Snapshot) compare(a, b *Demand) int {
 	return cmp.Or(
 		falseFirst(a.Excess, b.Excess),
+		falseFirst(a.OverShare, b.OverShare),
 		falseFirst(s.late(a), s.late(b)),
 		cmp.Compare(a.Priority, b.Priority),
 		cmp.Compare(a.LatestStart, b.LatestStart),
--- a/internal/scheduler/snapshot.go
+++ b/internal/scheduler/snapshot.go
@@ -54,6 +54,11 @@
 	PermitMargin time.Duration
 	// UrgentStarts is the part of MaxStarts that is reserved for urgent work.
 	UrgentStarts int
+	// GangRoom, Preemption and Shares turn the parts of a plan on that keep room for
+	// gangs, stop runs and divide capacity among customers.
+	GangRoom   bool
+	Preemption bool
+	Shares     bool
 }
 
 // Host is an endpoint that may run tasks.
@@ -92,6 +97,11 @@
 	LatestStart time.Duration
 	// ReadyAt is when the step became ready.
 	ReadyAt time.Duration
+	// Duration is how long a task is expected to run at the usual speed.
+	Duration time.Duration
+	// OverShare is set if the step's customer uses more than its share of a contended
+	// pool.
+	OverShare bool
 	// Eligibility is nil if every endpoint of the pool may run the step.
 	Eligibility *Eligibility
 	// Occupied counts the step's runs by endpoint, to enforce MaxPerEndpoint.
@@ -154,6 +164,8 @@
 	Blocked int
 	// Limited is set if MaxStarts kept tasks from starting.
 	Limited bool
+	// Preemptions are the runs to stop in favor of demands that have no room.
+	Preemptions []Preemption
 	// GangWaiting are the endpoints on which blocked gangs wait for capacity.
 	GangWaiting map[*fleet.Endpoint]bool
 	// LastTurn is the last demand that was considered out of scheduling order,
@@ -171,6 +183,12 @@
 	Permit string
 }
 
+// Preemption stops a run in favor of a demand.
+type Preemption struct {
+	Run *fleet.Run
+	For *Demand
+}
+
 // Question asks which of the endpoints may run a step.
 type Question struct {
 	Demand    *Demand
--- a/internal/settings/kinds.go
+++ b/internal/settings/kinds.go
@@ -135,6 +135,11 @@
 	return nil
 }
 
+// switchKey returns a key that turns a part on, its default, or off.
+func switchKey[T any](section, key, doc string, ptr func(*T) *Switch) Key[T] {
+	return choiceKey(section, key, []string{string(On), string(Off)}, doc, ptr)
+}
+
 // choiceKey returns a key for one of the options; the first is the default.
 func choiceKey[T any, S ~string](section, key string, options []string, doc string, ptr func(*T) *S) Key[T] {
 	check := func(text string) error {
--- a/internal/settings/site.go
+++ b/internal/settings/site.go
@@ -13,7 +13,9 @@
 	Reach    SiteReach
 	Limits   SiteLimits
 	Bounds   SiteBounds
-	Log      Log
+	// Scheduling turns parts of the scheduling on and off.
+	Scheduling SiteScheduling
+	Log        Log
 }
 
 // SiteInstance identifies the instance and its location.
@@ -79,6 +81,35 @@
 	FarPercent int
 }
 
+// Switch turns a part of the product on or off.
+type Switch string
+
+// Values of a Switch.
+const (
+	On  Switch = "on"
+	Off Switch = "off"
+)
+
+// Enabled reports whether the part is on.
+func (s Switch) Enabled() bool { return s == On }
+
+// SiteScheduling turns parts of the scheduling on and off. All daemons of a cell are
+// set alike, as each of them may hold it.
+type SiteScheduling struct {
+	// Evacuation keeps new work off the availability zones that the operator empties.
+	Evacuation Switch
+	// GangRoom keeps room for blocked gangs from the time at which they can start.
+	GangRoom Switch
+	// Preemption stops runs of work that can wait for more urgent work.
+	Preemption Switch
+	// Shares divides contended capacity among customers by their weights.
+	Shares Switch
+	// Admission refuses jobs that can't end in a time that is of use.
+	Admission Switch
+	// Estimates corrects the run times that callers state from those seen.
+	Estimates Switch
+}
+
 const (
 	// minBound and maxBound are the range of plausible values for a duration
 	// in SiteBounds.
@@ -138,6 +169,19 @@
 		factorKey("bounds", "far_factor", "1.5", "Factor by which a task takes longer away from its data or its gang's rack.",
 			func(s *Site) *int { return &s.Bounds.FarPercent }),
 
+		switchKey("scheduling", "evacuation", "Starts nothing in availability zones that the operator empties.",
+			func(s *Site) *Switch { return &s.Scheduling.Evacuation }),
+		switchKey("scheduling", "gang_room", "Keeps room for gangs that wait, and lets short tasks use it until they start.",
+			func(s *Site) *Switch { return &s.Scheduling.GangRoom }),
+		switchKey("scheduling", "preemption", "Stops runs of work that can wait for more urgent work.",
+			func(s *Site) *Switch { return &s.Scheduling.Preemption }),
+		switchKey("scheduling", "shares", "Divides contended capacity among customers by weight.",
+			func(s *Site) *Switch { return &s.Scheduling.Shares }),
+		switchKey("scheduling", "admission", "Refuses jobs that can't end in a time that is of use to their callers.",
+			func(s *Site) *Switch { return &s.Scheduling.Admission }),
+		switchKey("scheduling", "estimates", "Corrects the run times that callers state from those seen.",
+			func(s *Site) *Switch { return &s.Scheduling.Estimates }),
+
 		reloadable(levelKey("log", "level", "info", "Lowest level that is logged.",
 			func(s *Site) *slog.Level { return &s.Log.Level })),
 		choiceKey("log", "format", []string{string(LogText), string(LogJSON)}, "Format of log lines.",
