Room is foreseen for gangs that wait

Cause: at most three blocked gangs held back room, however long, and everything else took each gap. Gangs missed their objectives while single tasks with far latest starts were served.

Change: package backfill foresees the earliest time at which a gang has room, from the expected ends. Up to half of a pool is claimed by gangs that still meet their objectives; other work uses claimed room if it ends before, or if it would miss its own objective. Permits are asked for so that they arrive when the room does.

Result: with the switch off, as before; the scheduler's tests pass.

--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -39,6 +39,10 @@
 			p.full.add(d, n)
 		}
 		p.rechargeHeldTasks(d)
+		if p.Policy.GangRoom {
+			p.claimRoom(d, known, n)
+			return
+		}
 		p.askAboutUnknown(d)
 		p.reserve(d, known, n)
 		return
@@ -182,6 +186,9 @@
 
 // mayReserve reports whether a blocked gang may reserve capacity.
 func (p *planner) mayReserve(d *Demand) bool {
+	if p.Policy.GangRoom {
+		return p.mayClaim(d)
+	}
 	return p.reservations < p.Policy.MaxReservations && !d.Excess
 }
 
@@ -216,7 +223,7 @@
 		slots[i] = k
 	}
 	for i, h := range hosts {
-		capacity[i] = h.available(d)
+		capacity[i] = p.available(d, h)
 		recount(i)
 	}
 	for _, e := range events {
--- a/internal/scheduler/hosts.go
+++ b/internal/scheduler/hosts.go
@@ -15,10 +15,14 @@
 }
 
 // available returns the capacity of a host that a demand may use.
-func (h *Host) available(d *Demand) resource.Vector {
-	if d.Urgent {
+func (p *planner) available(d *Demand, h *Host) resource.Vector {
+	if d.Urgent || len(h.claims) > 0 && p.ignoresClaims(d) {
 		return h.Free
 	}
+	if len(h.claims) > 0 {
+		timeline := h.timeline()
+		return timeline.RoomUntil(p.expectedEnd(d, h)).Sub(h.Reserved)
+	}
 	return h.Free.Sub(h.Reserved)
 }
 
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -17,8 +17,12 @@
 	// freeUrgentSlots is the number of typical urgent tasks that fit on all
 	// hosts.
 	freeUrgentSlots int
-	// reservations counts the gangs that have reserved capacity in this plan.
+	// reservations counts the gangs that have reserved capacity in this plan, and
+	// claimed is what those reserved for which room was foreseen, by pool.
 	reservations int
+	claimed      map[string]resource.Vector
+	// poolSize is the capacity of each pool.
+	poolSize map[string]resource.Vector
 	// failedSearches counts the demands for which all hosts were searched
 	// without placing all tasks, and full remembers them.
 	failedSearches int
@@ -45,10 +49,14 @@
 // MakePlan decides which tasks of the snapshot start where, and which questions
 // to ask. It modifies s.
 func MakePlan(s *Snapshot) Plan {
-	p := &planner{Snapshot: s, allocated: make(map[string]resource.Vector), full: make(fullHosts)}
+	p := &planner{
+		Snapshot: s, allocated: make(map[string]resource.Vector), full: make(fullHosts),
+		claimed: make(map[string]resource.Vector), poolSize: make(map[string]resource.Vector),
+	}
 	p.plan.GangWaiting = make(map[*fleet.Endpoint]bool)
 	for _, h := range s.Hosts {
 		p.freeUrgentSlots += p.urgentSlots(h)
+		p.poolSize[h.Endpoint.Pool] = p.poolSize[h.Endpoint.Pool].Add(h.Endpoint.Capacity)
 	}
 	p.chargeHeldTasks()
 	p.urgentHosts = sortedByScore(s.Hosts, urgentScore)
@@ -148,7 +156,7 @@
 // slots returns how many tasks of a demand fit on a host, at most limit.
 func (p *planner) slots(d *Demand, h *Host, limit int) int {
 	spec := d.Step.Spec
-	n := int(spec.Charge().Copies(h.available(d), int64(limit)))
+	n := int(spec.Charge().Copies(p.available(d, h), int64(limit)))
 	if spec.MaxPerEndpoint > 0 {
 		n = min(n, spec.MaxPerEndpoint-d.Occupied[h.Endpoint.ID])
 	}
--- a/internal/scheduler/snapshot.go
+++ b/internal/scheduler/snapshot.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"github.com/bluebellstile/bluebellstile/internal/backfill"
 	"github.com/bluebellstile/bluebellstile/internal/fleet"
 	"github.com/bluebellstile/bluebellstile/internal/resource"
 	"github.com/bluebellstile/bluebellstile/internal/workload"
@@ -73,13 +74,12 @@
 	GangWaiting bool
 	// Releases are the expected ends of the host's runs.
 	Releases []Release
+	// claims are the parts of the host that gangs use from a time on.
+	claims []backfill.Claim
 }
 
 // Release is capacity that is expected to become free.
-type Release struct {
-	At   time.Duration
-	Size resource.Vector
-}
+type Release = backfill.Release
 
 // Demand is a step with waiting tasks.
 type Demand struct {
