Plans preempt, and customers over their shares come later

Change: after placing, a plan chooses runs to stop for urgent work without room and for gangs that would miss their objectives, within a budget of core-seconds; room that comes soon anyway is counted first. Within a priority, work of customers over their shares of a contended fleet goes behind that of others.

--- a/internal/backfill/backfill.go
+++ b/internal/backfill/backfill.go
@@ -90,6 +90,16 @@
 // slotsAt returns how many tasks of a gang, at most limit, have room on a host at a time
 // beside the claims of other gangs, also of those that start later.
 func (h *Host) slotsAt(at time.Duration, g Gang, limit int) int {
+	room := h.RoomAt(at)
+	if g.MaxPerHost > 0 {
+		limit = min(limit, g.MaxPerHost)
+	}
+	return int(g.Size.Copies(room, int64(limit)))
+}
+
+// RoomAt returns the capacity of a host that is expected to be free at a time beside all
+// claims.
+func (h *Host) RoomAt(at time.Duration) resource.Vector {
 	room := h.Free
 	for i := range h.Releases {
 		if h.Releases[i].At <= at {
@@ -99,10 +109,7 @@
 	for i := range h.Claims {
 		room = room.Sub(h.Claims[i].Size)
 	}
-	if g.MaxPerHost > 0 {
-		limit = min(limit, g.MaxPerHost)
-	}
-	return int(g.Size.Copies(room, int64(limit)))
+	return room
 }
 
 // Claim adds a claim to a host, in order of time.
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -113,7 +113,9 @@
 
 	urgent  urgentLoad
 	backlog backlog
-	flow    flowControl
+	// preemptions bounds the work that preemptions throw away.
+	preemptions preemptionBudget
+	flow        flowControl
 	// inheritedSilences holds the records of the endpoints that an earlier term
 	// found silent, by endpoint id.
 	inheritedSilences map[string]silentRecord
@@ -133,7 +135,8 @@
 	// Plans counts the plans made, and Starts, Questions, Holds, Stops and Paces
 	// the orders emitted. Refused counts the starts that endpoints refused,
 	// Doubtful those without an answer, Lapsed the runs counted as ended because
-	// a lease has lapsed, and Evicted the evicted runs.
+	// a lease has lapsed, Evicted the evicted runs and Preempted
+	// those of them that made room for more urgent work.
 	Plans     int64
 	Starts    int64
 	Questions int64
@@ -143,6 +146,7 @@
 	Doubtful  int64
 	Lapsed    int64
 	Evicted   int64
+	Preempted int64
 	Paces     int64
 	// Waiting and Running are the current numbers of tasks, Open is the current
 	// number of jobs that have not ended.
@@ -197,6 +201,8 @@
 	// it must be recomputed.
 	waiting      []int
 	waitingStale bool
+	// preempted counts how often each task was stopped for more urgent work.
+	preempted map[int]int
 	// failedOn records the endpoints on which each task has failed.
 	failedOn map[int]map[string]bool
 }
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -67,6 +67,7 @@
 	plan := scheduler.MakePlan(snapshot)
 	c.log.Debug("planned", "demands", len(snapshot.Demands), "hosts", len(snapshot.Hosts), "starts", len(plan.Starts), "questions", len(plan.Questions), "blocked", plan.Blocked)
 	c.applyStarts(now, plan.Starts)
+	c.preempt(now, plan.Preemptions)
 	c.releaseHeld()
 	c.wanted, c.lastTurn = plan.GangWaiting, plan.LastTurn
 	c.blocked = plan.Blocked > 0
@@ -102,6 +103,7 @@
 			GangRoom:        c.params.Features.GangRoom,
 			Preemption:      c.params.Features.Preemption,
 			Shares:          c.params.Features.Shares,
+			StopTime:        c.params.StopGrace + stopMargin,
 		},
 	}
 	c.backlog.reset()
@@ -120,6 +122,13 @@
 	}
 	s.Hosts = c.hosts(now)
 	s.Policy.UrgentSize, s.Policy.UrgentSlots = c.urgentReserve(s.Hosts)
+	if c.params.Features.Preemption {
+		s.Victims = func(h *scheduler.Host) []scheduler.Victim { return c.victimsOn(now, h.Endpoint) }
+		s.PreemptionBudget = c.preemptions.available(now.Steady, c.coresOf(s.Hosts))
+	}
+	if c.params.Features.Shares {
+		c.markOverShare(s)
+	}
 	return s
 }
 
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -39,6 +39,8 @@
 			p.full.add(d, n)
 		}
 		p.rechargeHeldTasks(d)
+		d.starving = n
+		p.noteStarved(d)
 		if p.Policy.GangRoom {
 			p.claimRoom(d, known, n)
 			return
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -27,6 +27,8 @@
 	// without placing all tasks, and full remembers them.
 	failedSearches int
 	full           fullHosts
+	// starved are the demands without room that others may be stopped for.
+	starved []*Demand
 	// urgentHosts and nonUrgentHosts are the hosts in the order that urgent and
 	// other work prefers, as of the start of the plan.
 	urgentHosts    []*Host
@@ -63,6 +65,7 @@
 	p.nonUrgentHosts = sortedByScore(s.Hosts, nonUrgentScore)
 	p.hosts = rankHosts(p.urgentHosts, p.nonUrgentHosts)
 	p.placeInTurns(p.placeInOrder(rank(s)))
+	p.preempt()
 	return p.plan
 }
 
@@ -269,6 +272,8 @@
 	}
 	p.plan.Blocked++
 	p.failedSearches++
+	d.starving = len(waiting)
+	p.noteStarved(d)
 	p.rememberFullHosts(d)
 	p.ask(d, len(waiting))
 }
--- a/internal/scheduler/rank.go
+++ b/internal/scheduler/rank.go
@@ -7,9 +7,9 @@
 )
 
 // rank returns the demands in scheduling order. Jobs that a customer submitted
-// beyond its rate come last, before them those of customers over their shares. Steps that can still meet their objective come
-// before those that can't, as they are worth more. After that, priority and
-// latest start decide.
+// beyond its rate come last. Steps that can still meet their objective come
+// before those that can't, as they are worth more. After that priority decides, then
+// whether the customer is within its share, and then the latest start.
 func rank(s *Snapshot) []*Demand {
 	ordered := slices.Clone(s.Demands)
 	slices.SortStableFunc(ordered, s.compare)
@@ -20,9 +20,9 @@
 func (s *Snapshot) compare(a, b *Demand) int {
 	return cmp.Or(
 		falseFirst(a.Excess, b.Excess),
-		falseFirst(a.OverShare, b.OverShare),
 		falseFirst(s.late(a), s.late(b)),
 		cmp.Compare(a.Priority, b.Priority),
+		falseFirst(a.OverShare, b.OverShare),
 		cmp.Compare(a.LatestStart, b.LatestStart),
 		strings.Compare(string(a.Step.Job.ID), string(b.Step.Job.ID)),
 		cmp.Compare(a.Step.Occurrence.Index, b.Step.Occurrence.Index),
--- a/internal/scheduler/snapshot.go
+++ b/internal/scheduler/snapshot.go
@@ -8,6 +8,7 @@
 
 	"github.com/bluebellstile/bluebellstile/internal/backfill"
 	"github.com/bluebellstile/bluebellstile/internal/fleet"
+	"github.com/bluebellstile/bluebellstile/internal/preemption"
 	"github.com/bluebellstile/bluebellstile/internal/resource"
 	"github.com/bluebellstile/bluebellstile/internal/workload"
 )
@@ -37,6 +38,11 @@
 	Policy      Policy
 	// LastTurn is Plan.LastTurn of the plan before, nil if there is none.
 	LastTurn *Demand
+	// Victims returns the runs on a host that may be stopped for work of a better
+	// priority. It is called only if such work has no room.
+	Victims func(*Host) []Victim
+	// PreemptionBudget bounds the work that preemptions may throw away, in core-seconds.
+	PreemptionBudget float64
 }
 
 // Policy holds the parameters of the scheduling rules.
@@ -60,6 +66,9 @@
 	GangRoom   bool
 	Preemption bool
 	Shares     bool
+	// StopTime is how long it takes until the room of a run that is being stopped can be
+	// used.
+	StopTime time.Duration
 }
 
 // Host is an endpoint that may run tasks.
@@ -106,6 +115,8 @@
 	Eligibility *Eligibility
 	// Occupied counts the step's runs by endpoint, to enforce MaxPerEndpoint.
 	Occupied map[string]int
+	// starving is the number of tasks for which a plan found no room.
+	starving int
 	// Avoid reports whether a task should not run on an endpoint because it
 	// failed there before.
 	Avoid func(task int, endpoint string) bool
@@ -183,10 +194,18 @@
 	Permit string
 }
 
-// Preemption stops a run in favor of a demand.
-type Preemption struct {
+// Victim is a run that may be stopped for work of a better priority.
+type Victim struct {
+	preemption.Victim
 	Run *fleet.Run
-	For *Demand
+}
+
+// Preemption stops a run in favor of a demand. Loss is what that throws away, in
+// core-seconds.
+type Preemption struct {
+	Run  *fleet.Run
+	For  *Demand
+	Loss float64
 }
 
 // Question asks which of the endpoints may run a step.
