Stated run times are corrected from those seen

Cause: stated run times are off by large factors in some queues. Latest starts, expected ends and endpoints' speeds rested on them.

The core uses the corrected time for latest starts, expected ends, stalls and speeds.

--- a/internal/controller/configuration.go
+++ b/internal/controller/configuration.go
@@ -60,7 +60,7 @@
 	if r := job.Spec.Recurrence; r != nil {
 		openedAt = r.Due(entry.step.Occurrence.Index)
 	}
-	chains := entry.jobEntry.chainsWith(questionTime)
+	chains := c.chainsOf(now, entry.jobEntry, questionTime)
 	objective := time.Duration(min(q.Stretch*float64(chains.Longest), float64(workload.MaxSpan))) + q.Objective
 	left := max(openedAt.Add(objective).Sub(now.Wall), -workload.MaxSpan) - chains.From[entry.step.Index]
 	entry.latestStart = now.Steady + left
@@ -70,15 +70,6 @@
 // objective of a job allows for; the users' rules specify it.
 const objectiveEndpoints = 30
 
-// chainsWith returns the chains of the job's steps, with the time of a question
-// added for each step.
-func (e *jobEntry) chainsWith(questionTime time.Duration) workload.Chains {
-	if e.chains.From == nil || e.chainsQuestionTime != questionTime {
-		e.chains, e.chainsQuestionTime = e.job.Spec.Chains(questionTime), questionTime
-	}
-	return e.chains
-}
-
 // failExhausted fails the job of a step if one of its tasks may not run again under the
 // configuration in force.
 func (c *Core) failExhausted(now clock.Instant, entry *stepEntry) {
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -23,6 +23,7 @@
 
 	"github.com/bluebellstile/bluebellstile/internal/catalog"
 	"github.com/bluebellstile/bluebellstile/internal/clock"
+	"github.com/bluebellstile/bluebellstile/internal/estimate"
 	"github.com/bluebellstile/bluebellstile/internal/fleet"
 	"github.com/bluebellstile/bluebellstile/internal/scheduler"
 	"github.com/bluebellstile/bluebellstile/internal/workload"
@@ -113,7 +114,9 @@
 
 	urgent  urgentLoad
 	backlog backlog
-	flow    flowControl
+	// runTimes holds what was learned of run times, nil if they are taken as stated.
+	runTimes *estimate.Model
+	flow     flowControl
 	// inheritedSilences holds the records of the endpoints that an earlier term
 	// found silent, by endpoint id.
 	inheritedSilences map[string]silentRecord
@@ -160,9 +163,11 @@
 	ended bool
 	// waiters are called once the admission is in the log.
 	waiters []func(SubmitResult)
-	// chains caches the chains of the job's steps for chainsQuestionTime.
+	// chains caches the chains of the job's steps for chainsQuestionTime, with the run
+	// times that were expected at chainsAt.
 	chains             workload.Chains
 	chainsQuestionTime time.Duration
+	chainsAt           time.Duration
 }
 
 // stepEntry is a ready step with its scheduling state.
@@ -204,7 +209,7 @@
 // NewCore returns a core without jobs and endpoints. The log refuses writes of
 // earlier terms since fencedAt or before.
 func NewCore(params Params, current *catalog.Catalog, fencedAt time.Duration, logger *slog.Logger) *Core {
-	return &Core{
+	c := &Core{
 		params:         params,
 		fencedAt:       fencedAt,
 		log:            logger,
@@ -223,6 +228,10 @@
 		eligibilityInstances: 1,
 		flow:                 newFlowControl(),
 	}
+	if params.Features.Estimates {
+		c.runTimes = estimate.NewModel()
+	}
+	return c
 }
 
 // SetEligibilityInstances sets through how many instances eligibility questions
--- a/internal/controller/evict.go
+++ b/internal/controller/evict.go
@@ -11,7 +11,7 @@
 	// minStall is the shortest time without progress after which a run counts
 	// as stalled. Endpoints report at least once a second while tasks run.
 	minStall = 1200 * time.Millisecond
-	// stallFraction is the same as a fraction of the task's estimate. Progress
+	// stallFraction is the same as a fraction of the task's expected run time. Progress
 	// is reported in hundredths, so that even a run at a twentieth of its
 	// normal speed shows progress within that time.
 	stallFraction = 0.2
@@ -91,10 +91,11 @@
 		return false
 	}
 	spec := r.Step.Spec
-	limit := max(minStall, time.Duration(stallFraction*float64(spec.Estimate)))
+	runTime := float64(c.runTimeOf(r.Step))
+	limit := max(minStall, time.Duration(stallFraction*runTime))
 	if !spec.Checkpoints {
 		// Stopping a run with checkpoints loses no work.
-		limit = max(limit, time.Duration(r.Progress*float64(spec.Estimate)))
+		limit = max(limit, time.Duration(r.Progress*runTime))
 	}
 	if spec.Gang {
 		limit += c.params.GangWait
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -225,7 +225,7 @@
 		Excess:      e.jobEntry.job.Excess,
 		LatestStart: e.latestStart,
 		ReadyAt:     e.since,
-		Duration:    e.step.Spec.Estimate,
+		Duration:    c.runTimeOf(e.step),
 		Eligibility: c.eligibilityOf(now, e, q),
 	}
 	if e.step.Spec.MaxPerEndpoint > 0 {
@@ -335,7 +335,7 @@
 		OrderedAt: now.Steady,
 		Pace:      100,
 	}
-	r.ExpectedEnd = now.Steady + time.Duration(float64(s.Spec.Estimate)*start.Endpoint.History.Slowdown())
+	r.ExpectedEnd = now.Steady + time.Duration(float64(start.Demand.Duration)*start.Endpoint.History.Slowdown())
 	start.Endpoint.Add(r)
 	if r.Priority == 0 {
 		c.urgent.updateSize(r.Charge)
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -44,6 +44,8 @@
 	barredAt     time.Duration
 	// stopDecided is set once the run is to be stopped.
 	stopDecided bool
+	// learned is set once the run's time was added to those seen of its queue.
+	learned bool
 	// mayRunUntil is until when the run may work although the lease of the incarnation
 	// that its start was meant for has lapsed: a start without an answer may have
 	// reached the next one.
@@ -373,6 +375,9 @@
 // finishRun frees the resources of a run and records its end.
 func (c *Core) finishRun(now clock.Instant, r *fleet.Run, end workload.End, checkpoint string) {
 	e := r.Endpoint
+	if end == workload.EndDone {
+		c.learnFromEnd(now, r)
+	}
 	c.dropRunState(e, r)
 	e.Remove(r)
 	c.planDue = true
@@ -448,7 +453,7 @@
 	case workload.EndDone:
 		r.Endpoint.History.ObserveEnd(string(r.Task.Job), false)
 		if r.ConfirmedAt > 0 && !r.Step.Spec.Gang && r.Step.Checkpoint(r.Index()) == "" {
-			r.Endpoint.History.ObserveDuration(now.Steady-r.ConfirmedAt, r.Step.Spec.Estimate)
+			r.Endpoint.History.ObserveDuration(now.Steady-r.ConfirmedAt, c.runTimeOf(r.Step))
 		}
 	case workload.EndFailed:
 		c.recordFailedRun(now, r)
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -224,10 +224,14 @@
 	From []time.Duration
 }
 
-// Chains returns the chains of a valid spec, with extra added for each step. It
-// visits each dependency once: the number of paths grows exponentially with the
-// number of steps.
+// Chains returns the chains of a valid spec, with extra added for each step.
 func (s *Spec) Chains(extra time.Duration) Chains {
+	return s.ChainsOf(func(i int) time.Duration { return addBounded(s.Steps[i].Estimate, extra) })
+}
+
+// ChainsOf returns the chains of a valid spec whose step i takes span(i). It visits each
+// dependency once: the number of paths grows exponentially with the number of steps.
+func (s *Spec) ChainsOf(span func(step int) time.Duration) Chains {
 	dependents := make([][]int, len(s.Steps))
 	for i := range s.Steps {
 		for _, before := range s.Steps[i].After {
@@ -246,7 +250,7 @@
 			after = max(after, from(k))
 		}
 		computed[i] = true
-		c.From[i] = addBounded(addBounded(s.Steps[i].Estimate, extra), after)
+		c.From[i] = addBounded(span(i), after)
 		return c.From[i]
 	}
 	for i := range s.Steps {
