--- a/internal/controller/shares.go
+++ b/internal/controller/shares.go
@@ -1,7 +1,11 @@
 package controller
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/bluebellstile/bluebellstile/internal/fairshare"
+	"github.com/bluebellstile/bluebellstile/internal/metrics"
 	"github.com/bluebellstile/bluebellstile/internal/resource"
 	"github.com/bluebellstile/bluebellstile/internal/scheduler"
 )
@@ -43,3 +47,19 @@
 	}
 	c.noteShares(over, division)
 }
+
+// noteShares logs and counts the customers over their shares when they have changed.
+func (c *Core) noteShares(over map[string]bool, division fairshare.Division) {
+	n := 0
+	for _, name := range slices.Sorted(maps.Keys(over)) {
+		if over[name] {
+			n++
+		}
+		if over[name] != c.overShare[name] {
+			c.log.Info("customer has gone over its share or back", "customer", name, "over", over[name],
+				"share", division.Shares[name], "used", division.Used(name))
+		}
+	}
+	c.overShare = over
+	metrics.CustomersOverShare.Set(int64(n))
+}
--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -76,6 +76,9 @@
 	return d.Contended && d.used[customer] > d.Shares[customer]*(1+tolerance)
 }
 
+// Used returns the part of the capacity that a customer uses.
+func (d *Division) Used(customer string) float64 { return d.used[customer] }
+
 // Dominant returns the largest part of a capacity that an amount takes in any dimension.
 func Dominant(amount, capacity resource.Vector) float64 {
 	part := 0.0
