Jobs that can't end in a time that is of use are refused at once

Cause: the only bound was 500 waiting steps and a wait of 8 s for all alike; below it everything was accepted, also what could not be done in time.

Change: package admission expects the wait of a job from the work that goes before it in its pool, and refuses it if it then ended after three times its objective, not while there is room, and not if its customer has a small part of what waits. Refused jobs that could have been served are counted.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -21,6 +21,7 @@
 	"slices"
 	"time"
 
+	"github.com/bluebellstile/bluebellstile/internal/admission"
 	"github.com/bluebellstile/bluebellstile/internal/catalog"
 	"github.com/bluebellstile/bluebellstile/internal/clock"
 	"github.com/bluebellstile/bluebellstile/internal/estimate"
@@ -114,6 +115,7 @@
 
 	urgent  urgentLoad
 	backlog backlog
+	door    admission.Door
 	// runTimes holds what was learned of run times, nil if they are taken as stated.
 	runTimes *estimate.Model
 	flow     flowControl
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -116,10 +116,14 @@
 		}
 	}
 	if len(s.Demands) == 0 {
+		c.door.Update(now.Steady, nil)
 		return s
 	}
 	s.Hosts = c.hosts(now)
 	s.Policy.UrgentSize, s.Policy.UrgentSlots = c.urgentReserve(s.Hosts)
+	if c.params.Features.Admission {
+		c.updateDoor(now, s)
+	}
 	return s
 }
 
--- a/internal/controller/submit.go
+++ b/internal/controller/submit.go
@@ -106,7 +106,11 @@
 	if open := len(c.jobs) - len(c.ended); open >= maxSharedJobs || open >= maxOpenJobs && !c.hasFewJobs(s.Customer, open) {
 		return problem.Refuse(problem.QueueFull, "try again later", "%d jobs are open", open).WithRetryAfter(excessRetry)
 	}
-	if wait, refused := c.backlog.refuses(s.Customer); refused {
+	if c.params.Features.Admission {
+		if p := c.checkUseful(now, q, s); p != nil {
+			return p
+		}
+	} else if wait, refused := c.backlog.refuses(s.Customer); refused {
 		return problem.Refuse(problem.QueueFull, "try again later",
 			"%d steps wait to start, about %.0f start a second", c.backlog.waiting, c.backlog.rate).WithRetryAfter(min(wait, maxExpectedWait))
 	}
@@ -114,7 +118,7 @@
 		return problem.Refuse(problem.QueueFull, "try again later, or send smaller jobs",
 			"the jobs waiting to be stored would need %d bytes, at most %d are stored at once", size, maxAdmissionBytes).WithRetryAfter(admissionsRetry)
 	}
-	if b := c.rates[s.Customer]; b != nil && b.empty(now, c.rateOf(s.Customer), c.params.RateWindow) && c.countExcessJobs(s.Customer) >= maxExcessJobs {
+	if c.exceedsRate(now, s.Customer) && c.countExcessJobs(s.Customer) >= maxExcessJobs {
 		return problem.Refuse(problem.QueueFull, "send fewer jobs a second",
 			"customer %q exceeds its job rate and already has %d open jobs beyond it", s.Customer, maxExcessJobs).WithRetryAfter(excessRetry)
 	}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -91,6 +91,8 @@
 	ProofAgeMS           = counter("term_proof_age_ms", "milliseconds since the held term was last proven current; 0 if none is held")
 	PlanTime             = histogram("plan_ms", "time to plan which tasks start next")
 	OddEntries           = counterMap("odd_entries_total", "entries of other writers that were left out, by list: registry, configuration; each reading of one counts")
+	JobsRefusedUseless   = counterMap("jobs_refused_useless_total", "jobs refused because they could not end in a time that is of use, by queue")
+	AdmissionErrors      = counterMap("admission_errors_total", "jobs refused that could have been served, and jobs accepted that ended too late to be of use")
 	ProcessorMS          = counter("processor_ms_total", "milliseconds of processor time used by the daemon")
 	LogLinesDropped      = counter("log_lines_dropped_total", "log lines dropped because their reader was too slow")
 )
