--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -118,6 +118,7 @@
 		}
 	}
 	if len(s.Demands) == 0 {
+		c.door.Update(now.Steady, nil)
 		return s
 	}
 	s.Hosts = c.hosts(now)
@@ -129,6 +130,9 @@
 	if c.params.Features.Shares {
 		c.markOverShare(s)
 	}
+	if c.params.Features.Admission {
+		c.updateDoor(now, s)
+	}
 	return s
 }
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -93,6 +93,8 @@
 	OddEntries           = counterMap("odd_entries_total", "entries of other writers that were left out, by list: registry, configuration; each reading of one counts")
 	Preemptions          = counterMap("preemptions_total", "runs stopped for more urgent work, by the queue of that work")
 	CustomersOverShare   = counter("customers_over_share", "customers that use more than their shares of the endpoints while these are contended, at the holder")
+	JobsRefusedUseless   = counterMap("jobs_refused_useless_total", "jobs refused because they could not end in a time that is of use, by queue")
+	AdmissionErrors      = counterMap("admission_errors_total", "jobs refused that could have been served, and jobs accepted that ended too late to be of use")
 	ProcessorMS          = counter("processor_ms_total", "milliseconds of processor time used by the daemon")
 	LogLinesDropped      = counter("log_lines_dropped_total", "log lines dropped because their reader was too slow")
 )
