Nothing is started in availability zones that the operator empties

Cause: requests to empty an availability zone were not read.

Change: the follower of the operator's records tracks the requests by zone, the newest record of each counts. The core uses no endpoint of such a zone, withdraws starts that wait for their records, repeats none, and steps that only those endpoints could run are told as such. A new holder reads the requests before its first plan.

The tests of scheduler and controller pass.

--- a/internal/controller/calls.go
+++ b/internal/controller/calls.go
@@ -6,6 +6,7 @@
 
 	"github.com/bluebellstile/bluebellstile/internal/catalog"
 	"github.com/bluebellstile/bluebellstile/internal/clock"
+	"github.com/bluebellstile/bluebellstile/internal/evacuation"
 	"github.com/bluebellstile/bluebellstile/internal/fleet"
 	"github.com/bluebellstile/bluebellstile/internal/problem"
 	"github.com/bluebellstile/bluebellstile/internal/workload"
@@ -114,6 +115,11 @@
 	c.withCore(func(now clock.Instant, core *Core) { core.SetCatalog(now, next) })
 }
 
+// SetEvacuations sets the availability zones that the operator empties.
+func (c *Controller) SetEvacuations(zones evacuation.Zones) {
+	c.withCore(func(now clock.Instant, core *Core) { core.SetEvacuations(now, zones) })
+}
+
 // SetEligibilityInstances sets through how many instances eligibility questions
 // can be asked.
 func (c *Controller) SetEligibilityInstances(n int) {
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -23,6 +23,7 @@
 
 	"github.com/bluebellstile/bluebellstile/internal/catalog"
 	"github.com/bluebellstile/bluebellstile/internal/clock"
+	"github.com/bluebellstile/bluebellstile/internal/evacuation"
 	"github.com/bluebellstile/bluebellstile/internal/fleet"
 	"github.com/bluebellstile/bluebellstile/internal/scheduler"
 	"github.com/bluebellstile/bluebellstile/internal/workload"
@@ -97,6 +98,9 @@
 	// fleet.Endpoint does not have.
 	endpointStates map[*fleet.Endpoint]*endpointState
 
+	// evacuated holds the availability zones that the operator empties.
+	evacuated evacuation.Zones
+
 	batch *Batch
 	// stops holds the pending stop orders, orders all others.
 	stops  []Order
--- a/internal/controller/flow.go
+++ b/internal/controller/flow.go
@@ -177,7 +177,7 @@
 	for group := c.flow.nextGroup(); group != nil; group = c.flow.nextGroup() {
 		permitted := true
 		for _, s := range group {
-			permitted = permitted && c.permitted(now, s)
+			permitted = c.mayStart(now, s) && permitted
 		}
 		for _, s := range group {
 			c.sendStart(now, s, permitted)
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -111,7 +111,7 @@
 }
 
 // sendStart emits the start of a run whose record is in the log. permitted tells
-// whether its permit and those of the other members of its gang are valid.
+// whether it and the other members of its gang may still start.
 func (c *Core) sendStart(now clock.Instant, s *plannedStart, permitted bool) {
 	r := s.run
 	if c.fleet.Find(r.Key) != r {
@@ -280,7 +280,7 @@
 		return
 	}
 	r.Phase = fleet.PhaseDoubtful
-	if r.Step.Spec.Gang && rs.tries < maxStartTries && !c.endpointStateOf(r.Endpoint).silent {
+	if r.Step.Spec.Gang && rs.tries < maxStartTries && !c.endpointStateOf(r.Endpoint).silent && !c.isEvacuated(r.Endpoint) {
 		c.repeatStart(now, r, rs)
 		return
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -23,7 +23,9 @@
 	// byTask holds the runs of each task. The controller starts no run of a task
 	// that has another one.
 	byTask map[workload.TaskID][]*Run
-	// reach is nil if an endpoint has changed since it was computed.
+	// closedZones holds the availability zones in which nothing may start.
+	closedZones map[string]bool
+	// reach is nil if an endpoint or closedZones has changed since it was computed.
 	reach reach
 }
 
@@ -89,6 +91,10 @@
 // Unlist records that an endpoint has left the registry.
 func (f *Fleet) Unlist(e *Endpoint) { e.Listed, f.reach = false, nil }
 
+// SetClosedZones sets the availability zones in which nothing may start. They count for
+// nothing in CouldHold.
+func (f *Fleet) SetClosedZones(zones map[string]bool) { f.closedZones, f.reach = zones, nil }
+
 // rebuildOrder rebuilds the ordered list, in a new slice. Endpoints are added
 // and removed rarely.
 func (f *Fleet) rebuildOrder() {
--- a/internal/fleet/reach.go
+++ b/internal/fleet/reach.go
@@ -38,7 +38,7 @@
 	}
 	counts = make(map[resource.Vector]int)
 	for _, e := range f.ordered {
-		if e.Listed && e.Pool == class.pool && e.HasLabel(class.label) {
+		if e.Listed && !f.closedZones[e.AvailabilityZone] && e.Pool == class.pool && e.HasLabel(class.label) {
 			counts[e.Capacity]++
 		}
 	}
--- a/internal/keyedlog/follower.go
+++ b/internal/keyedlog/follower.go
@@ -32,7 +32,8 @@
 	// Reset is called with the newest record of every key: at the start, when
 	// records were trimmed before they were read, and when the partition ends
 	// below what was read.
-	Reset func([]Entry)
+	// end is where the partition ended when the first of them was read.
+	Reset func(newest []Entry, end int64)
 	// Apply is called with the records that follow, in order.
 	Apply func([]Entry)
 	// CaughtUp, if set, is called when all records that the partition contained
@@ -105,7 +106,7 @@
 	if err != nil {
 		return -1, err
 	}
-	f.Reset(entries)
+	f.Reset(entries, from)
 	if f.CaughtUp != nil {
 		f.CaughtUp(began)
 	}
--- a/internal/leadership/directory.go
+++ b/internal/leadership/directory.go
@@ -149,7 +149,7 @@
 		Partition: d.partition,
 		Clock:     d.clock,
 		Wait:      readWait,
-		Reset:     d.reset,
+		Reset:     func(newest []keyedlog.Entry, _ int64) { d.reset(newest) },
 		Apply:     d.apply,
 		OnError:   func(err error) { d.logger.Debug("the cell's topic can't be read", "error", err) },
 	}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -91,6 +91,8 @@
 	ProofAgeMS           = counter("term_proof_age_ms", "milliseconds since the held term was last proven current; 0 if none is held")
 	PlanTime             = histogram("plan_ms", "time to plan which tasks start next")
 	OddEntries           = counterMap("odd_entries_total", "entries of other writers that were left out, by list: registry, configuration; each reading of one counts")
+	ZonesEvacuated       = counter("zones_evacuated", "availability zones that the operator empties, at the holder")
+	StartsWithdrawn      = counterMap("starts_withdrawn_total", "starts that were planned and not sent, by cause: evacuation")
 	ProcessorMS          = counter("processor_ms_total", "milliseconds of processor time used by the daemon")
 	LogLinesDropped      = counter("log_lines_dropped_total", "log lines dropped because their reader was too slow")
 )
--- a/internal/node/catalogs.go
+++ b/internal/node/catalogs.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/bluebellstile/bluebellstile/internal/catalog"
 	"github.com/bluebellstile/bluebellstile/internal/clock"
+	"github.com/bluebellstile/bluebellstile/internal/evacuation"
 	"github.com/bluebellstile/bluebellstile/internal/keyedlog"
 	"github.com/bluebellstile/bluebellstile/internal/metrics"
 	"gopkg.in/tomb.v2"
@@ -19,11 +22,14 @@
 // that this wait bounds the age of the proof.
 const catalogReadWait = time.Second
 
-// CatalogFeed is the partition of the configurations and their decoder.
+// CatalogFeed is the partition of the operator's records and their decoders.
 type CatalogFeed struct {
 	Partition keyedlog.Partition
 	// Decode returns nil for a record that is not a configuration.
 	Decode func(keyedlog.Record) (*catalog.Catalog, error)
+	// Evacuation decodes a request to empty an availability zone, whose offset is not set;
+	// ok is false for other records. It is nil if there are no such requests.
+	Evacuation func(keyedlog.Record) (r evacuation.Record, ok bool, err error)
 }
 
 // catalogFollower reads the published configurations and keeps the newest one.
@@ -37,9 +43,22 @@
 	confirmedAt atomic.Int64
 	// onChange is called with each newer configuration.
 	onChange func(*catalog.Catalog)
-	// applying serializes apply, so that an older configuration never replaces a
-	// newer one.
+	// onEvacuations is called with the availability zones that are being emptied when
+	// they have changed.
+	onEvacuations func(evacuation.Zones)
+	evacuations   atomic.Pointer[evacuation.Zones]
+	// applying serializes apply and reset, so that an older record never replaces a newer
+	// one. It guards requests, from which evacuations is derived.
 	applying sync.Mutex
+	requests *evacuation.Tracker
+}
+
+// newCatalogFollower returns a follower that has read nothing.
+func newCatalogFollower(feed CatalogFeed, log keyedlog.Log, c clock.Clock, logger *slog.Logger) *catalogFollower {
+	return &catalogFollower{
+		feed: feed, log: log, clock: c, logger: logger, requests: evacuation.NewTracker(),
+		onChange: func(*catalog.Catalog) {}, onEvacuations: func(evacuation.Zones) {},
+	}
 }
 
 // Catalog implements gateway.CatalogSource.
@@ -55,7 +74,7 @@
 		Partition: c.feed.Partition,
 		Clock:     c.clock,
 		Wait:      catalogReadWait,
-		Reset:     c.apply,
+		Reset:     c.reset,
 		Apply:     c.apply,
 		CaughtUp:  func(at time.Duration) { c.confirmedAt.Store(int64(at)) },
 		OnError: func(err error) {
@@ -69,18 +88,77 @@
 // behind, as its reads fail one by one while the log is away and wait before they are
 // repeated.
 func (c *catalogFollower) refresh(ctx context.Context) error {
-	entries, _, err := keyedlog.NewestAll(ctx, c.log, c.feed.Partition)
+	entries, end, err := keyedlog.NewestAll(ctx, c.log, c.feed.Partition)
 	if err != nil {
 		return err
 	}
-	c.apply(entries)
+	c.reset(entries, end)
 	return nil
 }
 
-// apply puts the newest configuration among the entries into force.
+// reset puts the newest configuration and the requests to empty availability zones into
+// force, as they were when the partition ended at end.
+func (c *catalogFollower) reset(entries []keyedlog.Entry, end int64) {
+	c.applying.Lock()
+	defer c.applying.Unlock()
+	if c.requests.Reset(c.decodeEvacuations(entries), end) {
+		c.publishEvacuations()
+	}
+	c.applyCatalogs(entries)
+}
+
+// apply puts what the operator has written into force.
 func (c *catalogFollower) apply(entries []keyedlog.Entry) {
 	c.applying.Lock()
 	defer c.applying.Unlock()
+	changed := false
+	for _, r := range c.decodeEvacuations(entries) {
+		changed = c.requests.Apply(r) || changed
+	}
+	if changed {
+		c.publishEvacuations()
+	}
+	c.applyCatalogs(entries)
+}
+
+// decodeEvacuations returns the requests among the entries to empty availability zones.
+func (c *catalogFollower) decodeEvacuations(entries []keyedlog.Entry) []evacuation.Record {
+	if c.feed.Evacuation == nil {
+		return nil
+	}
+	var records []evacuation.Record
+	for i := range entries {
+		r, ok, err := c.feed.Evacuation(entries[i].Record)
+		switch {
+		case err != nil:
+			metrics.OddEntries.Add("evacuation", 1)
+			c.logger.Warn("skipping a request to empty an availability zone", "offset", entries[i].Offset, "error", err)
+		case ok:
+			r.Offset = entries[i].Offset
+			records = append(records, r)
+		}
+	}
+	return records
+}
+
+// publishEvacuations makes the availability zones that are being emptied known.
+func (c *catalogFollower) publishEvacuations() {
+	zones := c.requests.Zones()
+	c.evacuations.Store(&zones)
+	c.logger.Info("availability zones to be emptied have changed", "zones", slices.Sorted(maps.Keys(zones)))
+	c.onEvacuations(zones)
+}
+
+// Evacuations returns the availability zones that are being emptied.
+func (c *catalogFollower) Evacuations() evacuation.Zones {
+	if zones := c.evacuations.Load(); zones != nil {
+		return *zones
+	}
+	return nil
+}
+
+// applyCatalogs puts the newest configuration among the entries into force.
+func (c *catalogFollower) applyCatalogs(entries []keyedlog.Entry) {
 	for i := range entries {
 		next, err := c.feed.Decode(entries[i].Record)
 		if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -127,7 +127,7 @@
 	n.peers = fleetpeer.NewClients(nil)
 	n.sender = dispatch.NewSender(o.Clock, d.Endpoints, d.Eligibility, n.leaving.Load)
 	n.pool = eligibility.NewPool(o.Clock.Now)
-	n.catalogs = &catalogFollower{feed: d.Catalogs, log: d.Log, clock: o.Clock, logger: o.Logger}
+	n.catalogs = newCatalogFollower(d.Catalogs, d.Log, o.Clock, o.Logger)
 	n.directory = leadership.NewDirectory(d.Log, d.Cell, o.Clock, n.self, o.Logger)
 	n.terms = &termManager{
 		log:         d.Log,
@@ -144,6 +144,7 @@
 		peer:        func(m leadership.Member) dispatch.Peer { return n.peers.To(m.Address) },
 	}
 	n.catalogs.onChange = n.terms.setCatalog
+	n.catalogs.onEvacuations = n.terms.setEvacuations
 	n.presence = leadership.NewPresence()
 	n.elector = leadership.NewElector(n.directory, n.peers, o.Clock, n.logLastSeen, n.terms.checkJobsReadable, n.terms.begin, o.Logger)
 	n.terms.onTermEnd = n.elector.TermEnded
--- a/internal/node/registry.go
+++ b/internal/node/registry.go
@@ -99,7 +99,7 @@
 		Clock:       r.clock,
 		Wait:        registryReadWait,
 		MinInterval: minRegistryReadInterval,
-		Reset:       r.reset,
+		Reset:       func(newest []keyedlog.Entry, _ int64) { r.reset(newest) },
 		Apply:       r.apply,
 		OnError:     func(err error) { r.logger.Warn("the registry of endpoints can't be read", "error", err) },
 	}
--- a/internal/node/terms.go
+++ b/internal/node/terms.go
@@ -11,6 +11,7 @@
 	"github.com/bluebellstile/bluebellstile/internal/clock"
 	"github.com/bluebellstile/bluebellstile/internal/controller"
 	"github.com/bluebellstile/bluebellstile/internal/dispatch"
+	"github.com/bluebellstile/bluebellstile/internal/evacuation"
 	"github.com/bluebellstile/bluebellstile/internal/fleet"
 	"github.com/bluebellstile/bluebellstile/internal/keyedlog"
 	"github.com/bluebellstile/bluebellstile/internal/leadership"
@@ -187,6 +188,7 @@
 func (ts *termManager) newCore(epoch int64, configuration *catalog.Catalog, fenced time.Duration, registrations []fleet.Registration, entries []keyedlog.Entry) *controller.Core {
 	now := clock.Read(ts.clock)
 	core := controller.NewCore(ts.params, configuration, fenced, ts.logger.With("epoch", epoch))
+	core.SetEvacuations(now, ts.catalogs.Evacuations())
 	for _, r := range registrations {
 		core.EndpointListed(now, r)
 	}
@@ -206,6 +208,7 @@
 	if c := ts.catalogs.Catalog(); c != nil {
 		current.controller.SetCatalog(c)
 	}
+	current.controller.SetEvacuations(ts.catalogs.Evacuations())
 }
 
 // clearCurrent records that a term has ended.
@@ -275,6 +278,13 @@
 	}
 }
 
+// setEvacuations gives the running term the availability zones that are being emptied.
+func (ts *termManager) setEvacuations(zones evacuation.Zones) {
+	if t := ts.term(); t != nil {
+		t.controller.SetEvacuations(zones)
+	}
+}
+
 // Submit implements fleetpeer.Holder.
 func (t *term) Submit(ctx context.Context, job *workload.Job, version int64) (*problem.Problem, error) {
 	if !t.controller.KnowsJob(job.ID) {
