Work that starts task by task yields to gangs of a better priority

Cause: claims on chosen endpoints didn't help. Ruled out: the order of the plan (gangs come first there), and early permits for claims (asked again and again, as the room didn't come).

Change: a plan sums what gangs without room need, and steps of a worse priority whose latest start is far start only into room beyond that and beyond the headroom for urgent work. Within a second of its latest start a step no longer waits. Claims are gone.

--- a/internal/backfill/backfill.go
+++ b/internal/backfill/backfill.go
@@ -1,7 +1,7 @@
-// Package backfill foresees when a gang has room on endpoints that are busy, and tells what
-// other work may use of that room before. It answers a load of gangs and of single tasks
-// that compete for full endpoints: single tasks take every gap as it appears, and a gang
-// that needs many gaps at once never starts. It performs no I/O and reads no clock.
+// Package backfill foresees when work has room on endpoints that are busy, from the expected
+// ends of what runs there. It answers work without room on full endpoints: whether it is
+// worth to stop other work depends on when it gets room without. It performs no I/O and
+// reads no clock.
 package backfill
 
 import (
@@ -122,25 +122,3 @@
 	})
 	h.Claims = slices.Insert(h.Claims, i, c)
 }
-
-// RoomUntil returns the capacity of a host that work which ends by then may use now: all
-// that is free beside the claims that begin before, as far as what becomes free until then
-// doesn't suffice for them.
-func (h *Host) RoomUntil(end time.Duration) resource.Vector {
-	room, claimed := h.Free, resource.Vector{}
-	for i := range h.Claims {
-		c := &h.Claims[i]
-		if c.At >= end {
-			break
-		}
-		claimed = claimed.Add(c.Size)
-		then := h.Free.Sub(claimed)
-		for k := range h.Releases {
-			if h.Releases[k].At <= c.At {
-				then = then.Add(h.Releases[k].Size)
-			}
-		}
-		room = room.Min(then)
-	}
-	return room
-}
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -24,6 +24,7 @@
 	}
 	if !d.holdsCapacity() && !p.mayReserve(d) && p.full.includes(d, n) {
 		p.plan.Blocked++
+		p.noteOwed(d, n)
 		if p.gangQuestionsLeft(d) > 0 {
 			p.failedSearches++
 			p.askAboutUnknown(d)
@@ -41,10 +42,7 @@
 		p.rechargeHeldTasks(d)
 		d.starving = n
 		p.noteStarved(d)
-		if p.Policy.GangRoom {
-			p.claimRoom(d, known, n)
-			return
-		}
+		p.noteOwed(d, n)
 		p.askAboutUnknown(d)
 		p.reserve(d, known, n)
 		return
@@ -188,9 +186,6 @@
 
 // mayReserve reports whether a blocked gang may reserve capacity.
 func (p *planner) mayReserve(d *Demand) bool {
-	if p.Policy.GangRoom {
-		return p.mayClaim(d)
-	}
 	return p.reservations < p.Policy.MaxReservations && !d.Excess
 }
 
@@ -225,7 +220,7 @@
 		slots[i] = k
 	}
 	for i, h := range hosts {
-		capacity[i] = p.available(d, h)
+		capacity[i] = h.available(d)
 		recount(i)
 	}
 	for _, e := range events {
--- a/internal/scheduler/hosts.go
+++ b/internal/scheduler/hosts.go
@@ -15,14 +15,10 @@
 }
 
 // available returns the capacity of a host that a demand may use.
-func (p *planner) available(d *Demand, h *Host) resource.Vector {
-	if d.Urgent || len(h.claims) > 0 && p.ignoresClaims(d) {
+func (h *Host) available(d *Demand) resource.Vector {
+	if d.Urgent {
 		return h.Free
 	}
-	if len(h.claims) > 0 {
-		timeline := h.timeline()
-		return timeline.RoomUntil(p.expectedEnd(d, h)).Sub(h.Reserved)
-	}
 	return h.Free.Sub(h.Reserved)
 }
 
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -17,12 +17,12 @@
 	// freeUrgentSlots is the number of typical urgent tasks that fit on all
 	// hosts.
 	freeUrgentSlots int
-	// reservations counts the gangs that have reserved capacity in this plan, and
-	// claimed is what those reserved for which room was foreseen, by pool.
+	// reservations counts the gangs that have reserved capacity in this plan.
 	reservations int
-	claimed      map[string]resource.Vector
-	// poolSize is the capacity of each pool.
-	poolSize map[string]resource.Vector
+	// poolFree is the unused part of each pool.
+	poolFree map[string]resource.Vector
+	// owed is what gangs that have no room yet need, by pool and priority.
+	owed map[owedKey]resource.Vector
 	// failedSearches counts the demands for which all hosts were searched
 	// without placing all tasks, and full remembers them.
 	failedSearches int
@@ -53,12 +53,12 @@
 func MakePlan(s *Snapshot) Plan {
 	p := &planner{
 		Snapshot: s, allocated: make(map[string]resource.Vector), full: make(fullHosts),
-		claimed: make(map[string]resource.Vector), poolSize: make(map[string]resource.Vector),
+		poolFree: make(map[string]resource.Vector), owed: make(map[owedKey]resource.Vector),
 	}
 	p.plan.GangWaiting = make(map[*fleet.Endpoint]bool)
 	for _, h := range s.Hosts {
 		p.freeUrgentSlots += p.urgentSlots(h)
-		p.poolSize[h.Endpoint.Pool] = p.poolSize[h.Endpoint.Pool].Add(h.Endpoint.Capacity)
+		p.poolFree[h.Endpoint.Pool] = p.poolFree[h.Endpoint.Pool].Add(h.Free)
 	}
 	p.chargeHeldTasks()
 	p.urgentHosts = sortedByScore(s.Hosts, urgentScore)
@@ -145,6 +145,7 @@
 	p.freeUrgentSlots -= p.urgentSlots(h)
 	h.Free = h.Free.Sub(size)
 	p.freeUrgentSlots += p.urgentSlots(h)
+	p.poolFree[h.Endpoint.Pool] = p.poolFree[h.Endpoint.Pool].Sub(size)
 }
 
 // urgentSlots returns how many typical urgent tasks fit on a host.
@@ -159,7 +160,7 @@
 // slots returns how many tasks of a demand fit on a host, at most limit.
 func (p *planner) slots(d *Demand, h *Host, limit int) int {
 	spec := d.Step.Spec
-	n := int(spec.Charge().Copies(p.available(d, h), int64(limit)))
+	n := int(spec.Charge().Copies(h.available(d), int64(limit)))
 	if spec.MaxPerEndpoint > 0 {
 		n = min(n, spec.MaxPerEndpoint-d.Occupied[h.Endpoint.ID])
 	}
@@ -255,7 +256,7 @@
 		hosts = p.candidates(d)
 	}
 	waiting := d.Tasks
-	for len(waiting) > 0 && p.quotaAllows(d, 1) {
+	for len(waiting) > 0 && p.quotaAllows(d, 1) && !p.yields(d) {
 		if !p.mayStart(d) {
 			return
 		}
@@ -270,6 +271,10 @@
 	if len(waiting) == 0 || !p.quotaAllows(d, 1) {
 		return
 	}
+	if p.yields(d) {
+		p.plan.Blocked++
+		return
+	}
 	p.plan.Blocked++
 	p.failedSearches++
 	d.starving = len(waiting)
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -82,7 +82,6 @@
 	host := p.hosts[h.Endpoint]
 	if host == nil {
 		host = &preemptedHost{timeline: h.timeline(), victims: p.Victims(h)}
-		host.timeline.Claims = nil
 		p.hosts[h.Endpoint] = host
 	}
 	return host
@@ -142,3 +141,8 @@
 		}
 	}
 }
+
+// timeline returns what a host has now and what is expected to become free there.
+func (h *Host) timeline() backfill.Host {
+	return backfill.Host{Free: h.Free, Releases: h.Releases}
+}
--- a/internal/scheduler/snapshot.go
+++ b/internal/scheduler/snapshot.go
@@ -83,8 +83,6 @@
 	GangWaiting bool
 	// Releases are the expected ends of the host's runs.
 	Releases []Release
-	// claims are the parts of the host that gangs use from a time on.
-	claims []backfill.Claim
 }
 
 // Release is capacity that is expected to become free.
