--- a/internal/scheduler/question.go
+++ b/internal/scheduler/question.go
@@ -23,6 +23,9 @@
 	// to steps whose tasks start one by one, whose questions are short. After a restart,
 	// when all gangs ask again, those would wait for seconds.
 	reserveDivisor = 8
+	// lateDivisor does the same for gangs that miss their objectives in any case: they
+	// leave this part to those that don't.
+	lateDivisor = 2
 )
 
 // askAboutUnknown asks about hosts whose eligibility is unknown, those with capacity first,
@@ -54,6 +57,9 @@
 	if d.Urgent {
 		return p.questionsLeft(d)
 	}
+	if p.Policy.GangRoom && (p.late(d) || d.Excess) {
+		return p.questionsLeft(d) - p.QuestionsInAll/lateDivisor
+	}
 	return p.questionsLeft(d) - p.QuestionsInAll/reserveDivisor
 }
 
@@ -94,8 +100,9 @@
 }
 
 // roomiestFirst returns the hosts in the order in which a gang asks about them: those with
-// capacity for a task before the others, and for a gang that belongs in one rack those in
-// the rack with the most capacity before that.
+// capacity for more tasks first, and for a gang that belongs in one rack those in
+// the rack with the most capacity before that. The permits for the room that there is
+// then come with the first answer.
 func (p *planner) roomiestFirst(d *Demand, hosts []*Host) []*Host {
 	n := len(d.Tasks)
 	slots := make(map[*Host]int, len(hosts))
@@ -110,7 +117,7 @@
 	slices.SortStableFunc(ordered, func(a, b *Host) int {
 		return cmp.Or(
 			cmp.Compare(inRack[b.Endpoint.Rack], inRack[a.Endpoint.Rack]),
-			falseFirst(slots[a] == 0, slots[b] == 0),
+			cmp.Compare(slots[b], slots[a]),
 		)
 	})
 	return ordered
