--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -214,6 +214,8 @@
 	// it must be recomputed.
 	waiting      []int
 	waitingStale bool
+	// yielding is set once the step has waited for gangs of a better priority.
+	yielding bool
 	// preempted counts how often each task was stopped for more urgent work.
 	preempted map[int]int
 	// failedOn records the endpoints on which each task has failed.
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -68,6 +68,7 @@
 	c.log.Debug("planned", "demands", len(snapshot.Demands), "hosts", len(snapshot.Hosts), "starts", len(plan.Starts), "questions", len(plan.Questions), "blocked", plan.Blocked)
 	c.applyStarts(now, plan.Starts)
 	c.preempt(now, plan.Preemptions)
+	c.noteYielding(plan.Yielding)
 	c.releaseHeld()
 	c.wanted, c.lastTurn = plan.GangWaiting, plan.LastTurn
 	c.blocked = plan.Blocked > 0
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -91,6 +91,7 @@
 	ProofAgeMS           = counter("term_proof_age_ms", "milliseconds since the held term was last proven current; 0 if none is held")
 	PlanTime             = histogram("plan_ms", "time to plan which tasks start next")
 	OddEntries           = counterMap("odd_entries_total", "entries of other writers that were left out, by list: registry, configuration; each reading of one counts")
+	StepsYielding        = counter("steps_yielding", "steps that wait because gangs of a better priority need the room, at the holder's last plan")
 	Preemptions          = counterMap("preemptions_total", "runs stopped for more urgent work, by the queue of that work")
 	CustomersOverShare   = counter("customers_over_share", "customers that use more than their shares of the endpoints while these are contended, at the holder")
 	JobsRefusedUseless   = counterMap("jobs_refused_useless_total", "jobs refused because they could not end in a time that is of use, by queue")
--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -46,3 +46,54 @@
 	}
 	return s
 }
+
+// BenchmarkMakePlanParts measures a plan on full hosts with the parts that answer overload
+// off and on, by the numbers of hosts and of waiting steps.
+func BenchmarkMakePlanParts(b *testing.B) {
+	for _, n := range []int{350, 4900} {
+		for _, demands := range []int{1000, 10000} {
+			for _, on := range []bool{false, true} {
+				b.Run(fmt.Sprintf("hosts=%d/waiting=%d/on=%v", n, demands, on), func(b *testing.B) {
+					for b.Loop() {
+						b.StopTimer()
+						s := overloadedSnapshot(n, demands)
+						s.Policy.GangRoom, s.Policy.Preemption, s.Policy.Shares = on, on, on
+						b.StartTimer()
+						MakePlan(s)
+					}
+				})
+			}
+		}
+	}
+}
+
+// overloadedSnapshot returns a snapshot of hosts with one free core each. Of each ten waiting
+// steps one is a gang, for which a hundred hosts are known, and one is urgent.
+func overloadedSnapshot(n, demands int) *Snapshot {
+	s := snapshot(n)
+	for _, h := range s.Hosts {
+		h.Free = cores(1)
+		h.Releases = []Release{{At: now + time.Second, Size: cores(8)}, {At: now + 3*time.Second, Size: cores(7)}}
+	}
+	for i := range demands {
+		d := demand(newSteps(fmt.Sprintf("%016x", i), "c", workload.Step{Count: 3 + i%20, Size: cores(4), Gang: i%10 == 0})[0])
+		d.Urgent = i%10 == 1
+		switch {
+		case d.Urgent:
+			d.Priority = 0
+		case !d.Step.Spec.Gang:
+			d.Priority = 2
+		}
+		d.Eligibility = NewEligibility()
+		d.Eligibility.EligibleShare, d.Eligibility.QuestionBase, d.Eligibility.QuestionPerEndpoint = 0.3, 340*time.Millisecond, 4900*time.Microsecond
+		known := 10
+		if d.Step.Spec.Gang {
+			known = 100
+		}
+		for k := range known {
+			d.Eligibility.SetEligible(s.Hosts[(i*7+k*3)%n].Endpoint, (i+k)%3 == 0)
+		}
+		s.Demands = append(s.Demands, d)
+	}
+	return s
+}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/bluebellstile/bluebellstile/internal/fleet"
+	"github.com/bluebellstile/bluebellstile/internal/precedence"
 	"github.com/bluebellstile/bluebellstile/internal/resource"
 )
 
@@ -21,8 +22,8 @@
 	reservations int
 	// poolFree is the unused part of each pool.
 	poolFree map[string]resource.Vector
-	// owed is what gangs that have no room yet need, by pool and priority.
-	owed map[owedKey]resource.Vector
+	// owed is what gangs need that have no room yet.
+	owed precedence.Owed
 	// failedSearches counts the demands for which all hosts were searched
 	// without placing all tasks, and full remembers them.
 	failedSearches int
@@ -53,7 +54,7 @@
 func MakePlan(s *Snapshot) Plan {
 	p := &planner{
 		Snapshot: s, allocated: make(map[string]resource.Vector), full: make(fullHosts),
-		poolFree: make(map[string]resource.Vector), owed: make(map[owedKey]resource.Vector),
+		poolFree: make(map[string]resource.Vector), owed: make(precedence.Owed),
 	}
 	p.plan.GangWaiting = make(map[*fleet.Endpoint]bool)
 	for _, h := range s.Hosts {
@@ -271,11 +272,11 @@
 	if len(waiting) == 0 || !p.quotaAllows(d, 1) {
 		return
 	}
+	p.plan.Blocked++
 	if p.yields(d) {
-		p.plan.Blocked++
+		p.plan.Yielding = append(p.plan.Yielding, d)
 		return
 	}
-	p.plan.Blocked++
 	p.failedSearches++
 	d.starving = len(waiting)
 	p.noteStarved(d)
--- a/internal/scheduler/snapshot.go
+++ b/internal/scheduler/snapshot.go
@@ -171,6 +171,8 @@
 	// Blocked counts the demands for which there was not enough capacity, and
 	// those that were not considered.
 	Blocked int
+	// Yielding are the demands that wait because gangs of a better priority need the room.
+	Yielding []*Demand
 	// Limited is set if MaxStarts kept tasks from starting.
 	Limited bool
 	// Preemptions are the runs to stop in favor of demands that have no room.
--- a/internal/scheduler/yield.go
+++ b/internal/scheduler/yield.go
@@ -1,10 +1,6 @@
 package scheduler
 
-import (
-	"time"
-
-	"github.com/bluebellstile/bluebellstile/internal/resource"
-)
+import "time"
 
 const (
 	// maxYieldTime bounds how long after it became ready a gang holds back other work.
@@ -15,41 +11,37 @@
 	latestStartMargin = time.Second
 )
 
-// owedKey selects the gangs of a pool and a priority.
-type owedKey struct {
-	pool     string
-	priority int
-}
-
 // noteOwed records what a gang without room needs, if it can still meet its objective.
 func (p *planner) noteOwed(d *Demand, n int) {
-	if !p.Policy.GangRoom || d.Urgent || d.Excess || p.late(d) || p.Now-d.ReadyAt > maxYieldTime {
+	if !p.Policy.GangRoom || d.Urgent || d.Excess || p.late(d) || p.Now-d.ReadyAt > maxYieldTime || p.isHopeless(d, n) {
 		return
 	}
-	key := owedKey{pool: d.Pool, priority: d.Priority}
-	p.owed[key] = p.owed[key].Add(d.Step.Spec.Charge().Scale(int64(n)))
+	p.owed.Add(d.Pool, d.Priority, d.Step.Spec.Charge().Scale(int64(n)))
 }
 
-// yields reports whether a task of a step waits for gangs of a better priority: it starts
-// only into room beyond what they need and beyond the headroom for urgent work. It answers
-// gangs that compete with single tasks on full endpoints: single tasks know earlier where
-// they may run, and take each gap as it appears.
-func (p *planner) yields(d *Demand) bool {
-	if len(p.owed) == 0 || d.Urgent || p.mustStart(d) {
+// isHopeless reports whether the endpoints that may run a gang, all of which are known,
+// could not run it even if they were idle. Such a gang holds nothing back.
+func (p *planner) isHopeless(d *Demand, n int) bool {
+	if d.Eligibility == nil || len(d.Eligibility.Eligible) < len(p.Hosts) {
 		return false
 	}
-	owed := resource.Vector{}
-	for key, size := range p.owed {
-		if key.pool == d.Pool && key.priority < d.Priority {
-			owed = owed.Add(size)
+	slots := 0
+	for _, e := range d.Eligibility.Good {
+		if r, usable := p.hosts[e]; usable && p.suits(d, e) {
+			slots += d.idleSlots(r.host)
 		}
 	}
-	if owed == (resource.Vector{}) {
+	return slots < n
+}
+
+// yields reports whether the tasks of a step wait for gangs of a better priority: they start
+// only into room beyond what those need and beyond the headroom for urgent work.
+func (p *planner) yields(d *Demand) bool {
+	if len(p.owed) == 0 || d.Urgent || p.mustStart(d) {
 		return false
 	}
 	headroom := p.Policy.UrgentSize.Scale(int64(p.Policy.UrgentSlots))
-	beside := p.poolFree[d.Pool].Sub(headroom).Sub(owed)
-	return d.Step.Spec.Charge().Copies(beside, 1) == 0
+	return p.owed.Yields(d.Pool, d.Priority, d.Step.Spec.Charge(), p.poolFree[d.Pool], headroom)
 }
 
 // mustStart reports whether a step would miss its objective if it waited any longer.
