Intake: an account of what clients' unfinished requests hold

Change: package intake. A ledger of plain values charges each byte read from a connection until its request is worked on, those of headers sixteenfold, and says which connection to give up: over the bytes, the longest unfinished of the client address and key that hold most; over the connections, idle ones first. Metrics intake_given_up_total, intake_bytes and intake_connections.

--- /dev/null
+++ b/internal/intake/guard.go
@@ -0,0 +1,270 @@
+package intake
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Cause tells why a client's connection or request was given up.
+type Cause string
+
+// Causes.
+const (
+	// CauseBytes: unfinished requests hold all that they may.
+	CauseBytes Cause = "bytes"
+	// CauseConnections: there are as many connections as there may be.
+	CauseConnections Cause = "connections"
+	// CauseAnswers: an answer was not read.
+	CauseAnswers Cause = "answers"
+	// CauseWork: all that may be worked on at once, or by one customer, is.
+	CauseWork Cause = "work"
+	// CauseLate: a body did not arrive in time.
+	CauseLate Cause = "late"
+	// CauseBroken: a body ended too early.
+	CauseBroken Cause = "broken"
+)
+
+// Guard applies a Ledger to the connections of an http.Server.
+type Guard struct {
+	limits Limits
+	report func(cause Cause, address, detail string)
+	begin  time.Time
+
+	mu     sync.Mutex
+	ledger *Ledger
+	conns  map[*entry]*Conn
+}
+
+// NewGuard returns a guard. report is called for each connection that is given
+// up; it must not block.
+func NewGuard(l Limits, report func(cause Cause, address, detail string)) *Guard {
+	return &Guard{limits: l, report: report, begin: time.Now().Add(-time.Second), ledger: NewLedger(l), conns: make(map[*entry]*Conn)}
+}
+
+// now is the time since the guard was made, never 0.
+func (g *Guard) now() time.Duration { return time.Since(g.begin) }
+
+// Attach makes the server tell the guard how far its requests have come. The
+// server must serve a listener that Listener has wrapped.
+func (g *Guard) Attach(s *http.Server) {
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
+	s.ConnState = func(c net.Conn, state http.ConnState) {
+		guarded, ok := c.(*Conn)
+		if !ok {
+			return
+		}
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		switch state {
+		case http.StateActive:
+			guarded.entry.headerDone = true
+		case http.StateIdle:
+			g.ledger.answered(guarded.entry, g.now())
+		case http.StateClosed, http.StateHijacked:
+			g.forget(guarded)
+		case http.StateNew:
+		}
+	}
+}
+
+// forget removes a connection from the ledger.
+func (g *Guard) forget(c *Conn) {
+	g.ledger.remove(c.entry)
+	delete(g.conns, c.entry)
+}
+
+type connKey struct{}
+
+// FromContext returns the connection of a request, or nil if it isn't guarded.
+func FromContext(ctx context.Context) *Conn {
+	c, _ := ctx.Value(connKey{}).(*Conn)
+	return c
+}
+
+// Listener returns l with its connections guarded.
+func (g *Guard) Listener(l net.Listener) net.Listener { return &listener{Listener: l, guard: g} }
+
+type listener struct {
+	net.Listener
+	guard *Guard
+}
+
+// Accept accepts the next connection. If there is no room for it, another one
+// is closed, or else this one.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if guarded := l.guard.take(c); guarded != nil {
+			return guarded, nil
+		}
+		_ = c.Close()
+	}
+}
+
+// take adds a connection; it returns nil if there is no room.
+func (g *Guard) take(c net.Conn) *Conn {
+	address, _, err := net.SplitHostPort(c.RemoteAddr().String())
+	if err != nil {
+		address = c.RemoteAddr().String()
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	if g.ledger.full() {
+		spare := g.ledger.spare(now)
+		if spare == nil {
+			g.report(CauseConnections, address, "every connection is being worked on")
+			return nil
+		}
+		g.close(spare)
+	}
+	guarded := &Conn{Conn: c, guard: g, entry: g.ledger.add(address, now)}
+	g.conns[guarded.entry] = guarded
+	return guarded
+}
+
+// close closes a connection for another one.
+func (g *Guard) close(e *entry) {
+	c := g.conns[e]
+	cause := CauseConnections
+	if e.phase == working {
+		cause = CauseAnswers
+	}
+	if e.phase != cut {
+		g.report(cause, e.party.address, "")
+	}
+	g.forget(c)
+	c.cut = true
+	_ = c.Close()
+}
+
+// Conn is a guarded connection.
+type Conn struct {
+	net.Conn
+	guard *Guard
+	entry *entry
+	// cut is guarded by the guard's lock.
+	cut bool
+}
+
+// Read reads, and charges what was read.
+func (c *Conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.guard.charge(c, n)
+	}
+	return n, err
+}
+
+// charge counts bytes read and gives connections up while the account is
+// overdrawn. A handler that reads their bodies sees a passed deadline, and
+// can still refuse the request.
+func (g *Guard) charge(c *Conn, n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ledger.charge(c.entry, n, g.now())
+	for e := g.ledger.overdrawn(); e != nil; e = g.ledger.overdrawn() {
+		g.report(CauseBytes, e.party.address, "")
+		g.ledger.giveUp(e)
+		victim := g.conns[e]
+		victim.cut = true
+		_ = victim.Conn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// SetReadDeadline sets the deadline, unless the connection was given up.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	if c.cut {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// Write writes a part of an answer, which the client must read in time.
+func (c *Conn) Write(b []byte) (int, error) {
+	now := c.guard.now()
+	c.guard.setWriting(c, now)
+	defer c.guard.setWriting(c, 0)
+	if err := c.SetWriteDeadline(c.guard.begin.Add(now + c.guard.limits.AnswerTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(b)
+}
+
+func (g *Guard) setWriting(c *Conn, since time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c.entry.writing = since
+}
+
+// Admitted notes the customer whose request the connection carries.
+func (c *Conn) Admitted(customer string) {
+	if c == nil {
+		return
+	}
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	c.guard.ledger.admit(c.entry, customer)
+}
+
+// Work notes that the request is complete and worked on from now until it is
+// answered: it is not cut any more. It reports false if the request has to be
+// refused.
+func (c *Conn) Work() bool {
+	if c == nil {
+		return true
+	}
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	return c.guard.ledger.work(c.entry)
+}
+
+// Cut reports whether the connection was given up.
+func (c *Conn) Cut() bool {
+	if c == nil {
+		return false
+	}
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	return c.cut
+}
+
+// Held returns the bytes charged and the number of connections.
+func (g *Guard) Held() (bytes int64, connections int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ledger.bytes, len(g.ledger.entries)
+}
+
+// Serve limits of a server for few callers that the operators know: readiness
+// checks and scrapers of metrics.
+const (
+	smallConnections = 48
+	smallBytes       = 1 << 20
+	smallHeader      = 8 << 10
+	smallTimeout     = 3 * time.Second
+	smallIdle        = 15 * time.Second
+)
+
+// NewSmallServer returns a server for few callers, and a function that wraps its
+// listener. Its requests have no bodies worth reading and are answered at once.
+func NewSmallServer(h http.Handler, report func(cause Cause, address, detail string)) (*http.Server, func(net.Listener) net.Listener) {
+	s := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: smallTimeout,
+		ReadTimeout:       smallTimeout,
+		IdleTimeout:       smallIdle,
+		MaxHeaderBytes:    smallHeader,
+	}
+	g := NewGuard(Limits{Bytes: smallBytes, Connections: smallConnections, AnswerTimeout: smallTimeout}, report)
+	g.Attach(s)
+	return s, g.Listener
+}
--- /dev/null
+++ b/internal/intake/ledger.go
@@ -0,0 +1,265 @@
+// Package intake bounds what clients that nobody controls can make a process
+// hold. A Ledger counts connections and the bytes of unfinished requests and
+// says which connection to give up; a Guard applies it to a listener and an
+// http.Server. It answers the load of many clients whose bodies, headers or
+// answers never end.
+package intake
+
+import "time"
+
+// phase tells how far a connection's request has come.
+type phase uint8
+
+const (
+	// idle: no byte of a request has arrived.
+	idle phase = iota
+	// receiving: the request has begun and is not complete.
+	receiving
+	// working: the request is being worked on. It is never cut.
+	working
+	// cut: given up, until its connection is closed.
+	cut
+)
+
+const (
+	// headerCost is how much memory a byte of a header may take once it has been
+	// parsed into many short fields.
+	headerCost = 16
+	// stalledAnswer is how long a write of an answer must have been blocked for
+	// the connection to count as one whose answers are not read.
+	stalledAnswer = time.Second
+)
+
+// Limits bound what all clients together hold.
+type Limits struct {
+	// Bytes bounds what requests hold that are not complete. Bytes of headers
+	// count for more.
+	Bytes int64
+	// Connections bounds the connections.
+	Connections int
+	// AnswerTimeout bounds the time in which a client must read a part of its
+	// answer.
+	AnswerTimeout time.Duration
+}
+
+// party is a client address with a customer's key; the customer is empty until
+// a request was admitted.
+type party struct{ address, customer string }
+
+// holding is what a party's connections hold together.
+type holding struct {
+	bytes       int64
+	connections int
+}
+
+// entry is a connection in the ledger.
+type entry struct {
+	index   int
+	party   party
+	holding *holding
+	phase   phase
+	// since is when the phase began; a request that receives keeps the time of
+	// its first byte.
+	since      time.Duration
+	bytes      int64
+	headerDone bool
+	// workFor is the customer whose share of the work the request takes.
+	workFor string
+	// writing is since when a write has been under way; 0 if none is.
+	writing time.Duration
+}
+
+// Ledger decides which connections are given up. It has no clock and does no
+// I/O; it is not safe for concurrent use.
+type Ledger struct {
+	limits   Limits
+	entries  []*entry
+	holdings map[party]*holding
+	// works counts the requests being worked on, by customer.
+	works map[string]int
+	bytes int64
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger(l Limits) *Ledger {
+	return &Ledger{limits: l, holdings: make(map[party]*holding), works: make(map[string]int)}
+}
+
+// add adds a connection. The caller gives up what spare returns first.
+func (l *Ledger) add(address string, now time.Duration) *entry {
+	e := &entry{index: len(l.entries), since: now}
+	l.entries = append(l.entries, e)
+	l.assign(e, party{address: address})
+	return e
+}
+
+// remove removes a connection; a second call has no effect.
+func (l *Ledger) remove(e *entry) {
+	if e.index < 0 {
+		return
+	}
+	l.settle(e)
+	l.leaveWork(e)
+	l.leaveParty(e)
+	last := len(l.entries) - 1
+	l.entries[e.index] = l.entries[last]
+	l.entries[e.index].index = e.index
+	l.entries[last] = nil
+	l.entries = l.entries[:last]
+	e.index = -1
+}
+
+// assign moves a connection to a party.
+func (l *Ledger) assign(e *entry, p party) {
+	if e.holding != nil {
+		if e.party == p {
+			return
+		}
+		l.leaveParty(e)
+	}
+	h := l.holdings[p]
+	if h == nil {
+		h = new(holding)
+		l.holdings[p] = h
+	}
+	e.party, e.holding = p, h
+	h.connections++
+	h.bytes += e.bytes
+}
+
+func (l *Ledger) leaveParty(e *entry) {
+	e.holding.connections--
+	e.holding.bytes -= e.bytes
+	if e.holding.connections == 0 {
+		delete(l.holdings, e.party)
+	}
+}
+
+// charge counts bytes that were read from a connection.
+func (l *Ledger) charge(e *entry, n int, now time.Duration) {
+	if e.index < 0 || e.phase == working || e.phase == cut {
+		return
+	}
+	if e.phase == idle {
+		e.phase, e.since = receiving, now
+	}
+	cost := int64(n)
+	if !e.headerDone {
+		cost *= headerCost
+	}
+	e.bytes += cost
+	e.holding.bytes += cost
+	l.bytes += cost
+}
+
+// settle takes a connection's bytes off the account.
+func (l *Ledger) settle(e *entry) {
+	e.holding.bytes -= e.bytes
+	l.bytes -= e.bytes
+	e.bytes = 0
+}
+
+// admit notes the customer of a connection's request.
+func (l *Ledger) admit(e *entry, customer string) {
+	if e.index >= 0 {
+		l.assign(e, party{address: e.party.address, customer: customer})
+	}
+}
+
+// work notes that a request is being worked on, and reports false if it must
+// not be: it was given up, or its customer has its share of the connections at
+// work.
+func (l *Ledger) work(e *entry) bool {
+	if e.index < 0 || e.phase == cut || l.works[e.party.customer] >= max(1, l.limits.Connections/2) {
+		return false
+	}
+	if e.phase != working {
+		l.settle(e)
+		e.phase, e.workFor = working, e.party.customer
+		l.works[e.workFor]++
+	}
+	return true
+}
+
+func (l *Ledger) leaveWork(e *entry) {
+	if e.phase != working {
+		return
+	}
+	l.works[e.workFor]--
+	if l.works[e.workFor] == 0 {
+		delete(l.works, e.workFor)
+	}
+}
+
+// answered notes that a request was answered; the connection is idle.
+func (l *Ledger) answered(e *entry, now time.Duration) {
+	if e.index < 0 || e.phase == cut {
+		return
+	}
+	l.settle(e)
+	l.leaveWork(e)
+	e.phase, e.since, e.headerDone = idle, now, false
+}
+
+// giveUp marks a connection as cut and takes its bytes off the account.
+func (l *Ledger) giveUp(e *entry) {
+	l.settle(e)
+	l.leaveWork(e)
+	e.phase = cut
+}
+
+// overdrawn returns the connection to give up while the account is overdrawn:
+// the one that has been unfinished longest, of the party that holds most bytes.
+func (l *Ledger) overdrawn() *entry {
+	if l.bytes <= l.limits.Bytes {
+		return nil
+	}
+	var found *entry
+	for _, e := range l.entries {
+		if e.phase != receiving || e.bytes == 0 {
+			continue
+		}
+		if found == nil || e.holding.bytes > found.holding.bytes || e.holding.bytes == found.holding.bytes && e.since < found.since {
+			found = e
+		}
+	}
+	return found
+}
+
+// full reports whether no connection may be added.
+func (l *Ledger) full() bool { return len(l.entries) >= l.limits.Connections }
+
+// spare returns the connection to close so that another one can be added: one
+// that was given up, else the longest idle one, else the longest unfinished one
+// or one whose answers are not read; among equals of the party with most
+// connections. It returns nil if all are being worked on.
+func (l *Ledger) spare(now time.Duration) *entry {
+	var found *entry
+	best := 0
+	for _, e := range l.entries {
+		rank := e.rank(now)
+		if rank == 0 || rank < best {
+			continue
+		}
+		if rank > best || e.holding.connections > found.holding.connections ||
+			e.holding.connections == found.holding.connections && e.since < found.since {
+			found, best = e, rank
+		}
+	}
+	return found
+}
+
+// rank orders connections by how little is lost with them; 0 are never closed.
+func (e *entry) rank(now time.Duration) int {
+	const byCut, byIdle, byUnfinished = 3, 2, 1
+	switch {
+	case e.phase == cut:
+		return byCut
+	case e.phase == idle:
+		return byIdle
+	case e.phase == receiving, e.writing > 0 && now-e.writing >= stalledAnswer:
+		return byUnfinished
+	default:
+		return 0
+	}
+}
--- /dev/null
+++ b/internal/intake/ledger_test.go
@@ -0,0 +1,124 @@
+package intake
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestLedgerKeepsItsBounds draws what connections do. The load: more of them, and
+// more unfinished requests, than there is room for. Bytes and connections stay
+// within their limits, and no request that is worked on is given up unless its
+// answer is not read.
+func TestLedgerKeepsItsBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limits := Limits{Bytes: rapid.Int64Range(0, 5000).Draw(t, "bytes"), Connections: rapid.IntRange(2, 8).Draw(t, "connections")}
+		l := NewLedger(limits)
+		now := time.Duration(1)
+		pick := func() *entry {
+			if len(l.entries) == 0 {
+				return nil
+			}
+			return l.entries[rapid.IntRange(0, len(l.entries)-1).Draw(t, "entry")]
+		}
+		on := func(f func(e *entry)) func(*rapid.T) {
+			return func(*rapid.T) {
+				now += time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond
+				if e := pick(); e != nil {
+					f(e)
+				}
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"add": func(*rapid.T) {
+				if l.full() {
+					spare := l.spare(now)
+					if spare == nil {
+						return
+					}
+					if spare.phase == working && (spare.writing == 0 || now-spare.writing < stalledAnswer) {
+						t.Fatal("a request that is worked on is given up")
+					}
+					l.remove(spare)
+				}
+				l.add(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "address"), now)
+			},
+			"charge": on(func(e *entry) {
+				l.charge(e, rapid.IntRange(1, 600).Draw(t, "read"), now)
+				for v := l.overdrawn(); v != nil; v = l.overdrawn() {
+					if v.phase != receiving {
+						t.Fatalf("a connection in phase %d is given up for its bytes", v.phase)
+					}
+					l.giveUp(v)
+				}
+			}),
+			"header":   on(func(e *entry) { e.headerDone = true }),
+			"admit":    on(func(e *entry) { l.admit(e, rapid.SampledFrom([]string{"x", "y"}).Draw(t, "customer")) }),
+			"work":     on(func(e *entry) { l.work(e) }),
+			"write":    on(func(e *entry) { e.writing = now }),
+			"answered": on(func(e *entry) { e.writing = 0; l.answered(e, now) }),
+			"remove":   on(func(e *entry) { l.remove(e); l.remove(e) }),
+			"": func(*rapid.T) {
+				checkSums(t, l)
+				if l.bytes > limits.Bytes || len(l.entries) > limits.Connections {
+					t.Fatalf("%d bytes of %d, %d connections of %d", l.bytes, limits.Bytes, len(l.entries), limits.Connections)
+				}
+			},
+		})
+	})
+}
+
+// checkSums compares the ledger's sums with those of its entries.
+func checkSums(t *rapid.T, l *Ledger) {
+	var bytes int64
+	works := make(map[string]int)
+	connections := make(map[party]int)
+	for i, e := range l.entries {
+		bytes += e.bytes
+		connections[e.party]++
+		if e.phase == working {
+			works[e.workFor]++
+		}
+		if e.index != i || l.holdings[e.party] != e.holding {
+			t.Fatal("an entry is lost")
+		}
+	}
+	if bytes != l.bytes || len(connections) != len(l.holdings) || len(works) != len(l.works) {
+		t.Fatalf("sums differ: %d and %d bytes, %d and %d parties, %v and %v", bytes, l.bytes, len(connections), len(l.holdings), works, l.works)
+	}
+	for p, n := range connections {
+		if l.holdings[p].connections != n {
+			t.Fatalf("%v has %d connections, not %d", p, n, l.holdings[p].connections)
+		}
+	}
+}
+
+// TestCrowdOfOneKeyGivesWayToOthers plays the load of many unfinished requests of
+// one customer behind one address: those of another customer stay.
+func TestCrowdOfOneKeyGivesWayToOthers(t *testing.T) {
+	l := NewLedger(Limits{Bytes: 1000, Connections: 10})
+	other := l.add("balancer", 1)
+	other.headerDone = true
+	l.admit(other, "other")
+	l.charge(other, 100, 1)
+	for i := range 9 {
+		e := l.add("balancer", time.Duration(2+i))
+		e.headerDone = true
+		l.admit(e, "crowd")
+		l.charge(e, 300, time.Duration(2+i))
+		for v := l.overdrawn(); v != nil; v = l.overdrawn() {
+			if v == other {
+				t.Fatal("the other customer's request is given up")
+			}
+			l.giveUp(v)
+		}
+	}
+	for range 6 {
+		v := l.spare(20)
+		if v == nil || v == other {
+			t.Fatalf("the connection of the other customer is closed, or none: %+v", v)
+		}
+		l.remove(v)
+	}
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -92,6 +92,9 @@
 	PlanTime             = histogram("plan_ms", "time to plan which tasks start next")
 	OddEntries           = counterMap("odd_entries_total", "entries of other writers that were left out, by list: registry, configuration; each reading of one counts")
 	ProcessorMS          = counter("processor_ms_total", "milliseconds of processor time used by the daemon")
+	IntakeGivenUp        = counterMap("intake_given_up_total", "clients' connections and requests given up, by cause: bytes, connections, answers, work, late, broken")
+	IntakeBytes          = counter("intake_bytes", "bytes charged to clients' requests that are not complete, those of headers sixteenfold")
+	IntakeConnections    = counter("intake_connections", "open connections of clients")
 	LogLinesDropped      = counter("log_lines_dropped_total", "log lines dropped because their reader was too slow")
 )
 
