Clients that never end their requests hold no more than the settings allow

A body must arrive in the request's time and at 8 KB a second after its first three seconds; its buffer grows with what has arrived. What is refused for that has not run: 503 with a time to come back. Connections and unfinished bytes are bounded by memory_mb and max_fds. The readiness check and the metrics have small bounds of their own. Headers of answers are bounded to 64 KB. Settings max_fds, max_connections, unfinished_mb, max_header_bytes, body_rate, answer_timeout. The tests of platform pass with -race.

--- a/cmd/bluebellstiled/site.go
+++ b/cmd/bluebellstiled/site.go
@@ -10,8 +10,8 @@
 	"net/http"
 	"os"
 	"runtime/debug"
-	"time"
 
+	"github.com/bluebellstile/bluebellstile/internal/intake"
 	"github.com/bluebellstile/bluebellstile/internal/logging"
 	"github.com/bluebellstile/bluebellstile/internal/metrics"
 	"github.com/bluebellstile/bluebellstile/internal/settings"
@@ -30,9 +30,6 @@
 	// collects garbage eagerly. The rest is left for memory that the limit
 	// doesn't count, such as that of the kernel.
 	memoryLimitFraction = 0.6
-	// adminHeaderTimeout bounds the time that a metrics scraper may take to
-	// send its request headers.
-	adminHeaderTimeout = 3 * time.Second
 )
 
 // siteDaemon is the daemon on the users' platform.
@@ -114,6 +111,7 @@
 		return nil, errors.Wrap(err, "listen for metrics scrapers")
 	}
 	text := metrics.Handler()
+	reporter := intake.NewReporter(slog.Default())
 	routes := bunrouter.New()
 	routes.GET("/metrics", func(w http.ResponseWriter, r bunrouter.Request) error {
 		metrics.LogLinesDropped.Set(logWriter.Dropped())
@@ -121,9 +119,11 @@
 		return nil
 	})
 	routes.GET("/debug/vars", bunrouter.HTTPHandler(expvar.Handler()))
-	server := &http.Server{Handler: routes, ReadHeaderTimeout: adminHeaderTimeout}
+	server, guarded := intake.NewSmallServer(routes, func(cause intake.Cause, address, _ string) {
+		reporter.Report(cause, "", address, "metrics")
+	})
 	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(guarded(listener)); !errors.Is(err, http.ErrServerClosed) {
 			slog.Error("metrics are not served any more", "error", err)
 		}
 	}()
--- a/internal/problem/problem.go
+++ b/internal/problem/problem.go
@@ -31,6 +31,8 @@
 	BodyTooLarge      Code = "body_too_large"
 	HeaderTooLarge    Code = "header_too_large"
 	TruncatedBody     Code = "truncated_body"
+	BodyLate          Code = "body_late"
+	Overloaded        Code = "overloaded"
 	UnknownQueue      Code = "unknown_queue"
 	KeyMissing        Code = "key_missing"
 	KeyRefused        Code = "key_refused"
@@ -64,6 +66,8 @@
 	BodyTooLarge:      http.StatusRequestEntityTooLarge,
 	HeaderTooLarge:    http.StatusRequestHeaderFieldsTooLarge,
 	TruncatedBody:     http.StatusBadRequest,
+	BodyLate:          http.StatusServiceUnavailable,
+	Overloaded:        http.StatusServiceUnavailable,
 	UnknownQueue:      http.StatusNotFound,
 	KeyMissing:        http.StatusUnauthorized,
 	KeyRefused:        http.StatusForbidden,
--- a/internal/settings/site.go
+++ b/internal/settings/site.go
@@ -48,9 +48,23 @@
 	Eligibility string
 }
 
-// SiteLimits holds the memory and the processor time that the process may use.
+// SiteLimits holds the memory, the descriptors and the processor time that the
+// process may use, and the bounds of what clients may make it hold.
 type SiteLimits struct {
 	MemoryMB int
+	// MaxFDs is the number of descriptors; 0 stands for the process's own limit.
+	MaxFDs int
+	// MaxConnections bounds the connections of clients and UnfinishedMB what
+	// their unfinished requests hold; 0 derives them from memory and descriptors.
+	MaxConnections int
+	UnfinishedMB   int
+	// MaxHeaderBytes bounds a request's header before the configuration's own
+	// limit is known.
+	MaxHeaderBytes int
+	// BodyRate is the lowest rate of a body in bytes per second.
+	BodyRate int
+	// AnswerTimeout is how long a client may leave a part of its answer unread.
+	AnswerTimeout time.Duration
 	// ProcessorMilli is the processor time that the process may use per
 	// second, in milliseconds.
 	ProcessorMilli int
@@ -147,6 +161,18 @@
 
 		countKey("limits", "memory_mb", "megabytes", 256, 32, 1<<20, "Memory that the process may use.",
 			func(s *Site) *int { return &s.Limits.MemoryMB }),
+		countKey("limits", "max_fds", "descriptors", 0, 0, 1<<24, "Descriptors that the process may have open; 0 for the process's own limit.",
+			func(s *Site) *int { return &s.Limits.MaxFDs }),
+		countKey("limits", "max_connections", "connections", 0, 0, 1<<20, "Connections of callers. If there are more, idle ones are closed, then unfinished ones. 0: one for each 128 KB of memory_mb, at most half of max_fds beyond 200.",
+			func(s *Site) *int { return &s.Limits.MaxConnections }),
+		countKey("limits", "unfinished_mb", "megabytes", 0, 0, 1<<20, "What callers' unfinished requests may hold together. Beyond it, the longest unfinished are refused. 0: a sixteenth of memory_mb.",
+			func(s *Site) *int { return &s.Limits.UnfinishedMB }),
+		countKey("limits", "max_header_bytes", "bytes", 20<<10, 4<<10, 1<<20, "Header of a request that is read at all; the configuration's own limit is lower.",
+			func(s *Site) *int { return &s.Limits.MaxHeaderBytes }),
+		countKey("limits", "body_rate", "bytes a second", 8<<10, 1, 1<<30, "Lowest rate of a request's body, after its first three seconds.",
+			func(s *Site) *int { return &s.Limits.BodyRate }),
+		durationKey("limits", "answer_timeout", 10*time.Second, 100*time.Millisecond, maxBound, "How long a caller may leave a part of its answer unread.",
+			func(s *Site) *time.Duration { return &s.Limits.AnswerTimeout }),
 		thousandthsKey("limits", "processor_share", "1", "Share of a processor that the process may use.", 1, 1024*thousandthsPerUnit,
 			func(s *Site) *int { return &s.Limits.ProcessorMilli }),
 		countKey("limits", "processor_speed", "times one core", 1, 1, 1024, "Speed of that processor as a multiple of one core.",
--- a/internal/standin/cmd/standin/site.go
+++ b/internal/standin/cmd/standin/site.go
@@ -24,6 +24,7 @@
 	adviser  string
 	runners  int
 	workTime time.Duration
+	maxBody  int
 }
 
 func (*siteCommand) Name() string     { return "site" }
@@ -39,6 +40,7 @@
 	f.StringVar(&c.adviser, "adviser", "127.0.0.1:0", "address of the adviser")
 	f.IntVar(&c.runners, "runners", 4, "runners of eight cores each")
 	f.DurationVar(&c.workTime, "work", 200*time.Millisecond, "run time of each task")
+	f.IntVar(&c.maxBody, "max-body", 0, "largest body that the configuration allows, in bytes; 0 leaves it")
 }
 
 // siteReady is the line that is printed once a site listens.
@@ -76,7 +78,11 @@
 // run runs the site until ctx is done.
 func (c *siteCommand) run(ctx context.Context, watch *standin.SiteWatch) error {
 	store := standin.NewSiteStore()
-	config, err := json.Marshal(standin.SiteConfig(1))
+	values := standin.SiteConfig(1)
+	if limits, ok := values["limits"].(map[string]any); ok && c.maxBody > 0 {
+		limits["max_body_bytes"] = c.maxBody
+	}
+	config, err := json.Marshal(values)
 	if err != nil {
 		return errors.Wrap(err, "encode the configuration")
 	}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -27,6 +27,8 @@
 	MaxPerHost int
 	// IdleTimeout closes a connection that has been idle for that long.
 	IdleTimeout time.Duration
+	// MaxHeaderBytes bounds the header of an answer; 0 is net/http's default.
+	MaxHeaderBytes int64
 	// Dialed, if set, is called with the address of each new connection.
 	Dialed func(address string)
 	// WrapConn, if set, wraps each new connection, for example to count bytes.
@@ -48,6 +50,8 @@
 			DisableCompression:  true,
 			WriteBufferSize:     4 << 10,
 			ReadBufferSize:      4 << 10,
+
+			MaxResponseHeaderBytes: o.MaxHeaderBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
