--- a/internal/fleetpeer/client.go
+++ b/internal/fleetpeer/client.go
@@ -46,6 +46,11 @@
 	idleTimeout = 30 * time.Second
 	// maxMessageBytes bounds a message; a job takes a few kilobytes.
 	maxMessageBytes = 4 << 20
+	// messageTimeout bounds the time in which a message arrives. Callers wait
+	// for less.
+	messageTimeout = 10 * time.Second
+	// MaxHeaderBytes bounds the header of a call and of its answer.
+	MaxHeaderBytes = 16 << 10
 )
 
 // Errors of calls between daemons.
@@ -81,6 +86,7 @@
 			UnackedTimeout: unackedTimeout,
 			MaxPerHost:     maxPerHost,
 			IdleTimeout:    idleTimeout,
+			MaxHeaderBytes: MaxHeaderBytes,
 			WrapConn:       wrap,
 		})
 	}
--- a/internal/fleetpeer/server.go
+++ b/internal/fleetpeer/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/bluebellstile/bluebellstile/internal/controller"
@@ -45,7 +46,18 @@
 
 // NewHandler returns the path and handler of the daemon's service.
 func NewHandler(local LocalDaemon) (string, http.Handler) {
-	return fleetv1connect.NewFleetServiceHandler(&server{local: local}, connect.WithReadMaxBytes(maxMessageBytes), connect.WithCompression("gzip", nil, nil))
+	path, h := fleetv1connect.NewFleetServiceHandler(&server{local: local}, connect.WithReadMaxBytes(maxMessageBytes), connect.WithCompression("gzip", nil, nil))
+	return path, boundBodies(h)
+}
+
+// boundBodies bounds the time in which a message must arrive.
+func boundBodies(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 {
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(messageTimeout))
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 type server struct{ local LocalDaemon }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -184,7 +184,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle(fleetpeer.NewHandler((*localDaemon)(n)))
-	n.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second, IdleTimeout: time.Minute}
+	n.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: fleetpeer.MaxHeaderBytes}
 	n.tomb.Go(func() error {
 		if err := n.server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			return errors.Wrap(err, "serve other daemons")
