Cells with their own log bound what callers' unfinished requests hold

Change: the guard of package intake stands before it; intake.Handler notes when a body is complete. Settings max_connections, unfinished_mb and answer_timeout of [limits]; the test of all settings has them too. A long answer is bounded by its parts of 64 KB, so that slow readers of long ones stay.

--- a/internal/intake/guard.go
+++ b/internal/intake/guard.go
@@ -76,6 +76,9 @@
 	delete(g.conns, c.entry)
 }
 
+// answerPart is the part of an answer that a client must read in time.
+const answerPart = 64 << 10
+
 type connKey struct{}
 
 // FromContext returns the connection of a request, or nil if it isn't guarded.
@@ -188,8 +191,20 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// Write writes a part of an answer, which the client must read in time.
+// Write writes an answer, each part of which the client must read in time.
 func (c *Conn) Write(b []byte) (int, error) {
+	written := 0
+	for {
+		part := b[written:min(len(b), written+answerPart)]
+		n, err := c.writePart(part)
+		written += n
+		if err != nil || written >= len(b) {
+			return written, err
+		}
+	}
+}
+
+func (c *Conn) writePart(b []byte) (int, error) {
 	now := c.guard.now()
 	c.guard.setWriting(c, now)
 	defer c.guard.setWriting(c, 0)
--- /dev/null
+++ b/internal/intake/handler.go
@@ -0,0 +1,35 @@
+package intake
+
+import (
+	"errors"
+	"io"
+	"net/http"
+)
+
+// Handler returns h for a guarded server, with each request noted as worked on
+// once its body has been read to the end. Nothing is known of its customer.
+func Handler(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength == 0 {
+			FromContext(r.Context()).Work()
+		} else {
+			r.Body = &watchedBody{ReadCloser: r.Body, conn: FromContext(r.Context())}
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+// watchedBody notes the end of a body.
+type watchedBody struct {
+	io.ReadCloser
+	conn *Conn
+}
+
+// Read implements io.Reader.
+func (b *watchedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.conn.Work()
+	}
+	return n, err
+}
--- a/internal/intake/ledger.go
+++ b/internal/intake/ledger.go
@@ -37,6 +37,9 @@
 	Bytes int64
 	// Connections bounds the connections.
 	Connections int
+	// WorkShare bounds the requests of one customer that are worked on; 0 means
+	// no bound.
+	WorkShare int
 	// AnswerTimeout bounds the time in which a client must read a part of its
 	// answer.
 	AnswerTimeout time.Duration
@@ -170,14 +173,17 @@
 // not be: it was given up, or its customer has its share of the connections at
 // work.
 func (l *Ledger) work(e *entry) bool {
-	if e.index < 0 || e.phase == cut || l.works[e.party.customer] >= max(1, l.limits.Connections/2) {
+	switch {
+	case e.index < 0 || e.phase == cut:
+		return false
+	case e.phase == working:
+		return true
+	case l.limits.WorkShare > 0 && l.works[e.party.customer] >= l.limits.WorkShare:
 		return false
 	}
-	if e.phase != working {
-		l.settle(e)
-		e.phase, e.workFor = working, e.party.customer
-		l.works[e.workFor]++
-	}
+	l.settle(e)
+	e.phase, e.workFor = working, e.party.customer
+	l.works[e.workFor]++
 	return true
 }
 
--- a/internal/intake/ledger_test.go
+++ b/internal/intake/ledger_test.go
@@ -13,7 +13,7 @@
 // answer is not read.
 func TestLedgerKeepsItsBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		limits := Limits{Bytes: rapid.Int64Range(0, 5000).Draw(t, "bytes"), Connections: rapid.IntRange(2, 8).Draw(t, "connections")}
+		limits := Limits{Bytes: rapid.Int64Range(0, 5000).Draw(t, "bytes"), Connections: rapid.IntRange(2, 8).Draw(t, "connections"), WorkShare: rapid.IntRange(0, 3).Draw(t, "share")}
 		l := NewLedger(limits)
 		now := time.Duration(1)
 		pick := func() *entry {
@@ -87,6 +87,11 @@
 	if bytes != l.bytes || len(connections) != len(l.holdings) || len(works) != len(l.works) {
 		t.Fatalf("sums differ: %d and %d bytes, %d and %d parties, %v and %v", bytes, l.bytes, len(connections), len(l.holdings), works, l.works)
 	}
+	for customer, n := range works {
+		if l.works[customer] != n || l.limits.WorkShare > 0 && n > l.limits.WorkShare {
+			t.Fatalf("%q has %d requests at work, not %d, of %d", customer, n, l.works[customer], l.limits.WorkShare)
+		}
+	}
 	for p, n := range connections {
 		if l.holdings[p].connections != n {
 			t.Fatalf("%v has %d connections, not %d", p, n, l.holdings[p].connections)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -21,6 +21,7 @@
 	"github.com/bluebellstile/bluebellstile/internal/cell"
 	"github.com/bluebellstile/bluebellstile/internal/claimant"
 	"github.com/bluebellstile/bluebellstile/internal/endpoint"
+	"github.com/bluebellstile/bluebellstile/internal/intake"
 	"github.com/bluebellstile/bluebellstile/internal/journal"
 	"github.com/bluebellstile/bluebellstile/internal/loglist"
 	"github.com/bluebellstile/bluebellstile/internal/membership"
@@ -169,12 +170,13 @@
 	}
 	clientAPI := api.New(s.report.frontDoorCollector, s.guard, s.router, limits, api.ShutdownState{Leaving: s.leaving.Load, Refusing: s.refusing.Load}, s.log)
 	s.api.http = &http.Server{
-		Handler:           clientAPI.Handler(),
+		Handler:           intake.Handler(clientAPI.Handler()),
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       bodyTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    s.settings.Limits.MaxHeaderBytes,
 	}
+	s.guardCallers()
 	mux := http.NewServeMux()
 	mux.Handle(peer.NewServer(s.heartbeater, s.table, s.journal, s.termManager.current, s.termManager.endedTerm, s.self.AvailabilityZone, s.router.LocalJob).Handler())
 	s.peer.http = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, Protocols: peerProtocols(tlsServer), TLSConfig: tlsServer}
@@ -189,7 +191,25 @@
 		Level:          s.level,
 		Log:            s.log,
 	})
-	s.admin.http = &http.Server{Handler: adminAPI.Handler(), ReadHeaderTimeout: headerTimeout}
+	s.admin.http = &http.Server{
+		Handler:           adminAPI.Handler(),
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       bodyTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    s.settings.Limits.MaxHeaderBytes,
+	}
+}
+
+// guardCallers bounds what callers make the daemon hold.
+func (s *Server) guardCallers() {
+	reporter := intake.NewReporter(s.log)
+	guard := intake.NewGuard(intake.Limits{
+		Bytes:         max(int64(s.settings.Limits.UnfinishedMB)<<20, 2*int64(s.settings.Limits.MaxBodyBytes)),
+		Connections:   s.settings.Limits.MaxConnections,
+		AnswerTimeout: s.settings.Limits.AnswerTimeout,
+	}, func(cause intake.Cause, address, detail string) { reporter.Report(cause, "", address, detail) })
+	guard.Attach(s.api.http)
+	s.api.net = guard.Listener(s.api.net)
 }
 
 // peerProtocols returns the protocols of the peer interface: HTTP/1 and HTTP/2,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -76,6 +76,12 @@
 	MaxWaiting     int
 	MaxBodyBytes   int
 	MaxHeaderBytes int
+	// MaxConnections bounds the connections of callers and UnfinishedMB what
+	// their unfinished requests hold together.
+	MaxConnections int
+	UnfinishedMB   int
+	// AnswerTimeout is how long a caller may leave a part of its answer unread.
+	AnswerTimeout  time.Duration
 	RequestTimeout time.Duration
 	DrainTimeout   time.Duration
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -92,6 +92,9 @@
 max_waiting = 5
 max_body_bytes = 2048
 max_header_bytes = 8192
+max_connections = 17
+unfinished_mb = 3
+answer_timeout = 4s
 request_timeout = 1m
 drain_timeout = 2m
 [freshness]
@@ -116,7 +119,7 @@
 		Listen:    Listen{"127.0.0.1:1", "127.0.0.1:2", "[::1]:3"},
 		Platform:  Platform{"http://a", "https://b/base", time.Second, 90 * time.Millisecond},
 		Zone:      Zone{5 * time.Second, 20 * time.Millisecond, 60 * time.Millisecond},
-		Limits:    Limits{5, 2048, 8192, time.Minute, 2 * time.Minute},
+		Limits:    Limits{5, 2048, 8192, 17, 3, 4 * time.Second, time.Minute, 2 * time.Minute},
 		Freshness: Freshness{100 * time.Millisecond},
 		Log:       Log{slog.LevelDebug, LogJSON},
 		TLS:       TLS{"/c", "/k", "/a"},
