--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -21,6 +21,7 @@
 var stages = map[string]int{
 	"request refused at the door":              0,
 	"request refused as malformed":             0,
+	"clients given up":                         0,
 	"job taken in":                             1,
 	"occurrence is due later":                  2,
 	"question about eligible endpoints failed": 2,
