--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -99,6 +99,9 @@
 	ZonesEvacuated       = counter("zones_evacuated", "availability zones that the operator empties, at the holder")
 	StartsWithdrawn      = counterMap("starts_withdrawn_total", "starts that were planned and not sent, by cause: evacuation")
 	ProcessorMS          = counter("processor_ms_total", "milliseconds of processor time used by the daemon")
+	IntakeGivenUp        = counterMap("intake_given_up_total", "clients' connections and requests given up, by cause: bytes, connections, answers, work, late, broken")
+	IntakeBytes          = counter("intake_bytes", "bytes charged to clients' requests that are not complete, those of headers sixteenfold")
+	IntakeConnections    = counter("intake_connections", "open connections of clients")
 	LogLinesDropped      = counter("log_lines_dropped_total", "log lines dropped because their reader was too slow")
 )
 
