The door counts what waits after a plan, and holds lasting overload to objectives

The door was told of the pools before a plan, while the mark of blocked work was reset, so that it refused nobody at all. It now hears of each plan's outcome: what is left waiting, what started and when runs end. Expected waits follow what a pool takes in, less what better work takes, and count the work accepted since the plan. Late work goes behind what is not, so that jobs accepted beyond their objectives waited until an overload was over: once a quarter of the waiting work is late, jobs are accepted up to their objectives only. The bound on the backlog of steps is asked again where work doesn't wait for room, as for a slow holder. Jobs that were accepted and ended too late to be of use are counted and logged, refusals are logged by job.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -10,13 +10,18 @@
 )
 
 const (
-	// utilization is the part of a pool that is expected to work on waiting work.
-	utilization = 0.8
+	// freeShare is the part of a pool that is free from which nobody is refused.
+	freeShare = 0.2
 	// smallShare is the fraction of its part by weight of the waiting work up to which
 	// a customer is not refused: others fill the queue.
 	smallShare = 0.5
-	// freeShare is the part of a pool that is free from which nobody is refused.
-	freeShare = 0.2
+	// waitMargin is the part by which a wait may exceed what is expected: work that goes
+	// first comes meanwhile, and run times differ. Without it the door would hold an
+	// overload where all that it accepts ends at the last moment, and half of it later.
+	waitMargin = 0.25
+	// lateShare is the part of the waiting work that is late from which an overload counts
+	// as one that lasts.
+	lateShare = 0.25
 	// minRetry and maxRetry bound the time after which a refused caller may return, and
 	// retrySpread is the fraction of it over which the callers are spread.
 	minRetry    = 500 * time.Millisecond
@@ -24,89 +29,12 @@
 	retrySpread = 0.5
 	// maxRemembered bounds the refusals whose outcome is still open.
 	maxRemembered = 4096
+	// maxAge is the age from which the state of the pools tells nothing of their room.
+	maxAge = time.Second
+	// maxWait bounds expected waits, so that sums of them stay in range.
+	maxWait = 24 * time.Hour
 )
 
-// Class orders waiting work: a lower class is served first.
-type Class struct {
-	// Excess work goes behind all other.
-	Excess   bool
-	Priority int
-}
-
-// before reports whether work of class c is served before work of class o, or beside it.
-func (c Class) before(o Class) bool {
-	if c.Excess != o.Excess {
-		return o.Excess
-	}
-	return c.Priority <= o.Priority
-}
-
-// Pool is the state of a pool of endpoints at a plan.
-type Pool struct {
-	// Free is the part of the capacity that is free, from 0 to 1.
-	Free float64
-	// Blocked is set if the plan left work for which there was no room.
-	Blocked bool
-	// waiting is the waiting work by class and customer, in seconds of the whole pool.
-	waiting map[Class]map[string]float64
-	// weights are the weights of the customers that have waiting work.
-	weights map[string]float64
-}
-
-// Add adds waiting work of a customer, in seconds of the whole pool.
-func (p *Pool) Add(class Class, customer string, weight, seconds float64) {
-	if p.waiting == nil {
-		p.waiting, p.weights = make(map[Class]map[string]float64), make(map[string]float64)
-	}
-	if p.waiting[class] == nil {
-		p.waiting[class] = make(map[string]float64)
-	}
-	p.waiting[class][customer] += seconds
-	p.weights[customer] = max(weight, 0)
-}
-
-// Wait returns how long new work of a class is expected to wait for what goes before it.
-func (p *Pool) Wait(class Class) time.Duration {
-	total := 0.0
-	for other, byCustomer := range p.waiting {
-		if !other.before(class) {
-			continue
-		}
-		for _, seconds := range byCustomer {
-			total += seconds
-		}
-	}
-	return time.Duration(min(total/utilization, maxWait.Seconds()) * float64(time.Second))
-}
-
-// maxWait bounds expected waits, so that sums of them stay in range.
-const maxWait = 24 * time.Hour
-
-// isSmall reports whether a customer has a small part of the waiting work that goes before a
-// class, for its weight.
-func (p *Pool) isSmall(class Class, customer string) bool {
-	own, total, weights := 0.0, 0.0, 0.0
-	for other, byCustomer := range p.waiting {
-		if !other.before(class) {
-			continue
-		}
-		for name, seconds := range byCustomer {
-			total += seconds
-			if name == customer {
-				own += seconds
-			}
-		}
-	}
-	for _, weight := range p.weights {
-		weights += weight
-	}
-	part := 1 / float64(max(len(p.weights), 1))
-	if weights > 0 {
-		part = p.weights[customer] / weights
-	}
-	return own < smallShare*part*total
-}
-
 // Job is a job that asks to be accepted.
 type Job struct {
 	// ID spreads the callers that may return.
@@ -114,10 +42,13 @@
 	Pool     string
 	Class    Class
 	Customer string
-	// Runs is how long the job runs once it has begun, Useful how long from now its end is
-	// of use to its caller.
-	Runs   time.Duration
-	Useful time.Duration
+	Weight   float64
+	Load     Load
+	// Runs is how long the job runs once it has begun. From now on its end meets its
+	// objective for Objective, and is of use to its caller for Useful.
+	Runs      time.Duration
+	Objective time.Duration
+	Useful    time.Duration
 }
 
 // Verdict is the decision on a job.
@@ -128,9 +59,12 @@
 	RetryAfter time.Duration
 }
 
-// Door decides on jobs by the pools of the last plan. It is not safe for concurrent use.
+// Door decides on jobs by the pools of the last plan. The zero value knows no pool and
+// refuses nobody. It is not safe for concurrent use.
 type Door struct {
 	pools   map[string]*Pool
+	drains  map[string]*drains
+	at      time.Duration
 	refused []refusal
 }
 
@@ -141,16 +75,29 @@
 	latest time.Duration
 }
 
-// Update sets the state of the pools at a plan; nil if nothing waits. It returns how many of the jobs that were
-// refused before could have been served, as their pools have room in time.
-func (d *Door) Update(now time.Duration, pools map[string]*Pool) (servable int) {
-	d.pools = pools
+// Update sets the state of the pools that have no room after a plan. It returns how many of
+// the jobs that were refused before could have been served, as their pools have room in time.
+func (d *Door) Update(now time.Duration, blocked map[string]*Pool) (servable int) {
+	if d.drains == nil {
+		d.drains = make(map[string]*drains)
+	}
+	for name, p := range blocked {
+		if d.drains[name] == nil {
+			d.drains[name] = newDrains()
+		}
+		p.drains = d.drains[name]
+	}
+	for name, seen := range d.drains {
+		if seen.observe(now, blocked[name]); now-seen.at > drainKept {
+			delete(d.drains, name)
+		}
+	}
+	d.pools, d.at = blocked, now
 	open := d.refused[:0]
 	for _, r := range d.refused {
-		p := pools[r.pool]
-		switch {
+		switch p := blocked[r.pool]; {
 		case now > r.latest:
-		case pools == nil, p != nil && !p.Blocked:
+		case p == nil || p.Free >= freeShare:
 			servable++
 		default:
 			open = append(open, r)
@@ -161,15 +108,23 @@
 }
 
 // Decide decides on a job. Nobody is refused while there is room, nor a customer that has a
-// small part of the waiting work.
+// small part of the waiting work. While an overload lasts, jobs are accepted up to what meets
+// their objectives: late work goes behind what is not, so that what would be late could wait
+// until the overload is over. The work of an accepted job counts as waiting at once: many jobs
+// may ask between two plans.
 func (d *Door) Decide(now time.Duration, j Job) Verdict {
 	p := d.pools[j.Pool]
-	if p == nil || !p.Blocked || p.Free >= freeShare {
+	if p == nil || p.Free >= freeShare || now-d.at > maxAge {
 		return Verdict{}
 	}
-	v := Verdict{Wait: p.Wait(j.Class)}
-	over := v.Wait + j.Runs - j.Useful
-	if over <= 0 || p.isSmall(j.Class, j.Customer) {
+	v := Verdict{Wait: p.Wait(j.Class, j.Load.Share)}
+	useful := j.Useful
+	if p.lasts(j.Class) {
+		useful = min(useful, j.Objective)
+	}
+	over := time.Duration((1+waitMargin)*float64(v.Wait)) + j.Runs - useful
+	if over <= 0 || p.isSmall(j.Class, j.Customer, j.Weight) {
+		p.AddWaiting(j.Class, j.Customer, j.Weight, j.Load)
 		return v
 	}
 	v.Refused = true
--- a/internal/controller/admission.go
+++ b/internal/controller/admission.go
@@ -14,35 +14,100 @@
 	"github.com/bluebellstile/bluebellstile/internal/workload"
 )
 
-// usefulObjectives is the multiple of its objective up to which the end of a job is of use to
-// its caller.
-const usefulObjectives = 3
+const (
+	// usefulObjectives is the multiple of its objective up to which the end of a job is
+	// of use to its caller.
+	usefulObjectives = 3
+	// doorMemory is how long after a plan that left work without room the door alone
+	// judges how long new work waits. The backlog counts steps, whatever their size, and
+	// tells nothing of work that waits for room.
+	doorMemory = 2 * time.Second
+	// doorLogInterval is the interval of the log lines on full pools.
+	doorLogInterval = 2 * time.Second
+)
+
+// door is the admission of jobs with what it knows of the last plans.
+type door struct {
+	admission.Door
+	// capacity is the capacity of each pool at the last plan.
+	capacity map[string]resource.Vector
+	// blockedAt is when a plan last left work without room; 0 if none did.
+	blockedAt time.Duration
+	loggedAt  time.Duration
+}
 
-// updateDoor tells the door how full the pools are and what waits for them, before a plan.
-// Whether work has no room is known from the plan before.
-func (c *Core) updateDoor(now clock.Instant, s *scheduler.Snapshot) {
+// updateDoor tells the door how full the pools are and what waits for them after a plan.
+func (c *Core) updateDoor(now clock.Instant, s *scheduler.Snapshot, plan *scheduler.Plan) {
+	if !c.params.Features.Admission {
+		return
+	}
+	var pools map[string]*admission.Pool
+	if plan.Blocked > 0 {
+		c.door.blockedAt = now.Steady
+		pools = c.fullPools(now, s, plan)
+	}
+	if n := c.door.Update(now.Steady, pools); n > 0 {
+		metrics.AdmissionErrors.Add("refused, could have been served", int64(n))
+	}
+}
+
+// fullPools returns the state of the pools for which work waits.
+func (c *Core) fullPools(now clock.Instant, s *scheduler.Snapshot, plan *scheduler.Plan) map[string]*admission.Pool {
 	capacity, free := make(map[string]resource.Vector), make(map[string]resource.Vector)
 	for _, h := range s.Hosts {
 		capacity[h.Endpoint.Pool] = capacity[h.Endpoint.Pool].Add(h.Endpoint.Capacity)
 		free[h.Endpoint.Pool] = free[h.Endpoint.Pool].Add(h.Free)
 	}
-	pools := make(map[string]*admission.Pool, len(capacity))
-	for name, size := range capacity {
-		used := size.Sub(free[name])
-		pools[name] = &admission.Pool{Free: 1 - fairshare.Dominant(used, size), Blocked: c.blocked}
+	c.door.capacity = capacity
+	started := make(map[*scheduler.Demand]int)
+	for i := range plan.Starts {
+		started[plan.Starts[i].Demand]++
 	}
+	pools := make(map[string]*admission.Pool)
 	for _, d := range s.Demands {
-		p := pools[d.Pool]
+		size := capacity[d.Pool]
+		if left := len(d.Tasks) - started[d]; left > 0 && size != (resource.Vector{}) {
+			p := pools[d.Pool]
+			if p == nil {
+				p = admission.NewPool(1 - fairshare.Dominant(size.Sub(free[d.Pool]), size))
+				pools[d.Pool] = p
+			}
+			customer := d.Step.Job.Customer
+			l := loadOf(d.Step.Spec, left, size, d.Duration)
+			if d.LatestStart < now.Steady {
+				l.Late = l.Seconds
+			}
+			p.AddWaiting(classOf(d), customer, c.rateOf(customer), l)
+		}
+	}
+	for d, n := range started {
+		if p := pools[d.Pool]; p != nil {
+			p.AddStarted(classOf(d), loadOf(d.Step.Spec, n, capacity[d.Pool], d.Duration).Seconds)
+		}
+	}
+	for _, h := range s.Hosts {
+		p := pools[h.Endpoint.Pool]
 		if p == nil {
 			continue
 		}
-		tasks := d.Step.Spec.Charge().Scale(int64(len(d.Tasks)))
-		seconds := fairshare.Dominant(tasks, capacity[d.Pool]) * d.Duration.Seconds()
-		customer := d.Step.Job.Customer
-		p.Add(admission.Class{Excess: d.Excess, Priority: d.Priority}, customer, c.catalog.Customers[customer].Weight, seconds)
+		for _, r := range h.Endpoint.Runs() {
+			if r.Step == nil || !r.Step.Spec.LongRunning {
+				p.AddRunning(fairshare.Dominant(r.Charge, capacity[h.Endpoint.Pool]), max(r.ExpectedEnd-now.Steady, 0))
+			}
+		}
 	}
-	if n := c.door.Update(now.Steady, pools); n > 0 {
-		metrics.AdmissionErrors.Add("refused, could have been served", int64(n))
+	c.logFullPools(now, pools)
+	return pools
+}
+
+// logFullPools logs the pools that have no room, at most once per doorLogInterval.
+func (c *Core) logFullPools(now clock.Instant, pools map[string]*admission.Pool) {
+	if now.Steady-c.door.loggedAt < doorLogInterval {
+		return
+	}
+	c.door.loggedAt = now.Steady
+	for name, p := range pools {
+		c.log.Info("work waits for room", "pool", name, "free", p.Free, "expected_wait", p.Wait(admission.Class{Excess: true}, 0).Round(time.Millisecond))
 	}
 }
 
@@ -52,21 +117,41 @@
 	if s.Spec.Recurrence != nil || lasts(&s.Spec) {
 		return nil
 	}
-	chain := c.chainOf(q, s)
-	objective := time.Duration(min(q.Stretch*float64(chain), float64(workload.MaxSpan))) + q.Objective
+	job := &workload.Job{Queue: s.Queue, Customer: s.Customer}
+	chain, passed := c.longestChain(q, job, &s.Spec), now.Wall.Sub(s.Accepted)
 	v := c.door.Decide(now.Steady, admission.Job{
-		ID: string(s.ID), Pool: q.Pool, Customer: s.Customer,
+		ID: string(s.ID), Pool: q.Pool, Customer: s.Customer, Weight: c.rateOf(s.Customer),
 		Class: admission.Class{Excess: c.exceedsRate(now, s.Customer), Priority: q.Priority},
-		Runs:  chain, Useful: usefulObjectives*objective - now.Wall.Sub(s.Accepted),
+		Load:  c.loadOfJob(q.Pool, job, &s.Spec),
+		Runs:  chain, Objective: objectiveOf(q, chain) - passed, Useful: usefulFor(q, chain) - passed,
 	})
 	if !v.Refused {
 		return nil
 	}
 	metrics.JobsRefusedUseless.Add(q.Name, 1)
+	c.log.Info("job refused, it could not end in a time that is of use", "job", s.ID, "queue", s.Queue, "customer", s.Customer,
+		"expected_wait", v.Wait.Round(time.Millisecond), "runs", chain.Round(time.Millisecond),
+		"objective", objectiveOf(q, chain).Round(time.Millisecond), "useful", usefulFor(q, chain).Round(time.Millisecond), "retry_after", v.RetryAfter.Round(time.Millisecond))
 	return problem.Refuse(problem.QueueFull, "try again later",
 		"the job would wait for %s and could not end in a time that is of use", v.Wait.Round(time.Millisecond)).WithRetryAfter(v.RetryAfter)
 }
 
+// judgesWaits reports whether the door tells how long new work waits: if what waits does so
+// for room.
+func (c *Core) judgesWaits(now clock.Instant) bool {
+	return c.params.Features.Admission && c.door.blockedAt > 0 && now.Steady-c.door.blockedAt <= doorMemory
+}
+
+// usefulFor returns for how long after its acceptance the end of a job is of use.
+func usefulFor(q *catalog.Queue, chain time.Duration) time.Duration {
+	return usefulObjectives * objectiveOf(q, chain)
+}
+
+// objectiveOf returns the objective of a job whose longest chain takes the given time.
+func objectiveOf(q *catalog.Queue, chain time.Duration) time.Duration {
+	return time.Duration(min(q.Stretch*float64(chain), float64(workload.MaxSpan))) + q.Objective
+}
+
 // lasts reports whether a job has a step that runs until it is cancelled.
 func lasts(s *workload.Spec) bool {
 	for i := range s.Steps {
@@ -77,11 +162,10 @@
 	return false
 }
 
-// chainOf returns how long the longest chain of a submitted job is expected to take.
-func (c *Core) chainOf(q *catalog.Queue, s Submission) time.Duration {
-	job := &workload.Job{Queue: s.Queue, Customer: s.Customer}
-	return s.Spec.ChainsOf(func(i int) time.Duration {
-		span := min(c.expectedRunTime(job, &s.Spec.Steps[i]), workload.MaxSpan)
+// longestChain returns how long the longest chain of a job is expected to take.
+func (c *Core) longestChain(q *catalog.Queue, j *workload.Job, s *workload.Spec) time.Duration {
+	return s.ChainsOf(func(i int) time.Duration {
+		span := min(c.expectedRunTime(j, &s.Steps[i]), workload.MaxSpan)
 		if q.Eligibility != nil {
 			span += q.Eligibility.Cost(objectiveEndpoints)
 		}
@@ -89,8 +173,44 @@
 	}).Longest
 }
 
+// loadOfJob returns what a job asks of a pool: the part that its widest step takes, and the
+// time that all steps take.
+func (c *Core) loadOfJob(pool string, j *workload.Job, s *workload.Spec) admission.Load {
+	var all admission.Load
+	for i := range s.Steps {
+		step := &s.Steps[i]
+		l := loadOf(step, step.Count, c.door.capacity[pool], min(c.expectedRunTime(j, step), workload.MaxSpan))
+		all = admission.Load{Share: max(all.Share, l.Share), Seconds: all.Seconds + l.Seconds}
+	}
+	return all
+}
+
+// loadOf returns what tasks of a step ask of a pool.
+func loadOf(s *workload.Step, tasks int, capacity resource.Vector, takes time.Duration) admission.Load {
+	share := fairshare.Dominant(s.Charge().Scale(int64(tasks)), capacity)
+	return admission.Load{Share: share, Seconds: share * takes.Seconds()}
+}
+
+func classOf(d *scheduler.Demand) admission.Class {
+	return admission.Class{Excess: d.Excess, Priority: d.Priority}
+}
+
 // exceedsRate reports whether a customer's next job would be beyond its rate.
 func (c *Core) exceedsRate(now clock.Instant, customer string) bool {
 	b := c.rates[customer]
 	return b != nil && b.empty(now, c.rateOf(customer), c.params.RateWindow)
 }
+
+// countLate counts a job that was accepted and has been done too late to be of use.
+func (c *Core) countLate(now clock.Instant, j *workload.Job) {
+	q := c.catalog.Queue(j.Queue)
+	if !c.params.Features.Admission || q == nil || j.State() != workload.StateCompleted || j.Spec.Recurrence != nil || lasts(&j.Spec) {
+		return
+	}
+	took, useful := now.Wall.Sub(j.Accepted), usefulFor(q, c.longestChain(q, j, &j.Spec))
+	if took <= useful {
+		return
+	}
+	metrics.AdmissionErrors.Add("accepted, ended too late to be of use", 1)
+	c.log.Info("job ended too late to be of use", "job", j.ID, "queue", j.Queue, "customer", j.Customer, "took", took.Round(time.Millisecond), "useful", useful.Round(time.Millisecond))
+}
--- a/internal/controller/batch.go
+++ b/internal/controller/batch.go
@@ -235,6 +235,7 @@
 	}
 	e.ended = true
 	c.log.Info("job ended", "job", e.job.ID, "state", e.job.State())
+	c.countLate(now, e.job)
 	c.ended = append(c.ended, e)
 	c.stopJob(now, e.job)
 }
--- a/internal/controller/configuration.go
+++ b/internal/controller/configuration.go
@@ -61,8 +61,7 @@
 		openedAt = r.Due(entry.step.Occurrence.Index)
 	}
 	chains := c.chainsOf(now, entry.jobEntry, questionTime)
-	objective := time.Duration(min(q.Stretch*float64(chains.Longest), float64(workload.MaxSpan))) + q.Objective
-	left := max(openedAt.Add(objective).Sub(now.Wall), -workload.MaxSpan) - chains.From[entry.step.Index]
+	left := max(openedAt.Add(objectiveOf(q, chains.Longest)).Sub(now.Wall), -workload.MaxSpan) - chains.From[entry.step.Index]
 	entry.latestStart = now.Steady + left
 }
 
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -21,7 +21,6 @@
 	"slices"
 	"time"
 
-	"github.com/bluebellstile/bluebellstile/internal/admission"
 	"github.com/bluebellstile/bluebellstile/internal/catalog"
 	"github.com/bluebellstile/bluebellstile/internal/clock"
 	"github.com/bluebellstile/bluebellstile/internal/estimate"
@@ -124,7 +123,7 @@
 	// preemptions bounds the work that preemptions throw away.
 	preemptions preemptionBudget
 	flow        flowControl
-	door        admission.Door
+	door        door
 	// runTimes holds what was learned of run times, nil if they are taken as stated.
 	runTimes *estimate.Model
 	// inheritedSilences holds the records of the endpoints that an earlier term
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -62,9 +62,11 @@
 	c.plannedAt, c.blocked = now.Steady, false
 	snapshot := c.snapshot(now)
 	if len(snapshot.Demands) == 0 {
+		c.updateDoor(now, snapshot, &scheduler.Plan{})
 		return
 	}
 	plan := scheduler.MakePlan(snapshot)
+	c.updateDoor(now, snapshot, &plan)
 	c.log.Debug("planned", "demands", len(snapshot.Demands), "hosts", len(snapshot.Hosts), "starts", len(plan.Starts), "questions", len(plan.Questions), "blocked", plan.Blocked)
 	c.applyStarts(now, plan.Starts)
 	c.preempt(now, plan.Preemptions)
@@ -118,7 +120,6 @@
 		}
 	}
 	if len(s.Demands) == 0 {
-		c.door.Update(now.Steady, nil)
 		return s
 	}
 	s.Hosts = c.hosts(now)
@@ -130,9 +131,6 @@
 	if c.params.Features.Shares {
 		c.markOverShare(s)
 	}
-	if c.params.Features.Admission {
-		c.updateDoor(now, s)
-	}
 	return s
 }
 
--- a/internal/controller/submit.go
+++ b/internal/controller/submit.go
@@ -110,7 +110,8 @@
 		if p := c.checkUseful(now, q, s); p != nil {
 			return p
 		}
-	} else if wait, refused := c.backlog.refuses(s.Customer); refused {
+	}
+	if wait, refused := c.backlog.refuses(s.Customer); refused && !c.judgesWaits(now) {
 		return problem.Refuse(problem.QueueFull, "try again later",
 			"%d steps wait to start, about %.0f start a second", c.backlog.waiting, c.backlog.rate).WithRetryAfter(min(wait, maxExpectedWait))
 	}
