Corrected run times withstand odd outcomes, and endpoints' speeds noisy expectations

One run time stated too long by orders of magnitude, or one stalled run, turned the line that a queue's run times are expected on: outcomes are now drawn to within three deviations of what was seen. The offset of a customer no longer moves the line of its queue. Members of a gang are measured from their first progress, as they wait for each other before. A task without a stated run time is expected to take as long as its queue's usually do. Queues and customers are forgotten once they are not configured any more.

An endpoint's speed is the average of run time over expected run time. Where the spread of the expectation is large an outcome now counts for less, and its bias is taken out. Where a run is placed, the stated and the expected run time are logged.

--- a/internal/controller/configuration.go
+++ b/internal/controller/configuration.go
@@ -21,6 +21,7 @@
 	}
 	c.catalog = next
 	c.planDue = true
+	c.forgetRunTimes()
 	for _, e := range c.steps {
 		e.resetRefusals()
 		c.setLatestStart(now, e)
--- a/internal/controller/estimate.go
+++ b/internal/controller/estimate.go
@@ -13,6 +13,8 @@
 	// learnProgress is the progress from which a run's time counts as known. Runs that
 	// have ended alone would show too short times: long ones end later.
 	learnProgress = 0.5
+	// minLearned is the part of a run's work over which its time is measured at least.
+	minLearned = 0.3
 	// chainsAge is how long the run times that a job's chains rest on are kept.
 	chainsAge = time.Second
 )
@@ -25,40 +27,84 @@
 // expectedRunTime returns the expected run time of a task of a job's step: as its caller
 // states it, or corrected by those seen.
 func (c *Core) expectedRunTime(j *workload.Job, s *workload.Step) time.Duration {
+	return c.expectation(j, s).Typical
+}
+
+// expectation returns what is expected of the run time of a task of a job's step.
+func (c *Core) expectation(j *workload.Job, s *workload.Step) estimate.Expectation {
 	if c.runTimes == nil || s.LongRunning {
-		return s.Estimate
+		return estimate.Expectation{Typical: s.Estimate, High: s.Estimate}
+	}
+	return c.runTimes.Expect(estimate.Key{Queue: j.Queue, Customer: j.Customer}, s.Estimate)
+}
+
+// runTimeSpread returns the standard deviation of the logarithm of a queue's run times around
+// what is expected, 0 if that is taken as stated.
+func (c *Core) runTimeSpread(queue string) float64 {
+	if c.runTimes == nil {
+		return 0
 	}
-	return c.runTimes.Expect(estimate.Key{Queue: j.Queue, Customer: j.Customer}, s.Estimate).Typical
+	return c.runTimes.Spread(queue)
+}
+
+// forgetRunTimes forgets the run times of queues and customers that are not configured.
+func (c *Core) forgetRunTimes() {
+	if c.runTimes != nil {
+		c.runTimes.Retain(c.isConfigured)
+	}
+}
+
+// isConfigured reports whether a queue, and the customer if one is given, are configured.
+func (c *Core) isConfigured(k estimate.Key) bool {
+	_, known := c.catalog.Customers[k.Customer]
+	return c.catalog.Queue(k.Queue) != nil && (known || k.Customer == "")
 }
 
 // learnFromProgress adds the time of a run to those seen once its progress foretells it.
 func (c *Core) learnFromProgress(now clock.Instant, r *fleet.Run) {
-	if r.Progress >= learnProgress && r.Progress <= 1 {
-		c.learnRunTime(r, time.Duration(float64(now.Steady-r.ConfirmedAt)/r.Progress))
+	if c.runTimes == nil || !(r.Progress > 0 && r.Progress <= 1) {
+		return
+	}
+	rs := c.runStateOf(r)
+	if rs.progressAt == 0 {
+		rs.progressAt, rs.progressFrom = now.Steady, r.Progress
+	}
+	if r.Progress >= learnProgress {
+		c.learnRunTime(now, r, rs, r.Progress)
 	}
 }
 
 // learnFromEnd adds the time of a run that was done to those seen.
 func (c *Core) learnFromEnd(now clock.Instant, r *fleet.Run) {
-	c.learnRunTime(r, now.Steady-r.ConfirmedAt)
+	if c.runTimes != nil {
+		c.learnRunTime(now, r, c.runStateOf(r), 1)
+	}
 }
 
-// learnRunTime adds the time of a run to those seen of its queue and customer, once. It
-// leaves out runs that this term didn't start, that resumed from a checkpoint or that
-// are away from their data or rack: their times say little of the usual ones.
-func (c *Core) learnRunTime(r *fleet.Run, took time.Duration) {
-	if c.runTimes == nil || r.Step == nil || r.Number > 1 || took <= 0 {
+// learnRunTime adds the time of a run, which has done the given part of its work, to those
+// seen of its queue and customer, once. It leaves out runs that this term didn't start,
+// that resumed from a checkpoint or that are away from their data or rack: their times say
+// little of the usual ones.
+func (c *Core) learnRunTime(now clock.Instant, r *fleet.Run, rs *runState, done float64) {
+	if r.Step == nil || r.Number > 1 || rs.learned || rs.startConfirmedAt == 0 {
 		return
 	}
-	rs, spec := c.runStateOf(r), r.Step.Spec
-	if rs.learned || rs.startConfirmedAt == 0 || spec.LongRunning || spec.Fills || spec.SameRack ||
-		spec.PreferredRack != "" && spec.PreferredRack != r.Endpoint.Rack {
+	spec := r.Step.Spec
+	if spec.LongRunning || spec.Fills || spec.SameRack || spec.PreferredRack != "" && spec.PreferredRack != r.Endpoint.Rack {
 		return
 	}
-	rs.learned = true
+	since, from := r.ConfirmedAt, 0.0
+	if spec.Gang {
+		// Members wait for each other before they work.
+		since, from = rs.progressAt, rs.progressFrom
+	}
 	key := estimate.Key{Queue: r.Queue, Customer: r.Customer}
+	if since == 0 || done-from < minLearned || !c.isConfigured(key) {
+		return
+	}
+	rs.learned = true
 	// The tasks of a step share their run time, and so count as one outcome.
-	c.runTimes.Observe(key, spec.Estimate, took, 1/float64(max(spec.Count, 1)))
+	c.runTimes.Observe(key, spec.Estimate, time.Duration(float64(now.Steady-since)/(done-from)), 1/float64(max(spec.Count, 1)))
 }
 
 // chainsOf returns the chains of a job's steps, with the time of a question added for each
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -353,7 +353,8 @@
 	}
 	waited := now.Steady - entry.since
 	c.log.Info("run placed", "task", r.Task, "run", r.Number, "endpoint", start.Endpoint.ID, "waited", waited.Round(time.Millisecond),
-		"free_millicores", start.Endpoint.Free().MilliCores, "pace", start.Endpoint.History.Slowdown(), "config", c.catalog.Version)
+		"free_millicores", start.Endpoint.Free().MilliCores, "pace", start.Endpoint.History.Slowdown(),
+		"stated", s.Spec.Estimate, "expected", start.Demand.Duration.Round(time.Millisecond), "config", c.catalog.Version)
 	planned := &plannedStart{run: r, permit: start.Permit, waited: waited}
 	if a := start.Demand.Eligibility; a != nil {
 		planned.expires = a.Permits[start.Endpoint].Expires
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -46,6 +46,9 @@
 	stopDecided bool
 	// learned is set once the run's time was added to those seen of its queue.
 	learned bool
+	// progressAt is when the run's first progress was reported, progressFrom that progress.
+	progressAt   time.Duration
+	progressFrom float64
 	// mayRunUntil is until when the run may work although the lease of the incarnation
 	// that its start was meant for has lapsed: a start without an answer may have
 	// reached the next one.
@@ -453,7 +456,7 @@
 	case workload.EndDone:
 		r.Endpoint.History.ObserveEnd(string(r.Task.Job), false)
 		if r.ConfirmedAt > 0 && !r.Step.Spec.Gang && r.Step.Checkpoint(r.Index()) == "" {
-			r.Endpoint.History.ObserveDuration(now.Steady-r.ConfirmedAt, c.runTimeOf(r.Step))
+			r.Endpoint.History.ObserveUncertain(now.Steady-r.ConfirmedAt, c.runTimeOf(r.Step), c.runTimeSpread(r.Queue))
 		}
 	case workload.EndFailed:
 		c.recordFailedRun(now, r)
--- a/internal/estimate/estimate.go
+++ b/internal/estimate/estimate.go
@@ -18,6 +18,11 @@
 	memory = 400
 	// maxCorrection bounds the factor between a stated and a corrected run time.
 	maxCorrection = 20
+	// outlierSpreads is how many standard deviations an outcome may be off; one that is
+	// further off counts as one that far off. leastSpread is the least standard deviation
+	// that this assumes.
+	outlierSpreads = 3
+	leastSpread    = 0.5
 	// shortest and longest bound the run times that are considered, so that their
 	// logarithms are finite.
 	shortest = time.Millisecond
@@ -53,50 +58,69 @@
 
 // Observe records that a task ran for actual where its caller had stated stated. weight is
 // the part of an independent outcome that it counts as: tasks of one step share a run time.
+// An outcome without a stated run time tells nothing.
 func (m *Model) Observe(k Key, stated, actual time.Duration, weight float64) {
-	if stated <= 0 || actual <= 0 || weight <= 0 {
+	if stated <= 0 || actual <= 0 || !(weight > 0) {
 		return
 	}
-	x, y := logOf(stated), logOf(actual)
-	l := m.queues[k.Queue]
+	l, o := m.queues[k.Queue], m.customers[k]
 	if l == nil {
 		l = &line{}
 		m.queues[k.Queue] = l
 	}
-	o := m.customers[k]
 	if o == nil {
 		o = &offset{}
 		m.customers[k] = o
 	}
-	o.add(y-l.at(x), weight)
-	l.add(x, y, weight)
+	x := logOf(stated)
+	x, y := l.bound(x, boundCorrection(x, logOf(actual))-o.mean())
+	before := l.at(x)
+	l.add(x, y, min(weight, 1))
+	o.add(y+o.mean()-before, min(weight, 1))
 }
 
-// Expect returns the expected run time of a task whose caller states stated.
+// Expect returns the expected run time of a task whose caller states stated. Where the caller
+// states none, it is the usual one of the queue.
 func (m *Model) Expect(k Key, stated time.Duration) Expectation {
 	l := m.queues[k.Queue]
-	if stated <= 0 || l == nil {
+	if l == nil {
 		return Expectation{Typical: stated, High: stated}
 	}
-	x := logOf(stated)
-	y := l.at(x)
+	own := 0.0
 	if o := m.customers[k]; o != nil {
-		y += o.mean()
+		own = o.mean()
+	}
+	var y float64
+	if stated > 0 {
+		y = boundCorrection(logOf(stated), l.at(logOf(stated))+own)
+	} else {
+		y = l.y/l.weight + own
 	}
-	limit := math.Log(maxCorrection)
-	y = min(max(y, x-limit), x+limit)
 	return Expectation{Typical: durationOf(y), High: durationOf(y + l.spread())}
 }
 
+// boundCorrection returns y, at most maxCorrection away from x.
+func boundCorrection(x, y float64) float64 {
+	return min(max(y, x-logMaxCorrection), x+logMaxCorrection)
+}
+
+var (
+	logMaxCorrection = math.Log(maxCorrection)
+	logLongest       = math.Log(float64(longest))
+)
+
 // Spread returns the standard deviation of the logarithm of the run times of a queue around
-// what is expected; 0 if none was seen.
+// what is expected; 0 if too few were seen to tell.
 func (m *Model) Spread(queue string) float64 {
-	if l := m.queues[queue]; l != nil {
+	if l := m.queues[queue]; l != nil && l.weight >= priorWeight {
 		return l.spread()
 	}
 	return 0
 }
 
+// Size returns how many queues, and customers of queues, the model has seen outcomes of.
+func (m *Model) Size() (queues, customers int) { return len(m.queues), len(m.customers) }
+
 // Retain forgets the queues and customers for which keep returns false.
 func (m *Model) Retain(keep func(Key) bool) {
 	for k := range m.customers {
@@ -126,6 +150,20 @@
 	l.yy = l.yy*fade + weight*y*y
 }
 
+// bound returns an outcome drawn to within outlierSpreads of what was seen, so that no single
+// one, as that of a stated run time that is wrong by orders of magnitude or of a stalled
+// endpoint, turns the line.
+func (l *line) bound(x, y float64) (boundX, boundY float64) {
+	if l.weight < priorWeight {
+		return x, y
+	}
+	meanX := l.x / l.weight
+	far := outlierSpreads * max(math.Sqrt(max(l.xx/l.weight-meanX*meanX, 0)), leastSpread)
+	x = min(max(x, meanX-far), meanX+far)
+	expected, off := l.at(x), outlierSpreads*max(l.spread(), leastSpread)
+	return x, min(max(y, expected-off), expected+off)
+}
+
 // slope returns how much of a difference between stated run times shows in the actual
 // ones, from 0 to 1. The belief that all of it does counts as priorWeight outcomes.
 func (l *line) slope() float64 {
@@ -178,5 +216,5 @@
 func logOf(d time.Duration) float64 { return math.Log(float64(min(max(d, shortest), longest))) }
 
 func durationOf(log float64) time.Duration {
-	return min(max(time.Duration(math.Exp(min(log, math.Log(float64(longest))))), shortest), longest)
+	return min(max(time.Duration(math.Exp(min(log, logLongest))), shortest), longest)
 }
--- a/internal/fleet/record.go
+++ b/internal/fleet/record.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// maxOutcomes is how many ended runs are remembered: enough to distinguish
@@ -14,6 +17,9 @@
 	// of an endpoint's slowdown. About the last five observations dominate, as
 	// endpoints become slow within seconds.
 	slowdownWeight = 0.2
+	// slowdownSpread is the standard deviation of the logarithm of the endpoints'
+	// slowdowns that is assumed in weighing an observation that is itself uncertain.
+	slowdownSpread = 0.3
 )
 
 // RunHistory summarizes the results of an endpoint's recent runs. The zero
@@ -73,15 +79,30 @@
 // ObserveDuration records how long a run took and how long it was expected to
 // take. It ignores runs without an expectation.
 func (r *RunHistory) ObserveDuration(actual, expected time.Duration) {
+	r.ObserveUncertain(actual, expected, 0)
+}
+
+// ObserveUncertain is ObserveDuration for an expectation that may be off: spread is the
+// standard deviation of the logarithm of run times around what is expected. The larger it
+// is, the less a run tells of its endpoint.
+func (r *RunHistory) ObserveUncertain(actual, expected time.Duration, spread float64) {
 	if expected <= 0 {
 		return
 	}
-	ratio := float64(actual) / float64(expected)
+	ratio, weight := float64(actual)/float64(expected), slowdownWeight
+	if spread > 0 {
+		// The mean of a log-normal ratio exceeds its median.
+		ratio *= math.Exp(-spread * spread / 2)
+		weight *= slowdownSpread * slowdownSpread / (slowdownSpread*slowdownSpread + spread*spread)
+	}
 	if r.slowdown == 0 {
-		r.slowdown = ratio
-		return
+		if spread <= 0 {
+			r.slowdown = ratio
+			return
+		}
+		r.slowdown = 1
 	}
-	r.slowdown += slowdownWeight * (ratio - r.slowdown)
+	r.slowdown += weight * (ratio - r.slowdown)
 }
 
 // Slowdown returns how long runs take on the endpoint relative to their
