--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -125,7 +125,8 @@
 	flow        flowControl
 	door        door
 	// runTimes holds what was learned of run times, nil if they are taken as stated.
-	runTimes *estimate.Model
+	runTimes         *estimate.Model
+	runTimesLoggedAt time.Duration
 	// inheritedSilences holds the records of the endpoints that an earlier term
 	// found silent, by endpoint id.
 	inheritedSilences map[string]silentRecord
--- a/internal/controller/estimate.go
+++ b/internal/controller/estimate.go
@@ -1,11 +1,13 @@
 package controller
 
 import (
+	"math"
 	"time"
 
 	"github.com/bluebellstile/bluebellstile/internal/clock"
 	"github.com/bluebellstile/bluebellstile/internal/estimate"
 	"github.com/bluebellstile/bluebellstile/internal/fleet"
+	"github.com/bluebellstile/bluebellstile/internal/metrics"
 	"github.com/bluebellstile/bluebellstile/internal/workload"
 )
 
@@ -15,6 +17,8 @@
 	learnProgress = 0.5
 	// minLearned is the part of a run's work over which its time is measured at least.
 	minLearned = 0.3
+	// learnLogInterval is the interval of the log lines on what was learned.
+	learnLogInterval = 10 * time.Second
 	// chainsAge is how long the run times that a job's chains rest on are kept.
 	chainsAge = time.Second
 )
@@ -103,8 +107,21 @@
 		return
 	}
 	rs.learned = true
+	metrics.RunTimesLearned.Add(r.Queue, 1)
 	// The tasks of a step share their run time, and so count as one outcome.
 	c.runTimes.Observe(key, spec.Estimate, time.Duration(float64(now.Steady-since)/(done-from)), 1/float64(max(spec.Count, 1)))
+	c.logRunTimes(now)
+}
+
+// logRunTimes logs what was learned of each queue, at most once per learnLogInterval.
+func (c *Core) logRunTimes(now clock.Instant) {
+	if now.Steady-c.runTimesLoggedAt < learnLogInterval {
+		return
+	}
+	c.runTimesLoggedAt = now.Steady
+	for _, s := range c.runTimes.Summaries() {
+		c.log.Info("run times learned", "queue", s.Queue, "outcomes", math.Round(s.Outcomes), "factor", s.Factor, "slope", s.Slope, "spread", s.Spread)
+	}
 }
 
 // chainsOf returns the chains of a job's steps, with the time of a question added for each
--- a/internal/estimate/estimate.go
+++ b/internal/estimate/estimate.go
@@ -5,7 +5,9 @@
 package estimate
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -118,6 +120,25 @@
 	return 0
 }
 
+// Summary tells what was learned of a queue.
+type Summary struct {
+	Queue string
+	// Outcomes is the weight of what was seen, Factor the usual factor between actual and
+	// stated run times, Slope how much of a difference between stated run times shows in
+	// actual ones, and Spread that of Model.Spread.
+	Outcomes, Factor, Slope, Spread float64
+}
+
+// Summaries returns what was learned of each queue, ordered by name.
+func (m *Model) Summaries() []Summary {
+	out := make([]Summary, 0, len(m.queues))
+	for queue, l := range m.queues {
+		out = append(out, Summary{Queue: queue, Outcomes: l.weight, Factor: math.Exp((l.y - l.x) / l.weight), Slope: l.slope(), Spread: l.spread()})
+	}
+	slices.SortFunc(out, func(a, b Summary) int { return cmp.Compare(a.Queue, b.Queue) })
+	return out
+}
+
 // Size returns how many queues, and customers of queues, the model has seen outcomes of.
 func (m *Model) Size() (queues, customers int) { return len(m.queues), len(m.customers) }
 
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -88,6 +88,19 @@
 	requireOrder(t, text, "request refused at the door", "code=key_refused", "detail=the key is not known")
 }
 
+// TestRefusalForLackOfRoom has a job refused in an overload, and accepted and done too late
+// when its caller returns.
+func TestRefusalForLackOfRoom(t *testing.T) {
+	text := render(t,
+		`time=2026-07-29T22:26:35.9Z level=INFO msg="job refused, it could not end in a time that is of use" daemon=b job=`+job+` expected_wait=20s`,
+		`time=2026-07-29T22:26:36.9Z level=INFO msg="work waits for room" daemon=b pool=p free=0.02`,
+		`time=2026-07-29T22:26:37.9Z level=INFO msg="job taken in" daemon=b job=`+job,
+		`time=2026-07-29T22:26:57.9Z level=INFO msg="job ended" daemon=b job=`+job+` state=completed`,
+		`time=2026-07-29T22:26:57.95Z level=INFO msg="job ended too late to be of use" daemon=b job=`+job+` took=20s`,
+	)
+	requireOrder(t, text, "job refused", "expected_wait=20s", "| b", "work waits for room", "job taken in", "job ended state", "too late to be of use")
+}
+
 // TestMessagesExist checks that the source code logs every message that the
 // package looks for.
 func TestMessagesExist(t *testing.T) {
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -19,8 +19,9 @@
 // A line of a later stage can't precede one of an earlier stage, even if the
 // daemons' clocks differ.
 var stages = map[string]int{
-	"request refused at the door":              0,
-	"request refused as malformed":             0,
+	"request refused at the door":                            0,
+	"request refused as malformed":                           0,
+	"job refused, it could not end in a time that is of use": 0,
 	"job taken in":                             1,
 	"occurrence is due later":                  2,
 	"question about eligible endpoints failed": 2,
@@ -34,9 +35,10 @@
 	"stopping run":                             5,
 	"stopping a run that is not wanted":        5,
 	"run counted as ended, the endpoint's lease has lapsed": 5,
-	"run ended":     6,
-	"job cancelled": 7,
-	"job ended":     8,
+	"run ended":                       6,
+	"job cancelled":                   7,
+	"job ended":                       8,
+	"job ended too late to be of use": 9,
 }
 
 // Range of the stages that concern one run.
@@ -77,6 +79,7 @@
 // happened to it.
 var relatedMessages = map[string]bool{
 	"term runs":                             true,
+	"work waits for room":                   true,
 	"term ended":                            true,
 	"term did not begin":                    true,
 	"cell handed over":                      true,
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -86,3 +88,33 @@
 		})
 	}
 }
+
+// TestSpeedsBesideUncertainRunTimes has endpoints of the same speed run work whose run times
+// are widely spread, and one that takes three times as long. The first ones must not seem to
+// differ as much as the work does; the last one must be told from them.
+func TestSpeedsBesideUncertainRunTimes(t *testing.T) {
+	const spread = 0.6
+	random := rand.New(rand.NewPCG(1, 1))
+	observe := func(r *RunHistory, speed, spread float64) {
+		for range 60 {
+			took := time.Duration(speed * math.Exp(0.6*random.NormFloat64()) * float64(time.Second))
+			r.ObserveUncertain(took, time.Second, spread)
+		}
+	}
+	off := func(spread float64) (sum float64) {
+		const endpoints = 200
+		for range endpoints {
+			var r RunHistory
+			observe(&r, 1, spread)
+			sum += math.Abs(math.Log(r.Slowdown())) / endpoints
+		}
+		return sum
+	}
+	if told, untold := off(spread), off(0); told > 0.12 || told > untold/2 {
+		t.Errorf("equal endpoints seem to differ by %.2f, and by %.2f if the spread is not known", told, untold)
+	}
+	var slow RunHistory
+	if observe(&slow, 3, spread); slow.Slowdown() < 2 {
+		t.Errorf("an endpoint that takes three times as long has a slowdown of %.2f", slow.Slowdown())
+	}
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -95,6 +95,7 @@
 	CustomersOverShare   = counter("customers_over_share", "customers that use more than their shares of the endpoints while these are contended, at the holder")
 	JobsRefusedUseless   = counterMap("jobs_refused_useless_total", "jobs refused because they could not end in a time that is of use, by queue")
 	AdmissionErrors      = counterMap("admission_errors_total", "jobs refused that could have been served, and jobs accepted that ended too late to be of use")
+	RunTimesLearned      = counterMap("run_times_learned_total", "runs from which the holder learned how long tasks take, by queue")
 	ZonesEvacuated       = counter("zones_evacuated", "availability zones that the operator empties, at the holder")
 	StartsWithdrawn      = counterMap("starts_withdrawn_total", "starts that were planned and not sent, by cause: evacuation")
 	ProcessorMS          = counter("processor_ms_total", "milliseconds of processor time used by the daemon")
