Nobody is refused at the door while the endpoints have room for the job

A pool of which under a fifth was free counted as full. But a part of that room is kept for urgent work and for gangs, and a small job would have found its place. The endpoints are asked for room for all tasks of the job that need not wait for others before it is refused.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -49,6 +49,9 @@
 	Runs      time.Duration
 	Objective time.Duration
 	Useful    time.Duration
+	// HasRoom reports whether the endpoints have room for the job now, nil if they have
+	// none. It is asked last, as it looks at all of them.
+	HasRoom func() bool
 }
 
 // Verdict is the decision on a job.
@@ -107,8 +110,8 @@
 	return servable
 }
 
-// Decide decides on a job. Nobody is refused while there is room, nor a customer that has a
-// small part of the waiting work. While an overload lasts, jobs are accepted up to what meets
+// Decide decides on a job. Nobody is refused while there is room, be it kept for other work,
+// nor a customer that has a small part of the waiting work. While an overload lasts, jobs are accepted up to what meets
 // their objectives: late work goes behind what is not, so that what would be late could wait
 // until the overload is over. The work of an accepted job counts as waiting at once: many jobs
 // may ask between two plans.
@@ -123,7 +126,7 @@
 		useful = min(useful, j.Objective)
 	}
 	over := time.Duration((1+waitMargin)*float64(v.Wait)) + j.Runs - useful
-	if over <= 0 || p.isSmall(j.Class, j.Customer, j.Weight) {
+	if over <= 0 || p.isSmall(j.Class, j.Customer, j.Weight) || j.HasRoom != nil && j.HasRoom() {
 		p.AddWaiting(j.Class, j.Customer, j.Weight, j.Load)
 		return v
 	}
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -76,18 +76,20 @@
 	}
 }
 
-// TestNobodyIsRefusedWithRoom has loads of all kinds on a pool that has room, on one that is
-// not known and on one whose state is old.
+// TestNobodyIsRefusedWithRoom has loads of all kinds on a pool that has room, on one that has
+// room for the job, on one that is not known and on one whose state is old.
 func TestNobodyIsRefusedWithRoom(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		j := jobOf(rapid.SampledFrom([]string{"hot", "small", "new"}).Draw(t, "customer"), time.Duration(rapid.Int64().Draw(t, "useful"))/4)
 		now := time.Duration(0)
 		d := doorOf(overload(rapid.Float64Range(freeShare, 1).Draw(t, "free")))
-		switch rapid.IntRange(0, 2).Draw(t, "kind") {
+		switch rapid.IntRange(0, 3).Draw(t, "kind") {
 		case 1:
 			j.Pool = "another"
 		case 2:
 			d, now = doorOf(overload(0)), maxAge+1
+		case 3:
+			d, j.HasRoom = doorOf(overload(0)), func() bool { return true }
 		}
 		if v := d.Decide(now, j); v.Refused {
 			t.Errorf("refused with room: %+v", v)
--- a/internal/controller/admission.go
+++ b/internal/controller/admission.go
@@ -124,6 +124,7 @@
 		Class: admission.Class{Excess: c.exceedsRate(now, s.Customer), Priority: q.Priority},
 		Load:  c.loadOfJob(q.Pool, job, &s.Spec),
 		Runs:  chain, Objective: objectiveOf(q, chain) - passed, Useful: usefulFor(q, chain) - passed,
+		HasRoom: func() bool { return c.hasRoom(now, q.Pool, &s.Spec) },
 	})
 	if !v.Refused {
 		return nil
@@ -136,6 +137,43 @@
 		"the job would wait for %s and could not end in a time that is of use", v.Wait.Round(time.Millisecond)).WithRetryAfter(v.RetryAfter)
 }
 
+// hasRoom reports whether the endpoints have room for all tasks of a job that don't wait for
+// others, be it kept for other work.
+func (c *Core) hasRoom(now clock.Instant, pool string, s *workload.Spec) bool {
+	left := 0
+	lacking := make([]int64, len(s.Steps))
+	for i := range s.Steps {
+		if len(s.Steps[i].After) == 0 {
+			lacking[i] = int64(s.Steps[i].Count)
+			left++
+		}
+	}
+	for _, e := range c.fleet.Endpoints() {
+		if e.Pool != pool || !c.usable(now, e) {
+			continue
+		}
+		free := e.Free()
+		for i, n := range lacking {
+			step := &s.Steps[i]
+			if n == 0 || !e.HasLabel(step.RequiredLabel) {
+				continue
+			}
+			if step.MaxPerEndpoint > 0 {
+				n = min(n, int64(step.MaxPerEndpoint))
+			}
+			fit := step.Charge().Copies(free, n)
+			free = free.Sub(step.Charge().Scale(fit))
+			if lacking[i] -= fit; lacking[i] == 0 {
+				left--
+			}
+		}
+		if left == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // judgesWaits reports whether the door tells how long new work waits: if what waits does so
 // for room.
 func (c *Core) judgesWaits(now clock.Instant) bool {
--- a/internal/controller/admission_test.go
+++ b/internal/controller/admission_test.go
@@ -162,6 +162,26 @@
 	}
 }
 
+// TestRoomForTheJobIsRoom has an overload of wide jobs leave room in which a small one fits.
+// Whoever sends it, it is accepted.
+func TestRoomForTheJobIsRoom(t *testing.T) {
+	w := newWorld(t, 1, faults{})
+	overloadDoor(w)
+	w.run(40 * time.Second)
+	core, refused := w.current().core, make(map[string]bool)
+	for name, cores := range map[string]int64{"fits": 1000, "is too large": 33_000} {
+		spec := bulkJob(1)
+		spec.Steps[0].Size.MilliCores = cores
+		if core.hasRoom(w.instant(), "p", &spec) != (name == "fits") {
+			t.Fatalf("a job that %s: wrong room", name)
+		}
+		refused[name] = core.checkAdmission(w.instant(), Submission{ID: "b300000000000000", Queue: "bulk", Customer: "c2", Accepted: w.instant().Wall, Spec: spec}) != nil
+	}
+	if refused["fits"] || !refused["is too large"] {
+		t.Errorf("refused: %v", refused)
+	}
+}
+
 // TestSlowHolderRefusesWithTheDoorOn has more work wait than the holder can start, although
 // there is room: the door sees no pool that is full, and the bound on the backlog holds.
 func TestSlowHolderRefusesWithTheDoorOn(t *testing.T) {
