--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -21,7 +21,6 @@
 	"slices"
 	"time"
 
-	"github.com/bluebellstile/bluebellstile/internal/admission"
 	"github.com/bluebellstile/bluebellstile/internal/catalog"
 	"github.com/bluebellstile/bluebellstile/internal/clock"
 	"github.com/bluebellstile/bluebellstile/internal/estimate"
@@ -124,9 +123,10 @@
 	// preemptions bounds the work that preemptions throw away.
 	preemptions preemptionBudget
 	flow        flowControl
-	door        admission.Door
+	door        door
 	// runTimes holds what was learned of run times, nil if they are taken as stated.
-	runTimes *estimate.Model
+	runTimes         *estimate.Model
+	runTimesLoggedAt time.Duration
 	// inheritedSilences holds the records of the endpoints that an earlier term
 	// found silent, by endpoint id.
 	inheritedSilences map[string]silentRecord
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -62,9 +62,11 @@
 	c.plannedAt, c.blocked = now.Steady, false
 	snapshot := c.snapshot(now)
 	if len(snapshot.Demands) == 0 {
+		c.updateDoor(now, snapshot, &scheduler.Plan{})
 		return
 	}
 	plan := scheduler.MakePlan(snapshot)
+	c.updateDoor(now, snapshot, &plan)
 	c.log.Debug("planned", "demands", len(snapshot.Demands), "hosts", len(snapshot.Hosts), "starts", len(plan.Starts), "questions", len(plan.Questions), "blocked", plan.Blocked)
 	c.applyStarts(now, plan.Starts)
 	c.preempt(now, plan.Preemptions)
@@ -119,7 +121,6 @@
 		}
 	}
 	if len(s.Demands) == 0 {
-		c.door.Update(now.Steady, nil)
 		return s
 	}
 	s.Hosts = c.hosts(now)
@@ -131,9 +132,6 @@
 	if c.params.Features.Shares {
 		c.markOverShare(s)
 	}
-	if c.params.Features.Admission {
-		c.updateDoor(now, s)
-	}
 	return s
 }
 
@@ -356,7 +354,8 @@
 	}
 	waited := now.Steady - entry.since
 	c.log.Info("run placed", "task", r.Task, "run", r.Number, "endpoint", start.Endpoint.ID, "waited", waited.Round(time.Millisecond),
-		"free_millicores", start.Endpoint.Free().MilliCores, "pace", start.Endpoint.History.Slowdown(), "config", c.catalog.Version)
+		"free_millicores", start.Endpoint.Free().MilliCores, "pace", start.Endpoint.History.Slowdown(),
+		"stated", s.Spec.Estimate, "expected", start.Demand.Duration.Round(time.Millisecond), "config", c.catalog.Version)
 	planned := &plannedStart{run: r, permit: start.Permit, waited: waited}
 	if a := start.Demand.Eligibility; a != nil {
 		planned.expires = a.Permits[start.Endpoint].Expires
