--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -119,8 +119,8 @@
 
 	urgent  urgentLoad
 	backlog backlog
-	// overShare holds the customers that were over their shares in the last plan.
-	overShare map[string]bool
+	// shares is nil before the first plan that divides capacity among customers.
+	shares *shares
 	// preemptions bounds the work that preemptions throw away.
 	preemptions preemptionBudget
 	flow        flowControl
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -119,6 +119,7 @@
 	}
 	if len(s.Demands) == 0 {
 		c.door.Update(now.Steady, nil)
+		c.noteOver(nil)
 		return s
 	}
 	s.Hosts = c.hosts(now)
@@ -128,7 +129,7 @@
 		s.PreemptionBudget = c.preemptions.available(now.Steady, c.coresOf(s.Hosts))
 	}
 	if c.params.Features.Shares {
-		c.markOverShare(s)
+		c.markOverShare(now, s)
 	}
 	if c.params.Features.Admission {
 		c.updateDoor(now, s)
@@ -355,7 +356,7 @@
 	}
 	waited := now.Steady - entry.since
 	c.log.Info("run placed", "task", r.Task, "run", r.Number, "endpoint", start.Endpoint.ID, "waited", waited.Round(time.Millisecond),
-		"free_millicores", start.Endpoint.Free().MilliCores, "pace", start.Endpoint.History.Slowdown(), "config", c.catalog.Version)
+		"free_millicores", start.Endpoint.Free().MilliCores, "pace", start.Endpoint.History.Slowdown(), "over_share", start.Demand.OverShare, "config", c.catalog.Version)
 	planned := &plannedStart{run: r, permit: start.Permit, waited: waited}
 	if a := start.Demand.Eligibility; a != nil {
 		planned.expires = a.Permits[start.Endpoint].Expires
--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -5,7 +5,6 @@
 package fairshare
 
 import (
-	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -15,8 +14,7 @@
 
 // Customer is what a customer has and asks for.
 type Customer struct {
-	// Weight is the customer's part when all is full. One that is not a positive number
-	// counts as the smallest.
+	// Weight is the customer's part when all is full; see BoundedWeight.
 	Weight float64
 	// Used is what its running tasks occupy, Waiting what its waiting ones would.
 	Used    resource.Vector
@@ -30,74 +28,144 @@
 	maxWeight = 1e9
 )
 
+// BoundedWeight returns the weight with which a customer counts: the nearest one in the
+// range of weights, and the smallest one for what is no number.
+func BoundedWeight(weight float64) float64 {
+	if math.IsNaN(weight) {
+		return minWeight
+	}
+	return min(max(weight, minWeight), maxWeight)
+}
+
 // Division is a division of a capacity.
 type Division struct {
-	// Contended is set if the customers ask for more than the capacity.
+	// Contended is set if the customers ask for more of a resource than there is.
 	Contended bool
-	// Shares are the customers' parts of the capacity, from 0 to 1.
+	// Shares are the customers' parts of the capacity, from 0 to 1, in the resource of
+	// which each asks for the largest part.
 	Shares map[string]float64
-	// used are the parts that they use.
-	used map[string]float64
+	// Used are the parts that they use.
+	Used map[string]float64
 }
 
-// Divide divides a capacity. Each customer gets what it asks for, or as much for each unit of
-// its weight as the others that get less than they ask for.
+// Over reports whether a customer uses more than its share of a contended capacity, by more
+// than tolerance, a fraction of the share.
+func (d *Division) Over(customer string, tolerance float64) bool {
+	return d.Contended && d.Used[customer] > d.Shares[customer]*(1+tolerance)
+}
+
+// claim is what one customer asks for and gets.
+type claim struct {
+	name string
+	// asked are the parts of each resource that it asks for, dominant the largest of them.
+	asked    [resources]float64
+	dominant float64
+	weight   float64
+	share    float64
+	settled  bool
+}
+
+// Divide divides a capacity. The shares of all customers grow together, each at the rate of
+// its weight, until one has what it asks for or a resource that it needs is used up.
 func Divide(capacity resource.Vector, customers map[string]Customer) Division {
-	d := Division{Shares: make(map[string]float64, len(customers)), used: make(map[string]float64, len(customers))}
-	type claim struct {
-		name           string
-		asked, weight  float64
-		askedPerWeight float64
-	}
+	d := Division{Shares: make(map[string]float64, len(customers)), Used: make(map[string]float64, len(customers))}
 	claims := make([]claim, 0, len(customers))
-	total, weights := 0.0, 0.0
+	total := [resources]float64{}
 	for _, name := range slices.Sorted(maps.Keys(customers)) {
-		c := customers[name]
-		weight := boundedWeight(c.Weight)
-		asked := Dominant(c.Used.Add(c.Waiting), capacity)
-		d.used[name] = Dominant(c.Used, capacity)
-		claims = append(claims, claim{name: name, asked: asked, weight: weight, askedPerWeight: asked / weight})
-		total, weights = total+asked, weights+weight
+		customer := customers[name]
+		c := claim{name: name, weight: BoundedWeight(customer.Weight), asked: parts(customer.Used.Add(customer.Waiting), capacity)}
+		for k, part := range c.asked {
+			c.dominant = max(c.dominant, part)
+			total[k] += part
+		}
+		d.Used[name] = Dominant(customer.Used, capacity)
+		claims = append(claims, c)
 	}
-	d.Contended = total > 1
-	slices.SortStableFunc(claims, func(a, b claim) int { return cmp.Compare(a.askedPerWeight, b.askedPerWeight) })
-	left := 1.0
-	for _, c := range claims {
-		share := min(c.asked, max(left, 0)*c.weight/weights)
-		d.Shares[c.name] = share
-		left, weights = left-share, weights-c.weight
+	d.Contended = slices.Max(total[:]) > 1
+	fill(claims)
+	for i := range claims {
+		d.Shares[claims[i].name] = claims[i].share
 	}
 	return d
 }
 
-// Over reports whether a customer uses more than its share of a contended capacity, by more
-// than tolerance, a fraction of the share.
-func (d *Division) Over(customer string, tolerance float64) bool {
-	return d.Contended && d.used[customer] > d.Shares[customer]*(1+tolerance)
+// fill gives each claim its share. Each round ends when a claim has what it asks for, or a
+// resource is used up, which settles all claims on it.
+func fill(claims []claim) {
+	left := [resources]float64{}
+	for k := range left {
+		left[k] = 1
+	}
+	for {
+		// rates is how much of each resource the open claims take per unit of growth.
+		rates, growth := [resources]float64{}, math.Inf(1)
+		for i := range claims {
+			c := &claims[i]
+			if c.settled = c.settled || c.share >= c.dominant; c.settled {
+				continue
+			}
+			growth = min(growth, (c.dominant-c.share)/c.weight)
+			for k, part := range c.asked {
+				rates[k] += c.weight * part / c.dominant
+			}
+		}
+		if math.IsInf(growth, 1) {
+			return
+		}
+		scarce := -1
+		for k, rate := range rates {
+			if rate > 0 && left[k]/rate <= growth {
+				growth, scarce = left[k]/rate, k
+			}
+		}
+		for k, rate := range rates {
+			left[k] = max(left[k]-rate*growth, 0)
+		}
+		grow(claims, growth, scarce)
+	}
 }
 
-// Used returns the part of the capacity that a customer uses.
-func (d *Division) Used(customer string) float64 { return d.used[customer] }
+// grow adds to the open claims and settles those that are satisfied and those on the scarce
+// resource, -1 if there is none.
+func grow(claims []claim, growth float64, scarce int) {
+	const rounding = 1e-9
+	for i := range claims {
+		c := &claims[i]
+		if c.settled {
+			continue
+		}
+		c.share += c.weight * growth
+		if c.share >= c.dominant*(1-rounding) {
+			c.share, c.settled = c.dominant, true
+		}
+		if scarce >= 0 && c.asked[scarce] > 0 {
+			c.settled = true
+		}
+	}
+}
 
-// Dominant returns the largest part of a capacity that an amount takes in any dimension.
+// Dominant returns the largest part of a capacity that an amount takes in any resource.
 func Dominant(amount, capacity resource.Vector) float64 {
-	part := 0.0
-	for _, pair := range [...][2]int64{
+	p := parts(amount, capacity)
+	return slices.Max(p[:])
+}
+
+// resources is the number of resources that are divided.
+const resources = 4
+
+// parts returns the parts of a capacity that an amount takes. Of a resource that there is
+// none of it takes none.
+func parts(amount, capacity resource.Vector) [resources]float64 {
+	p := [resources]float64{}
+	for k, pair := range [resources][2]int64{
 		{amount.MilliCores, capacity.MilliCores},
 		{amount.MemoryMB, capacity.MemoryMB},
 		{amount.Accelerators, capacity.Accelerators},
 		{amount.Slots, capacity.Slots},
 	} {
 		if pair[0] > 0 && pair[1] > 0 {
-			part = max(part, float64(pair[0])/float64(pair[1]))
+			p[k] = float64(pair[0]) / float64(pair[1])
 		}
 	}
-	return part
-}
-
-func boundedWeight(weight float64) float64 {
-	if math.IsNaN(weight) {
-		return minWeight
-	}
-	return min(max(weight, minWeight), maxWeight)
+	return p
 }
