Preemption: only for what can still be in time, where room doesn't come without

Cause: the first version stopped nothing it should and missed what it could: demands found full by an earlier search were not noticed, one host gave one option only, work that was late or over its customer's share gained, a question under way counted as want of room, an urgent step on full endpoints was never told where it may run, and runs of queues that are no longer configured could be stopped and not start again.

Change: a demand gains if it can meet its objective in the room that it gets and does not get it in half of the time left without. Options are taken host by host, the cheapest first, over a bounded number of hosts; what a stop keeps idle counts as loss, what a demand may throw away is bounded by its work. An urgent step asks about full endpoints with runs that may be stopped. Victims that would miss their objectives are left alone.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -146,8 +146,8 @@
 	// Plans counts the plans made, and Starts, Questions, Holds, Stops and Paces
 	// the orders emitted. Refused counts the starts that endpoints refused,
 	// Doubtful those without an answer, Lapsed the runs counted as ended because
-	// a lease has lapsed, Evicted the evicted runs and Preempted
-	// those of them that made room for more urgent work.
+	// a lease has lapsed, Evicted the evicted runs and Preempted those stopped for
+	// more urgent work.
 	Plans     int64
 	Starts    int64
 	Questions int64
--- a/internal/controller/evict.go
+++ b/internal/controller/evict.go
@@ -31,7 +31,6 @@
 const (
 	causeDraining = "its endpoint leaves before it ends"
 	causeStalled  = "it makes no progress"
-	causePreempt  = "more urgent work needs its room"
 )
 
 // evict stops a run so that its task starts elsewhere. A gang is stopped as a
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -101,8 +101,6 @@
 			PermitMargin:    permitMargin,
 			UrgentStarts:    urgentStartReserve,
 			GangRoom:        c.params.Features.GangRoom,
-			Preemption:      c.params.Features.Preemption,
-			Shares:          c.params.Features.Shares,
 			StopTime:        c.params.StopGrace + stopMargin,
 		},
 	}
@@ -125,8 +123,7 @@
 	s.Hosts = c.hosts(now)
 	s.Policy.UrgentSize, s.Policy.UrgentSlots = c.urgentReserve(s.Hosts)
 	if c.params.Features.Preemption {
-		s.Victims = func(h *scheduler.Host) []scheduler.Victim { return c.victimsOn(now, h.Endpoint) }
-		s.PreemptionBudget = c.preemptions.available(now.Steady, c.coresOf(s.Hosts))
+		c.offerVictims(now, s)
 	}
 	if c.params.Features.Shares {
 		c.markOverShare(now, s)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -92,6 +92,7 @@
 	PlanTime             = histogram("plan_ms", "time to plan which tasks start next")
 	OddEntries           = counterMap("odd_entries_total", "entries of other writers that were left out, by list: registry, configuration; each reading of one counts")
 	Preemptions          = counterMap("preemptions_total", "runs stopped for more urgent work, by the queue of that work")
+	PreemptionLoss       = counterMap("preemption_loss_core_ms_total", "processor time that stops for more urgent work have thrown away or kept idle, in thousandths of a core-second, by the queue of the stopped run")
 	CustomersOverShare   = counter("customers_over_share", "customers that use more than their shares of the endpoints while these are contended, at the holder")
 	JobsRefusedUseless   = counterMap("jobs_refused_useless_total", "jobs refused because they could not end in a time that is of use, by queue")
 	AdmissionErrors      = counterMap("admission_errors_total", "jobs refused that could have been served, and jobs accepted that ended too late to be of use")
--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -46,3 +46,32 @@
 	}
 	return s
 }
+
+// BenchmarkPlanWithStarvingWork measures a plan on 350 hosts that are full of runs that can
+// wait, by the number of urgent steps without room, of which every second one knows where it
+// may run. All of the others are asked about.
+func BenchmarkPlanWithStarvingWork(b *testing.B) {
+	for _, starving := range []int{0, 10, 100, 1000} {
+		b.Run(fmt.Sprintf("starving=%d", starving), func(b *testing.B) {
+			for b.Loop() {
+				b.StopTimer()
+				s := snapshot(350)
+				fill(s, now+time.Minute, 2)
+				for i := range starving {
+					d := urgentDemand(fmt.Sprintf("%016x", i), 3)
+					d.Eligibility = NewEligibility()
+					d.Eligibility.EligibleShare = 0.3
+					for k, h := range s.Hosts {
+						if i%2 == 0 {
+							d.Eligibility.SetEligible(h.Endpoint, (i+k)%3 == 0)
+						}
+					}
+					s.Demands = append(s.Demands, d)
+				}
+				s.PreemptionBudget = 1000
+				b.StartTimer()
+				MakePlan(s)
+			}
+		})
+	}
+}
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -25,6 +25,7 @@
 	if !d.holdsCapacity() && !p.mayReserve(d) && p.full.includes(d, n) {
 		p.plan.Blocked++
 		p.noteOwed(d, n)
+		p.noteStarved(d, n)
 		if p.gangQuestionsLeft(d) > 0 {
 			p.failedSearches++
 			p.askAboutUnknown(d)
@@ -40,8 +41,7 @@
 			p.full.add(d, n)
 		}
 		p.rechargeHeldTasks(d)
-		d.starving = n
-		p.noteStarved(d)
+		p.noteStarved(d, n)
 		p.noteOwed(d, n)
 		p.askAboutUnknown(d)
 		p.reserve(d, known, n)
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -247,6 +247,7 @@
 	}
 	if !d.holdsCapacity() && p.quotaAllows(d, 1) && p.full.includes(d, 1) {
 		p.plan.Blocked++
+		p.noteStarved(d, len(d.Tasks))
 		return
 	}
 	var hosts []*Host
@@ -277,10 +278,13 @@
 	}
 	p.plan.Blocked++
 	p.failedSearches++
-	d.starving = len(waiting)
-	p.noteStarved(d)
 	p.rememberFullHosts(d)
-	p.ask(d, len(waiting))
+	if asked := len(p.plan.Questions); d.Eligibility == nil || p.mayAsk(d) {
+		p.ask(d, len(waiting))
+		if len(p.plan.Questions) == asked {
+			p.noteStarved(d, len(waiting))
+		}
+	}
 }
 
 // hostFor returns the best host on which a task can start now and the token of
--- a/internal/scheduler/snapshot.go
+++ b/internal/scheduler/snapshot.go
@@ -39,8 +39,10 @@
 	// LastTurn is Plan.LastTurn of the plan before, nil if there is none.
 	LastTurn *Demand
 	// Victims returns the runs on a host that may be stopped for work of a better
-	// priority. It is called only if such work has no room.
-	Victims func(*Host) []Victim
+	// priority. It is called only if such work has no room. It is nil if the plan may
+	// stop none. WorstPriority is the worst priority that such runs may have.
+	Victims       func(*Host) []Victim
+	WorstPriority int
 	// PreemptionBudget bounds the work that preemptions may throw away, in core-seconds.
 	PreemptionBudget float64
 }
@@ -61,11 +63,8 @@
 	PermitMargin time.Duration
 	// UrgentStarts is the part of MaxStarts that is reserved for urgent work.
 	UrgentStarts int
-	// GangRoom, Preemption and Shares turn the parts of a plan on that keep room for
-	// gangs, stop runs and divide capacity among customers.
-	GangRoom   bool
-	Preemption bool
-	Shares     bool
+	// GangRoom turns the part of a plan on that keeps room for gangs.
+	GangRoom bool
 	// StopTime is how long it takes until the room of a run that is being stopped can be
 	// used.
 	StopTime time.Duration
