--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -104,8 +104,6 @@
 			PermitMargin:    permitMargin,
 			UrgentStarts:    urgentStartReserve,
 			GangRoom:        c.params.Features.GangRoom,
-			Preemption:      c.params.Features.Preemption,
-			Shares:          c.params.Features.Shares,
 			StopTime:        c.params.StopGrace + stopMargin,
 		},
 	}
@@ -121,16 +119,16 @@
 		}
 	}
 	if len(s.Demands) == 0 {
+		c.noteOver(nil)
 		return s
 	}
 	s.Hosts = c.hosts(now)
 	s.Policy.UrgentSize, s.Policy.UrgentSlots = c.urgentReserve(s.Hosts)
 	if c.params.Features.Preemption {
-		s.Victims = func(h *scheduler.Host) []scheduler.Victim { return c.victimsOn(now, h.Endpoint) }
-		s.PreemptionBudget = c.preemptions.available(now.Steady, c.coresOf(s.Hosts))
+		c.offerVictims(now, s)
 	}
 	if c.params.Features.Shares {
-		c.markOverShare(s)
+		c.markOverShare(now, s)
 	}
 	return s
 }
@@ -355,7 +353,7 @@
 	waited := now.Steady - entry.since
 	c.log.Info("run placed", "task", r.Task, "run", r.Number, "endpoint", start.Endpoint.ID, "waited", waited.Round(time.Millisecond),
 		"free_millicores", start.Endpoint.Free().MilliCores, "pace", start.Endpoint.History.Slowdown(),
-		"stated", s.Spec.Estimate, "expected", start.Demand.Duration.Round(time.Millisecond), "config", c.catalog.Version)
+		"stated", s.Spec.Estimate, "expected", start.Demand.Duration.Round(time.Millisecond), "over_share", start.Demand.OverShare, "config", c.catalog.Version)
 	planned := &plannedStart{run: r, permit: start.Permit, waited: waited}
 	if a := start.Demand.Eligibility; a != nil {
 		planned.expires = a.Permits[start.Endpoint].Expires
