--- a/internal/scheduler/yield_test.go
+++ b/internal/scheduler/yield_test.go
@@ -45,7 +45,7 @@
 			g.Step.Job.Customer = "limited"
 			s.WithinQuota = func(customer string, _ resource.Vector) bool { return customer != "limited" }
 		}, 4},
-		"another pool": {func(s *Snapshot, g, _ *Demand) { g.Pool = "other" }, 4},
+		"another pool": {func(_ *Snapshot, g, _ *Demand) { g.Pool = "other" }, 4},
 		"no endpoint may run the gang": {func(s *Snapshot, g, _ *Demand) {
 			g.Eligibility = NewEligibility()
 			for _, h := range s.Hosts {
