Endpoints that say that they are cold are taken for slow

Cause: the registry tells for how much longer an endpoint stays slow after its start; nobody read it. Work that is urgent, or has no slack, went to such endpoints first, as they are the emptiest; its end was expected too early, and what it took there counted as the endpoint's speed for long after.

Change: a registration has the time left. Urgent work, and what would miss its objective there, goes to cold endpoints last; what can wait may use them. Runs during a cold time teach nothing about endpoints or queues. The switch is that of evacuations. An endpoint that is registered in another zone counts as changed.

--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -348,14 +348,15 @@
 		OrderedAt: now.Steady,
 		Pace:      100,
 	}
-	r.ExpectedEnd = now.Steady + time.Duration(float64(start.Demand.Duration)*start.Endpoint.History.Slowdown())
+	r.ExpectedEnd = now.Steady + start.Endpoint.RunTime(start.Demand.Duration, now.Steady)
 	start.Endpoint.Add(r)
 	if r.Priority == 0 {
 		c.urgent.updateSize(r.Charge)
 	}
 	waited := now.Steady - entry.since
 	c.log.Info("run placed", "task", r.Task, "run", r.Number, "endpoint", start.Endpoint.ID, "waited", waited.Round(time.Millisecond),
-		"free_millicores", start.Endpoint.Free().MilliCores, "pace", start.Endpoint.History.Slowdown(), "config", c.catalog.Version)
+		"free_millicores", start.Endpoint.Free().MilliCores, "pace", start.Endpoint.History.Slowdown(), "cold", start.Endpoint.Cold(now.Steady),
+		"zones_emptied", len(c.evacuated), "config", c.catalog.Version)
 	planned := &plannedStart{run: r, permit: start.Permit, waited: waited}
 	if a := start.Demand.Eligibility; a != nil {
 		planned.expires = a.Permits[start.Endpoint].Expires
--- a/internal/controller/registry.go
+++ b/internal/controller/registry.go
@@ -20,6 +20,7 @@
 		return
 	}
 	e, replaced := c.fleet.Register(r)
+	c.observeCold(now, e)
 	c.boundInheritedLease(e)
 	if replaced != nil {
 		c.assumeLongestLease(now, e)
@@ -43,6 +44,22 @@
 		c.requestReport(e, now.Steady)
 	}
 	c.fleet.Register(r)
+	c.observeCold(now, e)
+}
+
+// observeCold records for how much longer an endpoint says that it stays cold.
+func (c *Core) observeCold(now clock.Instant, e *fleet.Endpoint) {
+	if !c.params.Features.Evacuation {
+		return
+	}
+	cold := e.Cold(now.Steady)
+	if e.ObserveCold(now.Steady, e.ColdLeft) {
+		c.log.Warn("endpoint says that it stays cold for too long, it counts as warm after the longest time", "endpoint", e.ID,
+			"left", e.ColdLeft, "longest", fleet.MaxCold)
+	}
+	if e.Cold(now.Steady) != cold {
+		c.log.Info("endpoint says whether it is cold", "endpoint", e.ID, "cold", !cold, "left", e.ColdLeft)
+	}
 }
 
 // EndpointUnlisted handles the removal of an endpoint from the registry. Its
@@ -63,7 +80,7 @@
 		return
 	}
 	r := e.Registration
-	r.Incarnation, r.Draining = incarnation, false
+	r.Incarnation, r.Draining, r.ColdLeft = incarnation, false, 0
 	c.EndpointListed(now, r)
 }
 
--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -226,7 +226,9 @@
 	}
 	c.markBegun(r, asked)
 	r.Load = row.Load
-	c.learnFromProgress(now, r)
+	if !r.Endpoint.WasCold(r.ConfirmedAt, now.Steady) {
+		c.learnFromProgress(now, r)
+	}
 	c.updateExpectedEnd(now, r)
 	if c.isStalled(now, r) {
 		c.evictStalled(now, r)
@@ -239,8 +241,7 @@
 	if r.Step == nil || r.Phase == fleet.PhaseStopping {
 		return
 	}
-	runTime := time.Duration(float64(c.runTimeOf(r.Step)) * r.Endpoint.History.Slowdown())
-	r.ExpectedEnd = r.ConfirmedAt + runTime
+	r.ExpectedEnd = r.ConfirmedAt + r.Endpoint.RunTime(c.runTimeOf(r.Step), r.ConfirmedAt)
 	const minProgress = 0.2
 	if ran := now.Steady - r.ConfirmedAt; r.Progress >= minProgress && ran > 0 {
 		r.ExpectedEnd = now.Steady + time.Duration(float64(ran)*(1-r.Progress)/r.Progress)
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -375,7 +375,7 @@
 // finishRun frees the resources of a run and records its end.
 func (c *Core) finishRun(now clock.Instant, r *fleet.Run, end workload.End, checkpoint string) {
 	e := r.Endpoint
-	if end == workload.EndDone {
+	if end == workload.EndDone && !e.WasCold(r.ConfirmedAt, now.Steady) {
 		c.learnFromEnd(now, r)
 	}
 	c.dropRunState(e, r)
@@ -452,7 +452,7 @@
 	switch end {
 	case workload.EndDone:
 		r.Endpoint.History.ObserveEnd(string(r.Task.Job), false)
-		if r.ConfirmedAt > 0 && !r.Step.Spec.Gang && r.Step.Checkpoint(r.Index()) == "" {
+		if r.ConfirmedAt > 0 && !r.Step.Spec.Gang && r.Step.Checkpoint(r.Index()) == "" && !r.Endpoint.WasCold(r.ConfirmedAt, now.Steady) {
 			r.Endpoint.History.ObserveDuration(now.Steady-r.ConfirmedAt, c.runTimeOf(r.Step))
 		}
 	case workload.EndFailed:
--- a/internal/controller/world_endpoint_test.go
+++ b/internal/controller/world_endpoint_test.go
@@ -26,6 +26,8 @@
 	// stallsRuns is set while the endpoint starts runs that never make
 	// progress.
 	stallsRuns   bool
+	zone         string
+	coldLeft     time.Duration
 	capacity     resource.Vector
 	labels       []string
 	highestEpoch int64
@@ -137,7 +139,7 @@
 }
 
 func (e *simEndpoint) registration() fleet.Registration {
-	return fleet.Registration{ID: e.id, Incarnation: e.incarnation, Address: e.id, Pool: "p", Capacity: e.capacity, Draining: e.draining, Rack: "r-" + e.id[len(e.id)-1:], Labels: e.labels}
+	return fleet.Registration{ID: e.id, Incarnation: e.incarnation, Address: e.id, Pool: "p", AvailabilityZone: e.zone, ColdLeft: e.coldLeft, Capacity: e.capacity, Draining: e.draining, Rack: "r-" + e.id[len(e.id)-1:], Labels: e.labels}
 }
 
 // crash loses the runs of an endpoint and boots it again after downFor.
--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -26,6 +26,8 @@
 	Capacity         resource.Vector
 	// Draining is set if the endpoint takes no new tasks and leaves soon.
 	Draining bool
+	// ColdLeft is for how much longer the endpoint says that it stays slow.
+	ColdLeft time.Duration
 }
 
 // HasLabel reports whether the endpoint has a label. The empty label matches
@@ -36,7 +38,7 @@
 
 // OffersSame reports whether two registrations offer the same to tasks.
 func (r *Registration) OffersSame(o *Registration) bool {
-	return r.Pool == o.Pool && r.Capacity == o.Capacity && r.Rack == o.Rack && slices.Equal(r.Labels, o.Labels)
+	return r.Pool == o.Pool && r.Capacity == o.Capacity && r.AvailabilityZone == o.AvailabilityZone && r.Rack == o.Rack && slices.Equal(r.Labels, o.Labels)
 }
 
 // Endpoint is one incarnation of an endpoint: its runs, its lease and its
@@ -80,6 +82,7 @@
 	fleet *Fleet
 	// History holds the results of the endpoint's runs.
 	History RunHistory
+	cold    coldness
 }
 
 // Runs returns the runs on the endpoint in the order in which they were added.
--- a/internal/scheduler/hosts.go
+++ b/internal/scheduler/hosts.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/bluebellstile/bluebellstile/internal/fleet"
 	"github.com/bluebellstile/bluebellstile/internal/resource"
@@ -42,7 +43,7 @@
 		}
 		out = append(out, h)
 	}
-	return preferRack(out, d.Step.Spec.PreferredRack)
+	return p.coldLast(d, preferRack(out, d.Step.Spec.PreferredRack))
 }
 
 // permitted returns the hosts for which a demand has a valid permit, in the order of
@@ -73,7 +74,7 @@
 	for i := range ranked {
 		out[i] = ranked[i].host
 	}
-	return preferRack(out, d.Step.Spec.PreferredRack)
+	return p.coldLast(d, preferRack(out, d.Step.Spec.PreferredRack))
 }
 
 // suits reports whether an endpoint is of the demand's pool and has its label.
@@ -97,6 +98,27 @@
 	return slices.Concat(inRack, others)
 }
 
+// coldLast returns the hosts with those last that are cold, if the demand is urgent or would
+// miss its objective on them: many endpoints come back cold at once, and work that can wait
+// may use them meanwhile.
+func (p *planner) coldLast(d *Demand, hosts []*Host) []*Host {
+	slack := time.Duration(float64(d.Duration) * (fleet.ColdSlowdown - 1))
+	if !d.Urgent && d.LatestStart-p.Now >= slack || !slices.ContainsFunc(hosts, p.isCold) {
+		return hosts
+	}
+	warm, cold := make([]*Host, 0, len(hosts)), make([]*Host, 0, len(hosts))
+	for _, h := range hosts {
+		if p.isCold(h) {
+			cold = append(cold, h)
+		} else {
+			warm = append(warm, h)
+		}
+	}
+	return slices.Concat(warm, cold)
+}
+
+func (p *planner) isCold(h *Host) bool { return h.Endpoint.Cold(p.Now) }
+
 // rankHosts returns the hosts with their places in the orders by endpoint.
 func rankHosts(urgent, nonUrgent []*Host) map[*fleet.Endpoint]hostRank {
 	ranks := make(map[*fleet.Endpoint]hostRank, len(urgent))
--- a/internal/settings/site.go
+++ b/internal/settings/site.go
@@ -169,7 +169,7 @@
 		factorKey("bounds", "far_factor", "1.5", "Factor by which a task takes longer away from its data or its gang's rack.",
 			func(s *Site) *int { return &s.Bounds.FarPercent }),
 
-		switchKey("scheduling", "evacuation", "Starts nothing in availability zones that the operator empties.",
+		switchKey("scheduling", "evacuation", "Starts nothing in availability zones that the operator empties, and takes endpoints that say that they are cold for slow.",
 			func(s *Site) *Switch { return &s.Scheduling.Evacuation }),
 		switchKey("scheduling", "gang_room", "Keeps room for gangs that wait, and lets short tasks use it until they start.",
 			func(s *Site) *Switch { return &s.Scheduling.GangRoom }),
