Evacuations hold through late readings, a full pool and a new holder

A slow reading of the newest records brought back a request that was taken back meanwhile; two updates of a beginning term could set the older set of zones last; names of records filled its memory for good. A pool whose zones are all being emptied left the backlog, so that jobs were accepted without bound. Each new term warned of zones without endpoints, as it read the zones first.

Change: the tracker knows up to which offset it is complete, and drops the oldest records that take a request back. The term asks for the zones once it is its turn. Steps that only wait for a zone stay in the backlog and are named with their job. A gang's start is withdrawn as a whole and named for each member. The metric of zones is 0 without a term. The world of the controller's tests judges starts in emptied zones; startTestTerm is cut from newTestTerm, which is as strict as before.

Result: TestNothingStartsInZonesBeingEmptied (rapid, with lost and late orders, restarts and changes of the holder) and those of each failure pass. With a guard left out (withdrawal, repetition, the reading at the beginning of a term, the offset, the backlog) the test named after it fails.

--- a/internal/controller/calls.go
+++ b/internal/controller/calls.go
@@ -115,9 +115,11 @@
 	c.withCore(func(now clock.Instant, core *Core) { core.SetCatalog(now, next) })
 }
 
-// SetEvacuations sets the availability zones that the operator empties.
-func (c *Controller) SetEvacuations(zones evacuation.Zones) {
-	c.withCore(func(now clock.Instant, core *Core) { core.SetEvacuations(now, zones) })
+// UpdateEvacuations sets the availability zones that the operator empties to the newest
+// ones. It asks for them once no other call can, so that of two calls at the same time
+// the last one sets what is newest.
+func (c *Controller) UpdateEvacuations(newest func() evacuation.Zones) {
+	c.withCore(func(_ clock.Instant, core *Core) { core.SetEvacuations(newest()) })
 }
 
 // SetEligibilityInstances sets through how many instances eligibility questions
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -58,7 +58,8 @@
 
 // Features are the parts of the scheduling that the deployment has turned on.
 type Features struct {
-	// Evacuation starts nothing in availability zones that the operator empties.
+	// Evacuation starts nothing in availability zones that the operator empties, and takes
+	// endpoints that say that they are cold for slow.
 	Evacuation bool
 	// GangRoom keeps room for blocked gangs, Preemption stops runs of work that can
 	// wait, and Shares divides contended capacity among customers.
@@ -160,10 +161,12 @@
 	Preempted int64
 	Paces     int64
 	// Waiting and Running are the current numbers of tasks, Open is the current
-	// number of jobs that have not ended.
-	Waiting int
-	Running int
-	Open    int
+	// number of jobs that have not ended, and Evacuated that of the availability zones
+	// that are being emptied.
+	Waiting   int
+	Running   int
+	Open      int
+	Evacuated int
 }
 
 // jobEntry is a job with its scheduling state.
@@ -208,8 +211,10 @@
 	placeAfter time.Duration
 	// begun is set once a run of the step is known in this term to have begun.
 	begun bool
-	// impossible is set while the registered endpoints could not run the step.
+	// impossible is set while the registered endpoints could not run the step, awaitsZone
+	// if they could but for the availability zones that are being emptied.
 	impossible bool
+	awaitsZone bool
 	// waiting caches the indexes of the waiting tasks. waitingStale is set when
 	// it must be recomputed.
 	waiting      []int
@@ -273,7 +278,7 @@
 // Stats returns the counters.
 func (c *Core) Stats() Stats {
 	s := c.stats
-	s.Waiting, s.Running, s.Open = 0, 0, len(c.jobs)-len(c.ended)
+	s.Waiting, s.Running, s.Open, s.Evacuated = 0, 0, len(c.jobs)-len(c.ended), len(c.evacuated)
 	for _, e := range c.steps {
 		s.Waiting += len(c.waitingTasks(e))
 	}
--- a/internal/controller/evacuation.go
+++ b/internal/controller/evacuation.go
@@ -10,7 +10,7 @@
 // SetEvacuations sets the availability zones that the operator empties. Nothing is started
 // there from now on; what runs goes on. Starts that wait for their records are withdrawn,
 // and their tasks wait again.
-func (c *Core) SetEvacuations(now clock.Instant, zones evacuation.Zones) {
+func (c *Core) SetEvacuations(zones evacuation.Zones) {
 	if !c.params.Features.Evacuation {
 		return
 	}
@@ -30,7 +30,6 @@
 	}
 	c.evacuated = zones
 	c.fleet.SetClosedZones(zones)
-	metrics.ZonesEvacuated.Set(int64(len(zones)))
 	c.planDue = true
 }
 
@@ -53,14 +52,31 @@
 // availability zone is being emptied.
 func (c *Core) isEvacuated(e *fleet.Endpoint) bool { return c.evacuated[e.AvailabilityZone] }
 
-// mayStart reports whether a planned start may be sent, given what has changed since the
-// plan.
-func (c *Core) mayStart(now clock.Instant, s *plannedStart) bool {
-	if c.isEvacuated(s.run.Endpoint) {
-		c.log.Info("start withdrawn, the availability zone is being emptied", "task", s.run.Task, "run", s.run.Number,
-			"endpoint", s.run.Endpoint.ID, "zone", s.run.Endpoint.AvailabilityZone)
-		metrics.StartsWithdrawn.Add("evacuation", 1)
+// mayStart reports whether a group of planned starts may be sent, given what has changed
+// since the plan: one start, or those of all members of a gang.
+func (c *Core) mayStart(now clock.Instant, group []*plannedStart) bool {
+	if closed := c.firstEvacuated(group); closed != nil {
+		for _, s := range group {
+			c.log.Info("start withdrawn, an availability zone is being emptied", "task", s.run.Task, "run", s.run.Number,
+				"endpoint", s.run.Endpoint.ID, "zone", closed.AvailabilityZone)
+		}
+		metrics.StartsWithdrawn.Add("evacuation", int64(len(group)))
 		return false
 	}
-	return c.permitted(now, s)
+	permitted := true
+	for _, s := range group {
+		permitted = c.permitted(now, s) && permitted
+	}
+	return permitted
+}
+
+// firstEvacuated returns the first endpoint of a group of starts whose availability zone is
+// being emptied, or nil.
+func (c *Core) firstEvacuated(group []*plannedStart) *fleet.Endpoint {
+	for _, s := range group {
+		if c.isEvacuated(s.run.Endpoint) {
+			return s.run.Endpoint
+		}
+	}
+	return nil
 }
--- a/internal/controller/flow.go
+++ b/internal/controller/flow.go
@@ -175,10 +175,7 @@
 // sendReadyStarts sends the queued starts that the window allows.
 func (c *Core) sendReadyStarts(now clock.Instant) {
 	for group := c.flow.nextGroup(); group != nil; group = c.flow.nextGroup() {
-		permitted := true
-		for _, s := range group {
-			permitted = c.mayStart(now, s) && permitted
-		}
+		permitted := c.mayStart(now, group)
 		for _, s := range group {
 			c.sendStart(now, s, permitted)
 		}
--- a/internal/controller/judge_test.go
+++ b/internal/controller/judge_test.go
@@ -21,6 +21,7 @@
 	w.checkCapacity(e, r)
 	w.checkQuota(r)
 	w.checkDependencies(r)
+	w.checkZone(e, r)
 	if !r.job.submitted {
 		w.violation("UNASKED", "%s was never submitted", id)
 	}
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -251,18 +251,25 @@
 }
 
 // couldRun reports whether the registered endpoints could run a step if they were idle.
-// A step that they can't run waits for others to register. It is left out of plans, in
-// which it would take the place of work that can start, and out of the backlog.
+// A step that they can't run waits for others to register, or for the operator to take
+// back the request to empty an availability zone. It is left out of plans, in which it
+// would take the place of work that can start. In the backlog it counts only if it waits
+// for an availability zone, as those come back.
 func (c *Core) couldRun(e *stepEntry, q *catalog.Queue) bool {
 	spec, tasks := e.step.Spec, 1
 	if spec.Gang {
 		tasks = spec.Count
 	}
 	impossible := !c.fleet.CouldHold(q.Pool, spec.RequiredLabel, spec.Charge(), spec.MaxPerEndpoint, tasks)
-	if impossible != e.impossible {
-		e.impossible = impossible
-		c.log.Info("registered endpoints have changed for a step", "step", e.step.Name(), "queue", q.Name, "could_run", !impossible,
-			"pool", q.Pool, "label", spec.RequiredLabel, "millicores", spec.Charge().MilliCores, "tasks_at_once", tasks)
+	evacuated := impossible && c.fleet.CouldHoldOnceOpen(q.Pool, spec.RequiredLabel, spec.Charge(), spec.MaxPerEndpoint, tasks)
+	if impossible != e.impossible || evacuated != e.awaitsZone {
+		e.impossible, e.awaitsZone = impossible, evacuated
+		c.log.Info("registered endpoints have changed for a step", "job", e.jobEntry.job.ID, "step", e.step.Name(), "queue", q.Name,
+			"could_run", !impossible, "evacuated", evacuated, "pool", q.Pool, "label", spec.RequiredLabel,
+			"millicores", spec.Charge().MilliCores, "tasks_at_once", tasks)
+	}
+	if evacuated {
+		c.backlog.add(e)
 	}
 	return !impossible
 }
--- a/internal/controller/world_orders_test.go
+++ b/internal/controller/world_orders_test.go
@@ -119,7 +119,9 @@
 			// An order names the endpoint by its id alone and may reach a new
 			// incarnation. Orders as late as this one are assumed not to.
 			if e.incarnation == incarnation {
+				w.lateOrder = true
 				execute()
+				w.lateOrder = false
 			}
 		})
 		answer(wait, Outcome{Fate: FateUnanswered})
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -60,6 +60,11 @@
 	epoch   int64
 	logDown bool
 
+	// evacuated holds the zones that are being emptied, with the time of the request.
+	// lateOrder is set while an order without an answer is executed late.
+	evacuated map[string]time.Duration
+	lateOrder bool
+
 	endpoints map[string]*simEndpoint
 	// registryDelay is the longest time until a restarted endpoint is listed.
 	registryDelay time.Duration
@@ -280,6 +285,7 @@
 			t.core.EndpointListed(w.instant(), e.registration())
 		}
 	}
+	t.core.SetEvacuations(w.evacuatedZones())
 	t.core.Restore(w.instant(), w.entries())
 	w.terms = append(w.terms, t)
 	if begun != w.catalog {
--- a/internal/node/catalogs.go
+++ b/internal/node/catalogs.go
@@ -43,21 +43,21 @@
 	confirmedAt atomic.Int64
 	// onChange is called with each newer configuration.
 	onChange func(*catalog.Catalog)
-	// onEvacuations is called with the availability zones that are being emptied when
-	// they have changed.
-	onEvacuations func(evacuation.Zones)
+	// onEvacuations, if set, is called when the availability zones that are being emptied
+	// have changed.
+	onEvacuations func()
 	evacuations   atomic.Pointer[evacuation.Zones]
 	// applying serializes apply and reset, so that an older record never replaces a newer
 	// one. It guards requests, from which evacuations is derived.
 	applying sync.Mutex
-	requests *evacuation.Tracker
+	requests evacuation.Tracker
 }
 
 // newCatalogFollower returns a follower that has read nothing.
 func newCatalogFollower(feed CatalogFeed, log keyedlog.Log, c clock.Clock, logger *slog.Logger) *catalogFollower {
 	return &catalogFollower{
-		feed: feed, log: log, clock: c, logger: logger, requests: evacuation.NewTracker(),
-		onChange: func(*catalog.Catalog) {}, onEvacuations: func(evacuation.Zones) {},
+		feed: feed, log: log, clock: c, logger: logger,
+		onChange: func(*catalog.Catalog) {},
 	}
 }
 
@@ -101,9 +101,8 @@
 func (c *catalogFollower) reset(entries []keyedlog.Entry, end int64) {
 	c.applying.Lock()
 	defer c.applying.Unlock()
-	if c.requests.Reset(c.decodeEvacuations(entries), end) {
-		c.publishEvacuations()
-	}
+	requests := c.decodeEvacuations(entries)
+	c.updateEvacuations(func() bool { return c.requests.Reset(requests, end) })
 	c.applyCatalogs(entries)
 }
 
@@ -111,13 +110,13 @@
 func (c *catalogFollower) apply(entries []keyedlog.Entry) {
 	c.applying.Lock()
 	defer c.applying.Unlock()
-	changed := false
-	for _, r := range c.decodeEvacuations(entries) {
-		changed = c.requests.Apply(r) || changed
-	}
-	if changed {
-		c.publishEvacuations()
-	}
+	requests := c.decodeEvacuations(entries)
+	c.updateEvacuations(func() (changed bool) {
+		for _, r := range requests {
+			changed = c.requests.Apply(r) || changed
+		}
+		return changed
+	})
 	c.applyCatalogs(entries)
 }
 
@@ -141,12 +140,24 @@
 	return records
 }
 
-// publishEvacuations makes the availability zones that are being emptied known.
-func (c *catalogFollower) publishEvacuations() {
+// updateEvacuations applies requests to empty availability zones, and makes the zones known
+// if they have changed.
+func (c *catalogFollower) updateEvacuations(apply func() (changed bool)) {
+	ignored := c.requests.Ignored()
+	changed := apply()
+	if n := c.requests.Ignored() - ignored; n > 0 {
+		metrics.OddEntries.Add("evacuation", int64(n))
+		c.logger.Error("requests to empty availability zones are left out, there are too many; remove those that name no zone", "requests", n)
+	}
+	if !changed {
+		return
+	}
 	zones := c.requests.Zones()
 	c.evacuations.Store(&zones)
 	c.logger.Info("availability zones to be emptied have changed", "zones", slices.Sorted(maps.Keys(zones)))
-	c.onEvacuations(zones)
+	if c.onEvacuations != nil {
+		c.onEvacuations()
+	}
 }
 
 // Evacuations returns the availability zones that are being emptied.
--- a/internal/node/gauges.go
+++ b/internal/node/gauges.go
@@ -43,7 +43,7 @@
 // metrics. t is nil while this daemon does not hold the cell.
 func (ps *publishedStats) publish(t *term) {
 	if t == nil {
-		for _, gauge := range []interface{ Set(int64) }{metrics.HolderEpoch, metrics.OpenJobs, metrics.TasksWaiting, metrics.TasksRunning, metrics.ProofAgeMS} {
+		for _, gauge := range []interface{ Set(int64) }{metrics.HolderEpoch, metrics.OpenJobs, metrics.TasksWaiting, metrics.TasksRunning, metrics.ProofAgeMS, metrics.ZonesEvacuated} {
 			gauge.Set(0)
 		}
 		return
@@ -58,6 +58,7 @@
 	metrics.OpenJobs.Set(int64(now.Open))
 	metrics.TasksWaiting.Set(int64(now.Waiting))
 	metrics.TasksRunning.Set(int64(now.Running))
+	metrics.ZonesEvacuated.Set(int64(now.Evacuated))
 	metrics.Starts.Add(now.Starts - before.Starts)
 	metrics.StartsRefused.Add(now.Refused - before.Refused)
 	metrics.StartsUnanswered.Add(now.Doubtful - before.Doubtful)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -144,7 +144,7 @@
 		peer:        func(m leadership.Member) dispatch.Peer { return n.peers.To(m.Address) },
 	}
 	n.catalogs.onChange = n.terms.setCatalog
-	n.catalogs.onEvacuations = n.terms.setEvacuations
+	n.catalogs.onEvacuations = n.terms.updateEvacuations
 	n.presence = leadership.NewPresence()
 	n.elector = leadership.NewElector(n.directory, n.peers, o.Clock, n.logLastSeen, n.terms.checkJobsReadable, n.terms.begin, o.Logger)
 	n.terms.onTermEnd = n.elector.TermEnded
--- a/internal/node/terms.go
+++ b/internal/node/terms.go
@@ -11,7 +11,6 @@
 	"github.com/bluebellstile/bluebellstile/internal/clock"
 	"github.com/bluebellstile/bluebellstile/internal/controller"
 	"github.com/bluebellstile/bluebellstile/internal/dispatch"
-	"github.com/bluebellstile/bluebellstile/internal/evacuation"
 	"github.com/bluebellstile/bluebellstile/internal/fleet"
 	"github.com/bluebellstile/bluebellstile/internal/keyedlog"
 	"github.com/bluebellstile/bluebellstile/internal/leadership"
@@ -188,10 +187,10 @@
 func (ts *termManager) newCore(epoch int64, configuration *catalog.Catalog, fenced time.Duration, registrations []fleet.Registration, entries []keyedlog.Entry) *controller.Core {
 	now := clock.Read(ts.clock)
 	core := controller.NewCore(ts.params, configuration, fenced, ts.logger.With("epoch", epoch))
-	core.SetEvacuations(now, ts.catalogs.Evacuations())
 	for _, r := range registrations {
 		core.EndpointListed(now, r)
 	}
+	core.SetEvacuations(ts.catalogs.Evacuations())
 	core.Restore(now, entries)
 	return core
 }
@@ -208,7 +207,7 @@
 	if c := ts.catalogs.Catalog(); c != nil {
 		current.controller.SetCatalog(c)
 	}
-	current.controller.SetEvacuations(ts.catalogs.Evacuations())
+	current.controller.UpdateEvacuations(ts.catalogs.Evacuations)
 }
 
 // clearCurrent records that a term has ended.
@@ -278,10 +277,10 @@
 	}
 }
 
-// setEvacuations gives the running term the availability zones that are being emptied.
-func (ts *termManager) setEvacuations(zones evacuation.Zones) {
+// updateEvacuations gives the running term the availability zones that are being emptied.
+func (ts *termManager) updateEvacuations() {
 	if t := ts.term(); t != nil {
-		t.controller.SetEvacuations(zones)
+		t.controller.UpdateEvacuations(ts.catalogs.Evacuations)
 	}
 }
 
--- a/internal/node/terms_test.go
+++ b/internal/node/terms_test.go
@@ -87,12 +87,6 @@
 // newTestTerm starts a term of a daemon that has read configuration 1 and follows no
 // later one.
 func newTestTerm(t *testing.T, log *memoryLog) *term {
-	daemon, running := new(tomb.Tomb), new(tomb.Tomb)
-	alive := func() error {
-		<-daemon.Dying()
-		return nil
-	}
-	daemon.Go(alive)
 	logger := slog.New(slog.DiscardHandler)
 	catalogs := &catalogFollower{
 		feed:     CatalogFeed{Partition: configPartition, Decode: decodeVersion},
@@ -106,6 +100,17 @@
 		t.Fatal(err)
 	}
 	log.publish(2)
+	return startTestTerm(t, catalogs, log)
+}
+
+// startTestTerm starts a term of a daemon.
+func startTestTerm(t *testing.T, catalogs *catalogFollower, log keyedlog.Log) *term {
+	daemon, running := new(tomb.Tomb), new(tomb.Tomb)
+	alive := func() error {
+		<-daemon.Dying()
+		return nil
+	}
+	daemon.Go(alive)
 	terms := &termManager{
 		log:  log,
 		jobs: keyedlog.Partition{Topic: "jobs"},
@@ -115,9 +120,12 @@
 				return fleet.Registration{}, errors.New("no endpoint")
 			},
 		},
-		params:   controller.Params{Lease: time.Second, TermGrace: time.Minute, RateWindow: time.Second, StateKept: time.Minute},
+		params: controller.Params{
+			Lease: time.Second, TermGrace: time.Minute, RateWindow: time.Second, StateKept: time.Minute,
+			Features: controller.Features{Evacuation: true},
+		},
 		clock:    clock.System(),
-		logger:   logger,
+		logger:   catalogs.logger,
 		catalogs: catalogs,
 		tomb:     daemon,
 	}
