--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -161,12 +161,13 @@
 	Preempted int64
 	Paces     int64
 	// Waiting and Running are the current numbers of tasks, Open is the current
-	// number of jobs that have not ended, and Evacuated that of the availability zones
-	// that are being emptied.
-	Waiting   int
-	Running   int
-	Open      int
-	Evacuated int
+	// number of jobs that have not ended. Evacuated is that of the availability zones
+	// that are being emptied, and InEvacuated that of the tasks that run there.
+	Waiting     int
+	Running     int
+	Open        int
+	Evacuated   int
+	InEvacuated int
 }
 
 // jobEntry is a job with its scheduling state.
@@ -278,12 +279,16 @@
 // Stats returns the counters.
 func (c *Core) Stats() Stats {
 	s := c.stats
-	s.Waiting, s.Running, s.Open, s.Evacuated = 0, 0, len(c.jobs)-len(c.ended), len(c.evacuated)
+	s.Waiting, s.Running, s.Open = 0, 0, len(c.jobs)-len(c.ended)
+	s.Evacuated, s.InEvacuated = len(c.evacuated), 0
 	for _, e := range c.steps {
 		s.Waiting += len(c.waitingTasks(e))
 	}
 	for _, e := range c.fleet.Endpoints() {
 		s.Running += len(e.Runs())
+		if c.isEvacuated(e) {
+			s.InEvacuated += len(e.Runs())
+		}
 	}
 	return s
 }
--- a/internal/controller/evacuation_test.go
+++ b/internal/controller/evacuation_test.go
@@ -127,6 +127,9 @@
 	}
 	w.evacuate("z0", true)
 	w.run(3 * time.Second)
+	if n := w.current().core.Stats().InEvacuated; n != before {
+		t.Errorf("%d runs are counted in the zone, want %d", n, before)
+	}
 	w.beginTerm()
 	w.run(4 * time.Second)
 	if now := len(w.endpoints["e00"].running); now != before {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -96,6 +96,7 @@
 	JobsRefusedUseless   = counterMap("jobs_refused_useless_total", "jobs refused because they could not end in a time that is of use, by queue")
 	AdmissionErrors      = counterMap("admission_errors_total", "jobs refused that could have been served, and jobs accepted that ended too late to be of use")
 	ZonesEvacuated       = counter("zones_evacuated", "availability zones that the operator empties and where nothing is started; 0 if this daemon does not hold the cell")
+	RunsInEvacuated      = counter("runs_in_evacuated_zones", "tasks of the held cell that run or may run in availability zones that the operator empties")
 	StartsWithdrawn      = counterMap("starts_withdrawn_total", "starts that were planned and not sent, by cause: evacuation")
 	ProcessorMS          = counter("processor_ms_total", "milliseconds of processor time used by the daemon")
 	LogLinesDropped      = counter("log_lines_dropped_total", "log lines dropped because their reader was too slow")
--- a/internal/node/gauges.go
+++ b/internal/node/gauges.go
@@ -43,7 +43,7 @@
 // metrics. t is nil while this daemon does not hold the cell.
 func (ps *publishedStats) publish(t *term) {
 	if t == nil {
-		for _, gauge := range []interface{ Set(int64) }{metrics.HolderEpoch, metrics.OpenJobs, metrics.TasksWaiting, metrics.TasksRunning, metrics.ProofAgeMS, metrics.ZonesEvacuated} {
+		for _, gauge := range []interface{ Set(int64) }{metrics.HolderEpoch, metrics.OpenJobs, metrics.TasksWaiting, metrics.TasksRunning, metrics.ProofAgeMS, metrics.ZonesEvacuated, metrics.RunsInEvacuated} {
 			gauge.Set(0)
 		}
 		return
@@ -59,6 +59,7 @@
 	metrics.TasksWaiting.Set(int64(now.Waiting))
 	metrics.TasksRunning.Set(int64(now.Running))
 	metrics.ZonesEvacuated.Set(int64(now.Evacuated))
+	metrics.RunsInEvacuated.Set(int64(now.InEvacuated))
 	metrics.Starts.Add(now.Starts - before.Starts)
 	metrics.StartsRefused.Add(now.Refused - before.Refused)
 	metrics.StartsUnanswered.Add(now.Doubtful - before.Doubtful)
