--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -248,18 +248,25 @@
 }
 
 // couldRun reports whether the registered endpoints could run a step if they were idle.
-// A step that they can't run waits for others to register. It is left out of plans, in
-// which it would take the place of work that can start, and out of the backlog.
+// A step that they can't run waits for others to register, or for the operator to take
+// back the request to empty an availability zone. It is left out of plans, in which it
+// would take the place of work that can start. In the backlog it counts only if it waits
+// for an availability zone, as those come back.
 func (c *Core) couldRun(e *stepEntry, q *catalog.Queue) bool {
 	spec, tasks := e.step.Spec, 1
 	if spec.Gang {
 		tasks = spec.Count
 	}
 	impossible := !c.fleet.CouldHold(q.Pool, spec.RequiredLabel, spec.Charge(), spec.MaxPerEndpoint, tasks)
-	if impossible != e.impossible {
-		e.impossible = impossible
-		c.log.Info("registered endpoints have changed for a step", "step", e.step.Name(), "queue", q.Name, "could_run", !impossible,
-			"pool", q.Pool, "label", spec.RequiredLabel, "millicores", spec.Charge().MilliCores, "tasks_at_once", tasks)
+	evacuated := impossible && c.fleet.CouldHoldOnceOpen(q.Pool, spec.RequiredLabel, spec.Charge(), spec.MaxPerEndpoint, tasks)
+	if impossible != e.impossible || evacuated != e.awaitsZone {
+		e.impossible, e.awaitsZone = impossible, evacuated
+		c.log.Info("registered endpoints have changed for a step", "job", e.jobEntry.job.ID, "step", e.step.Name(), "queue", q.Name,
+			"could_run", !impossible, "evacuated", evacuated, "pool", q.Pool, "label", spec.RequiredLabel,
+			"millicores", spec.Charge().MilliCores, "tasks_at_once", tasks)
+	}
+	if evacuated {
+		c.backlog.add(e)
 	}
 	return !impossible
 }
@@ -345,15 +352,16 @@
 		OrderedAt: now.Steady,
 		Pace:      100,
 	}
-	r.ExpectedEnd = now.Steady + time.Duration(float64(start.Demand.Duration)*start.Endpoint.History.Slowdown())
+	r.ExpectedEnd = now.Steady + start.Endpoint.RunTime(start.Demand.Duration, now.Steady)
 	start.Endpoint.Add(r)
 	if r.Priority == 0 {
 		c.urgent.updateSize(r.Charge)
 	}
 	waited := now.Steady - entry.since
 	c.log.Info("run placed", "task", r.Task, "run", r.Number, "endpoint", start.Endpoint.ID, "waited", waited.Round(time.Millisecond),
-		"free_millicores", start.Endpoint.Free().MilliCores, "pace", start.Endpoint.History.Slowdown(),
-		"stated", s.Spec.Estimate, "expected", start.Demand.Duration.Round(time.Millisecond), "over_share", start.Demand.OverShare, "config", c.catalog.Version)
+		"free_millicores", start.Endpoint.Free().MilliCores, "pace", start.Endpoint.History.Slowdown(), "cold", start.Endpoint.Cold(now.Steady),
+		"stated", s.Spec.Estimate, "expected", start.Demand.Duration.Round(time.Millisecond), "over_share", start.Demand.OverShare, "zones_emptied", len(c.evacuated),
+		"config", c.catalog.Version)
 	planned := &plannedStart{run: r, permit: start.Permit, waited: waited}
 	if a := start.Demand.Eligibility; a != nil {
 		planned.expires = a.Permits[start.Endpoint].Expires
