--- a/internal/controller/admission.go
+++ b/internal/controller/admission.go
@@ -22,6 +22,9 @@
 	// judges how long new work waits. The backlog counts steps, whatever their size, and
 	// tells nothing of work that waits for room.
 	doorMemory = 2 * time.Second
+	// doorInterval is how often the door is told of pools that stay full, which takes a
+	// look at all that waits and runs.
+	doorInterval = 100 * time.Millisecond
 	// doorLogInterval is the interval of the log lines on full pools.
 	doorLogInterval = 2 * time.Second
 )
@@ -31,6 +34,10 @@
 	admission.Door
 	// capacity is the capacity of each pool at the last plan.
 	capacity map[string]resource.Vector
+	// toldAt is when the door was last told of full pools, 0 if the last plan found room
+	// for all, and started the work that plans have started since, in seconds of each pool.
+	toldAt  time.Duration
+	started map[string]map[admission.Class]float64
 	// blockedAt is when a plan last left work without room; 0 if none did.
 	blockedAt time.Duration
 	loggedAt  time.Duration
@@ -41,50 +48,84 @@
 	if !c.params.Features.Admission {
 		return
 	}
-	var pools map[string]*admission.Pool
-	if plan.Blocked > 0 {
-		c.door.blockedAt = now.Steady
-		pools = c.fullPools(now, s, plan)
+	if plan.Blocked == 0 {
+		c.door.toldAt, c.door.started = 0, nil
+		c.tellDoor(now, nil)
+		return
+	}
+	c.door.blockedAt = now.Steady
+	due := c.door.toldAt == 0 || now.Steady-c.door.toldAt >= doorInterval
+	if due {
+		c.door.capacity = make(map[string]resource.Vector)
+		for _, h := range s.Hosts {
+			c.door.capacity[h.Endpoint.Pool] = c.door.capacity[h.Endpoint.Pool].Add(h.Endpoint.Capacity)
+		}
 	}
+	started := c.noteStarted(plan)
+	if due {
+		c.door.toldAt = now.Steady
+		c.tellDoor(now, c.fullPools(now, s, started))
+	}
+}
+
+// tellDoor sets the pools that have no room, and counts the jobs that were refused although
+// they could have been served.
+func (c *Core) tellDoor(now clock.Instant, pools map[string]*admission.Pool) {
 	if n := c.door.Update(now.Steady, pools); n > 0 {
 		metrics.AdmissionErrors.Add("refused, could have been served", int64(n))
 	}
 }
 
-// fullPools returns the state of the pools for which work waits.
-func (c *Core) fullPools(now clock.Instant, s *scheduler.Snapshot, plan *scheduler.Plan) map[string]*admission.Pool {
-	capacity, free := make(map[string]resource.Vector), make(map[string]resource.Vector)
+// noteStarted adds the work that a plan starts to that started since the door was told, and
+// returns the number of tasks started by demand.
+func (c *Core) noteStarted(plan *scheduler.Plan) map[*scheduler.Demand]int {
+	tasks := make(map[*scheduler.Demand]int)
+	for i := range plan.Starts {
+		tasks[plan.Starts[i].Demand]++
+	}
+	if c.door.started == nil {
+		c.door.started = make(map[string]map[admission.Class]float64)
+	}
+	for d, n := range tasks {
+		if c.door.started[d.Pool] == nil {
+			c.door.started[d.Pool] = make(map[admission.Class]float64)
+		}
+		c.door.started[d.Pool][classOf(d)] += loadOf(d.Step.Spec, n, c.door.capacity[d.Pool], d.Duration).Seconds
+	}
+	return tasks
+}
+
+// fullPools returns the state of the pools for which work waits after a plan.
+func (c *Core) fullPools(now clock.Instant, s *scheduler.Snapshot, started map[*scheduler.Demand]int) map[string]*admission.Pool {
+	capacity, free := c.door.capacity, make(map[string]resource.Vector)
 	for _, h := range s.Hosts {
-		capacity[h.Endpoint.Pool] = capacity[h.Endpoint.Pool].Add(h.Endpoint.Capacity)
 		free[h.Endpoint.Pool] = free[h.Endpoint.Pool].Add(h.Free)
 	}
-	c.door.capacity = capacity
-	started := make(map[*scheduler.Demand]int)
-	for i := range plan.Starts {
-		started[plan.Starts[i].Demand]++
-	}
 	pools := make(map[string]*admission.Pool)
 	for _, d := range s.Demands {
 		size := capacity[d.Pool]
-		if left := len(d.Tasks) - started[d]; left > 0 && size != (resource.Vector{}) {
-			p := pools[d.Pool]
-			if p == nil {
-				p = admission.NewPool(1 - fairshare.Dominant(size.Sub(free[d.Pool]), size))
-				pools[d.Pool] = p
-			}
-			customer := d.Step.Job.Customer
-			l := loadOf(d.Step.Spec, left, size, d.Duration)
-			if d.LatestStart < now.Steady {
-				l.Late = l.Seconds
-			}
-			p.AddWaiting(classOf(d), customer, c.rateOf(customer), l)
+		left := len(d.Tasks) - started[d]
+		if left == 0 || size == (resource.Vector{}) {
+			continue
+		}
+		p := pools[d.Pool]
+		if p == nil {
+			p = admission.NewPool(1 - fairshare.Dominant(size.Sub(free[d.Pool]), size))
+			pools[d.Pool] = p
 		}
+		l := loadOf(d.Step.Spec, left, size, d.Duration)
+		if d.LatestStart < now.Steady {
+			l.Late = l.Seconds
+		}
+		customer := d.Step.Job.Customer
+		p.AddWaiting(classOf(d), customer, c.rateOf(customer), l)
 	}
-	for d, n := range started {
-		if p := pools[d.Pool]; p != nil {
-			p.AddStarted(classOf(d), loadOf(d.Step.Spec, n, capacity[d.Pool], d.Duration).Seconds)
+	for name, p := range pools {
+		for class, seconds := range c.door.started[name] {
+			p.AddStarted(class, seconds)
 		}
 	}
+	c.door.started = nil
 	for _, h := range s.Hosts {
 		p := pools[h.Endpoint.Pool]
 		if p == nil {
