--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 LINT := $(BIN)/golangci-lint-$(GOLANGCI_LINT_VERSION)
 MODULES := . operator
 
-.PHONY: test demo build check generate generate-tools unit fuzz matrix bench-policy bench-capacity
+.PHONY: test demo build check generate generate-tools unit fuzz matrix bench-policy bench-overload bench-capacity
 
 # test runs the formatter, the linter, vet, the check of generated code and
 # all tests with the race detector.
@@ -53,3 +53,7 @@
 # bench-policy measures the placement policy beside its baselines.
 bench-policy:
 	./scripts/bench-policy.sh
+
+# bench-overload measures each part of the scheduling under overload.
+bench-overload:
+	./scripts/bench-overload.sh
