Yielding has an end for steps that wait, and never holds back tasks that last

Cause: found in review. A task that lasts and has to be started again is late at once and waited for gangs as long as they kept coming, which breaks the promise that it works. So did late steps. A gang that no endpoint of its pool may run counted as long as another pool had endpoints. Late gangs might never ask. The order of a gang's question changed with the part off.

Yielding is asked before endpoints are searched. Hopeless gangs are told by the endpoints of their pool. The gauge falls to 0 without work.

--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -62,6 +62,7 @@
 	c.plannedAt, c.blocked = now.Steady, false
 	snapshot := c.snapshot(now)
 	if len(snapshot.Demands) == 0 {
+		c.noteYielding(nil)
 		c.updateDoor(now, snapshot, &scheduler.Plan{})
 		return
 	}
--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -90,7 +90,15 @@
 			known = 100
 		}
 		for k := range known {
-			d.Eligibility.SetEligible(s.Hosts[(i*7+k*3)%n].Endpoint, (i+k)%3 == 0)
+			e := s.Hosts[(i*7+k*3)%n].Endpoint
+			d.Eligibility.SetEligible(e, (i+k)%3 == 0)
+			if (i+k)%3 == 0 {
+				d.Eligibility.Permits[e] = Permit{Token: "t", Expires: now + time.Second}
+			}
+		}
+		if i%4 == 3 {
+			// A queue without the service.
+			d.Eligibility = nil
 		}
 		s.Demands = append(s.Demands, d)
 	}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -238,6 +238,10 @@
 func (p *planner) placeTasks(d *Demand) {
 	p.releaseHeldTasks(d)
 	defer p.rechargeHeldTasks(d)
+	if p.yields(d) {
+		p.noteYielding(d)
+		return
+	}
 	if d.Eligibility != nil && len(d.Eligibility.Permits) == 0 && (d.Eligibility.QuestionInFlight || !p.mayAsk(d)) {
 		p.plan.Blocked++
 		return
@@ -273,11 +277,11 @@
 	if len(waiting) == 0 || !p.quotaAllows(d, 1) {
 		return
 	}
-	p.plan.Blocked++
 	if p.yields(d) {
-		p.plan.Yielding = append(p.plan.Yielding, d)
+		p.noteYielding(d)
 		return
 	}
+	p.plan.Blocked++
 	p.failedSearches++
 	p.rememberFullHosts(d)
 	if asked := len(p.plan.Questions); d.Eligibility == nil || p.mayAsk(d) {
--- a/internal/scheduler/question.go
+++ b/internal/scheduler/question.go
@@ -57,7 +57,7 @@
 	if d.Urgent {
 		return p.questionsLeft(d)
 	}
-	if p.Policy.GangRoom && (p.late(d) || d.Excess) {
+	if p.Policy.GangRoom && (p.late(d) || d.Excess) && p.Now <= d.LatestStart+maxYieldTime {
 		return p.questionsLeft(d) - p.QuestionsInAll/lateDivisor
 	}
 	return p.questionsLeft(d) - p.QuestionsInAll/reserveDivisor
@@ -113,11 +113,18 @@
 			inRack[h.Endpoint.Rack] += slots[h]
 		}
 	}
+	rooms := func(h *Host) int {
+		if !p.Policy.GangRoom {
+			return 0
+		}
+		return slots[h]
+	}
 	ordered := slices.Clone(hosts)
 	slices.SortStableFunc(ordered, func(a, b *Host) int {
 		return cmp.Or(
 			cmp.Compare(inRack[b.Endpoint.Rack], inRack[a.Endpoint.Rack]),
-			cmp.Compare(slots[b], slots[a]),
+			falseFirst(slots[a] == 0, slots[b] == 0),
+			cmp.Compare(rooms(b), rooms(a)),
 		)
 	})
 	return ordered
--- a/internal/scheduler/yield_test.go
+++ b/internal/scheduler/yield_test.go
@@ -36,6 +36,8 @@
 		"the part is off":                 {func(s *Snapshot, _, _ *Demand) { s.Policy.GangRoom = false }, 4},
 		"they would miss their objective": {func(_ *Snapshot, _, d *Demand) { d.LatestStart = now + latestStartMargin }, 4},
 		"they have missed it":             {func(_ *Snapshot, _, d *Demand) { d.LatestStart = now - time.Second }, 0},
+		"they have missed it for long":    {func(_ *Snapshot, _, d *Demand) { d.LatestStart = now - maxYieldTime - time.Second }, 4},
+		"they last":                       {func(_ *Snapshot, _, d *Demand) { d.Step.Spec.LongRunning, d.LatestStart = true, now-time.Second }, 4},
 		"they are urgent":                 {func(_ *Snapshot, _, d *Demand) { d.Urgent, d.Priority = true, 0 }, 4},
 		"they have the gang's priority":   {func(_ *Snapshot, _, d *Demand) { d.Priority = 1 }, 4},
 		"the gang is late":                {func(_ *Snapshot, g, _ *Demand) { g.LatestStart = now - time.Second }, 4},
@@ -52,6 +54,15 @@
 				g.Eligibility.SetEligible(h.Endpoint, false)
 			}
 		}, 4},
+		"no endpoint of its pool may run the gang": {func(s *Snapshot, g, _ *Demand) {
+			g.Eligibility = NewEligibility()
+			for _, h := range s.Hosts {
+				g.Eligibility.SetEligible(h.Endpoint, false)
+			}
+			other := hosts(1)
+			other[0].Endpoint.Pool = "other"
+			s.Hosts = append(s.Hosts, other...)
+		}, 4},
 		"a new holder knows no endpoint for the gang yet": {func(_ *Snapshot, g, _ *Demand) {
 			g.Eligibility = NewEligibility()
 			g.Eligibility.QuestionInFlight, g.Eligibility.EligibleShare = true, 0.5
@@ -98,6 +109,7 @@
 	d.Eligibility = NewEligibility()
 	d.Eligibility.EligibleShare = 0.5
 	s := snapshot(120, d)
+	s.Policy.GangRoom = true
 	for i, h := range s.Hosts {
 		h.Free = resource.Vector{MilliCores: int64(i%3) * 4_000, MemoryMB: 64_000}
 	}
@@ -141,3 +153,20 @@
 		t.Errorf("late gangs take %d of %d questions", n, inAll)
 	}
 }
+
+// TestLateGangsAskInTheEnd guards against gangs that missed their objectives and never learn
+// where they may run because others keep half of the questions busy.
+func TestLateGangsAskInTheEnd(t *testing.T) {
+	const inAll = 40
+	for late, want := range map[time.Duration]int{time.Second: 0, maxYieldTime + time.Second: 1} {
+		d := demand(newSteps("a", "c", workload.Step{Count: 9, Size: cores(16), Gang: true, Estimate: time.Second})[0])
+		d.Eligibility = NewEligibility()
+		d.Eligibility.EligibleShare = 0.5
+		d.LatestStart = now - late
+		s := snapshot(8, d)
+		s.Policy.GangRoom, s.Questions, s.QuestionsInAll = true, inAll/2, inAll
+		if n := len(MakePlan(s).Questions); n != want {
+			t.Errorf("a gang that is late by %s asks %d questions, want %d", late, n, want)
+		}
+	}
+}
