Memory falls back after a crowd of clients has gone

Change: once what clients hold has fallen from over half of a limit to under an eighth, memory is given back to the machine.

--- a/internal/intake/ledger_test.go
+++ b/internal/intake/ledger_test.go
@@ -127,3 +127,18 @@
 		l.remove(v)
 	}
 }
+
+// TestReliefComesOnceAfterACrowd plays a crowd that comes, wavers and goes.
+func TestReliefComesOnceAfterACrowd(t *testing.T) {
+	l := Limits{Bytes: 800, Connections: 80}
+	var r Relief
+	for i, step := range []struct {
+		bytes       int64
+		connections int
+		due         bool
+	}{{0, 0, false}, {300, 30, false}, {0, 0, false}, {400, 10, false}, {200, 20, false}, {0, 11, false}, {100, 10, true}, {0, 0, false}, {0, 40, false}, {0, 0, true}, {0, 0, false}} {
+		if due := r.Due(l, step.bytes, step.connections); due != step.due {
+			t.Errorf("step %d: due is %v", i, due)
+		}
+	}
+}
