The door judges full pools only, by what goes ahead, and not while endpoints report

Cause: found in review. A question in flight, or a full pool of others, turned the bound on the backlog off although endpoints were idle, so that a slow holder accepted without bound. What started while there was room counted as what a pool can take, so that the first seconds of a burst were refused. A new holder judged by the few endpoints that had reported. Work that a customer's cap holds back, and work of customers over their shares, counted as ahead of others. A stepped clock and huge objectives gave any verdict.

Change: the backlog is left to the door only for a pool that has no room. Drains are seen only there. For up to 5 s of a term the door waits until nine tenths of the endpoints are adopted. Work at its cap isn't counted, and a customer over its share has a class of its own. The time passed and objectives are bounded. The door is asked last.

Result: TestSlowHolderRefusesWithTheDoorOn also plays an idle and another full pool instead of setting a field; it and the other tests of the door pass.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -91,7 +91,12 @@
 		p.drains = d.drains[name]
 	}
 	for name, seen := range d.drains {
-		if seen.observe(now, blocked[name]); now-seen.at > drainKept {
+		p := blocked[name]
+		if p != nil && p.Free >= freeShare {
+			// What starts while there is room is what comes, not what the pool can take.
+			p = nil
+		}
+		if seen.observe(now, p); now-seen.at > drainKept {
 			delete(d.drains, name)
 		}
 	}
@@ -110,16 +115,22 @@
 	return servable
 }
 
+// Judges reports whether the door knows that a pool has no room.
+func (d *Door) Judges(now time.Duration, pool string) bool {
+	p := d.pools[pool]
+	return p != nil && p.Free < freeShare && now-d.at <= maxAge
+}
+
 // Decide decides on a job. Nobody is refused while there is room, be it kept for other work,
-// nor a customer that has a small part of the waiting work. While an overload lasts, jobs are accepted up to what meets
-// their objectives: late work goes behind what is not, so that what would be late could wait
-// until the overload is over. The work of an accepted job counts as waiting at once: many jobs
+// nor a customer that has a small part of the waiting work. While an overload lasts, jobs are
+// accepted up to what meets their objectives: late work goes behind what is not, so that what
+// would be late could wait until the overload is over. The work of an accepted job counts as waiting at once: many jobs
 // may ask between two plans.
 func (d *Door) Decide(now time.Duration, j Job) Verdict {
-	p := d.pools[j.Pool]
-	if p == nil || p.Free >= freeShare || now-d.at > maxAge {
+	if !d.Judges(now, j.Pool) {
 		return Verdict{}
 	}
+	p := d.pools[j.Pool]
 	v := Verdict{Wait: p.Wait(j.Class, j.Load.Share)}
 	useful := j.Useful
 	if p.lasts(j.Class) {
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -25,9 +25,11 @@
 
 // Class orders waiting work: a lower class is served first.
 type Class struct {
-	// Excess work goes behind all other.
-	Excess   bool
-	Priority int
+	// Excess work goes behind all other, and within a priority that of customers over
+	// their shares.
+	Excess    bool
+	Priority  int
+	OverShare bool
 }
 
 // before reports whether work of class c is served before work of class o.
@@ -35,7 +37,10 @@
 	if c.Excess != o.Excess {
 		return o.Excess
 	}
-	return c.Priority < o.Priority
+	if c.Priority != o.Priority {
+		return c.Priority < o.Priority
+	}
+	return !c.OverShare && o.OverShare
 }
 
 // Load is an amount of work.
--- a/internal/controller/admission.go
+++ b/internal/controller/admission.go
@@ -18,10 +18,14 @@
 	// usefulObjectives is the multiple of its objective up to which the end of a job is
 	// of use to its caller.
 	usefulObjectives = 3
-	// doorMemory is how long after a plan that left work without room the door alone
-	// judges how long new work waits. The backlog counts steps, whatever their size, and
-	// tells nothing of work that waits for room.
-	doorMemory = 2 * time.Second
+	// maxPassed bounds how long ago a job that asks to be accepted was handed in: no
+	// daemon holds it longer. Their clocks may be off by more.
+	maxPassed = 3 * time.Second
+	// maxUnadopted is the part of the endpoints that may not have been adopted yet for the
+	// door to judge by the others, and adoptionTime how long after the begin of a term it
+	// waits for them.
+	maxUnadopted = 0.1
+	adoptionTime = 5 * time.Second
 	// doorInterval is how often the door is told of pools that stay full, which takes a
 	// look at all that waits and runs.
 	doorInterval = 100 * time.Millisecond
@@ -36,11 +40,9 @@
 	capacity map[string]resource.Vector
 	// toldAt is when the door was last told of full pools, 0 if the last plan found room
 	// for all, and started the work that plans have started since, in seconds of each pool.
-	toldAt  time.Duration
-	started map[string]map[admission.Class]float64
-	// blockedAt is when a plan last left work without room; 0 if none did.
-	blockedAt time.Duration
-	loggedAt  time.Duration
+	toldAt   time.Duration
+	started  map[string]map[admission.Class]float64
+	loggedAt time.Duration
 }
 
 // updateDoor tells the door how full the pools are and what waits for them after a plan.
@@ -48,12 +50,11 @@
 	if !c.params.Features.Admission {
 		return
 	}
-	if plan.Blocked == 0 {
+	if plan.Blocked == 0 || c.isAdopting(now) {
 		c.door.toldAt, c.door.started = 0, nil
 		c.tellDoor(now, nil)
 		return
 	}
-	c.door.blockedAt = now.Steady
 	due := c.door.toldAt == 0 || now.Steady-c.door.toldAt >= doorInterval
 	if due {
 		c.door.capacity = make(map[string]resource.Vector)
@@ -113,11 +114,15 @@
 			p = admission.NewPool(1 - fairshare.Dominant(size.Sub(free[d.Pool]), size))
 			pools[d.Pool] = p
 		}
+		customer := d.Step.Job.Customer
+		if customer != "" && !c.catalog.WithinQuota(customer, c.fleet.Usage(customer), d.Step.Spec.Size) {
+			// The customer's cap holds it back, not the room.
+			continue
+		}
 		l := loadOf(d.Step.Spec, left, size, d.Duration)
 		if d.LatestStart < now.Steady {
 			l.Late = l.Seconds
 		}
-		customer := d.Step.Job.Customer
 		p.AddWaiting(classOf(d), customer, c.rateOf(customer), l)
 	}
 	for name, p := range pools {
@@ -159,10 +164,10 @@
 		return nil
 	}
 	job := &workload.Job{Queue: s.Queue, Customer: s.Customer}
-	chain, passed := c.longestChain(q, job, &s.Spec), now.Wall.Sub(s.Accepted)
+	chain, passed := c.longestChain(q, job, &s.Spec), min(max(now.Wall.Sub(s.Accepted), 0), maxPassed)
 	v := c.door.Decide(now.Steady, admission.Job{
 		ID: string(s.ID), Pool: q.Pool, Customer: s.Customer, Weight: c.rateOf(s.Customer),
-		Class: admission.Class{Excess: c.exceedsRate(now, s.Customer), Priority: q.Priority},
+		Class: admission.Class{Excess: c.exceedsRate(now, s.Customer), Priority: q.Priority, OverShare: c.isOverShare(q.Pool, s.Customer)},
 		Load:  c.loadOfJob(q.Pool, job, &s.Spec),
 		Runs:  chain, Objective: objectiveOf(q, chain) - passed, Useful: usefulFor(q, chain) - passed,
 		HasRoom: func() bool { return c.hasRoom(now, q.Pool, &s.Spec) },
@@ -215,10 +220,29 @@
 	return false
 }
 
-// judgesWaits reports whether the door tells how long new work waits: if what waits does so
-// for room.
-func (c *Core) judgesWaits(now clock.Instant) bool {
-	return c.params.Features.Admission && c.door.blockedAt > 0 && now.Steady-c.door.blockedAt <= doorMemory
+// judgesWaits reports whether the door tells how long new work of a pool waits: if what waits
+// does so for room. The backlog counts steps, whatever their size, and tells nothing of that.
+func (c *Core) judgesWaits(now clock.Instant, pool string) bool {
+	return c.params.Features.Admission && c.door.Judges(now.Steady, pool)
+}
+
+// isAdopting reports whether the term has just begun and many endpoints have not reported
+// what runs there: the few that have say little of the room.
+func (c *Core) isAdopting(now clock.Instant) bool {
+	if now.Steady-c.fencedAt > adoptionTime {
+		return false
+	}
+	listed, missing := 0, 0
+	for _, e := range c.fleet.Endpoints() {
+		if !e.Listed || e.Draining || c.isEvacuated(e) {
+			continue
+		}
+		listed++
+		if !e.Adopted {
+			missing++
+		}
+	}
+	return float64(missing) > maxUnadopted*float64(listed)
 }
 
 // usefulFor returns for how long after its acceptance the end of a job is of use.
@@ -228,9 +252,12 @@
 
 // objectiveOf returns the objective of a job whose longest chain takes the given time.
 func objectiveOf(q *catalog.Queue, chain time.Duration) time.Duration {
-	return time.Duration(min(q.Stretch*float64(chain), float64(workload.MaxSpan))) + q.Objective
+	return min(time.Duration(min(q.Stretch*float64(chain), float64(maxObjective)))+min(q.Objective, maxObjective), maxObjective)
 }
 
+// maxObjective bounds objectives, so that a few of them together stay in range.
+const maxObjective = workload.MaxSpan / 8
+
 // lasts reports whether a job has a step that runs until it is cancelled.
 func lasts(s *workload.Spec) bool {
 	for i := range s.Steps {
@@ -271,7 +298,7 @@
 }
 
 func classOf(d *scheduler.Demand) admission.Class {
-	return admission.Class{Excess: d.Excess, Priority: d.Priority}
+	return admission.Class{Excess: d.Excess, Priority: d.Priority, OverShare: d.OverShare}
 }
 
 // exceedsRate reports whether a customer's next job would be beyond its rate.
--- a/internal/controller/admission_test.go
+++ b/internal/controller/admission_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/bluebellstile/bluebellstile/internal/admission"
 	"github.com/bluebellstile/bluebellstile/internal/problem"
 	"github.com/bluebellstile/bluebellstile/internal/resource"
 	"github.com/bluebellstile/bluebellstile/internal/workload"
@@ -197,7 +198,15 @@
 	if !refused() {
 		t.Error("a backlog that the holder can't start is accepted without bound")
 	}
-	core.door.blockedAt = w.now
+	core.tellDoor(w.instant(), map[string]*admission.Pool{"p": admission.NewPool(0.9)})
+	if !refused() {
+		t.Error("a backlog is accepted without bound while a step waits for an answer on idle endpoints")
+	}
+	core.tellDoor(w.instant(), map[string]*admission.Pool{"other": admission.NewPool(0)})
+	if !refused() {
+		t.Error("a backlog is accepted without bound while another pool is full")
+	}
+	core.tellDoor(w.instant(), map[string]*admission.Pool{"p": admission.NewPool(0)})
 	if refused() {
 		t.Error("the backlog of steps counts although they wait for room")
 	}
--- a/internal/controller/shares.go
+++ b/internal/controller/shares.go
@@ -103,6 +103,11 @@
 	c.noteOddWeights()
 }
 
+// isOverShare reports whether a customer used more than its share of a pool at the last plan.
+func (c *Core) isOverShare(pool, customer string) bool {
+	return c.shares != nil && c.shares.over[poolCustomer{pool, customer}]
+}
+
 // noteOver keeps the customers that are over their shares; there are none while nothing waits.
 func (c *Core) noteOver(over map[poolCustomer]bool) {
 	if c.shares != nil {
--- a/internal/controller/submit.go
+++ b/internal/controller/submit.go
@@ -106,12 +106,7 @@
 	if open := len(c.jobs) - len(c.ended); open >= maxSharedJobs || open >= maxOpenJobs && !c.hasFewJobs(s.Customer, open) {
 		return problem.Refuse(problem.QueueFull, "try again later", "%d jobs are open", open).WithRetryAfter(excessRetry)
 	}
-	if c.params.Features.Admission {
-		if p := c.checkUseful(now, q, s); p != nil {
-			return p
-		}
-	}
-	if wait, refused := c.backlog.refuses(s.Customer); refused && !c.judgesWaits(now) {
+	if wait, refused := c.backlog.refuses(s.Customer); refused && !c.judgesWaits(now, q.Pool) {
 		return problem.Refuse(problem.QueueFull, "try again later",
 			"%d steps wait to start, about %.0f start a second", c.backlog.waiting, c.backlog.rate).WithRetryAfter(min(wait, maxExpectedWait))
 	}
@@ -123,6 +118,10 @@
 		return problem.Refuse(problem.QueueFull, "send fewer jobs a second",
 			"customer %q exceeds its job rate and already has %d open jobs beyond it", s.Customer, maxExcessJobs).WithRetryAfter(excessRetry)
 	}
+	if c.params.Features.Admission {
+		// Last, as an accepted job counts as waiting from then on.
+		return c.checkUseful(now, q, s)
+	}
 	return nil
 }
 
