--- a/internal/controller/preempt.go
+++ b/internal/controller/preempt.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"math"
 	"time"
 
 	"github.com/bluebellstile/bluebellstile/internal/clock"
@@ -121,7 +122,7 @@
 		metrics.PreemptionLoss.Add(r.Queue, int64(p.Loss*1000))
 		c.log.Info("run preempted", "task", r.Task, "run", r.Number, "endpoint", r.Endpoint.ID, "queue", r.Queue,
 			"progress", r.Progress, "ran", runDuration(now, r), "checkpoints", r.Step.Spec.Checkpoints,
-			"for", gains.Name(), "for_queue", gains.Job.Queue, "loss_core_s", p.Loss)
+			"for", gains.Name(), "for_queue", gains.Job.Queue, "loss_core_s", math.Round(100*p.Loss)/100)
 		c.stopRun(now, r)
 	}
 }
