Preemption looks at what is unknown first, counts overdue runs as long, and costs less

Cause: found in review. A gang stopped runs in the plan in which it asked about endpoints that may be idle. Runs past their expected end counted as room now, so that nothing was stopped beside them. A victim with saved work was late once stopped and lost its place. A customer at its cap made a pool contended with work that it may not run.

Change: a gang is starved only if it asks nothing. Ends that are overdue aren't counted. A run is no victim that keeps its objective if its step's latest start passes while it waits. At most 8,192 hosts are looked at in a plan. Shares count waiting work up to the cap.

Result: a case of each of the first three; TestPromisesWithAllParts plays 4 changes of the holder and lost orders with every part on.

--- a/internal/controller/preempt.go
+++ b/internal/controller/preempt.go
@@ -94,12 +94,14 @@
 		lost = max(now.Steady-r.ConfirmedAt, time.Duration(r.Progress*float64(runTime)))
 		remaining += lost
 	}
-	endsAt := now.Steady + c.params.StopGrace + waitAfterPreemption + restoreAllowance + remaining
+	// Its place in the order follows from the latest start, whatever is left to do.
+	startsAt := now.Steady + c.params.StopGrace + waitAfterPreemption
+	endsAt := startsAt + restoreAllowance + remaining
 	endsBy := entry.latestStart + runTime
 	return preemption.Victim{
 		Size:   r.Charge,
 		Loss:   (lost + c.params.StopGrace).Seconds() * float64(r.Charge.MilliCores) / 1000,
-		Misses: endsAt > endsBy && r.ExpectedEnd <= endsBy,
+		Misses: (endsAt > endsBy || startsAt > entry.latestStart) && r.ExpectedEnd <= endsBy,
 	}
 }
 
--- a/internal/controller/preempt_test.go
+++ b/internal/controller/preempt_test.go
@@ -200,9 +200,12 @@
 		misses   bool
 		lossless bool
 	}{
-		"with checkpoints":           {spec: workload.Step{Checkpoints: true}, may: true, lossless: true},
-		"without":                    {may: true},
-		"it would be late":           {may: true, misses: true, change: func(_ *fleet.Run, e *stepEntry) { e.latestStart = time.Hour + 3*time.Second }},
+		"with checkpoints": {spec: workload.Step{Checkpoints: true}, may: true, lossless: true},
+		"without":          {may: true},
+		"it would be late": {may: true, misses: true, change: func(_ *fleet.Run, e *stepEntry) { e.latestStart = time.Hour + 3*time.Second }},
+		"it would come after others": {spec: workload.Step{Checkpoints: true}, may: true, misses: true, lossless: true, change: func(r *fleet.Run, e *stepEntry) {
+			r.ExpectedEnd, e.latestStart = time.Hour+2*time.Second, time.Hour+time.Second
+		}},
 		"it is late anyway":          {may: true, change: func(_ *fleet.Run, e *stepEntry) { e.latestStart = time.Hour - 30*time.Second }},
 		"a gang":                     {spec: workload.Step{Gang: true}},
 		"a task that lasts":          {spec: workload.Step{LongRunning: true}},
@@ -237,3 +240,21 @@
 		})
 	}
 }
+
+// TestPromisesWithAllParts plays changes of the holder and lost orders with all parts on: gangs
+// and single tasks compete, urgent work stops others, and jobs come faster than they run.
+func TestPromisesWithAllParts(t *testing.T) {
+	forEachSeed(t, func(t *testing.T, seed uint64) {
+		w := newWorld(t, seed, faults{lost: 0.02, delayed: 0.03, unanswered: 0.02, taskFailure: 0.02, lostAppends: 0.03})
+		w.params.Features = Features{Evacuation: true, GangRoom: true, Preemption: true, Shares: true, Admission: true, Estimates: true}
+		addEndpoints(w)
+		w.beginTerm()
+		w.submitTraffic(20)
+		for i := range 4 {
+			w.after(time.Duration(i+1)*4300*time.Millisecond, w.replaceHolder)
+		}
+		w.after(40*time.Second, func() { w.faults = faults{} })
+		w.run(120 * time.Second)
+		w.requireAllEnded()
+	})
+}
--- a/internal/controller/shares.go
+++ b/internal/controller/shares.go
@@ -83,6 +83,10 @@
 	}
 	over := make(map[poolCustomer]bool)
 	for _, pool := range slices.Sorted(maps.Keys(pools)) {
+		for name, customer := range pools[pool] {
+			customer.Waiting = c.withinCap(name, customer.Waiting)
+			pools[pool][name] = customer
+		}
 		division := fairshare.Divide(capacities[pool], pools[pool])
 		for _, name := range slices.Sorted(maps.Keys(pools[pool])) {
 			key := poolCustomer{pool, name}
@@ -108,6 +112,21 @@
 	return c.shares != nil && c.shares.over[poolCustomer{pool, customer}]
 }
 
+// withinCap returns what of a customer's waiting work its cap lets it run beside what runs.
+func (c *Core) withinCap(name string, waiting resource.Vector) resource.Vector {
+	limit, used := c.catalog.Customers[name].Cap, c.fleet.Usage(name)
+	if limit.MilliCores > 0 {
+		waiting.MilliCores = min(waiting.MilliCores, max(limit.MilliCores-used.MilliCores, 0))
+	}
+	if limit.MemoryMB > 0 {
+		waiting.MemoryMB = min(waiting.MemoryMB, max(limit.MemoryMB-used.MemoryMB, 0))
+	}
+	if limit.Accelerators > 0 {
+		waiting.Accelerators = min(waiting.Accelerators, max(limit.Accelerators-used.Accelerators, 0))
+	}
+	return waiting
+}
+
 // noteOver keeps the customers that are over their shares; there are none while nothing waits.
 func (c *Core) noteOver(over map[poolCustomer]bool) {
 	if c.shares != nil {
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -25,11 +25,10 @@
 	if !d.holdsCapacity() && !p.mayReserve(d) && p.full.includes(d, n) {
 		p.plan.Blocked++
 		p.noteOwed(d, n)
-		p.noteStarved(d, n)
 		if p.gangQuestionsLeft(d) > 0 {
 			p.failedSearches++
-			p.askAboutUnknown(d)
 		}
+		p.askOrStarve(d, n)
 		return
 	}
 	known := p.knownEligible(d)
@@ -41,9 +40,8 @@
 			p.full.add(d, n)
 		}
 		p.rechargeHeldTasks(d)
-		p.noteStarved(d, n)
 		p.noteOwed(d, n)
-		p.askAboutUnknown(d)
+		p.askOrStarve(d, n)
 		p.reserve(d, known, n)
 		return
 	}
@@ -61,6 +59,16 @@
 	}
 }
 
+// askOrStarve asks about endpoints that a gang without room doesn't know. If there is nothing
+// to ask, others may be stopped for it: endpoints that it doesn't know may have room.
+func (p *planner) askOrStarve(d *Demand, n int) {
+	asked := len(p.plan.Questions)
+	p.askAboutUnknown(d)
+	if len(p.plan.Questions) == asked {
+		p.noteStarved(d, n)
+	}
+}
+
 // rechargeHeldTasks subtracts the capacity held for a demand from its hosts
 // again while its question is in flight.
 func (p *planner) rechargeHeldTasks(d *Demand) {
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"sort"
 	"time"
 
 	"github.com/bluebellstile/bluebellstile/internal/backfill"
@@ -17,6 +18,9 @@
 	// chosen for a demand.
 	minVictimHosts     = 32
 	victimHostsPerTask = 4
+	// maxHostVisits bounds the hosts whose expected ends a plan looks through, over all
+	// demands.
+	maxHostVisits = 8192
 	// maxLossPerWork bounds what is thrown away for a demand, relative to what it runs
 	// itself.
 	maxLossPerWork = 2
@@ -45,6 +49,8 @@
 	hosts map[*fleet.Endpoint]*preemptedHost
 	// soon is when the room of a run that is stopped now can be used.
 	soon time.Duration
+	// visits counts the hosts that were looked at, over all demands.
+	visits int
 }
 
 // preemptedHost is a host whose runs may be stopped.
@@ -64,7 +70,7 @@
 	}
 	pr := &preemptor{planner: p, hosts: make(map[*fleet.Endpoint]*preemptedHost), soon: p.Now + p.Policy.StopTime}
 	for _, d := range p.starved {
-		if p.PreemptionBudget <= 0 {
+		if p.PreemptionBudget <= 0 || pr.visits >= maxHostVisits {
 			return
 		}
 		pr.makeRoom(d)
@@ -78,6 +84,7 @@
 		return
 	}
 	known := p.hostsFor(d)
+	p.visits += len(known)
 	timelines := make([]backfill.Host, len(known))
 	for i, h := range known {
 		timelines[i] = p.hostOf(h).timeline
@@ -101,14 +108,13 @@
 // tasksWithinQuota returns how many of the starving tasks their customer may run: of a gang
 // all or none.
 func (p *preemptor) tasksWithinQuota(d *Demand) int {
-	n := d.starving
-	for n > 0 && !p.quotaAllows(d, n) {
-		if d.Step.Spec.Gang {
-			return 0
-		}
-		n--
+	if p.quotaAllows(d, d.starving) {
+		return d.starving
 	}
-	return n
+	if d.Step.Spec.Gang {
+		return 0
+	}
+	return sort.Search(d.starving, func(n int) bool { return !p.quotaAllows(d, n+1) })
 }
 
 // hasRoomForUrgent reports whether the capacity kept for urgent tasks is free. Otherwise the
@@ -141,12 +147,24 @@
 func (p *preemptor) hostOf(h *Host) *preemptedHost {
 	host := p.hosts[h.Endpoint]
 	if host == nil {
-		host = &preemptedHost{timeline: backfill.Host{Free: h.Free, Releases: h.Releases}}
+		host = &preemptedHost{timeline: backfill.Host{Free: h.Free, Releases: h.releasesAfter(p.Now)}}
 		p.hosts[h.Endpoint] = host
 	}
 	return host
 }
 
+// releasesAfter returns the expected ends after a time. Runs that have lasted longer than
+// expected may last for long.
+func (h *Host) releasesAfter(now time.Duration) []Release {
+	after := make([]Release, 0, len(h.Releases))
+	for _, r := range h.Releases {
+		if r.At > now {
+			after = append(after, r)
+		}
+	}
+	return after
+}
+
 // victimsOf returns the runs on a host that may be stopped for a demand, and their indexes
 // in preemptedHost.victims.
 func (p *preemptor) victimsOf(d *Demand, h *Host) (victims []preemption.Victim, indexes []int) {
--- a/internal/scheduler/preempt_test.go
+++ b/internal/scheduler/preempt_test.go
@@ -51,9 +51,22 @@
 		change func(*Snapshot, *Demand)
 		want   int
 	}{
-		"as many as it needs":        {urgentDemand("u", 3), func(s *Snapshot, _ *Demand) { fill(s, long, 2) }, 3},
-		"room comes in time":         {urgentDemand("u", 3), func(s *Snapshot, _ *Demand) { fill(s, now+600*time.Millisecond, 2) }, 0},
-		"room may come too late":     {urgentDemand("u", 3), func(s *Snapshot, _ *Demand) { fill(s, now+900*time.Millisecond, 2) }, 3},
+		"as many as it needs":    {urgentDemand("u", 3), func(s *Snapshot, _ *Demand) { fill(s, long, 2) }, 3},
+		"room comes in time":     {urgentDemand("u", 3), func(s *Snapshot, _ *Demand) { fill(s, now+600*time.Millisecond, 2) }, 0},
+		"room may come too late": {urgentDemand("u", 3), func(s *Snapshot, _ *Demand) { fill(s, now+900*time.Millisecond, 2) }, 3},
+		"runs last longer than expected": {urgentDemand("u", 3), func(s *Snapshot, _ *Demand) {
+			fill(s, now, 2)
+		}, 3},
+		"a gang asks about endpoints that may have room first": {gang(4), func(s *Snapshot, d *Demand) {
+			fill(s, long, 2)
+			d.Eligibility = NewEligibility()
+			d.Eligibility.EligibleShare = 0.5
+			for _, h := range s.Hosts {
+				d.Eligibility.SetEligible(h.Endpoint, true)
+			}
+			idle := hosts(4)[2:]
+			s.Hosts = append(s.Hosts, idle...)
+		}, 0},
 		"not of the same priority":   {gang(3), func(s *Snapshot, _ *Demand) { fill(s, long, 1) }, 0},
 		"a whole gang":               {gang(4), func(s *Snapshot, _ *Demand) { fill(s, long, 1, 2) }, 4},
 		"not for a part of a gang":   {gang(5), func(s *Snapshot, _ *Demand) { fill(s, long, 1, 2) }, 0},
