Limits of clients: newcomers keep their places, customers count as one, refusals come early

Cause: found in review. A connection on which nothing had come yet was closed before the crowd's unfinished ones, so that an ordinary newcomer got in by luck. A crowd of one key from many addresses made the largest other request the victim. Cells' handler changed the server's own request. The connection hid CloseWrite, so that answers to refused requests came late or were lost. Reports waited for the log's reader under the lock.

Change: a new connection has a second. A party is the customer once one was admitted.

--- a/internal/intake/guard.go
+++ b/internal/intake/guard.go
@@ -36,6 +36,25 @@
 	mu     sync.Mutex
 	ledger *Ledger
 	conns  map[*entry]*Conn
+	// given are the connections given up that are not reported yet.
+	given []givenUp
+}
+
+// givenUp is a connection that was given up.
+type givenUp struct {
+	cause           Cause
+	address, detail string
+}
+
+// unlock releases the lock and then reports what was given up: a report may wait for the
+// reader of the log.
+func (g *Guard) unlock() {
+	given := g.given
+	g.given = nil
+	g.mu.Unlock()
+	for _, u := range given {
+		g.report(u.cause, u.address, u.detail)
+	}
 }
 
 // NewGuard returns a guard. report is called for each connection that is given
@@ -117,17 +136,17 @@
 		address = c.RemoteAddr().String()
 	}
 	g.mu.Lock()
-	defer g.mu.Unlock()
+	defer g.unlock()
 	now := g.now()
 	if g.ledger.full() {
 		spare := g.ledger.spare(now)
 		if spare == nil {
-			g.report(CauseConnections, address, "every connection is being worked on")
+			g.given = append(g.given, givenUp{CauseConnections, address, "every connection is being worked on"})
 			return nil
 		}
 		g.close(spare)
 	}
-	guarded := &Conn{Conn: c, guard: g, entry: g.ledger.add(address, now)}
+	guarded := &Conn{Conn: c, guard: g, entry: g.ledger.add(address, now), address: address}
 	g.conns[guarded.entry] = guarded
 	return guarded
 }
@@ -140,7 +159,7 @@
 		cause = CauseAnswers
 	}
 	if e.phase != cut {
-		g.report(cause, e.party.address, "")
+		g.given = append(g.given, givenUp{cause, c.address, ""})
 	}
 	g.forget(c)
 	c.cut = true
@@ -152,6 +171,8 @@
 	net.Conn
 	guard *Guard
 	entry *entry
+	// address is the client's.
+	address string
 	// cut is guarded by the guard's lock.
 	cut bool
 }
@@ -170,12 +191,12 @@
 // can still refuse the request.
 func (g *Guard) charge(c *Conn, n int) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
+	defer g.unlock()
 	g.ledger.charge(c.entry, n, g.now())
 	for e := g.ledger.overdrawn(); e != nil; e = g.ledger.overdrawn() {
-		g.report(CauseBytes, e.party.address, "")
 		g.ledger.giveUp(e)
 		victim := g.conns[e]
+		g.given = append(g.given, givenUp{CauseBytes, victim.address, ""})
 		victim.cut = true
 		_ = victim.Conn.SetReadDeadline(time.Unix(1, 0))
 	}
@@ -220,14 +241,24 @@
 	c.entry.writing = since
 }
 
-// Admitted notes the customer whose request the connection carries.
-func (c *Conn) Admitted(customer string) {
+// CloseWrite ends the answers, so that the client reads the last one before the connection
+// is closed.
+func (c *Conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// Admitted notes the customer whose request the connection carries, and the length of the
+// request's header.
+func (c *Conn) Admitted(customer string, header int) {
 	if c == nil {
 		return
 	}
 	c.guard.mu.Lock()
 	defer c.guard.mu.Unlock()
-	c.guard.ledger.admit(c.entry, customer)
+	c.guard.ledger.admit(c.entry, customer, header)
 }
 
 // Work notes that the request is complete and worked on from now until it is
--- a/internal/intake/handler.go
+++ b/internal/intake/handler.go
@@ -12,10 +12,14 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.ContentLength == 0 {
 			FromContext(r.Context()).Work()
-		} else {
-			r.Body = &watchedBody{ReadCloser: r.Body, conn: FromContext(r.Context())}
+			h.ServeHTTP(w, r)
+			return
 		}
-		h.ServeHTTP(w, r)
+		// The server looks at the body of its own request after the answer.
+		watched := new(http.Request)
+		*watched = *r
+		watched.Body = &watchedBody{ReadCloser: r.Body, conn: FromContext(r.Context())}
+		h.ServeHTTP(w, watched)
 	})
 }
 
--- a/internal/intake/ledger.go
+++ b/internal/intake/ledger.go
@@ -28,6 +28,9 @@
 	// stalledAnswer is how long a write of an answer must have been blocked for
 	// the connection to count as one whose answers are not read.
 	stalledAnswer = time.Second
+	// freshTime is how long a new connection may take until its first request
+	// begins before it counts as idle.
+	freshTime = time.Second
 )
 
 // Limits bound what all clients together hold.
@@ -45,8 +48,8 @@
 	AnswerTimeout time.Duration
 }
 
-// party is a client address with a customer's key; the customer is empty until
-// a request was admitted.
+// party is whom a connection counts for: the customer of its last request, or the
+// client's address until one was admitted and where customers need no key.
 type party struct{ address, customer string }
 
 // holding is what a party's connections hold together.
@@ -66,6 +69,10 @@
 	since      time.Duration
 	bytes      int64
 	headerDone bool
+	// received is the number of bytes of the request that were read, and used is set
+	// once a request has begun on the connection.
+	received int64
+	used     bool
 	// workFor is the customer whose share of the work the request takes.
 	workFor string
 	// writing is since when a write has been under way; 0 if none is.
@@ -144,8 +151,9 @@
 		return
 	}
 	if e.phase == idle {
-		e.phase, e.since = receiving, now
+		e.phase, e.since, e.used = receiving, now, true
 	}
+	e.received += int64(n)
 	cost := int64(n)
 	if !e.headerDone {
 		cost *= headerCost
@@ -159,16 +167,32 @@
 func (l *Ledger) settle(e *entry) {
 	e.holding.bytes -= e.bytes
 	l.bytes -= e.bytes
-	e.bytes = 0
+	e.bytes, e.received = 0, 0
 }
 
-// admit notes the customer of a connection's request.
-func (l *Ledger) admit(e *entry, customer string) {
-	if e.index >= 0 {
-		l.assign(e, party{address: e.party.address, customer: customer})
+// admit notes the customer of a connection's request and the length of its header: what
+// was read behind that is body, and was charged as header.
+func (l *Ledger) admit(e *entry, customer string, header int) {
+	if e.index < 0 {
+		return
+	}
+	if e.phase == receiving {
+		ofHeader := min(int64(header), e.received)
+		l.refund(e, e.bytes-(ofHeader*headerCost+e.received-ofHeader))
+	}
+	if customer != "" {
+		l.assign(e, party{customer: customer})
 	}
 }
 
+// refund takes a number of a connection's bytes off the account.
+func (l *Ledger) refund(e *entry, bytes int64) {
+	bytes = min(max(bytes, 0), e.bytes)
+	e.bytes -= bytes
+	e.holding.bytes -= bytes
+	l.bytes -= bytes
+}
+
 // work notes that a request is being worked on, and reports false if it must
 // not be: it was given up, or its customer has its share of the connections at
 // work.
@@ -261,8 +285,11 @@
 	switch {
 	case e.phase == cut:
 		return byCut
-	case e.phase == idle:
+	case e.phase == idle && (e.used || now-e.since >= freshTime):
 		return byIdle
+	case e.phase == idle:
+		// Its request may be on its way.
+		return byUnfinished
 	case e.phase == receiving, e.writing > 0 && now-e.writing >= stalledAnswer:
 		return byUnfinished
 	default:
--- a/internal/intake/ledger_test.go
+++ b/internal/intake/ledger_test.go
@@ -53,8 +53,10 @@
 					l.giveUp(v)
 				}
 			}),
-			"header":   on(func(e *entry) { e.headerDone = true }),
-			"admit":    on(func(e *entry) { l.admit(e, rapid.SampledFrom([]string{"x", "y"}).Draw(t, "customer")) }),
+			"header": on(func(e *entry) { e.headerDone = true }),
+			"admit": on(func(e *entry) {
+				l.admit(e, rapid.SampledFrom([]string{"", "x", "y"}).Draw(t, "customer"), rapid.IntRange(0, 700).Draw(t, "header"))
+			}),
 			"work":     on(func(e *entry) { l.work(e) }),
 			"write":    on(func(e *entry) { e.writing = now }),
 			"answered": on(func(e *entry) { e.writing = 0; l.answered(e, now) }),
@@ -105,12 +107,12 @@
 	l := NewLedger(Limits{Bytes: 1000, Connections: 10})
 	other := l.add("balancer", 1)
 	other.headerDone = true
-	l.admit(other, "other")
+	l.admit(other, "other", 0)
 	l.charge(other, 100, 1)
 	for i := range 9 {
 		e := l.add("balancer", time.Duration(2+i))
 		e.headerDone = true
-		l.admit(e, "crowd")
+		l.admit(e, "crowd", 0)
 		l.charge(e, 300, time.Duration(2+i))
 		for v := l.overdrawn(); v != nil; v = l.overdrawn() {
 			if v == other {
@@ -142,3 +144,64 @@
 		}
 	}
 }
+
+// TestNewcomerIsNotClosedForTheNext plays the load of a crowd that holds all connections with
+// unfinished requests while others come: a newcomer keeps its place until it can send.
+func TestNewcomerIsNotClosedForTheNext(t *testing.T) {
+	l := NewLedger(Limits{Bytes: 1 << 20, Connections: 5})
+	now := time.Duration(1)
+	for range 5 {
+		l.charge(l.add("crowd", now), 10, now)
+	}
+	now += 10 * time.Second
+	var newcomers []*entry
+	for range 3 {
+		v := l.spare(now)
+		if v == nil || v.phase != receiving {
+			t.Fatalf("the connection that is closed is in phase %v, not an unfinished one", v)
+		}
+		l.remove(v)
+		newcomers = append(newcomers, l.add("ordinary", now))
+		now += 10 * time.Millisecond
+	}
+	now += freshTime
+	if v := l.spare(now); v != newcomers[0] {
+		t.Errorf("%+v is closed, not the first connection on which nothing came", v)
+	}
+}
+
+// TestCrowdOfManyAddressesGivesWay plays the load of one customer's unfinished requests from
+// many addresses beside a larger one of another customer.
+func TestCrowdOfManyAddressesGivesWay(t *testing.T) {
+	l := NewLedger(Limits{Bytes: 1000, Connections: 100})
+	begin := func(address, customer string, bytes int, at time.Duration) *entry {
+		e := l.add(address, at)
+		e.headerDone = true
+		l.admit(e, customer, 0)
+		l.charge(e, bytes, at)
+		return e
+	}
+	ordinary := begin("o", "other", 400, 1)
+	for i := range 20 {
+		begin(string(rune('a'+i)), "crowd", 100, time.Duration(2+i))
+		for v := l.overdrawn(); v != nil; v = l.overdrawn() {
+			l.giveUp(v)
+		}
+	}
+	if ordinary.phase != receiving {
+		t.Error("the other customer's request is given up for the crowd's")
+	}
+}
+
+// TestBodyReadWithTheHeaderCountsAsBody guards against requests whose body comes with the
+// header and is charged as header while the request waits.
+func TestBodyReadWithTheHeaderCountsAsBody(t *testing.T) {
+	l := NewLedger(Limits{Bytes: 1 << 20, Connections: 2})
+	e := l.add("a", 1)
+	l.charge(e, 4000, 1)
+	e.headerDone = true
+	l.admit(e, "c", 200)
+	if want := int64(200*headerCost + 3800); l.bytes != want || e.holding.bytes != want {
+		t.Errorf("%d bytes are charged, want %d", l.bytes, want)
+	}
+}
