--- a/internal/controller/calls.go
+++ b/internal/controller/calls.go
@@ -6,6 +6,7 @@
 
 	"github.com/bluebellstile/bluebellstile/internal/catalog"
 	"github.com/bluebellstile/bluebellstile/internal/clock"
+	"github.com/bluebellstile/bluebellstile/internal/evacuation"
 	"github.com/bluebellstile/bluebellstile/internal/fleet"
 	"github.com/bluebellstile/bluebellstile/internal/problem"
 	"github.com/bluebellstile/bluebellstile/internal/workload"
@@ -114,6 +115,13 @@
 	c.withCore(func(now clock.Instant, core *Core) { core.SetCatalog(now, next) })
 }
 
+// UpdateEvacuations sets the availability zones that the operator empties to the newest
+// ones. It asks for them once no other call can, so that of two calls at the same time
+// the last one sets what is newest.
+func (c *Controller) UpdateEvacuations(newest func() evacuation.Zones) {
+	c.withCore(func(_ clock.Instant, core *Core) { core.SetEvacuations(newest()) })
+}
+
 // SetEligibilityInstances sets through how many instances eligibility questions
 // can be asked.
 func (c *Controller) SetEligibilityInstances(n int) {
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -23,6 +23,8 @@
 
 	"github.com/bluebellstile/bluebellstile/internal/catalog"
 	"github.com/bluebellstile/bluebellstile/internal/clock"
+	"github.com/bluebellstile/bluebellstile/internal/estimate"
+	"github.com/bluebellstile/bluebellstile/internal/evacuation"
 	"github.com/bluebellstile/bluebellstile/internal/fleet"
 	"github.com/bluebellstile/bluebellstile/internal/scheduler"
 	"github.com/bluebellstile/bluebellstile/internal/workload"
@@ -50,6 +52,23 @@
 	FarFactor float64
 	// RateWindow is the window over which a customer's job rate is measured.
 	RateWindow time.Duration
+	Features   Features
+}
+
+// Features are the parts of the scheduling that the deployment has turned on.
+type Features struct {
+	// Evacuation starts nothing in availability zones that the operator empties, and takes
+	// endpoints that say that they are cold for slow.
+	Evacuation bool
+	// GangRoom keeps room for blocked gangs, Preemption stops runs of work that can
+	// wait, and Shares divides contended capacity among customers.
+	GangRoom   bool
+	Preemption bool
+	Shares     bool
+	// Admission refuses jobs that can't end in a time that is of use, and Estimates
+	// corrects stated run times from those seen.
+	Admission bool
+	Estimates bool
 }
 
 // Core is the scheduling state of one term. It is not safe for concurrent use.
@@ -81,6 +100,9 @@
 	// fleet.Endpoint does not have.
 	endpointStates map[*fleet.Endpoint]*endpointState
 
+	// evacuated holds the availability zones that the operator empties.
+	evacuated evacuation.Zones
+
 	batch *Batch
 	// stops holds the pending stop orders, orders all others.
 	stops  []Order
@@ -97,7 +119,15 @@
 
 	urgent  urgentLoad
 	backlog backlog
-	flow    flowControl
+	// shares is nil before the first plan that divides capacity among customers.
+	shares *shares
+	// preemptions bounds the work that preemptions throw away.
+	preemptions preemptionBudget
+	flow        flowControl
+	door        door
+	// runTimes holds what was learned of run times, nil if they are taken as stated.
+	runTimes         *estimate.Model
+	runTimesLoggedAt time.Duration
 	// inheritedSilences holds the records of the endpoints that an earlier term
 	// found silent, by endpoint id.
 	inheritedSilences map[string]silentRecord
@@ -117,7 +147,8 @@
 	// Plans counts the plans made, and Starts, Questions, Holds, Stops and Paces
 	// the orders emitted. Refused counts the starts that endpoints refused,
 	// Doubtful those without an answer, Lapsed the runs counted as ended because
-	// a lease has lapsed, and Evicted the evicted runs.
+	// a lease has lapsed, Evicted the evicted runs and Preempted those stopped for
+	// more urgent work.
 	Plans     int64
 	Starts    int64
 	Questions int64
@@ -127,12 +158,16 @@
 	Doubtful  int64
 	Lapsed    int64
 	Evicted   int64
+	Preempted int64
 	Paces     int64
 	// Waiting and Running are the current numbers of tasks, Open is the current
-	// number of jobs that have not ended.
-	Waiting int
-	Running int
-	Open    int
+	// number of jobs that have not ended. Evacuated is that of the availability zones
+	// that are being emptied, and InEvacuated that of the tasks that run there.
+	Waiting     int
+	Running     int
+	Open        int
+	Evacuated   int
+	InEvacuated int
 }
 
 // jobEntry is a job with its scheduling state.
@@ -144,9 +179,11 @@
 	ended bool
 	// waiters are called once the admission is in the log.
 	waiters []func(SubmitResult)
-	// chains caches the chains of the job's steps for chainsQuestionTime.
+	// chains caches the chains of the job's steps for chainsQuestionTime, with the run
+	// times that were expected at chainsAt.
 	chains             workload.Chains
 	chainsQuestionTime time.Duration
+	chainsAt           time.Duration
 }
 
 // stepEntry is a ready step with its scheduling state.
@@ -175,12 +212,18 @@
 	placeAfter time.Duration
 	// begun is set once a run of the step is known in this term to have begun.
 	begun bool
-	// impossible is set while the registered endpoints could not run the step.
+	// impossible is set while the registered endpoints could not run the step, awaitsZone
+	// if they could but for the availability zones that are being emptied.
 	impossible bool
+	awaitsZone bool
 	// waiting caches the indexes of the waiting tasks. waitingStale is set when
 	// it must be recomputed.
 	waiting      []int
 	waitingStale bool
+	// yielding is set once the step has waited for gangs of a better priority.
+	yielding bool
+	// preempted counts how often each task was stopped for more urgent work.
+	preempted map[int]int
 	// failedOn records the endpoints on which each task has failed.
 	failedOn map[int]map[string]bool
 }
@@ -188,7 +231,7 @@
 // NewCore returns a core without jobs and endpoints. The log refuses writes of
 // earlier terms since fencedAt or before.
 func NewCore(params Params, current *catalog.Catalog, fencedAt time.Duration, logger *slog.Logger) *Core {
-	return &Core{
+	c := &Core{
 		params:         params,
 		fencedAt:       fencedAt,
 		log:            logger,
@@ -207,6 +250,10 @@
 		eligibilityInstances: 1,
 		flow:                 newFlowControl(),
 	}
+	if params.Features.Estimates {
+		c.runTimes = estimate.NewModel()
+	}
+	return c
 }
 
 // SetEligibilityInstances sets through how many instances eligibility questions
@@ -235,11 +282,15 @@
 func (c *Core) Stats() Stats {
 	s := c.stats
 	s.Waiting, s.Running, s.Open = 0, 0, len(c.jobs)-len(c.ended)
+	s.Evacuated, s.InEvacuated = len(c.evacuated), 0
 	for _, e := range c.steps {
 		s.Waiting += len(c.waitingTasks(e))
 	}
 	for _, e := range c.fleet.Endpoints() {
 		s.Running += len(e.Runs())
+		if c.isEvacuated(e) {
+			s.InEvacuated += len(e.Runs())
+		}
 	}
 	return s
 }
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -62,11 +62,16 @@
 	c.plannedAt, c.blocked = now.Steady, false
 	snapshot := c.snapshot(now)
 	if len(snapshot.Demands) == 0 {
+		c.noteYielding(nil)
+		c.updateDoor(now, snapshot, &scheduler.Plan{})
 		return
 	}
 	plan := scheduler.MakePlan(snapshot)
+	c.updateDoor(now, snapshot, &plan)
 	c.log.Debug("planned", "demands", len(snapshot.Demands), "hosts", len(snapshot.Hosts), "starts", len(plan.Starts), "questions", len(plan.Questions), "blocked", plan.Blocked)
 	c.applyStarts(now, plan.Starts)
+	c.preempt(now, plan.Preemptions)
+	c.noteYielding(plan.Yielding)
 	c.releaseHeld()
 	c.wanted, c.lastTurn = plan.GangWaiting, plan.LastTurn
 	c.blocked = plan.Blocked > 0
@@ -99,6 +104,8 @@
 			MaxReservations: maxReservations,
 			PermitMargin:    permitMargin,
 			UrgentStarts:    urgentStartReserve,
+			GangRoom:        c.params.Features.GangRoom,
+			StopTime:        c.params.StopGrace + stopMargin,
 		},
 	}
 	c.backlog.reset()
@@ -113,10 +120,17 @@
 		}
 	}
 	if len(s.Demands) == 0 {
+		c.noteOver(nil)
 		return s
 	}
 	s.Hosts = c.hosts(now)
 	s.Policy.UrgentSize, s.Policy.UrgentSlots = c.urgentReserve(s.Hosts)
+	if c.params.Features.Preemption {
+		c.offerVictims(now, s)
+	}
+	if c.params.Features.Shares {
+		c.markOverShare(now, s)
+	}
 	return s
 }
 
@@ -172,7 +186,7 @@
 
 // usable reports whether new tasks may be placed on an endpoint.
 func (c *Core) usable(now clock.Instant, e *fleet.Endpoint) bool {
-	return e.Adopted && e.Listed && !e.Draining && e.Failures == 0 &&
+	return e.Adopted && e.Listed && !e.Draining && !c.isEvacuated(e) && e.Failures == 0 &&
 		e.Clock.Known() && now.Steady >= e.AvoidUntil &&
 		len(c.endpointStateOf(e).unwantedRuns) == 0 && !c.endpointStateOf(e).silent
 }
@@ -222,6 +236,7 @@
 		Excess:      e.jobEntry.job.Excess,
 		LatestStart: e.latestStart,
 		ReadyAt:     e.since,
+		Duration:    c.runTimeOf(e.step),
 		Eligibility: c.eligibilityOf(now, e, q),
 	}
 	if e.step.Spec.MaxPerEndpoint > 0 {
@@ -234,18 +249,25 @@
 }
 
 // couldRun reports whether the registered endpoints could run a step if they were idle.
-// A step that they can't run waits for others to register. It is left out of plans, in
-// which it would take the place of work that can start, and out of the backlog.
+// A step that they can't run waits for others to register, or for the operator to take
+// back the request to empty an availability zone. It is left out of plans, in which it
+// would take the place of work that can start. In the backlog it counts only if it waits
+// for an availability zone, as those come back.
 func (c *Core) couldRun(e *stepEntry, q *catalog.Queue) bool {
 	spec, tasks := e.step.Spec, 1
 	if spec.Gang {
 		tasks = spec.Count
 	}
 	impossible := !c.fleet.CouldHold(q.Pool, spec.RequiredLabel, spec.Charge(), spec.MaxPerEndpoint, tasks)
-	if impossible != e.impossible {
-		e.impossible = impossible
-		c.log.Info("registered endpoints have changed for a step", "step", e.step.Name(), "queue", q.Name, "could_run", !impossible,
-			"pool", q.Pool, "label", spec.RequiredLabel, "millicores", spec.Charge().MilliCores, "tasks_at_once", tasks)
+	evacuated := impossible && c.fleet.CouldHoldOnceOpen(q.Pool, spec.RequiredLabel, spec.Charge(), spec.MaxPerEndpoint, tasks)
+	if impossible != e.impossible || evacuated != e.awaitsZone {
+		e.impossible, e.awaitsZone = impossible, evacuated
+		c.log.Info("registered endpoints have changed for a step", "job", e.jobEntry.job.ID, "step", e.step.Name(), "queue", q.Name,
+			"could_run", !impossible, "evacuated", evacuated, "pool", q.Pool, "label", spec.RequiredLabel,
+			"millicores", spec.Charge().MilliCores, "tasks_at_once", tasks)
+	}
+	if evacuated {
+		c.backlog.add(e)
 	}
 	return !impossible
 }
@@ -331,14 +353,16 @@
 		OrderedAt: now.Steady,
 		Pace:      100,
 	}
-	r.ExpectedEnd = now.Steady + time.Duration(float64(s.Spec.Estimate)*start.Endpoint.History.Slowdown())
+	r.ExpectedEnd = now.Steady + start.Endpoint.RunTime(start.Demand.Duration, now.Steady)
 	start.Endpoint.Add(r)
 	if r.Priority == 0 {
 		c.urgent.updateSize(r.Charge)
 	}
 	waited := now.Steady - entry.since
 	c.log.Info("run placed", "task", r.Task, "run", r.Number, "endpoint", start.Endpoint.ID, "waited", waited.Round(time.Millisecond),
-		"free_millicores", start.Endpoint.Free().MilliCores, "pace", start.Endpoint.History.Slowdown(), "config", c.catalog.Version)
+		"free_millicores", start.Endpoint.Free().MilliCores, "pace", start.Endpoint.History.Slowdown(), "cold", start.Endpoint.Cold(now.Steady),
+		"stated", s.Spec.Estimate, "expected", start.Demand.Duration.Round(time.Millisecond), "over_share", start.Demand.OverShare, "zones_emptied", len(c.evacuated),
+		"config", c.catalog.Version)
 	planned := &plannedStart{run: r, permit: start.Permit, waited: waited}
 	if a := start.Demand.Eligibility; a != nil {
 		planned.expires = a.Permits[start.Endpoint].Expires
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -44,6 +44,11 @@
 	barredAt     time.Duration
 	// stopDecided is set once the run is to be stopped.
 	stopDecided bool
+	// learned is set once the run's time was added to those seen of its queue.
+	learned bool
+	// progressAt is when the run's first progress was reported, progressFrom that progress.
+	progressAt   time.Duration
+	progressFrom float64
 	// mayRunUntil is until when the run may work although the lease of the incarnation
 	// that its start was meant for has lapsed: a start without an answer may have
 	// reached the next one.
@@ -111,7 +116,7 @@
 }
 
 // sendStart emits the start of a run whose record is in the log. permitted tells
-// whether its permit and those of the other members of its gang are valid.
+// whether it and the other members of its gang may still start.
 func (c *Core) sendStart(now clock.Instant, s *plannedStart, permitted bool) {
 	r := s.run
 	if c.fleet.Find(r.Key) != r {
@@ -280,7 +285,7 @@
 		return
 	}
 	r.Phase = fleet.PhaseDoubtful
-	if r.Step.Spec.Gang && rs.tries < maxStartTries && !c.endpointStateOf(r.Endpoint).silent {
+	if r.Step.Spec.Gang && rs.tries < maxStartTries && !c.endpointStateOf(r.Endpoint).silent && !c.isEvacuated(r.Endpoint) {
 		c.repeatStart(now, r, rs)
 		return
 	}
@@ -373,6 +378,9 @@
 // finishRun frees the resources of a run and records its end.
 func (c *Core) finishRun(now clock.Instant, r *fleet.Run, end workload.End, checkpoint string) {
 	e := r.Endpoint
+	if end == workload.EndDone && !e.WasCold(r.ConfirmedAt, now.Steady) {
+		c.learnFromEnd(now, r)
+	}
 	c.dropRunState(e, r)
 	e.Remove(r)
 	c.planDue = true
@@ -447,8 +455,8 @@
 	switch end {
 	case workload.EndDone:
 		r.Endpoint.History.ObserveEnd(string(r.Task.Job), false)
-		if r.ConfirmedAt > 0 && !r.Step.Spec.Gang && r.Step.Checkpoint(r.Index()) == "" {
-			r.Endpoint.History.ObserveDuration(now.Steady-r.ConfirmedAt, r.Step.Spec.Estimate)
+		if r.ConfirmedAt > 0 && !r.Step.Spec.Gang && r.Step.Checkpoint(r.Index()) == "" && !r.Endpoint.WasCold(r.ConfirmedAt, now.Steady) {
+			r.Endpoint.History.ObserveUncertain(now.Steady-r.ConfirmedAt, c.runTimeOf(r.Step), c.runTimeSpread(r.Queue))
 		}
 	case workload.EndFailed:
 		c.recordFailedRun(now, r)
--- a/internal/node/terms.go
+++ b/internal/node/terms.go
@@ -190,6 +190,7 @@
 	for _, r := range registrations {
 		core.EndpointListed(now, r)
 	}
+	core.SetEvacuations(ts.catalogs.Evacuations())
 	core.Restore(now, entries)
 	return core
 }
@@ -206,6 +207,7 @@
 	if c := ts.catalogs.Catalog(); c != nil {
 		current.controller.SetCatalog(c)
 	}
+	current.controller.UpdateEvacuations(ts.catalogs.Evacuations)
 }
 
 // clearCurrent records that a term has ended.
@@ -275,6 +277,13 @@
 	}
 }
 
+// updateEvacuations gives the running term the availability zones that are being emptied.
+func (ts *termManager) updateEvacuations() {
+	if t := ts.term(); t != nil {
+		t.controller.UpdateEvacuations(ts.catalogs.Evacuations)
+	}
+}
+
 // Submit implements fleetpeer.Holder.
 func (t *term) Submit(ctx context.Context, job *workload.Job, version int64) (*problem.Problem, error) {
 	if !t.controller.KnowsJob(job.ID) {
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/bluebellstile/bluebellstile/internal/fleet"
+	"github.com/bluebellstile/bluebellstile/internal/precedence"
 	"github.com/bluebellstile/bluebellstile/internal/resource"
 )
 
@@ -19,10 +20,16 @@
 	freeUrgentSlots int
 	// reservations counts the gangs that have reserved capacity in this plan.
 	reservations int
+	// poolFree is the unused part of each pool.
+	poolFree map[string]resource.Vector
+	// owed is what gangs need that have no room yet.
+	owed precedence.Owed
 	// failedSearches counts the demands for which all hosts were searched
 	// without placing all tasks, and full remembers them.
 	failedSearches int
 	full           fullHosts
+	// starved are the demands without room that others may be stopped for.
+	starved []*Demand
 	// urgentHosts and nonUrgentHosts are the hosts in the order that urgent and
 	// other work prefers, as of the start of the plan.
 	urgentHosts    []*Host
@@ -45,16 +52,21 @@
 // MakePlan decides which tasks of the snapshot start where, and which questions
 // to ask. It modifies s.
 func MakePlan(s *Snapshot) Plan {
-	p := &planner{Snapshot: s, allocated: make(map[string]resource.Vector), full: make(fullHosts)}
+	p := &planner{
+		Snapshot: s, allocated: make(map[string]resource.Vector), full: make(fullHosts),
+		poolFree: make(map[string]resource.Vector), owed: make(precedence.Owed),
+	}
 	p.plan.GangWaiting = make(map[*fleet.Endpoint]bool)
 	for _, h := range s.Hosts {
 		p.freeUrgentSlots += p.urgentSlots(h)
+		p.poolFree[h.Endpoint.Pool] = p.poolFree[h.Endpoint.Pool].Add(h.Free)
 	}
 	p.chargeHeldTasks()
 	p.urgentHosts = sortedByScore(s.Hosts, urgentScore)
 	p.nonUrgentHosts = sortedByScore(s.Hosts, nonUrgentScore)
 	p.hosts = rankHosts(p.urgentHosts, p.nonUrgentHosts)
 	p.placeInTurns(p.placeInOrder(rank(s)))
+	p.preempt()
 	return p.plan
 }
 
@@ -134,6 +146,7 @@
 	p.freeUrgentSlots -= p.urgentSlots(h)
 	h.Free = h.Free.Sub(size)
 	p.freeUrgentSlots += p.urgentSlots(h)
+	p.poolFree[h.Endpoint.Pool] = p.poolFree[h.Endpoint.Pool].Sub(size)
 }
 
 // urgentSlots returns how many typical urgent tasks fit on a host.
@@ -225,6 +238,10 @@
 func (p *planner) placeTasks(d *Demand) {
 	p.releaseHeldTasks(d)
 	defer p.rechargeHeldTasks(d)
+	if p.yields(d) {
+		p.noteYielding(d)
+		return
+	}
 	if d.Eligibility != nil && len(d.Eligibility.Permits) == 0 && (d.Eligibility.QuestionInFlight || !p.mayAsk(d)) {
 		p.plan.Blocked++
 		return
@@ -235,6 +252,7 @@
 	}
 	if !d.holdsCapacity() && p.quotaAllows(d, 1) && p.full.includes(d, 1) {
 		p.plan.Blocked++
+		p.noteStarved(d, len(d.Tasks))
 		return
 	}
 	var hosts []*Host
@@ -244,7 +262,7 @@
 		hosts = p.candidates(d)
 	}
 	waiting := d.Tasks
-	for len(waiting) > 0 && p.quotaAllows(d, 1) {
+	for len(waiting) > 0 && p.quotaAllows(d, 1) && !p.yields(d) {
 		if !p.mayStart(d) {
 			return
 		}
@@ -259,10 +277,19 @@
 	if len(waiting) == 0 || !p.quotaAllows(d, 1) {
 		return
 	}
+	if p.yields(d) {
+		p.noteYielding(d)
+		return
+	}
 	p.plan.Blocked++
 	p.failedSearches++
 	p.rememberFullHosts(d)
-	p.ask(d, len(waiting))
+	if asked := len(p.plan.Questions); d.Eligibility == nil || p.mayAsk(d) {
+		p.ask(d, len(waiting))
+		if len(p.plan.Questions) == asked {
+			p.noteStarved(d, len(waiting))
+		}
+	}
 }
 
 // hostFor returns the best host on which a task can start now and the token of
--- a/internal/scheduler/snapshot.go
+++ b/internal/scheduler/snapshot.go
@@ -6,7 +6,9 @@
 import (
 	"time"
 
+	"github.com/bluebellstile/bluebellstile/internal/backfill"
 	"github.com/bluebellstile/bluebellstile/internal/fleet"
+	"github.com/bluebellstile/bluebellstile/internal/preemption"
 	"github.com/bluebellstile/bluebellstile/internal/resource"
 	"github.com/bluebellstile/bluebellstile/internal/workload"
 )
@@ -36,6 +38,13 @@
 	Policy      Policy
 	// LastTurn is Plan.LastTurn of the plan before, nil if there is none.
 	LastTurn *Demand
+	// Victims returns the runs on a host that may be stopped for work of a better
+	// priority. It is called only if such work has no room. It is nil if the plan may
+	// stop none. WorstPriority is the worst priority that such runs may have.
+	Victims       func(*Host) []Victim
+	WorstPriority int
+	// PreemptionBudget bounds the work that preemptions may throw away, in core-seconds.
+	PreemptionBudget float64
 }
 
 // Policy holds the parameters of the scheduling rules.
@@ -54,6 +63,11 @@
 	PermitMargin time.Duration
 	// UrgentStarts is the part of MaxStarts that is reserved for urgent work.
 	UrgentStarts int
+	// GangRoom turns the part of a plan on that keeps room for gangs.
+	GangRoom bool
+	// StopTime is how long it takes until the room of a run that is being stopped can be
+	// used.
+	StopTime time.Duration
 }
 
 // Host is an endpoint that may run tasks.
@@ -71,10 +85,7 @@
 }
 
 // Release is capacity that is expected to become free.
-type Release struct {
-	At   time.Duration
-	Size resource.Vector
-}
+type Release = backfill.Release
 
 // Demand is a step with waiting tasks.
 type Demand struct {
@@ -92,10 +103,17 @@
 	LatestStart time.Duration
 	// ReadyAt is when the step became ready.
 	ReadyAt time.Duration
+	// Duration is how long a task is expected to run at the usual speed.
+	Duration time.Duration
+	// OverShare is set if the step's customer uses more than its share of a contended
+	// pool.
+	OverShare bool
 	// Eligibility is nil if every endpoint of the pool may run the step.
 	Eligibility *Eligibility
 	// Occupied counts the step's runs by endpoint, to enforce MaxPerEndpoint.
 	Occupied map[string]int
+	// starving is the number of tasks for which a plan found no room.
+	starving int
 	// Avoid reports whether a task should not run on an endpoint because it
 	// failed there before.
 	Avoid func(task int, endpoint string) bool
@@ -152,8 +170,12 @@
 	// Blocked counts the demands for which there was not enough capacity, and
 	// those that were not considered.
 	Blocked int
+	// Yielding are the demands that wait because gangs of a better priority need the room.
+	Yielding []*Demand
 	// Limited is set if MaxStarts kept tasks from starting.
 	Limited bool
+	// Preemptions are the runs to stop in favor of demands that have no room.
+	Preemptions []Preemption
 	// GangWaiting are the endpoints on which blocked gangs wait for capacity.
 	GangWaiting map[*fleet.Endpoint]bool
 	// LastTurn is the last demand that was considered out of scheduling order,
@@ -171,6 +193,20 @@
 	Permit string
 }
 
+// Victim is a run that may be stopped for work of a better priority.
+type Victim struct {
+	preemption.Victim
+	Run *fleet.Run
+}
+
+// Preemption stops a run in favor of a demand. Loss is what that throws away, in
+// core-seconds.
+type Preemption struct {
+	Run  *fleet.Run
+	For  *Demand
+	Loss float64
+}
+
 // Question asks which of the endpoints may run a step.
 type Question struct {
 	Demand    *Demand
--- a/internal/settings/site.go
+++ b/internal/settings/site.go
@@ -13,7 +13,9 @@
 	Reach    SiteReach
 	Limits   SiteLimits
 	Bounds   SiteBounds
-	Log      Log
+	// Scheduling turns parts of the scheduling on and off.
+	Scheduling SiteScheduling
+	Log        Log
 }
 
 // SiteInstance identifies the instance and its location.
@@ -46,9 +48,23 @@
 	Eligibility string
 }
 
-// SiteLimits holds the memory and the processor time that the process may use.
+// SiteLimits holds the memory, the descriptors and the processor time that the
+// process may use, and the bounds of what clients may make it hold.
 type SiteLimits struct {
 	MemoryMB int
+	// MaxFDs is the number of descriptors; 0 stands for the process's own limit.
+	MaxFDs int
+	// MaxConnections bounds the connections of clients and UnfinishedMB what
+	// their unfinished requests hold; 0 derives them from memory and descriptors.
+	MaxConnections int
+	UnfinishedMB   int
+	// MaxHeaderBytes bounds a request's header before the configuration's own
+	// limit is known.
+	MaxHeaderBytes int
+	// BodyRate is the lowest rate of a body in bytes per second.
+	BodyRate int
+	// AnswerTimeout is how long a client may leave a part of its answer unread.
+	AnswerTimeout time.Duration
 	// ProcessorMilli is the processor time that the process may use per
 	// second, in milliseconds.
 	ProcessorMilli int
@@ -79,6 +95,35 @@
 	FarPercent int
 }
 
+// Switch turns a part of the product on or off.
+type Switch string
+
+// Values of a Switch.
+const (
+	On  Switch = "on"
+	Off Switch = "off"
+)
+
+// Enabled reports whether the part is on.
+func (s Switch) Enabled() bool { return s == On }
+
+// SiteScheduling turns parts of the scheduling on and off. All daemons of a cell are
+// set alike, as each of them may hold it.
+type SiteScheduling struct {
+	// Evacuation keeps new work off the availability zones that the operator empties.
+	Evacuation Switch
+	// GangRoom keeps room for blocked gangs from the time at which they can start.
+	GangRoom Switch
+	// Preemption stops runs of work that can wait for more urgent work.
+	Preemption Switch
+	// Shares divides contended capacity among customers by their weights.
+	Shares Switch
+	// Admission refuses jobs that can't end in a time that is of use.
+	Admission Switch
+	// Estimates corrects the run times that callers state from those seen.
+	Estimates Switch
+}
+
 const (
 	// minBound and maxBound are the range of plausible values for a duration
 	// in SiteBounds.
@@ -116,6 +161,18 @@
 
 		countKey("limits", "memory_mb", "megabytes", 256, 32, 1<<20, "Memory that the process may use.",
 			func(s *Site) *int { return &s.Limits.MemoryMB }),
+		countKey("limits", "max_fds", "descriptors", 0, 0, 1<<24, "Descriptors that the process may have open; 0 for the process's own limit.",
+			func(s *Site) *int { return &s.Limits.MaxFDs }),
+		countKey("limits", "max_connections", "connections", 0, 0, 1<<20, "Connections of callers. If there are more, idle ones are closed, then unfinished ones. 0: one for each 128 KB of memory_mb, at most half of max_fds beyond 200.",
+			func(s *Site) *int { return &s.Limits.MaxConnections }),
+		countKey("limits", "unfinished_mb", "megabytes", 0, 0, 1<<20, "What callers' unfinished requests may hold together. Beyond it, the longest unfinished are refused. 0: a sixteenth of memory_mb.",
+			func(s *Site) *int { return &s.Limits.UnfinishedMB }),
+		countKey("limits", "max_header_bytes", "bytes", 20<<10, 4<<10, 1<<20, "Header of a request that is read at all; the configuration's own limit is lower.",
+			func(s *Site) *int { return &s.Limits.MaxHeaderBytes }),
+		countKey("limits", "body_rate", "bytes a second", 8<<10, 1, 1<<30, "Lowest rate of a request's body, after its first three seconds.",
+			func(s *Site) *int { return &s.Limits.BodyRate }),
+		durationKey("limits", "answer_timeout", 10*time.Second, 100*time.Millisecond, maxBound, "How long a caller may leave a part of its answer unread.",
+			func(s *Site) *time.Duration { return &s.Limits.AnswerTimeout }),
 		thousandthsKey("limits", "processor_share", "1", "Share of a processor that the process may use.", 1, 1024*thousandthsPerUnit,
 			func(s *Site) *int { return &s.Limits.ProcessorMilli }),
 		countKey("limits", "processor_speed", "times one core", 1, 1, 1024, "Speed of that processor as a multiple of one core.",
@@ -138,6 +195,19 @@
 		factorKey("bounds", "far_factor", "1.5", "Factor by which a task takes longer away from its data or its gang's rack.",
 			func(s *Site) *int { return &s.Bounds.FarPercent }),
 
+		switchKey("scheduling", "evacuation", "Starts nothing in availability zones that the operator empties, and takes endpoints that say that they are cold for slow.",
+			func(s *Site) *Switch { return &s.Scheduling.Evacuation }),
+		switchKey("scheduling", "gang_room", "Keeps room for gangs that wait, and lets short tasks use it until they start.",
+			func(s *Site) *Switch { return &s.Scheduling.GangRoom }),
+		switchKey("scheduling", "preemption", "Stops runs of work that can wait for more urgent work.",
+			func(s *Site) *Switch { return &s.Scheduling.Preemption }),
+		switchKey("scheduling", "shares", "Divides contended capacity among customers by weight.",
+			func(s *Site) *Switch { return &s.Scheduling.Shares }),
+		switchKey("scheduling", "admission", "Refuses jobs that can't end in a time that is of use to their callers.",
+			func(s *Site) *Switch { return &s.Scheduling.Admission }),
+		switchKey("scheduling", "estimates", "Corrects the run times that callers state from those seen.",
+			func(s *Site) *Switch { return &s.Scheduling.Estimates }),
+
 		reloadable(levelKey("log", "level", "info", "Lowest level that is logged.",
 			func(s *Site) *slog.Level { return &s.Log.Level })),
 		choiceKey("log", "format", []string{string(LogText), string(LogJSON)}, "Format of log lines.",
