Settings: what gang_room does

Cause: its texts told of claims that are no longer made.

Change: they tell that single tasks wait for gangs of a better priority.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -60,8 +60,8 @@
 	// Evacuation starts nothing in availability zones that the operator empties, and takes
 	// endpoints that say that they are cold for slow.
 	Evacuation bool
-	// GangRoom keeps room for blocked gangs, Preemption stops runs of work that can
-	// wait, and Shares divides contended capacity among customers.
+	// GangRoom lets single tasks wait for gangs of a better priority, Preemption stops runs
+	// of work that can wait, and Shares divides contended capacity among customers.
 	GangRoom   bool
 	Preemption bool
 	Shares     bool
--- a/internal/scheduler/snapshot.go
+++ b/internal/scheduler/snapshot.go
@@ -63,7 +63,7 @@
 	PermitMargin time.Duration
 	// UrgentStarts is the part of MaxStarts that is reserved for urgent work.
 	UrgentStarts int
-	// GangRoom turns the part of a plan on that keeps room for gangs.
+	// GangRoom lets single tasks wait for gangs of a better priority.
 	GangRoom bool
 	// StopTime is how long it takes until the room of a run that is being stopped can be
 	// used.
--- a/internal/settings/site.go
+++ b/internal/settings/site.go
@@ -112,7 +112,7 @@
 type SiteScheduling struct {
 	// Evacuation keeps new work off the availability zones that the operator empties.
 	Evacuation Switch
-	// GangRoom keeps room for blocked gangs from the time at which they can start.
+	// GangRoom lets work that starts task by task wait for gangs of a better priority.
 	GangRoom Switch
 	// Preemption stops runs of work that can wait for more urgent work.
 	Preemption Switch
@@ -197,7 +197,7 @@
 
 		switchKey("scheduling", "evacuation", "Starts nothing in availability zones that the operator empties, and takes endpoints that say that they are cold for slow.",
 			func(s *Site) *Switch { return &s.Scheduling.Evacuation }),
-		switchKey("scheduling", "gang_room", "Keeps room for gangs that wait, and lets short tasks use it until they start.",
+		switchKey("scheduling", "gang_room", "Lets work that starts task by task wait for gangs of a better priority.",
 			func(s *Site) *Switch { return &s.Scheduling.GangRoom }),
 		switchKey("scheduling", "preemption", "Stops runs of work that can wait for more urgent work.",
 			func(s *Site) *Switch { return &s.Scheduling.Preemption }),
