Requests for unknown jobs have a bounded number of log lines

Seen: beside a crowd that asked for ids that nobody submitted a daemon wrote 48,244 lines "request not served" in 30 s.

Cause: these lines named the id as their job. Lines of jobs are kept or left out job by job, so that a job can be explained, and callers choose the ids.

Evidence: TestLinesOfUnknownJobsAreBounded on: 10,001 lines for 10,000 requests, and none that says how many were left out.

`explain` finds both by the id, as before.

Result: the test passes.

--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -135,7 +135,7 @@
 	if job == "" {
 		job = l.Get(logging.JobKey)
 	}
-	if job == t.Job || strings.HasSuffix(l.Get("path"), "/"+t.Job) {
+	if job == t.Job || l.Get(logging.UnknownJobKey) == t.Job || strings.HasSuffix(l.Get("path"), "/"+t.Job) {
 		t.events = append(t.events, newEvent(l))
 		return
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/bluebellstile/bluebellstile/internal/clock"
 	"github.com/bluebellstile/bluebellstile/internal/fleetpeer"
 	"github.com/bluebellstile/bluebellstile/internal/leadership"
+	"github.com/bluebellstile/bluebellstile/internal/logging"
 	"github.com/bluebellstile/bluebellstile/internal/metrics"
 	"github.com/bluebellstile/bluebellstile/internal/problem"
 	"github.com/bluebellstile/bluebellstile/internal/workload"
@@ -172,6 +173,11 @@
 		return
 	}
 	metrics.JobRefusals.Add(string(p.Code), 1)
+	if p.Code == problem.UnknownJob {
+		g.log.Info("request for an unknown job", logging.UnknownJobKey, id, "operation", operation, "queue", a.Queue.Name, "customer", a.Customer,
+			"config", a.Version, "epoch", epoch, "took", took.Round(time.Millisecond))
+		return
+	}
 	g.log.Info("request not served", "job", id, "operation", operation, "queue", a.Queue.Name, "customer", a.Customer,
 		"config", a.Version, "epoch", epoch, "took", took.Round(time.Millisecond),
 		"verdict", p.Verdict, "code", p.Code, "detail", p.Detail, "retry_after", p.RetryAfter)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"testing"
@@ -10,6 +12,7 @@
 	"github.com/bluebellstile/bluebellstile/internal/catalog"
 	"github.com/bluebellstile/bluebellstile/internal/fleetpeer"
 	"github.com/bluebellstile/bluebellstile/internal/leadership"
+	"github.com/bluebellstile/bluebellstile/internal/logging"
 	"github.com/bluebellstile/bluebellstile/internal/problem"
 	"github.com/bluebellstile/bluebellstile/internal/workload"
 	"github.com/pkg/errors"
@@ -261,3 +264,35 @@
 	}
 	return h.claim
 }
+
+// TestLinesOfUnknownJobsAreBounded plays the load of many requests for ids that nobody
+// submitted, each another one. Their lines are bounded, and say how many were left out.
+func TestLinesOfUnknownJobsAreBounded(t *testing.T) {
+	const requests, most = 5000, 100
+	var out bytes.Buffer
+	now := time.Unix(1000, 0)
+	logger := slog.New(logging.NewLimiter(slog.NewTextHandler(&out, nil), slog.LevelInfo, func() time.Time { return now }))
+	g := New(&fakeCatalogs{catalog: testCatalog(t), confirmedAt: time.Hour}, held(&fakeHolder{}), &fakeClock{now: time.Hour}, keyBound, logger)
+	a, p := g.Admit("h", "/a/x", "k")
+	if p != nil {
+		t.Fatal(p)
+	}
+	for i := range requests {
+		id := workload.ID(fmt.Sprintf("%016x", i))
+		if _, p := g.Status(context.Background(), a, id); p == nil || p.Code != problem.UnknownJob {
+			t.Fatalf("the state of an unknown job: %v", p)
+		}
+		if p := g.Cancel(context.Background(), a, id); p == nil || p.Code != problem.UnknownJob {
+			t.Fatalf("cancelling an unknown job: %v", p)
+		}
+	}
+	now = now.Add(2 * time.Second)
+	_, _ = g.Status(context.Background(), a, "ffffffffffffffff")
+	lines := bytes.Count(out.Bytes(), []byte("\n"))
+	if lines == 0 || lines > most {
+		t.Errorf("%d lines for %d requests, at most %d are allowed", lines, 2*requests, most)
+	}
+	if !bytes.Contains(out.Bytes(), []byte(logging.SuppressedMessage)) {
+		t.Error("no line says how many were left out")
+	}
+}
--- a/internal/logging/limiter.go
+++ b/internal/logging/limiter.go
@@ -35,6 +35,10 @@
 	TaskKey = "task"
 )
 
+// UnknownJobKey is the attribute of a line about an id that no job has. Such lines are
+// limited by kind: callers choose the ids, and could have as many lines as they like.
+const UnknownJobKey = "unknown_job"
+
 // Messages of the lines that the Limiter itself logs.
 const (
 	SuppressedMessage  = "lines of a kind left out"
