A crowd's connections make room before an ordinary caller's idle ones

Seen: read, then shown by a test: beside a crowd of unfinished requests on all connections, each newcomer closed a kept-alive connection of an ordinary caller, which may be sending on it just then and gets a reset for a request that has not run.

Cause: connections were ranked by their state first, idle before unfinished, and by who holds most only among equals.

Change: of the customer with most connections, the longest idle one is closed, then an unfinished one. Clients that were not admitted count together, as they may have many addresses.

Why it works: as long as an ordinary caller has fewer connections than the crowd, none of its own is named.

--- a/internal/intake/ledger.go
+++ b/internal/intake/ledger.go
@@ -247,29 +247,66 @@
 // full reports whether no connection may be added.
 func (l *Ledger) full() bool { return len(l.entries) >= l.limits.Connections }
 
-// spare returns the connection to close so that another one can be added: one
-// that was given up, else the longest idle one, else the longest unfinished one
-// or one whose answers are not read; among equals of the party with most
-// connections. It returns nil if all are being worked on.
+// spare returns the connection to close so that another one can be added: one that
+// was given up, else one of those who hold most connections, the longest idle one or
+// else the longest unfinished one or one whose answers are not read. It returns nil if
+// all are being worked on.
 func (l *Ledger) spare(now time.Duration) *entry {
+	unadmitted := 0
+	for p, h := range l.holdings {
+		if p.customer == "" {
+			unadmitted += h.connections
+		}
+	}
 	var found *entry
-	best := 0
+	var best value
 	for _, e := range l.entries {
-		rank := e.rank(now)
-		if rank == 0 || rank < best {
-			continue
+		v := value{rank: e.rank(now), group: e.holding.connections, address: e.holding.connections, since: e.since}
+		if e.party.customer == "" {
+			v.group = unadmitted
 		}
-		if rank > best || e.holding.connections > found.holding.connections ||
-			e.holding.connections == found.holding.connections && e.since < found.since {
-			found, best = e, rank
+		if v.rank > 0 && (found == nil || v.less(best)) {
+			found, best = e, v
 		}
 	}
 	return found
 }
 
-// rank orders connections by how little is lost with them; 0 are never closed.
+// value orders connections by how little is lost with them.
+type value struct {
+	rank int
+	// group is the number of connections of the customer, or of all clients that were
+	// not admitted: a crowd without a key may have many addresses. address is the
+	// number of connections of the customer or of the address.
+	group, address int
+	since          time.Duration
+}
+
+// less reports whether less is lost with a connection of value v.
+func (v value) less(o value) bool {
+	switch {
+	case (v.rank == byCut) != (o.rank == byCut):
+		return v.rank == byCut
+	case v.group != o.group:
+		return v.group > o.group
+	case v.rank != o.rank:
+		return v.rank > o.rank
+	case v.address != o.address:
+		return v.address > o.address
+	default:
+		return v.since < o.since
+	}
+}
+
+// Ranks of connections; the others are never closed for another one.
+const (
+	byUnfinished = 1 + iota
+	byIdle
+	byCut
+)
+
+// rank returns the rank of a connection.
 func (e *entry) rank(now time.Duration) int {
-	const byCut, byIdle, byUnfinished = 3, 2, 1
 	switch {
 	case e.phase == cut:
 		return byCut
@@ -278,9 +315,14 @@
 	case e.phase == idle:
 		// Its request may be on its way.
 		return byUnfinished
-	case e.phase == receiving, e.writing > 0 && now-e.writing >= stalledAnswer:
+	case e.phase == receiving, e.answerStalled(now):
 		return byUnfinished
 	default:
 		return 0
 	}
 }
+
+// answerStalled reports whether the client doesn't read its answer.
+func (e *entry) answerStalled(now time.Duration) bool {
+	return e.writing > 0 && now-e.writing >= stalledAnswer
+}
--- a/internal/intake/ledger_test.go
+++ b/internal/intake/ledger_test.go
@@ -212,3 +212,35 @@
 		t.Errorf("the first request of a connection that was idle counts from %s", idle.since)
 	}
 }
+
+// TestIdleConnectionsStayBesideACrowd plays the load of a crowd's unfinished requests, of a
+// key or of many addresses without one, on all connections but those that an ordinary caller
+// keeps: the crowd's make room, as the ordinary caller may be sending on its own just then.
+func TestIdleConnectionsStayBesideACrowd(t *testing.T) {
+	const kept, clients = 10, 30
+	for name, customer := range map[string]string{"of one key": "crowd", "of many addresses": ""} {
+		t.Run(name, func(t *testing.T) {
+			l := NewLedger(Limits{Bytes: 1 << 20, Connections: kept + clients})
+			now := time.Duration(1)
+			for range kept {
+				e := l.add("ordinary", now)
+				l.charge(e, 10, 0, now)
+				l.admit(e, "other")
+				l.answered(e, now)
+			}
+			now += 10 * time.Second
+			for i := range 2 * clients {
+				if l.full() {
+					v := l.spare(now)
+					if v == nil || v.party.customer == "other" {
+						t.Fatalf("client %d: the ordinary caller's connection is closed, or none: %+v", i, v)
+					}
+					l.remove(v)
+				}
+				e := l.add(string(rune('a'+i)), now)
+				l.charge(e, 10, 0, now)
+				l.admit(e, customer)
+			}
+		})
+	}
+}
