Crowds without a key count together, whatever their addresses

Seen: read, then shown by a test: an admitted caller's larger body was given up for a crowd's unfinished requests without a key from many addresses.

Cause: over its bytes the ledger names the party that holds most, and each address of clients that were not admitted was a party of its own.

Change: clients that were not admitted are compared with customers by what they hold together, and among each other by address as before.

Why it works: what a crowd without a key holds counts as one, so that it can't hold more than the largest customer without being named.

--- a/internal/intake/ledger.go
+++ b/internal/intake/ledger.go
@@ -226,19 +226,40 @@
 	e.phase = cut
 }
 
-// overdrawn returns the connection to give up while the account is overdrawn:
-// the one that has been unfinished longest, of the party that holds most bytes.
+// unadmitted returns what all clients hold together that were not admitted: a crowd
+// without a key may have many addresses.
+func (l *Ledger) unadmitted() holding {
+	var all holding
+	for p, h := range l.holdings {
+		if p.customer == "" {
+			all.bytes += h.bytes
+			all.connections += h.connections
+		}
+	}
+	return all
+}
+
+// overdrawn returns the connection to give up while the account is overdrawn: of the
+// customer that holds most bytes, or of the clients that were not admitted and among
+// them of the address that does, the one that has been unfinished longest.
 func (l *Ledger) overdrawn() *entry {
 	if l.bytes <= l.limits.Bytes {
 		return nil
 	}
+	unadmitted := l.unadmitted()
 	var found *entry
+	var most int64
 	for _, e := range l.entries {
 		if e.phase != receiving || e.bytes == 0 {
 			continue
 		}
-		if found == nil || e.holding.bytes > found.holding.bytes || e.holding.bytes == found.holding.bytes && e.since < found.since {
-			found = e
+		group := e.holding.bytes
+		if e.party.customer == "" {
+			group = unadmitted.bytes
+		}
+		if found == nil || group > most || group == most && (e.holding.bytes > found.holding.bytes ||
+			e.holding.bytes == found.holding.bytes && e.since < found.since) {
+			found, most = e, group
 		}
 	}
 	return found
@@ -252,18 +273,13 @@
 // else the longest unfinished one or one whose answers are not read. It returns nil if
 // all are being worked on.
 func (l *Ledger) spare(now time.Duration) *entry {
-	unadmitted := 0
-	for p, h := range l.holdings {
-		if p.customer == "" {
-			unadmitted += h.connections
-		}
-	}
+	unadmitted := l.unadmitted()
 	var found *entry
 	var best value
 	for _, e := range l.entries {
 		v := value{rank: e.rank(now), group: e.holding.connections, address: e.holding.connections, since: e.since}
 		if e.party.customer == "" {
-			v.group = unadmitted
+			v.group = unadmitted.connections
 		}
 		if v.rank > 0 && (found == nil || v.less(best)) {
 			found, best = e, v
@@ -276,8 +292,7 @@
 type value struct {
 	rank int
 	// group is the number of connections of the customer, or of all clients that were
-	// not admitted: a crowd without a key may have many addresses. address is the
-	// number of connections of the customer or of the address.
+	// not admitted. address is that of the customer or of the address.
 	group, address int
 	since          time.Duration
 }
--- a/internal/intake/ledger_test.go
+++ b/internal/intake/ledger_test.go
@@ -244,3 +244,22 @@
 		})
 	}
 }
+
+// TestCrowdWithoutAKeyGivesWay plays the load of unfinished requests from many addresses,
+// none of them admitted, beside a larger one of an ordinary caller.
+func TestCrowdWithoutAKeyGivesWay(t *testing.T) {
+	l := NewLedger(Limits{Bytes: 1000, Connections: 100})
+	ordinary := l.add("o", 1)
+	l.admit(ordinary, "other")
+	l.charge(ordinary, 0, 400, 1)
+	for i := range 20 {
+		at := time.Duration(2 + i)
+		l.charge(l.add(string(rune('a'+i)), at), 100/headerCost, 0, at)
+		for v := l.overdrawn(); v != nil; v = l.overdrawn() {
+			l.giveUp(v)
+		}
+	}
+	if ordinary.phase != receiving {
+		t.Error("the admitted request is given up for those of clients that were not admitted")
+	}
+}
