A planned stop ends in order beside a crowd

Seen: a daemon that was stopped with SIGTERM beside clients whose bodies stop short took 5.3 s instead of 2.6 s and ended with status 1.

Cause: http.Server.Shutdown waits for every connection on which a request has begun, and for up to 5 s for those on which none has. Bodies that never end, and answers that are not read, used up the time that the rest of the stop needs: the daemon ended without leaving its cell in order. Cells with their own log had the same fault.

Change: while a server shuts down its guard gives up answers that are not read, and after half of the time that is left requests that are not complete and connections on which none has begun.

Why it works: what is left then are complete requests, which end by their own deadlines. A request that is cut was not handed to the holder, and is refused with 503, which says that it has not run.

--- a/internal/intake/guard.go
+++ b/internal/intake/guard.go
@@ -25,6 +25,8 @@
 	CauseLate Cause = "late"
 	// CauseBroken: a body ended too early.
 	CauseBroken Cause = "broken"
+	// CauseStop: the process is being stopped.
+	CauseStop Cause = "stop"
 )
 
 // Guard applies a Ledger to the connections of an http.Server.
@@ -145,20 +147,20 @@
 			g.given = append(g.given, givenUp{CauseConnections, address, "every connection is being worked on"})
 			return nil
 		}
-		g.close(spare)
+		cause := CauseConnections
+		if spare.phase == working {
+			cause = CauseAnswers
+		}
+		g.close(spare, cause)
 	}
 	guarded := &Conn{Conn: c, guard: g, entry: g.ledger.add(address, now), address: address}
 	g.conns[guarded.entry] = guarded
 	return guarded
 }
 
-// close closes a connection for another one.
-func (g *Guard) close(e *entry) {
+// close closes a connection that is given up.
+func (g *Guard) close(e *entry, cause Cause) {
 	c := g.conns[e]
-	cause := CauseConnections
-	if e.phase == working {
-		cause = CauseAnswers
-	}
 	if e.phase != cut {
 		g.given = append(g.given, givenUp{cause, c.address, ""})
 	}
@@ -200,11 +202,53 @@
 		g.ledger.charge(c.entry, header, len(data)-header, g.now())
 	}
 	for e := g.ledger.overdrawn(); e != nil; e = g.ledger.overdrawn() {
-		g.ledger.giveUp(e)
-		victim := g.conns[e]
-		g.given = append(g.given, givenUp{CauseBytes, victim.address, ""})
-		victim.cut = true
-		_ = victim.Conn.SetReadDeadline(time.Unix(1, 0))
+		g.cutOff(e, CauseBytes)
+	}
+}
+
+// cutOff gives an unfinished request up.
+func (g *Guard) cutOff(e *entry, cause Cause) {
+	g.ledger.giveUp(e)
+	c := g.conns[e]
+	g.given = append(g.given, givenUp{cause, c.address, ""})
+	c.cut = true
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+}
+
+// drainInterval is how often a draining guard looks for what to give up.
+const drainInterval = 100 * time.Millisecond
+
+// Drain gives up, until ctx is done, what would keep a server that shuts down for as long
+// as clients like: answers that are not read, and after patience also requests that are
+// not complete and connections on which none has begun.
+func (g *Guard) Drain(ctx context.Context, patience time.Duration) {
+	begun := time.Now()
+	ticker := time.NewTicker(drainInterval)
+	defer ticker.Stop()
+	for {
+		g.giveUpOpen(time.Since(begun) >= patience)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// giveUpOpen gives up answers that are not read and, if asked to, unfinished requests.
+func (g *Guard) giveUpOpen(unfinished bool) {
+	g.mu.Lock()
+	defer g.unlock()
+	now := g.now()
+	for e := range g.conns {
+		switch {
+		case e.answerStalled(now):
+			g.close(e, CauseAnswers)
+		case unfinished && e.phase == receiving:
+			g.cutOff(e, CauseStop)
+		case unfinished && e.phase == idle:
+			g.close(e, CauseStop)
+		}
 	}
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -74,6 +74,7 @@
 	relay       *peer.Relay
 	router      *router.Router
 	guard       *auth.Guard
+	intake      *intake.Guard
 	termManager *termManager
 	report      *reporter
 	claimant    *claimant.Claimant
@@ -203,13 +204,13 @@
 // guardCallers bounds what callers make the daemon hold.
 func (s *Server) guardCallers() {
 	reporter := intake.NewReporter(s.log)
-	guard := intake.NewGuard(intake.Limits{
+	s.intake = intake.NewGuard(intake.Limits{
 		Bytes:         max(int64(s.settings.Limits.UnfinishedMB)<<20, 2*int64(s.settings.Limits.MaxBodyBytes)),
 		Connections:   s.settings.Limits.MaxConnections,
 		AnswerTimeout: s.settings.Limits.AnswerTimeout,
 	}, func(cause intake.Cause, address, detail string) { reporter.Report(cause, "", address, detail) })
-	guard.Attach(s.api.http)
-	s.api.net = guard.Listener(s.api.net)
+	s.intake.Attach(s.api.http)
+	s.api.net = s.intake.Listener(s.api.net)
 }
 
 // peerProtocols returns the protocols of the peer interface: HTTP/1 and HTTP/2,
@@ -289,6 +290,8 @@
 	deadline, _ := ctx.Deadline()
 	drainCtx, cancel := context.WithDeadline(ctx, deadline.Add(-finalAnswerMargin))
 	defer cancel()
+	// What is complete by then has the other half of the time for its answer.
+	go s.intake.Drain(drainCtx, time.Until(deadline)/2)
 	if err := s.api.http.Shutdown(drainCtx); err == nil {
 		return nil
 	}
