A body that the daemon gave up may come again

Seen: on the interface of cells with their own log a request whose body was still arriving when the daemon made room or stopped was refused with 400 truncated_body and "send the whole body": clients don't repeat that.

Cause: each failure to read a body was taken for a body that ended early.

Change: a body that was given up is refused with 503 overloaded, one that came too late with 503 body_late, both with a time to come back and as not run, as at the clients' door of the users' platform.

Why it works: the guard knows which connections it has given up, and a passed deadline has an error of its own.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -13,6 +13,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -20,6 +21,7 @@
 
 	"github.com/bluebellstile/bluebellstile/internal/auth"
 	"github.com/bluebellstile/bluebellstile/internal/endpoint"
+	"github.com/bluebellstile/bluebellstile/internal/intake"
 	"github.com/bluebellstile/bluebellstile/internal/journal"
 	"github.com/bluebellstile/bluebellstile/internal/metrics"
 	"github.com/bluebellstile/bluebellstile/internal/problem"
@@ -190,18 +192,29 @@
 	return strings.TrimSpace(token)
 }
 
+// bodyRetryAfter is after how long a caller may retry whose body was not read to its end.
+const bodyRetryAfter = time.Second
+
 // readBody reads the whole body of a request. It refuses a body that exceeds
 // the limit.
 func (a *API) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *problem.Problem) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, a.limits.MaxBodyBytes))
+	if err == nil {
+		return body, nil
+	}
 	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
+	if errors.As(err, &tooLarge) {
 		return nil, problem.Refuse(problem.BodyTooLarge, "send a smaller body or split it into tasks of a job", "the body is over %d bytes", tooLarge.Limit)
-	case err != nil:
+	}
+	w.Header().Set("Connection", "close")
+	switch {
+	case intake.FromContext(r.Context()).Cut():
+		return nil, problem.Refuse(problem.Overloaded, "try again later", "the daemon gave the unfinished request up").WithRetryAfter(bodyRetryAfter)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, problem.Refuse(problem.BodyLate, "send the body at once", "the body did not arrive in time").WithRetryAfter(bodyRetryAfter)
+	default:
 		return nil, problem.Refuse(problem.TruncatedBody, "send the whole body", "the body ended early: %v", err)
 	}
-	return body, nil
 }
 
 // ticketBody is the response with a new ticket.
--- a/internal/server/stop_test.go
+++ b/internal/server/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"strings"
 	"testing"
 
 	"github.com/bluebellstile/bluebellstile/internal/api"
@@ -10,10 +11,18 @@
 
 // TestStopWithUnfinishedRequests stops the daemons, as every test of a cell does, while
 // clients hold requests open that never end: they must not keep a daemon from ending in
-// order.
+// order. What was admitted is refused as not run, and may come again.
 func TestStopWithUnfinishedRequests(t *testing.T) {
-	var open []net.Conn
+	var open, admitted []net.Conn
 	t.Cleanup(func() {
+		for _, c := range admitted {
+			text, _ := io.ReadAll(c)
+			for _, want := range []string{"503 Service Unavailable", `"overloaded"`, `"not run"`, "Retry-After"} {
+				if !strings.Contains(string(text), want) {
+					t.Errorf("the answer to an unfinished request lacks %s: %s", want, text)
+				}
+			}
+		}
 		for _, c := range open {
 			_ = c.Close()
 		}
@@ -29,6 +38,9 @@
 				t.Fatal(err)
 			}
 			open = append(open, conn)
+			if text == submission {
+				admitted = append(admitted, conn)
+			}
 			if _, err := io.WriteString(conn, text); err != nil {
 				t.Fatal(err)
 			}
