The framing of a customer's chunked bodies has a highest rate

Cause: a profile of such a daemon has nearly all of its time in the parsing of chunks. What unfinished requests hold was bounded, what reading them costs was not, and it goes with the number of chunks.

Change: what a chunked body has beside its payload counts against a rate for its customer, `framing_rate` of [limits], twice that at once.

Why it works: the framing that is parsed in a second is bounded for each customer, however many clients it has. The default of 1 MB a second, 2 MB at once, takes a body of 262,144 bytes in chunks of one byte without a wait.

--- a/internal/intake/guard.go
+++ b/internal/intake/guard.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -176,6 +177,8 @@
 	entry *entry
 	// address is the client's.
 	address string
+	// received is the number of bytes read.
+	received atomic.Int64
 	// cut and scan are guarded by the guard's lock. scan follows the header of the
 	// request that is being received.
 	cut  bool
@@ -186,6 +189,7 @@
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 {
+		c.received.Add(int64(n))
 		c.guard.charge(c, b[:n])
 	}
 	return n, err
--- a/internal/settings/site.go
+++ b/internal/settings/site.go
@@ -63,6 +63,9 @@
 	MaxHeaderBytes int
 	// BodyRate is the lowest rate of a body in bytes per second.
 	BodyRate int
+	// FramingRate is the highest rate of the framing of a customer's chunked
+	// bodies in bytes per second.
+	FramingRate int
 	// AnswerTimeout is how long a client may leave a part of its answer unread.
 	AnswerTimeout time.Duration
 	// ProcessorMilli is the processor time that the process may use per
@@ -163,7 +166,7 @@
 			func(s *Site) *int { return &s.Limits.MemoryMB }),
 		countKey("limits", "max_fds", "descriptors", 0, 0, 1<<24, "Descriptors that the process may have open; 0 for the process's own limit.",
 			func(s *Site) *int { return &s.Limits.MaxFDs }),
-		countKey("limits", "max_connections", "connections", 0, 0, 1<<20, "Connections of callers. If there are more, idle ones are closed, then unfinished ones. 0: one for each 128 KB of memory_mb, at most half of max_fds beyond 200.",
+		countKey("limits", "max_connections", "connections", 0, 0, 1<<20, "Connections of callers. If there are more, one of the customer with most is closed, idle ones first. 0: one for each 128 KB of memory_mb, at most half of max_fds beyond 200.",
 			func(s *Site) *int { return &s.Limits.MaxConnections }),
 		countKey("limits", "unfinished_mb", "megabytes", 0, 0, 1<<20, "What callers' unfinished requests may hold together. Beyond it, the longest unfinished are refused. 0: a sixteenth of memory_mb.",
 			func(s *Site) *int { return &s.Limits.UnfinishedMB }),
@@ -171,6 +174,8 @@
 			func(s *Site) *int { return &s.Limits.MaxHeaderBytes }),
 		countKey("limits", "body_rate", "bytes a second", 8<<10, 1, 1<<30, "Lowest rate of a request's body, after its first three seconds.",
 			func(s *Site) *int { return &s.Limits.BodyRate }),
+		countKey("limits", "framing_rate", "bytes a second", 1<<20, 1, 1<<30, "Highest rate of the framing of one customer's chunked bodies, which is what they have beside their payload; twice that at once. Beyond it, reading them waits.",
+			func(s *Site) *int { return &s.Limits.FramingRate }),
 		durationKey("limits", "answer_timeout", 10*time.Second, 100*time.Millisecond, maxBound, "How long a caller may leave a part of its answer unread.",
 			func(s *Site) *time.Duration { return &s.Limits.AnswerTimeout }),
 		thousandthsKey("limits", "processor_share", "1", "Share of a processor that the process may use.", 1, 1024*thousandthsPerUnit,
