Customers leave room for each other's work

Cause: each customer could have half, whatever the others had.

Change: a customer may have as much as is left free.

Why it works: it is the dynamic threshold of shared buffers: as requests end, n customers that take all they may come to have one part in n+1 each, and one part stays free. One customer alone may have half, as before.

--- a/internal/intake/ledger.go
+++ b/internal/intake/ledger.go
@@ -40,9 +40,9 @@
 	Bytes int64
 	// Connections bounds the connections.
 	Connections int
-	// WorkShare bounds the requests of one customer that are worked on; 0 means
-	// no bound.
-	WorkShare int
+	// ShareWork bounds the requests of one customer that are worked on: there may be
+	// as many as there are connections on which none is.
+	ShareWork bool
 	// AnswerTimeout bounds the time in which a client must read a part of its
 	// answer.
 	AnswerTimeout time.Duration
@@ -82,9 +82,10 @@
 	limits   Limits
 	entries  []*entry
 	holdings map[party]*holding
-	// works counts the requests being worked on, by customer.
-	works map[string]int
-	bytes int64
+	// works counts the requests being worked on, by customer, and working all of them.
+	works   map[string]int
+	working int
+	bytes   int64
 }
 
 // NewLedger returns an empty ledger.
@@ -182,20 +183,21 @@
 }
 
 // work notes that a request is being worked on, and reports false if it must
-// not be: it was given up, or its customer has its share of the connections at
-// work.
+// not be: it was given up, or its customer has as many connections at work as
+// are left for all.
 func (l *Ledger) work(e *entry) bool {
 	switch {
 	case e.index < 0 || e.phase == cut:
 		return false
 	case e.phase == working:
 		return true
-	case l.limits.WorkShare > 0 && l.works[e.party.customer] >= l.limits.WorkShare:
+	case l.limits.ShareWork && l.works[e.party.customer] >= l.limits.Connections-l.working:
 		return false
 	}
 	l.settle(e)
 	e.phase, e.workFor = working, e.party.customer
 	l.works[e.workFor]++
+	l.working++
 	return true
 }
 
@@ -203,6 +205,7 @@
 	if e.phase != working {
 		return
 	}
+	l.working--
 	l.works[e.workFor]--
 	if l.works[e.workFor] == 0 {
 		delete(l.works, e.workFor)
--- a/internal/intake/ledger_test.go
+++ b/internal/intake/ledger_test.go
@@ -13,7 +13,7 @@
 // answer is not read.
 func TestLedgerKeepsItsBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		limits := Limits{Bytes: rapid.Int64Range(0, 5000).Draw(t, "bytes"), Connections: rapid.IntRange(2, 8).Draw(t, "connections"), WorkShare: rapid.IntRange(0, 3).Draw(t, "share")}
+		limits := Limits{Bytes: rapid.Int64Range(0, 5000).Draw(t, "bytes"), Connections: rapid.IntRange(2, 8).Draw(t, "connections"), ShareWork: rapid.Bool().Draw(t, "share")}
 		l := NewLedger(limits)
 		now := time.Duration(1)
 		pick := func() *entry {
@@ -53,8 +53,14 @@
 					l.giveUp(v)
 				}
 			}),
-			"admit":    on(func(e *entry) { l.admit(e, rapid.SampledFrom([]string{"", "x", "y"}).Draw(t, "customer")) }),
-			"work":     on(func(e *entry) { l.work(e) }),
+			"admit": on(func(e *entry) { l.admit(e, rapid.SampledFrom([]string{"", "x", "y"}).Draw(t, "customer")) }),
+			"work": on(func(e *entry) {
+				before, left, has := e.phase, limits.Connections-l.working, l.works[e.party.customer]
+				granted := l.work(e)
+				if before != cut && before != working && granted != (!limits.ShareWork || has < left) {
+					t.Fatalf("a request of a customer with %d at work and %d left is granted: %v", has, left, granted)
+				}
+			}),
 			"write":    on(func(e *entry) { e.writing = now }),
 			"answered": on(func(e *entry) { e.writing = 0; l.answered(e, now) }),
 			"remove":   on(func(e *entry) { l.remove(e); l.remove(e) }),
@@ -71,7 +77,7 @@
 // checkSums compares the ledger's sums with those of its entries.
 func checkSums(t *rapid.T, l *Ledger) {
 	var bytes int64
-	works := make(map[string]int)
+	works, atWork := make(map[string]int), 0
 	connections := make(map[party]int)
 	for i, e := range l.entries {
 		bytes += e.bytes
@@ -87,9 +93,13 @@
 		t.Fatalf("sums differ: %d and %d bytes, %d and %d parties, %v and %v", bytes, l.bytes, len(connections), len(l.holdings), works, l.works)
 	}
 	for customer, n := range works {
-		if l.works[customer] != n || l.limits.WorkShare > 0 && n > l.limits.WorkShare {
-			t.Fatalf("%q has %d requests at work, not %d, of %d", customer, n, l.works[customer], l.limits.WorkShare)
+		if l.works[customer] != n {
+			t.Fatalf("%q has %d requests at work, not %d", customer, n, l.works[customer])
 		}
+		atWork += n
+	}
+	if atWork != l.working {
+		t.Fatalf("%d requests are at work, not %d", atWork, l.working)
 	}
 	for p, n := range connections {
 		if l.holdings[p].connections != n {
