The end of an append is seen by the round that it wakes

Seen: read: a caller that asks for an unknown job while a proof is under way waited for up to 20 ms longer than the log takes.

Cause: an append woke the run loop before it was marked as done. The loop found it in flight and slept until its next tick; callers that polled used to wake it again.

Change: it is marked first.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -272,8 +272,9 @@
 	}
 	c.latestAppend = a
 	c.tomb.Go(func() error {
-		defer close(a.done)
 		c.append(a)
+		// Woken before, the run loop would still find the append in flight.
+		close(a.done)
 		c.wake()
 		return nil
 	})
--- a/internal/intake/ledger.go
+++ b/internal/intake/ledger.go
@@ -278,21 +278,21 @@
 func (l *Ledger) spare(now time.Duration) *entry {
 	unadmitted := l.unadmitted()
 	var found *entry
-	var best value
+	var best candidate
 	for _, e := range l.entries {
-		v := value{rank: e.rank(now), group: e.holding.connections, address: e.holding.connections, since: e.since}
+		c := candidate{rank: e.rank(now), group: e.holding.connections, address: e.holding.connections, since: e.since}
 		if e.party.customer == "" {
-			v.group = unadmitted.connections
+			c.group = unadmitted.connections
 		}
-		if v.rank > 0 && (found == nil || v.less(best)) {
-			found, best = e, v
+		if c.rank > 0 && (found == nil || c.before(best)) {
+			found, best = e, c
 		}
 	}
 	return found
 }
 
-// value orders connections by how little is lost with them.
-type value struct {
+// candidate is a connection that may be closed for another one.
+type candidate struct {
 	rank int
 	// group is the number of connections of the customer, or of all clients that were
 	// not admitted. address is that of the customer or of the address.
@@ -300,19 +300,19 @@
 	since          time.Duration
 }
 
-// less reports whether less is lost with a connection of value v.
-func (v value) less(o value) bool {
+// before reports whether c is closed before o.
+func (c candidate) before(o candidate) bool {
 	switch {
-	case (v.rank == byCut) != (o.rank == byCut):
-		return v.rank == byCut
-	case v.group != o.group:
-		return v.group > o.group
-	case v.rank != o.rank:
-		return v.rank > o.rank
-	case v.address != o.address:
-		return v.address > o.address
+	case (c.rank == byCut) != (o.rank == byCut):
+		return c.rank == byCut
+	case c.group != o.group:
+		return c.group > o.group
+	case c.rank != o.rank:
+		return c.rank > o.rank
+	case c.address != o.address:
+		return c.address > o.address
 	default:
-		return v.since < o.since
+		return c.since < o.since
 	}
 }
 
