The drawn test of the budget draws on where nothing is taken

Cause: an action of the test was skipped where it has nothing to free.

Change: it returns, as those of the ledger's test do.

Result: the test passes.

--- a/internal/intake/budget_test.go
+++ b/internal/intake/budget_test.go
@@ -84,7 +84,7 @@
 			},
 			"free": func(t *rapid.T) {
 				if len(frees) == 0 {
-					t.Skip("nothing is taken")
+					return
 				}
 				i := rapid.IntRange(0, len(frees)-1).Draw(t, "request")
 				frees[i](rapid.Int64Range(0, 50).Draw(t, "keep"))
