A body that waits for its framing ends with its connection

Seen: a daemon that was stopped with SIGTERM beside clients that send chunks of one byte ended with status 1 in some runs: "stop: context deadline exceeded".

Cause: a body whose customer has used up framing_rate waits in the rate limiter for as long as its request may take. Giving the connection up, for a stop or because unfinished requests hold too much, only passed the deadline of its reads. Such a request stayed, with what it holds, until the wait was over, and the server's shutdown waited for it.

Change: the wait has a context that ends once the connection is given up.

Why it works: nothing else between the header and the end of a body waits for anything but reads. What is given up is refused at once, as before.

--- a/internal/intake/framing.go
+++ b/internal/intake/framing.go
@@ -41,7 +41,7 @@
 
 // Body returns a chunked body whose framing counts for a customer. Reading it fails with
 // os.ErrDeadlineExceeded if the customer's rate lets it go on only after the deadline of
-// ctx.
+// ctx, or once the connection is given up.
 func (f *Framing) Body(ctx context.Context, body io.Reader, c *Conn, customer string) io.Reader {
 	if c == nil {
 		return body
@@ -69,7 +69,9 @@
 		return n, err
 	}
 	b.received, b.payload = received, 0
-	if waited := b.limiter.WaitN(b.ctx, min(int(framing), b.limiter.Burst())); waited != nil {
+	ctx, cancel := b.conn.untilGivenUp(b.ctx)
+	defer cancel()
+	if waited := b.limiter.WaitN(ctx, min(int(framing), b.limiter.Burst())); waited != nil {
 		return n, os.ErrDeadlineExceeded
 	}
 	return n, nil
--- a/internal/intake/guard.go
+++ b/internal/intake/guard.go
@@ -166,7 +166,7 @@
 		g.given = append(g.given, givenUp{cause, c.address, ""})
 	}
 	g.forget(c)
-	c.cut = true
+	c.giveUp()
 	_ = c.Close()
 }
 
@@ -179,10 +179,11 @@
 	address string
 	// received is the number of bytes read.
 	received atomic.Int64
-	// cut and scan are guarded by the guard's lock. scan follows the header of the
-	// request that is being received.
-	cut  bool
-	scan headerScan
+	// cut, endWait and scan are guarded by the guard's lock. endWait, if set, ends a wait
+	// of the request being received; scan follows its header.
+	cut     bool
+	endWait context.CancelFunc
+	scan    headerScan
 }
 
 // Read reads, and charges what was read.
@@ -215,10 +216,31 @@
 	g.ledger.giveUp(e)
 	c := g.conns[e]
 	g.given = append(g.given, givenUp{cause, c.address, ""})
-	c.cut = true
+	c.giveUp()
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 }
 
+// giveUp ends what waits on behalf of the connection. The caller holds the guard's lock.
+func (c *Conn) giveUp() {
+	c.cut = true
+	if c.endWait != nil {
+		c.endWait()
+	}
+}
+
+// untilGivenUp returns a context that ends also once the connection is given up. A
+// connection has one such context at a time.
+func (c *Conn) untilGivenUp(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	c.endWait = cancel
+	if c.cut {
+		cancel()
+	}
+	return ctx, cancel
+}
+
 // drainInterval is how often a draining guard looks for what to give up.
 const drainInterval = 100 * time.Millisecond
 
