Name what a request has of a budget after the budget

Cause: budget.go called it a claim, which the glossary keeps for the leadership of a cell.

Change: portion. Nothing else changes.

Result: the tests of internal/intake pass.

--- a/internal/intake/budget.go
+++ b/internal/intake/budget.go
@@ -15,12 +15,12 @@
 	mu     sync.Mutex
 	used   int64
 	shares map[string]int64
-	// waiting are the requests for which there is no room yet, in order.
-	waiting []*claim
+	// waiting are the portions for which there is no room yet, in order.
+	waiting []*portion
 }
 
-// claim is a request that waits for its part of a Budget.
-type claim struct {
+// portion is what a request has, or waits for, of a Budget.
+type portion struct {
 	customer string
 	bytes    int64
 	granted  chan struct{}
@@ -34,68 +34,68 @@
 // Acquire waits until bytes are free for a request of the customer. The
 // returned function frees all but keep of them; the last call keeps 0.
 func (b *Budget) Acquire(ctx context.Context, customer string, bytes int64) (free func(keep int64), err error) {
-	c := &claim{customer: customer, bytes: min(bytes, b.bytes/2), granted: make(chan struct{})}
+	p := &portion{customer: customer, bytes: min(bytes, b.bytes/2), granted: make(chan struct{})}
 	b.mu.Lock()
-	b.waiting = append(b.waiting, c)
+	b.waiting = append(b.waiting, p)
 	b.grant()
 	b.mu.Unlock()
 	select {
-	case <-c.granted:
-		return b.freeFunc(c), nil
+	case <-p.granted:
+		return b.freeFunc(p), nil
 	default:
 	}
 	select {
-	case <-c.granted:
-		return b.freeFunc(c), nil
+	case <-p.granted:
+		return b.freeFunc(p), nil
 	case <-ctx.Done():
-		return nil, b.withdraw(ctx, c)
+		return nil, b.withdraw(ctx, p)
 	}
 }
 
-// withdraw ends the wait of a claim, and returns why.
-func (b *Budget) withdraw(ctx context.Context, c *claim) error {
+// withdraw ends the wait for a portion, and returns why.
+func (b *Budget) withdraw(ctx context.Context, p *portion) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if i := slices.Index(b.waiting, c); i >= 0 {
+	if i := slices.Index(b.waiting, p); i >= 0 {
 		b.waiting = slices.Delete(b.waiting, i, i+1)
 	} else {
-		b.release(c, c.bytes)
+		b.release(p, p.bytes)
 	}
 	return ctx.Err()
 }
 
-// freeFunc returns the function that frees what a claim was granted.
-func (b *Budget) freeFunc(c *claim) func(keep int64) {
+// freeFunc returns the function that frees a portion.
+func (b *Budget) freeFunc(p *portion) func(keep int64) {
 	return func(keep int64) {
 		b.mu.Lock()
 		defer b.mu.Unlock()
-		b.release(c, c.bytes-min(keep, c.bytes))
+		b.release(p, p.bytes-min(keep, p.bytes))
 	}
 }
 
-// grant grants the waiting claims that fit.
+// grant grants the waiting portions that fit.
 func (b *Budget) grant() {
-	b.waiting = slices.DeleteFunc(b.waiting, func(c *claim) bool {
-		if b.shares[c.customer]+c.bytes > b.bytes-b.used-c.bytes {
+	b.waiting = slices.DeleteFunc(b.waiting, func(p *portion) bool {
+		if b.shares[p.customer]+p.bytes > b.bytes-b.used-p.bytes {
 			return false
 		}
-		b.used += c.bytes
-		b.shares[c.customer] += c.bytes
-		close(c.granted)
+		b.used += p.bytes
+		b.shares[p.customer] += p.bytes
+		close(p.granted)
 		return true
 	})
 }
 
-// release frees a part of what a claim was granted.
-func (b *Budget) release(c *claim, bytes int64) {
+// release frees a part of a portion.
+func (b *Budget) release(p *portion, bytes int64) {
 	if bytes <= 0 {
 		return
 	}
-	c.bytes -= bytes
+	p.bytes -= bytes
 	b.used -= bytes
-	b.shares[c.customer] -= bytes
-	if b.shares[c.customer] == 0 {
-		delete(b.shares, c.customer)
+	b.shares[p.customer] -= bytes
+	if b.shares[p.customer] == 0 {
+		delete(b.shares, p.customer)
 	}
 	b.grant()
 }
