--- a/internal/standin/cmd/standin/site.go
+++ b/internal/standin/cmd/standin/site.go
@@ -25,6 +25,8 @@
 	runners  int
 	workTime time.Duration
 	maxBody  int
+	// customers are added to those of the configuration.
+	customers int
 }
 
 func (*siteCommand) Name() string     { return "site" }
@@ -41,6 +43,7 @@
 	f.IntVar(&c.runners, "runners", 4, "runners of eight cores each")
 	f.DurationVar(&c.workTime, "work", 200*time.Millisecond, "run time of each task")
 	f.IntVar(&c.maxBody, "max-body", 0, "largest body that the configuration allows, in bytes; 0 leaves it")
+	f.IntVar(&c.customers, "customers", 0, "further customers of the configuration")
 }
 
 // siteReady is the line that is printed once a site listens.
@@ -82,6 +85,7 @@
 	if limits, ok := values["limits"].(map[string]any); ok && c.maxBody > 0 {
 		limits["max_body_bytes"] = c.maxBody
 	}
+	standin.AddSiteCustomers(values, c.customers)
 	config, err := json.Marshal(values)
 	if err != nil {
 		return errors.Wrap(err, "encode the configuration")
--- a/internal/standin/site_config.go
+++ b/internal/standin/site_config.go
@@ -1,5 +1,7 @@
 package standin
 
+import "fmt"
+
 // Names in the configuration that SiteConfig returns.
 const (
 	SiteHost     = "site.example"
@@ -8,6 +10,22 @@
 	SiteOtherKey = "key-two"
 )
 
+// SiteFurtherKey returns the key of a further customer, as AddSiteCustomers adds them.
+func SiteFurtherKey(i int) string { return fmt.Sprintf("key-further-%d", i) }
+
+// AddSiteCustomers adds n customers without bounds to a configuration.
+func AddSiteCustomers(config map[string]any, n int) {
+	customers, _ := config["tenants"].([]any)
+	for i := range n {
+		customers = append(customers, siteCustomer(fmt.Sprintf("further-%d", i), SiteFurtherKey(i), 0))
+	}
+	config["tenants"] = customers
+}
+
+func siteCustomer(name, key string, cpu int) map[string]any {
+	return map[string]any{"name": name, "api_keys": []string{key}, "weight": 100, "cap": map[string]any{"cpu": cpu, "mem_mb": 0, "gpu": 0}}
+}
+
 // SiteConfig returns a configuration as the platform's operator writes it. It has
 // an urgent queue, for which the scheduler asks the adviser about eligible
 // runners, a queue for bulk work, and two tenants, of which the second may use
@@ -23,9 +41,6 @@
 		}
 		return out
 	}
-	tenant := func(name, key string, cpu int) map[string]any {
-		return map[string]any{"name": name, "api_keys": []string{key}, "weight": 100, "cap": map[string]any{"cpu": cpu, "mem_mb": 0, "gpu": 0}}
-	}
 	const otherCapMilliCores = 4000
 	return map[string]any{
 		"version": version,
@@ -35,6 +50,6 @@
 		},
 		"services": []any{map[string]any{"name": SiteService, "admission_check": false}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants":  []any{tenant("t1", SiteKey, 0), tenant("t2", SiteOtherKey, otherCapMilliCores)},
+		"tenants":  []any{siteCustomer("t1", SiteKey, 0), siteCustomer("t2", SiteOtherKey, otherCapMilliCores)},
 	}
 }
