A request ends with the last of callers that expire together

Seen: in cells with their own log, work of a request could start after the deadline of all its callers.

Cause: two callers of one ticket expire at one instant. Each looked whether another one still waits, and was counted as waiting itself until it was told what has become of the request. Both found the other one, and neither withdrew it.

Evidence: TestWaitersThatExpireTogetherWithdrawTheRequest fails on the commit before: the request still waits.

Change: a caller that leaves while others wait is taken off the count under the lock under which it looked.

Why it works: the lock orders the callers, so that the last one finds itself alone and withdraws the request.

--- a/internal/holder/request.go
+++ b/internal/holder/request.go
@@ -97,7 +97,9 @@
 	select {
 	case <-u.request.done:
 	case <-ctx.Done():
-		t.expireRequest(u, ctx.Err())
+		if !t.expireRequest(u, ctx.Err()) {
+			return unfinished()
+		}
 	}
 	return t.confirmNotRun(ctx, r, t.deliver(u))
 }
@@ -144,7 +146,7 @@
 	defer t.mu.Unlock()
 	u.request.waiters--
 	if u.phase != phaseFinal {
-		return problemResult(problem.UnknownOutcome(problem.DeadlineRunning, "ask again with the same ticket", "the deadline passed while the work was running"))
+		return unfinished()
 	}
 	u.request.delivered = true
 	result := u.request.result
@@ -152,6 +154,11 @@
 	return result
 }
 
+// unfinished is the result for a caller that stops waiting before the request has ended.
+func unfinished() Result {
+	return problemResult(problem.UnknownOutcome(problem.DeadlineRunning, "ask again with the same ticket", "the deadline passed while the work was running"))
+}
+
 // newRequestUnit returns the unit of a request. It does not register the unit.
 func (t *Term) newRequestUnit(key string, r *Request) *unit {
 	u := &unit{
--- a/internal/holder/settle.go
+++ b/internal/holder/settle.go
@@ -18,31 +18,32 @@
 
 // expireRequest ends a request whose last waiter stops waiting. It withdraws a request
 // that waits. If the deadline has passed it stops a request that may have started, and
-// waits at most expireGrace for its end.
-func (t *Term) expireRequest(u *unit, cause error) {
+// waits at most expireGrace for its end. It reports whether the caller is to be given what
+// has become of the request; if not, it counts as a waiter no more.
+func (t *Term) expireRequest(u *unit, cause error) bool {
 	t.mu.Lock()
-	if u.phase == phaseFinal || u.request.waiters > 1 {
-		t.mu.Unlock()
-		return
-	}
-	if u.phase == phaseWaiting {
+	defer t.mu.Unlock()
+	stoppable := errors.Is(cause, context.DeadlineExceeded) && u.session != nil
+	switch {
+	case u.phase == phaseFinal:
+	case u.request.waiters > 1:
+		// Of callers that expire at one instant the last one has to find itself alone.
+		u.request.waiters--
+		return false
+	case u.phase == phaseWaiting:
 		t.withdraw(u)
 		t.settle(u, problemResult(expiredProblem(cause)))
-		t.mu.Unlock()
-		return
-	}
-	stoppable := errors.Is(cause, context.DeadlineExceeded) && u.session != nil
-	if stoppable {
+	case stoppable:
 		u.cancelled = true
 		u.session.queueStop(endpoint.ActionStop, u.spec.ID)
-	}
-	t.mu.Unlock()
-	if stoppable {
+		t.mu.Unlock()
 		select {
 		case <-u.request.done:
 		case <-time.After(expireGrace):
 		}
+		t.mu.Lock()
 	}
+	return true
 }
 
 // expiredProblem returns the refusal of a request whose caller gave up before its start.
--- a/internal/holder/takeover_test.go
+++ b/internal/holder/takeover_test.go
@@ -1,6 +1,7 @@
 package holder
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -257,6 +258,34 @@
 	})
 }
 
+// Callers of one ticket that expire at one instant stop waiting one after the other, and are
+// told what has become of the request later, in any order. The last one withdraws it.
+func TestWaitersThatExpireTogetherWithdrawTheRequest(t *testing.T) {
+	withTestZone(t, func(t *testing.T, w *testZone) {
+		w.endpoints["r1"].process.SetLeaving(true)
+		r := runnerRequest(w.newTicket(), "echo", "x", false)
+		term := w.current().term
+		var u *unit
+		for range 3 {
+			r.Deadline = time.Now().Add(time.Second)
+			joined, p := term.admit(r)
+			if p != nil {
+				t.Fatalf("the request is refused: %v", p)
+			}
+			u = joined
+		}
+		for range 3 {
+			term.expireRequest(u, context.DeadlineExceeded)
+		}
+		term.mu.Lock()
+		phase := u.phase
+		term.mu.Unlock()
+		if phase != phaseFinal {
+			t.Errorf("the request is in phase %v after the deadline of all its callers", phase)
+		}
+	})
+}
+
 // A ticket of a generation that the holder has not reached was never issued. Its outcome would
 // be forgotten before the ticket expires, so that it could run again.
 func TestTicketOfALaterGenerationRunsOnce(t *testing.T) {
