A test of the order in which an append ends and wakes

Cause: that an append is marked as done before it wakes the run loop was read only.

Change: a test that looks at 500 appends when they wake the loop. It shares the set-up of the controller with the test beside it.

--- a/internal/controller/proof_test.go
+++ b/internal/controller/proof_test.go
@@ -29,20 +29,48 @@
 	return keyedlog.AppendResult{}, nil
 }
 
-// TestSubmissionIsStoredBesideQueriesForUnknownJobs plays the load of many callers who ask
-// without pause for jobs that don't exist. Their proofs must not put off the append of a
-// job, nor take more calls to the log than appends do.
-func TestSubmissionIsStoredBesideQueriesForUnknownJobs(t *testing.T) {
-	const callers, hang = 50, 20 * time.Second
-	w := newWorld(t, 1, faults{})
-	log, system := new(quickLog), clock.System()
-	c := NewController(NewCore(w.params, w.catalog, system.Now(), w.logger), Options{
+// newLogController returns a controller that writes to a log.
+func newLogController(t *testing.T, log keyedlog.Log) *Controller {
+	w, system := newWorld(t, 1, faults{}), clock.System()
+	return NewController(NewCore(w.params, w.catalog, system.Now(), w.logger), Options{
 		Epoch:     1,
 		Clock:     system,
 		TermProof: leadership.NewTermProof(time.Hour, system.Now()),
 		Writer:    keyedlog.NewWriter(log, keyedlog.Partition{Topic: "jobs"}, "holder", 1),
 		Logger:    slog.New(slog.DiscardHandler),
 	})
+}
+
+// TestAppendHasEndedForTheRoundThatItWakes plays the load of callers that each wait for a
+// proof: the round that an append wakes must not find it in flight and wait for its next
+// tick.
+func TestAppendHasEndedForTheRoundThatItWakes(t *testing.T) {
+	c := newLogController(t, new(quickLog))
+	c.tomb = new(tomb.Tomb)
+	c.tomb.Go(func() error {
+		<-c.tomb.Dying()
+		return nil
+	})
+	for range 500 {
+		c.proofs.request()
+		c.beginAppend(c.clock.Now(), nil)
+		<-c.wakeups
+		if !c.latestAppend.isDone() {
+			t.Error("the append wakes the run loop before it has ended")
+			break
+		}
+	}
+	c.tomb.Kill(nil)
+	_ = c.tomb.Wait()
+}
+
+// TestSubmissionIsStoredBesideQueriesForUnknownJobs plays the load of many callers who ask
+// without pause for jobs that don't exist. Their proofs must not put off the append of a
+// job, nor take more calls to the log than appends do.
+func TestSubmissionIsStoredBesideQueriesForUnknownJobs(t *testing.T) {
+	const callers, hang = 50, 20 * time.Second
+	log := new(quickLog)
+	c := newLogController(t, log)
 	ctx, cancel := context.WithTimeout(context.Background(), hang)
 	defer cancel()
 	term := new(tomb.Tomb)
