--- a/review/kit-3/cases.go
+++ b/review/kit-3/cases.go
@@ -20,9 +20,9 @@
 // caseKind: a runner crashes now and then, and starts again under its id, as another
 // kind. Work for the kind that it had waits meanwhile.
 func caseKind(s *site) error {
-	runners := []runnerOf{{"a", 8000}, {"a", 8000}}
+	runners := []runnerOf{{kind: "a", cpu: 8000}, {kind: "a", cpu: 8000}}
 	for range 28 {
-		runners = append(runners, runnerOf{"b", 8000})
+		runners = append(runners, runnerOf{kind: "b", cpu: 8000})
 	}
 	if err := s.begin(2, runners...); err != nil {
 		return err
@@ -109,7 +109,7 @@
 func caseClock(s *site) error {
 	var runners []runnerOf
 	for range 7 {
-		runners = append(runners, runnerOf{"a", 8000})
+		runners = append(runners, runnerOf{kind: "a", cpu: 8000})
 	}
 	if err := s.begin(2, runners...); err != nil {
 		return err
@@ -123,7 +123,7 @@
 	if n := s.runsOf(j.id); n != 28 {
 		return fmt.Errorf("%d tasks run on seven runners, want 28", n)
 	}
-	r := &runner{id: "i-3f70", zone: "kingston-a", kind: "a", rack: "r1-0", cpu: 8000, mem: 131072, site: s}
+	r := &runner{id: "i-3f70", zone: "kingston-a", service: service, kind: "a", rack: "r1-0", cpu: 8000, mem: 131072, site: s}
 	// STEP=0 leaves the crash and takes the step of the clock out.
 	if s.trouble && os.Getenv("STEP") != "0" {
 		s.rec.line("the time of day of the machine of %s is 2 s ahead for 1 s", r.id)
@@ -165,7 +165,7 @@
 func caseLasting(s *site) error {
 	var runners []runnerOf
 	for range 8 {
-		runners = append(runners, runnerOf{"a", 10000})
+		runners = append(runners, runnerOf{kind: "a", cpu: 10000})
 	}
 	if err := s.begin(2, runners...); err != nil {
 		return err
@@ -213,7 +213,7 @@
 
 // caseRemoved: the operator removes the route of a job that was accepted.
 func caseRemoved(s *site) error {
-	if err := s.begin(2, runnerOf{"a", 8000}, runnerOf{"a", 8000}, runnerOf{"a", 8000}, runnerOf{"a", 8000}); err != nil {
+	if err := s.begin(2, runnerOf{kind: "a", cpu: 8000}, runnerOf{kind: "a", cpu: 8000}, runnerOf{kind: "a", cpu: 8000}, runnerOf{kind: "a", cpu: 8000}); err != nil {
 		return err
 	}
 	j := &job{id: jobID(1), queue: "lot-sort", key: "key-kaje80", spec: spec{MS: 2000, CPU: 2000},
@@ -257,7 +257,7 @@
 func caseLarge(s *site) error {
 	var runners []runnerOf
 	for range 8 {
-		runners = append(runners, runnerOf{"a", 10000})
+		runners = append(runners, runnerOf{kind: "a", cpu: 10000})
 	}
 	if err := s.begin(2, runners...); err != nil {
 		return err
@@ -296,17 +296,30 @@
 		time.Sleep(200 * time.Millisecond)
 	}
 	// finish_s is 14; then 3 s on end.
+	s.watchWaiting(small, service, 14*time.Second, 40*time.Second)
+	for _, j := range large {
+		s.rec.line("%s after its acceptance job %s is %s", time.Since(j.accepted).Round(time.Second), j.id, s.client.status(j))
+	}
+	return nil
+}
+
+// watchWaiting checks the rule on jobs of one step, some time after the end of the traffic: a
+// job has nothing running for 3 s on end while under half of its service's capacity is in
+// use. The jobs are small: there is room for each twice over then.
+func (s *site) watchWaiting(jobs []*job, service string, after, most time.Duration) {
 	ended := time.Now()
-	time.Sleep(14 * time.Second)
+	time.Sleep(after)
 	idle := make(map[string]time.Time)
-	for time.Since(ended) < 40*time.Second {
+	for time.Since(ended) < most {
 		used, total := int64(0), int64(0)
 		for _, r := range s.runners {
 			r.mu.Lock()
-			used, total = used+r.used(), total+r.cpu
+			if r.service == service {
+				used, total = used+r.used(), total+r.cpu
+			}
 			r.mu.Unlock()
 		}
-		for _, j := range small {
+		for _, j := range jobs {
 			if s.runsOf(j.id) > 0 || 2*used >= total || s.completed(j) {
 				delete(idle, j.id)
 				continue
@@ -316,15 +329,15 @@
 				idle[j.id] = time.Now()
 			} else if !since.IsZero() && time.Since(since) >= 3*time.Second {
 				idle[j.id] = time.Time{}
-				s.breaks("LOST: job %s, accepted %s ago, has had nothing running for 3 s; %d of %d cores are in use", j.id, time.Since(j.accepted).Round(time.Second), used/1000, total/1000)
+				s.breaks("LOST: job %s, accepted %s ago, has had nothing running for 3 s; %d of %d cores of the service %s are in use", j.id,
+					time.Since(j.accepted).Round(time.Second), used/1000, total/1000, service)
 			}
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
-	for _, j := range append(small, large...) {
+	for _, j := range jobs {
 		s.rec.line("%s after its acceptance job %s is %s", time.Since(j.accepted).Round(time.Second), j.id, s.client.status(j))
 	}
-	return nil
 }
 
 // completed reports whether all tasks of a job of one step have ended done.
@@ -342,3 +355,42 @@
 	}
 	return done == j.steps[0]["count"].(int)
 }
+
+// caseOther: urgent work fills one service; jobs of another service, which is idle, come.
+func caseOther(s *site) error {
+	var runners []runnerOf
+	for range 8 {
+		runners = append(runners, runnerOf{kind: "a", cpu: 10000})
+	}
+	for range 2 {
+		runners = append(runners, runnerOf{kind: "a", cpu: 10000, service: other})
+	}
+	if err := s.begin(2, runners...); err != nil {
+		return err
+	}
+	if s.trouble {
+		if err := s.client.submit(lasting(1, "invoice-post", "key-oru31", 70, 1000)); err != nil {
+			return err
+		}
+		n := 10
+		for end := time.Now().Add(20 * time.Second); time.Now().Before(end); n++ {
+			j := &job{id: jobID(n), queue: "invoice-post", key: "key-oru31", spec: spec{MS: 400, CPU: 1000}, steps: []map[string]any{tasks(2, 1000, 400, nil)}}
+			if err := s.client.submit(j); err != nil {
+				return err
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+	var small []*job
+	for i := range 4 {
+		j := &job{id: jobID(6000 + i), queue: "van-sort", key: "key-kaje80", spec: spec{MS: 1000, CPU: 2000}, steps: []map[string]any{tasks(2, 2000, 1000, nil)}}
+		if err := s.client.submit(j); err != nil {
+			return err
+		}
+		small = append(small, j)
+		time.Sleep(200 * time.Millisecond)
+	}
+	// finish_s is 14; then 3 s on end.
+	s.watchWaiting(small, other, 14*time.Second, 40*time.Second)
+	return nil
+}
--- a/review/kit-3/client.go
+++ b/review/kit-3/client.go
@@ -49,8 +49,11 @@
 	id, queue, key string
 	steps          []map[string]any
 	spec           spec
-	accepted       time.Time
-	state          string
+	// times, delay and interval are those of a scheduled job.
+	times           int
+	delay, interval int64
+	accepted        time.Time
+	state           string
 }
 
 func (j *job) path() string { return "/" + j.queue + "/" + j.id }
@@ -58,7 +61,11 @@
 // submit sends a job until it is accepted, for at most 10 s.
 func (c *client) submit(j *job) error {
 	text, _ := json.Marshal(j.spec)
-	body, _ := json.Marshal(map[string]any{"spec": string(text), "steps": j.steps})
+	fields := map[string]any{"spec": string(text), "steps": j.steps}
+	if j.times > 0 {
+		fields["times"], fields["initial_delay_ms"], fields["interval_ms"] = j.times, j.delay, j.interval
+	}
+	body, _ := json.Marshal(fields)
 	c.site.register(j)
 	status := 0
 	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
--- a/review/kit-3/main.go
+++ b/review/kit-3/main.go
@@ -5,6 +5,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -126,21 +127,27 @@
 // configuration is the operator's: the three queues of the laundry, or a later version
 // without some.
 func configuration(without ...string) []byte {
-	route := func(name string, priority, attempts int, stretch, slo float64) map[string]any {
+	route := func(name, service string, priority, attempts int, stretch, slo float64) map[string]any {
 		return map[string]any{"name": "r-" + name, "host": host, "path_prefix": "/" + name + "/", "kind": "unsafe", "timeout_ms": 3000, "slo_ms": slo,
 			"priority": priority, "service": service, "attempts": attempts, "stretch": stretch, "public": false}
 	}
 	routes := []any{}
-	for _, r := range []map[string]any{route("route-plan", 1, 3, 2.2, 1200), route("lot-sort", 2, 2, 4, 3000), route("invoice-post", 0, 2, 1.5, 400)} {
+	for _, r := range []map[string]any{
+		route("route-plan", service, 1, 3, 2.2, 1200), route("lot-sort", service, 2, 2, 4, 3000), route("invoice-post", service, 0, 2, 1.5, 400),
+		route("van-sort", other, 2, 2, 4, 3000),
+	} {
 		if !slices.Contains(without, strings.TrimPrefix(r["name"].(string), "r-")) {
 			routes = append(routes, r)
 		}
 	}
 	value, _ := json.Marshal(map[string]any{
-		"version":  7 + 2*len(without),
-		"routes":   routes,
-		"services": []any{map[string]any{"name": service, "health_path": "/health", "admission_check": false, "spare": false}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144},
+		"version": 7 + 2*len(without),
+		"routes":  routes,
+		"services": []any{
+			map[string]any{"name": service, "health_path": "/health", "admission_check": false, "spare": false},
+			map[string]any{"name": other, "health_path": "/health", "admission_check": false, "spare": false},
+		},
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144},
 		"tenants": []any{
 			map[string]any{"name": "kaje80", "api_keys": []string{"key-kaje80"}, "weight": 60, "cap": map[string]any{"cpu": 400000, "mem_mb": 0, "gpu": 0}},
 			map[string]any{"name": "oru31", "api_keys": []string{"key-oru31"}, "weight": 60, "cap": map[string]any{"cpu": 400000, "mem_mb": 0, "gpu": 0}},
@@ -153,6 +160,8 @@
 type runnerOf struct {
 	kind string
 	cpu  int64
+	// service is the service unless empty.
+	service string
 }
 
 // begin starts the stand-ins and the daemons, and waits until these are ready.
@@ -165,7 +174,7 @@
 	go func() { _ = http.Serve(l, s.store) }()
 	s.store.put(topicOperator, "config", configuration())
 	for i, o := range runners {
-		r := &runner{id: fmt.Sprintf("i-%04x", 0x2a00+i*11), zone: "kingston-a", kind: o.kind, rack: fmt.Sprintf("r1-%d", i/8), cpu: o.cpu, mem: 131072, site: s}
+		r := &runner{id: fmt.Sprintf("i-%04x", 0x2a00+i*11), zone: "kingston-a", service: cmp.Or(o.service, service), kind: o.kind, rack: fmt.Sprintf("r1-%d", i/8), cpu: o.cpu, mem: 131072, site: s}
 		s.runners = append(s.runners, r)
 		if err := r.start(); err != nil {
 			return err
@@ -218,6 +227,7 @@
 	"removed": caseRemoved,
 	"large":   caseLarge,
 	"storm":   caseStorm,
+	"other":   caseOther,
 }
 
 func main() {
--- a/review/kit-3/runner.go
+++ b/review/kit-3/runner.go
@@ -11,7 +11,9 @@
 )
 
 const (
-	service   = "washdesk"
+	service = "washdesk"
+	// other is a second service, in one of the cases.
+	other     = "vandesk"
 	heartbeat = 1500 * time.Millisecond
 	holdMax   = 10 * time.Second
 	stopGrace = 900 * time.Millisecond
@@ -22,11 +24,12 @@
 // runner is a stand-in of a runner. It doesn't guard its room, and does what
 // PROTOCOL.md says under "Running tasks" and "Service discovery".
 type runner struct {
-	id   string
-	zone string
-	cpu  int64
-	mem  int64
-	site *site
+	id      string
+	zone    string
+	service string
+	cpu     int64
+	mem     int64
+	site    *site
 
 	mu     sync.Mutex
 	addr   string
@@ -135,7 +138,7 @@
 	r.mu.Lock()
 	r.seq++
 	entry, _ := json.Marshal(map[string]any{
-		"service": service, "addr": r.addr, "zone": r.zone, "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
+		"service": r.service, "addr": r.addr, "zone": r.zone, "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
 		"capacity": map[string]int64{"cpu": r.cpu, "mem_mb": r.mem, "gpu": 0}, "labels": []string{r.kind, r.rack},
 		"machine": "m-" + r.id, "born": r.bornMS, "clock_ms": r.clock().Milliseconds(), "seq": r.seq,
 	})
--- a/review/kit-3/storm.go
+++ b/review/kit-3/storm.go
@@ -14,7 +14,7 @@
 func caseStorm(s *site) error {
 	var runners []runnerOf
 	for range 10 {
-		runners = append(runners, runnerOf{"a", 8000})
+		runners = append(runners, runnerOf{kind: "a", cpu: 8000})
 	}
 	if err := s.begin(4, runners...); err != nil {
 		return err
@@ -56,6 +56,12 @@
 	for end := time.Now().Add(50 * time.Second); time.Now().Before(end); n++ {
 		j := &job{id: jobID(n), queue: []string{"route-plan", "lot-sort", "invoice-post"}[n%3], key: "key-kaje80", spec: spec{MS: 100 + rand.IntN(900), CPU: 1000},
 			steps: []map[string]any{tasks(1+rand.IntN(4), 1000, 500, nil), tasks(1+rand.IntN(3), 1000, 500, map[string]any{"after": []int{0}})}}
+		if n%5 == 0 {
+			j.times, j.delay, j.interval = 3, time.Now().Add(time.Second).UnixMilli(), 1500
+		}
+		if n%31 == 7 {
+			j = lasting(n, "lot-sort", "key-oru31", 2, 1000)
+		}
 		go func() {
 			c := newClient(s)
 			c.next = rand.IntN(4)
@@ -69,7 +75,7 @@
 			select {
 			case j := <-accepted:
 				jobs = append(jobs, j)
-				if rand.IntN(10) == 0 {
+				if rand.IntN(10) == 0 || j.spec.MS == 0 {
 					if status, _, err := s.client.call(rand.IntN(4), http.MethodDelete, j.path(), j.key, nil); err == nil && status == 200 {
 						cancelled[j.id] = time.Now()
 						s.rec.line("DELETE %s answered 200", j.path())
@@ -86,7 +92,10 @@
 	time.Sleep(14 * time.Second)
 	left := 0
 	for _, j := range jobs {
-		if _, c := cancelled[j.id]; c {
+		if at, c := cancelled[j.id]; c || j.spec.MS == 0 {
+			if c && time.Since(at) > 10*time.Second && s.runsOf(j.id) > 0 {
+				s.breaks("UNASKED: job %s runs on, cancelled %s ago", j.id, time.Since(at))
+			}
 			continue
 		}
 		if state := s.client.status(j); state != "completed" {
@@ -110,6 +119,26 @@
 				if at, c := cancelled[jobOf(task)]; c && e.at.Sub(at) > 3*time.Second {
 					s.broken = append(s.broken, fmt.Sprintf("UNASKED: %s", task))
 				}
+				var k, step, index int
+				_, _ = fmt.Sscanf(task[17:], "%d.%d.%d", &k, &step, &index)
+				j := s.jobs[jobOf(task)]
+				if j.times > 0 && e.at.UnixMilli() < j.delay+int64(k)*j.interval-250 {
+					s.broken = append(s.broken, fmt.Sprintf("ORDER: %s starts %d ms early", task, j.delay+int64(k)*j.interval-e.at.UnixMilli()))
+				}
+				if step == 1 {
+					for i := range j.steps[0]["count"].(int) {
+						ok := false
+						for _, b := range s.history[fmt.Sprintf("%s.%d.0.%d", j.id, k, i)] {
+							ok = ok || b.what == "done" && b.at.Before(e.at)
+						}
+						if !ok {
+							s.broken = append(s.broken, fmt.Sprintf("ORDER: %s starts before step 0 is done", task))
+						}
+					}
+				}
+				if k > 0 && k >= j.times {
+					s.broken = append(s.broken, fmt.Sprintf("UNASKED: %s has %d occurrences", task, j.times))
+				}
 				running++
 			case "acknowledged done":
 				acked = true
