--- a/review/kit-3/daemon.go
+++ b/review/kit-3/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -107,16 +108,19 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// freePorts returns ports that nothing listens on.
+// freePorts returns ports that nothing listens on, from below the range that the system
+// takes for channels to others.
 func freePorts(n int) ([]int, error) {
 	var ports []int
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for range 1000 {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 20000+rand.IntN(12000)))
 		if err != nil {
-			return nil, err
+			continue
 		}
 		defer func() { _ = l.Close() }()
-		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
+		if ports = append(ports, l.Addr().(*net.TCPAddr).Port); len(ports) == n {
+			return ports, nil
+		}
 	}
-	return ports, nil
+	return nil, fmt.Errorf("no free ports")
 }
