--- a/review/kit-3/main.go
+++ b/review/kit-3/main.go
@@ -226,7 +226,6 @@
 	"lasting": caseLasting,
 	"removed": caseRemoved,
 	"large":   caseLarge,
-	"storm":   caseStorm,
 	"other":   caseOther,
 }
 
