Room for urgent work is kept in the pools that it comes to

The room for bursts was one number of slots, from the urgent tasks that run in all pools, looked for in what is free in all pools together. Where the pool with the urgent work was full, the whole of an idle one was kept in its place.

Change: a headroom for each pool to which a queue of priority 0 goes and each label that its urgent work requires, kept and counted on the endpoints that this work comes to, in one file that placing, yielding and preempting use.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -117,7 +117,8 @@
 	lastTurn *scheduler.Demand
 	stats    Stats
 
-	urgent  urgentLoad
+	// urgent holds the loads of urgent work by class.
+	urgent  map[urgentClass]*urgentLoad
 	backlog backlog
 	// shares is nil before the first plan that divides capacity among customers.
 	shares *shares
@@ -243,6 +244,7 @@
 		rates:          make(map[string]*tokenBucket),
 		eligibleShare:  make(map[string]float64),
 		endpointStates: make(map[*fleet.Endpoint]*endpointState),
+		urgent:         make(map[urgentClass]*urgentLoad),
 
 		inheritedSilences: make(map[string]silentRecord),
 
--- a/internal/controller/evacuation_test.go
+++ b/internal/controller/evacuation_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/bluebellstile/bluebellstile/internal/evacuation"
 	"github.com/bluebellstile/bluebellstile/internal/resource"
+	"github.com/bluebellstile/bluebellstile/internal/scheduler"
 	"github.com/bluebellstile/bluebellstile/internal/workload"
 	"pgregory.net/rapid"
 )
@@ -222,6 +223,15 @@
 	}
 }
 
+// keptSlots returns the number of slots that a snapshot keeps free for urgent work.
+func keptSlots(s *scheduler.Snapshot) int {
+	n := 0
+	for i := range s.Policy.Headrooms {
+		n += s.Policy.Headrooms[i].Slots
+	}
+	return n
+}
+
 // TestZoneBeingEmptiedOffersNothing guards against plans, questions, headroom and a door
 // that reckon with endpoints on which nothing may start: gangs would be placed there again
 // and again, and jobs taken in that have no room.
@@ -245,8 +255,8 @@
 	if core.fleet.CouldHold("p", "", wide, 1, 3) || !core.fleet.CouldHoldOnceOpen("p", "", wide, 1, 4) {
 		t.Error("what waits is told that the zone has room, or that it never will")
 	}
-	if after.Policy.UrgentSlots >= before.Policy.UrgentSlots {
-		t.Errorf("%d places are kept free for urgent work, %d before", after.Policy.UrgentSlots, before.Policy.UrgentSlots)
+	if a, b := keptSlots(after), keptSlots(before); a >= b {
+		t.Errorf("%d places are kept free for urgent work, %d before", a, b)
 	}
 	core.SetEvacuations(nil)
 	if n := len(core.snapshot(w.instant()).Hosts); n != 4 {
--- /dev/null
+++ b/internal/controller/headroom_test.go
@@ -0,0 +1,73 @@
+package controller
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/bluebellstile/bluebellstile/internal/catalog"
+	"github.com/bluebellstile/bluebellstile/internal/resource"
+	"github.com/bluebellstile/bluebellstile/internal/workload"
+)
+
+// newTwoPoolWorld returns a world with endpoints of 10 cores each: busy ones in pool p, to
+// which the urgent queue sends its work, and idle ones in pool v, to which only the queue
+// vans does.
+func newTwoPoolWorld(t *testing.T, busy, idle int) *world {
+	w := newWorld(t, 1, faults{})
+	w.catalog.Queues = append(w.catalog.Queues, catalog.Queue{Name: "vans", Host: "h", Prefix: "/v/", Pool: "v", Priority: 2, Attempts: 2, Stretch: 4, Objective: 3 * time.Second})
+	w.catalog.Pools["v"] = catalog.Pool{Name: "v"}
+	for i := range w.catalog.Queues {
+		w.catalog.Queues[i].Eligibility = nil
+	}
+	if err := w.catalog.Index(); err != nil {
+		t.Fatal(err)
+	}
+	w.noteCatalog()
+	for i := range busy + idle {
+		id := string(rune('a'+i)) + "00"
+		w.addEndpoint(id)
+		w.endpoints[id].capacity = resource.Vector{MilliCores: 10_000, MemoryMB: 1 << 20}
+		if i >= busy {
+			w.endpoints[id].pool = "v"
+		}
+	}
+	w.beginTerm()
+	w.run(time.Second)
+	return w
+}
+
+// submitUrgentTraffic submits short urgent jobs of two tasks for the given time from now on.
+func (w *world) submitUrgentTraffic(forTime time.Duration) {
+	n := 0
+	for at := time.Duration(0); at < forTime; at += 100 * time.Millisecond {
+		id := workload.ID(fmt.Sprintf("a%015x", 1000+n))
+		n++
+		w.after(at, func() {
+			w.submit(id, "c2", workload.Spec{Steps: []workload.Step{{Count: 2, Size: resource.Vector{MilliCores: 1000, MemoryMB: 64}, Estimate: 400 * time.Millisecond}}})
+		})
+	}
+}
+
+// TestUrgentWorkLeavesOtherPoolsTheirRoom guards against accepted jobs that never start on
+// the idle endpoints of a pool because the urgent work of another one has filled that:
+// single tasks, a gang and tasks that last.
+func TestUrgentWorkLeavesOtherPoolsTheirRoom(t *testing.T) {
+	small := workload.Step{Count: 2, Size: resource.Vector{MilliCores: 2000, MemoryMB: 64}, Estimate: time.Second}
+	gang, lasting := small, small
+	gang.Gang, gang.Count = true, 6
+	lasting.LongRunning = true
+	for name, step := range map[string]workload.Step{"single tasks": small, "a gang": gang, "tasks that last": lasting} {
+		t.Run(name, func(t *testing.T) {
+			w := newTwoPoolWorld(t, 8, 2)
+			w.submit("a000000000000001", "c2", workload.Spec{Steps: []workload.Step{{Count: 70, Size: resource.Vector{MilliCores: 1000, MemoryMB: 64}, Estimate: time.Second, LongRunning: true}}})
+			w.submitUrgentTraffic(20 * time.Second)
+			w.run(21 * time.Second)
+			w.submit("d000000000000002", "c2", workload.Spec{Steps: []workload.Step{step}})
+			w.run(24 * time.Second)
+			if !w.jobs["d000000000000002"].begun {
+				t.Error("the job hasn't begun after 3 s, with all endpoints of its pool idle")
+			}
+		})
+	}
+}
--- a/internal/controller/hopeless_test.go
+++ b/internal/controller/hopeless_test.go
@@ -97,7 +97,7 @@
 	w.addEndpoint("e2")
 	w.beginTerm()
 	// As after a burst on a fleet of which two endpoints are left.
-	w.current().core.urgent = urgentLoad{size: resource.Vector{MilliCores: 1000, MemoryMB: 10}, averageRunning: 1000}
+	w.current().core.urgent[urgentClass{pool: "p"}] = &urgentLoad{size: resource.Vector{MilliCores: 1000, MemoryMB: 10}, averageRunning: 1000}
 	w.submit("b000000000000001", "c2", largeJob(10))
 	w.run(3 * time.Second)
 	if state, _ := w.current().core.Status("b000000000000001", "c2"); state != workload.StateCompleted {
--- a/internal/controller/judge_test.go
+++ b/internal/controller/judge_test.go
@@ -104,6 +104,8 @@
 		return "urgent"
 	case 'b':
 		return "bulk"
+	case 'd':
+		return "vans"
 	default:
 		return "gangs"
 	}
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -11,26 +11,6 @@
 )
 
 const (
-	// initialUrgentShare is the fraction of an endpoint that an urgent task is
-	// assumed to need before any was seen, and initialHeadroom the fraction of
-	// the fleet kept free for urgent tasks until then.
-	initialUrgentShare = 0.1
-	initialHeadroom    = 0.08
-	// headroomPerUrgent is how many slots of the size of a typical urgent task
-	// are kept free for each urgent task that runs on average. A burst doubles
-	// the urgent tasks within about a second, and other work frees its capacity
-	// within a few seconds.
-	headroomPerUrgent = 0.6
-	// maxHeadroom is the largest fraction of the usable endpoints that is kept free.
-	// What the running urgent tasks suggest is too much once endpoints are lost.
-	maxHeadroom = 0.4
-	// minUrgentSlots is the number of such slots kept free at all times.
-	minUrgentSlots = 4
-	// urgentSizeWeight is the weight of a new task in the smoothed size, and
-	// runningUrgentWeight that of a plan's count in the average number of
-	// running urgent tasks.
-	urgentSizeWeight    = 0.02
-	runningUrgentWeight = 0.01
 	// maxReservations is the number of blocked gangs that may reserve capacity.
 	maxReservations = 3
 	// permitMargin covers the time from the decision to the arrival of the
@@ -124,7 +104,7 @@
 		return s
 	}
 	s.Hosts = c.hosts(now)
-	s.Policy.UrgentSize, s.Policy.UrgentSlots = c.urgentReserve(s.Hosts)
+	s.Policy.Headrooms = c.headrooms(now, s.Hosts)
 	if c.params.Features.Preemption {
 		c.offerVictims(now, s)
 	}
@@ -134,56 +114,6 @@
 	return s
 }
 
-// urgentReserve returns the size of a typical urgent task and the number of such
-// tasks for which capacity is kept free on the hosts. Endpoints that can't be used count
-// for neither: the others would keep all of their capacity free in place of them.
-func (c *Core) urgentReserve(hosts []*scheduler.Host) (resource.Vector, int) {
-	running, total := 0, resource.Vector{}
-	for _, e := range c.fleet.Endpoints() {
-		for _, r := range e.Runs() {
-			if r.Priority == 0 {
-				running++
-			}
-		}
-	}
-	for _, h := range hosts {
-		total = total.Add(h.Endpoint.Capacity)
-	}
-	c.urgent.averageRunning += runningUrgentWeight * (float64(running) - c.urgent.averageRunning)
-	size, wanted := c.urgent.size, max(minUrgentSlots, int(headroomPerUrgent*c.urgent.averageRunning))
-	if size.MilliCores == 0 {
-		n := max(len(hosts), 1)
-		size = resource.Vector{
-			MilliCores: int64(initialUrgentShare * float64(total.MilliCores) / float64(n)),
-			MemoryMB:   int64(initialUrgentShare * float64(total.MemoryMB) / float64(n)),
-		}
-		wanted = int(initialHeadroom / initialUrgentShare * float64(n))
-	}
-	idle := 0
-	for _, h := range hosts {
-		idle += int(size.Copies(h.Endpoint.Capacity, int64(wanted)))
-	}
-	return size, min(wanted, int(maxHeadroom*float64(idle)))
-}
-
-// urgentLoad holds running averages of urgent work.
-type urgentLoad struct {
-	// size is the smoothed size of an urgent task, averageRunning the average
-	// number of urgent tasks that run.
-	size           resource.Vector
-	averageRunning float64
-}
-
-// updateSize adds an urgent task to the smoothed size.
-func (u *urgentLoad) updateSize(size resource.Vector) {
-	if u.size.MilliCores == 0 {
-		u.size = size
-		return
-	}
-	u.size.MilliCores += int64(urgentSizeWeight * float64(size.MilliCores-u.size.MilliCores))
-	u.size.MemoryMB += int64(urgentSizeWeight * float64(size.MemoryMB-u.size.MemoryMB))
-}
-
 // usable reports whether new tasks may be placed on an endpoint.
 func (c *Core) usable(now clock.Instant, e *fleet.Endpoint) bool {
 	return e.Adopted && e.Listed && !e.Draining && !c.isEvacuated(e) && e.Failures == 0 &&
@@ -356,7 +286,7 @@
 	r.ExpectedEnd = now.Steady + start.Endpoint.RunTime(start.Demand.Duration, now.Steady)
 	start.Endpoint.Add(r)
 	if r.Priority == 0 {
-		c.urgent.updateSize(r.Charge)
+		c.noteUrgentTask(start.Demand.Pool, s.Spec)
 	}
 	waited := now.Steady - entry.since
 	c.log.Info("run placed", "task", r.Task, "run", r.Number, "endpoint", start.Endpoint.ID, "waited", waited.Round(time.Millisecond),
--- a/internal/controller/world_endpoint_test.go
+++ b/internal/controller/world_endpoint_test.go
@@ -27,6 +27,7 @@
 	// progress.
 	stallsRuns   bool
 	zone         string
+	pool         string
 	coldLeft     time.Duration
 	capacity     resource.Vector
 	labels       []string
@@ -106,7 +107,7 @@
 
 // addEndpoint adds an endpoint and registers it.
 func (w *world) addEndpoint(id string) {
-	e := &simEndpoint{id: id, capacity: resource.Vector{MilliCores: 32_000, MemoryMB: 1 << 20}}
+	e := &simEndpoint{id: id, pool: "p", capacity: resource.Vector{MilliCores: 32_000, MemoryMB: 1 << 20}}
 	w.endpoints[id] = e
 	w.boot(e)
 }
@@ -139,7 +140,7 @@
 }
 
 func (e *simEndpoint) registration() fleet.Registration {
-	return fleet.Registration{ID: e.id, Incarnation: e.incarnation, Address: e.id, Pool: "p", AvailabilityZone: e.zone, ColdLeft: e.coldLeft, Capacity: e.capacity, Draining: e.draining, Rack: "r-" + e.id[len(e.id)-1:], Labels: e.labels}
+	return fleet.Registration{ID: e.id, Incarnation: e.incarnation, Address: e.id, Pool: e.pool, AvailabilityZone: e.zone, ColdLeft: e.coldLeft, Capacity: e.capacity, Draining: e.draining, Rack: "r-" + e.id[len(e.id)-1:], Labels: e.labels}
 }
 
 // crash loses the runs of an endpoint and boots it again after downFor.
--- a/internal/scheduler/full.go
+++ b/internal/scheduler/full.go
@@ -55,8 +55,7 @@
 // tasks it has at work.
 func (p *planner) rememberFullHosts(d *Demand) {
 	for _, h := range p.Hosts {
-		if p.suits(d, h.Endpoint) && d.Step.Spec.Charge().Copies(h.available(d), 1) > 0 &&
-			(d.Urgent || p.limitForUrgent(d, h, 1) > 0) {
+		if p.suits(d, h.Endpoint) && d.Step.Spec.Charge().Copies(h.available(d), 1) > 0 && p.leaveHeadroom(d, h, 1) > 0 {
 			return
 		}
 	}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -15,9 +15,8 @@
 	plan Plan
 	// allocated is what the plan has allocated to each customer so far.
 	allocated map[string]resource.Vector
-	// freeUrgentSlots is the number of typical urgent tasks that fit on all
-	// hosts.
-	freeUrgentSlots int
+	// headrooms are the parts of the capacity that are kept for urgent work.
+	headrooms []*keptHeadroom
 	// reservations counts the gangs that have reserved capacity in this plan.
 	reservations int
 	// poolFree is the unused part of each pool.
@@ -58,9 +57,9 @@
 	}
 	p.plan.GangWaiting = make(map[*fleet.Endpoint]bool)
 	for _, h := range s.Hosts {
-		p.freeUrgentSlots += p.urgentSlots(h)
 		p.poolFree[h.Endpoint.Pool] = p.poolFree[h.Endpoint.Pool].Add(h.Free)
 	}
+	p.keepHeadrooms()
 	p.chargeHeldTasks()
 	p.urgentHosts = sortedByScore(s.Hosts, urgentScore)
 	p.nonUrgentHosts = sortedByScore(s.Hosts, nonUrgentScore)
@@ -140,24 +139,6 @@
 	}
 }
 
-// charge subtracts size, which may be negative, from the free capacity of a
-// host.
-func (p *planner) charge(h *Host, size resource.Vector) {
-	p.freeUrgentSlots -= p.urgentSlots(h)
-	h.Free = h.Free.Sub(size)
-	p.freeUrgentSlots += p.urgentSlots(h)
-	p.poolFree[h.Endpoint.Pool] = p.poolFree[h.Endpoint.Pool].Sub(size)
-}
-
-// urgentSlots returns how many typical urgent tasks fit on a host.
-func (p *planner) urgentSlots(h *Host) int {
-	const maxSlots = 1000
-	if p.Policy.UrgentSize == (resource.Vector{}) {
-		return 0
-	}
-	return int(p.Policy.UrgentSize.Copies(h.Free, maxSlots))
-}
-
 // slots returns how many tasks of a demand fit on a host, at most limit.
 func (p *planner) slots(d *Demand, h *Host, limit int) int {
 	spec := d.Step.Spec
@@ -165,29 +146,7 @@
 	if spec.MaxPerEndpoint > 0 {
 		n = min(n, spec.MaxPerEndpoint-d.Occupied[h.Endpoint.ID])
 	}
-	if !d.Urgent {
-		n = p.limitForUrgent(d, h, n)
-	}
-	return max(n, 0)
-}
-
-// limitForUrgent returns how many of n tasks a host may take so that enough
-// capacity remains for urgent ones. An urgent task fits into a small gap on any
-// host, so the slots are counted over all hosts.
-func (p *planner) limitForUrgent(d *Demand, h *Host, n int) int {
-	if p.freeUrgentSlots >= p.Policy.UrgentSlots+p.urgentSlots(h) {
-		return n
-	}
-	free, before := h.Free, p.urgentSlots(h)
-	for ; n > 0; n-- {
-		h.Free = free.Sub(d.Step.Spec.Charge().Scale(int64(n)))
-		after := p.urgentSlots(h)
-		h.Free = free
-		if after == before || p.freeUrgentSlots-before+after >= p.Policy.UrgentSlots {
-			return n
-		}
-	}
-	return 0
+	return max(p.leaveHeadroom(d, h, n), 0)
 }
 
 // quotaAllows reports whether the customer may run the given number of
--- a/internal/scheduler/plan_test.go
+++ b/internal/scheduler/plan_test.go
@@ -113,7 +113,7 @@
 		"capacity kept for urgent tasks": {func() (*Snapshot, *workload.StepRun) {
 			s := newSteps("a", "c", workload.Step{Count: 9, Size: cores(4)})[0]
 			snap := snapshot(2, demand(s))
-			snap.Policy.UrgentSize, snap.Policy.UrgentSlots = cores(4), 2
+			snap.Policy.Headrooms = []Headroom{{Pool: "p", Size: cores(4), Slots: 2}}
 			return snap, s
 		}, 6},
 		"urgent tasks use the capacity kept for them": {func() (*Snapshot, *workload.StepRun) {
@@ -121,7 +121,7 @@
 			d := demand(s)
 			d.Urgent, d.Priority = true, 0
 			snap := snapshot(2, d)
-			snap.Policy.UrgentSize, snap.Policy.UrgentSlots = cores(4), 2
+			snap.Policy.Headrooms = []Headroom{{Pool: "p", Size: cores(4), Slots: 2}}
 			return snap, s
 		}, 8},
 		"nothing starts without a permit": {func() (*Snapshot, *workload.StepRun) {
@@ -203,7 +203,7 @@
 			demands = append(demands, d)
 		}
 		snap := snapshot(rapid.IntRange(1, 6).Draw(t, "hosts"), demands...)
-		snap.Policy.UrgentSize, snap.Policy.UrgentSlots = cores(2), rapid.IntRange(0, 10).Draw(t, "places")
+		snap.Policy.Headrooms = []Headroom{{Pool: "p", Size: cores(2), Slots: rapid.IntRange(0, 10).Draw(t, "places")}}
 		snap.WithinQuota = func(_ string, size resource.Vector) bool { return size.MilliCores <= limit*1000 }
 		for _, d := range demands {
 			if !rapid.Bool().Draw(t, "asks") {
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -80,7 +80,8 @@
 // makeRoom stops runs so that a demand gets room, unless it gets it in time without.
 func (p *preemptor) makeRoom(d *Demand) {
 	n := p.tasksWithinQuota(d)
-	if n == 0 || !d.Urgent && !p.hasRoomForUrgent(d.Pool) {
+	// Otherwise the room of the stopped runs would become the headroom that is missing.
+	if n == 0 || !d.Urgent && !p.headroomIsFree(d.Pool) {
 		return
 	}
 	known := p.hostsFor(d)
@@ -89,7 +90,7 @@
 	for i, h := range known {
 		timelines[i] = p.hostOf(h).timeline
 		timelines[i].MaxTasks = d.mostOn(h, n)
-		if !d.Urgent && p.limitForUrgent(d, h, 1) == 0 {
+		if p.leaveHeadroom(d, h, 1) == 0 {
 			timelines[i].Free = timelines[i].Free.Min(resource.Vector{})
 		}
 	}
@@ -117,12 +118,6 @@
 	return sort.Search(d.starving, func(n int) bool { return !p.quotaAllows(d, n+1) })
 }
 
-// hasRoomForUrgent reports whether the capacity kept for urgent tasks is free. Otherwise the
-// room of stopped runs would become that capacity.
-func (p *preemptor) hasRoomForUrgent(pool string) bool {
-	return p.freeUrgentSlots >= p.Policy.UrgentSlots && p.Policy.UrgentSize.Scale(int64(p.Policy.UrgentSlots)).Fits(p.poolFree[pool])
-}
-
 // hostsFor returns the hosts that may run a demand's tasks now, as far as is known.
 func (p *preemptor) hostsFor(d *Demand) []*Host {
 	known := p.knownEligible(d)
--- a/internal/scheduler/preempt_test.go
+++ b/internal/scheduler/preempt_test.go
@@ -78,7 +78,7 @@
 		"turned off":                 {urgentDemand("u", 3), func(s *Snapshot, _ *Demand) { fill(s, long, 2); s.Victims = nil }, 0},
 		"no room for it, but headroom": {gang(3), func(s *Snapshot, _ *Demand) {
 			fill(s, long, 2)
-			s.Policy.UrgentSize, s.Policy.UrgentSlots = cores(1), 2
+			s.Policy.Headrooms = []Headroom{{Pool: "p", Size: cores(1), Slots: 2}}
 		}, 0},
 		"within the quota": {urgentDemand("u", 3), func(s *Snapshot, _ *Demand) {
 			fill(s, long, 2)
--- a/internal/scheduler/snapshot.go
+++ b/internal/scheduler/snapshot.go
@@ -49,10 +49,8 @@
 
 // Policy holds the parameters of the scheduling rules.
 type Policy struct {
-	// UrgentSize is the size of a typical urgent task. UrgentSlots is the
-	// number of such tasks for which capacity is kept free of other work.
-	UrgentSize  resource.Vector
-	UrgentSlots int
+	// Headrooms are what is kept free for urgent work.
+	Headrooms []Headroom
 	// FarFactor is the factor by which a task runs longer away from its data or
 	// from the rack of its gang.
 	FarFactor float64
@@ -82,6 +80,8 @@
 	GangWaiting bool
 	// Releases are the expected ends of the host's runs.
 	Releases []Release
+	// headrooms are those that are kept on the host.
+	headrooms []*keptHeadroom
 }
 
 // Release is capacity that is expected to become free.
--- a/internal/scheduler/yield.go
+++ b/internal/scheduler/yield.go
@@ -49,8 +49,7 @@
 	if len(p.owed) == 0 || d.Urgent || d.Step.Spec.LongRunning || p.mustStart(d) {
 		return false
 	}
-	headroom := p.Policy.UrgentSize.Scale(int64(p.Policy.UrgentSlots))
-	return p.owed.Yields(d.Pool, d.Priority, d.Step.Spec.Charge(), p.poolFree[d.Pool], headroom)
+	return p.owed.Yields(d.Pool, d.Priority, d.Step.Spec.Charge(), p.poolFree[d.Pool], p.headroomOf(d.Pool))
 }
 
 // noteYielding records that a step waits for gangs of a better priority.
