A gang reserves only room in which it may start

A gang that may not start, as less than the room for urgent work would be left, reserved that same room: the search for a reservation didn't know of the headroom. Tasks that last passed for ones about to end, on which a second gang reserved.

Change: a reservation holds the placements that the gang gets after the fewest expected ends with the headroom charged; a gang that lacks nothing but the headroom reserves nothing and isn't yielded to. Tasks that last have no expected end until they are stopped.

--- a/internal/controller/headroom_test.go
+++ b/internal/controller/headroom_test.go
@@ -71,3 +71,33 @@
 		})
 	}
 }
+
+// TestGangLeavesRoomThatItMayNotUse guards against a gang that may not start beside the
+// headroom and reserves the free room all the same: what comes after it in the order would
+// wait for good, with half of the cores free. Tasks that last have no end to wait for.
+func TestGangLeavesRoomThatItMayNotUse(t *testing.T) {
+	for name, gangs := range map[string]int{"one gang": 1, "two gangs": 2} {
+		t.Run(name, func(t *testing.T) {
+			w := newTwoPoolWorld(t, 8, 0)
+			lasting := workload.Step{Count: 39, Size: resource.Vector{MilliCores: 1000, MemoryMB: 64}, Estimate: time.Second, LongRunning: true}
+			w.submit("a000000000000001", "c2", workload.Spec{Steps: []workload.Step{lasting}})
+			w.submitUrgentTraffic(20 * time.Second)
+			w.run(22 * time.Second)
+			for i := range gangs {
+				w.submit(workload.ID(fmt.Sprintf("c%015x", i)), "c2", workload.Spec{Steps: []workload.Step{{
+					Count: 37, Size: resource.Vector{MilliCores: 1000, MemoryMB: 64}, Estimate: 8 * time.Second, Gang: true,
+				}}})
+			}
+			small := workload.Spec{Steps: []workload.Step{{Count: 1, Size: resource.Vector{MilliCores: 5000, MemoryMB: 64}, Estimate: time.Second}}}
+			for i := range 6 {
+				w.after(time.Duration(i)*200*time.Millisecond, func() { w.submit(workload.ID(fmt.Sprintf("b%015x", i)), "c2", small) })
+			}
+			w.run(39 * time.Second)
+			for i := range 6 {
+				if id := workload.ID(fmt.Sprintf("b%015x", i)); !w.jobs[id].begun {
+					t.Errorf("the small job %s hasn't begun after 16 s, with 39 of 80 cores in use", id)
+				}
+			}
+		})
+	}
+}
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -137,7 +137,9 @@
 		}
 		first := len(releases)
 		for _, r := range e.Runs() {
-			releases = append(releases, scheduler.Release{At: r.ExpectedEnd, Size: r.Charge})
+			if willEnd(r) {
+				releases = append(releases, scheduler.Release{At: r.ExpectedEnd, Size: r.Charge})
+			}
 		}
 		storage = append(storage, scheduler.Host{Endpoint: e, Free: e.Free(), GangWaiting: c.wanted[e], Releases: releases[first:len(releases):len(releases)]})
 		hosts = append(hosts, &storage[len(storage)-1])
@@ -145,6 +147,12 @@
 	return hosts
 }
 
+// willEnd reports whether a run has an end to expect: a task that lasts has one only while
+// it is being stopped.
+func willEnd(r *fleet.Run) bool {
+	return r.Step == nil || !r.Step.Spec.LongRunning || r.Phase == fleet.PhaseStopping
+}
+
 // demand builds the scheduler's input for a step. It returns nil if none of the
 // step's tasks waits, its queue is not configured, its starts are paused or the
 // registered endpoints could not run it.
--- a/internal/scheduler/full.go
+++ b/internal/scheduler/full.go
@@ -15,6 +15,14 @@
 type hostClass struct {
 	pool, label string
 	urgent      bool
+	// headroom is set if the headroom may be used as well.
+	headroom bool
+}
+
+// withHeadroom returns the class of the same hosts with their headroom.
+func (c hostClass) withHeadroom() hostClass {
+	c.headroom = true
+	return c
 }
 
 // needed is a number of tasks of one size.
@@ -33,9 +41,9 @@
 	return hostClass{pool: d.Pool, label: d.Step.Spec.RequiredLabel, urgent: d.Urgent}
 }
 
-// add records that no room was found for a number of a demand's tasks.
-func (f fullHosts) add(d *Demand, tasks int) {
-	class, n := classOf(d), needed{size: d.Step.Spec.Charge(), tasks: tasks}
+// add records that a class of hosts has no room for a number of a demand's tasks.
+func (f fullHosts) add(class hostClass, d *Demand, tasks int) {
+	n := needed{size: d.Step.Spec.Charge(), tasks: tasks}
 	entries := slices.DeleteFunc(f[class], n.covers)
 	if len(entries) == maxRemembered {
 		entries = entries[1:]
@@ -45,9 +53,16 @@
 
 // includes reports whether there is certainly no room for a number of a demand's tasks.
 // Starts since the search have only taken room.
-func (f fullHosts) includes(d *Demand, tasks int) bool {
+func (f fullHosts) includes(d *Demand, tasks int) bool { return f.has(classOf(d), d, tasks) }
+
+// includesBesidesHeadroom reports the same if the headroom could be used as well.
+func (f fullHosts) includesBesidesHeadroom(d *Demand, tasks int) bool {
+	return f.has(classOf(d).withHeadroom(), d, tasks)
+}
+
+func (f fullHosts) has(class hostClass, d *Demand, tasks int) bool {
 	n := needed{size: d.Step.Spec.Charge(), tasks: tasks}
-	return slices.ContainsFunc(f[classOf(d)], func(o needed) bool { return o.covers(n) })
+	return slices.ContainsFunc(f[class], func(o needed) bool { return o.covers(n) })
 }
 
 // rememberFullHosts records that no host has room for a task of a demand, if that is so.
@@ -59,7 +74,7 @@
 			return
 		}
 	}
-	p.full.add(d, 1)
+	p.full.add(classOf(d), d, 1)
 }
 
 // holdsCapacity reports whether capacity is held for a demand.
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -24,7 +24,9 @@
 	}
 	if !d.holdsCapacity() && !p.mayReserve(d) && p.full.includes(d, n) {
 		p.plan.Blocked++
-		p.noteOwed(d, n)
+		if p.full.includesBesidesHeadroom(d, n) {
+			p.noteOwed(d, n)
+		}
 		if p.gangQuestionsLeft(d) > 0 {
 			p.failedSearches++
 		}
@@ -36,13 +38,21 @@
 	if placements == nil {
 		p.plan.Blocked++
 		p.failedSearches++
+		lacksRoom := !p.lacksOnlyHeadroom(d, known, n)
 		if d.Eligibility == nil && d.Step.Spec.MaxPerEndpoint == 0 && (!d.Step.Spec.SameRack || p.rackWaitOver(d)) {
-			p.full.add(d, n)
+			p.full.add(classOf(d), d, n)
+			if lacksRoom {
+				p.full.add(classOf(d).withHeadroom(), d, n)
+			}
 		}
 		p.rechargeHeldTasks(d)
-		p.noteOwed(d, n)
+		if lacksRoom {
+			p.noteOwed(d, n)
+		}
 		p.askOrStarve(d, n)
-		p.reserve(d, known, n)
+		if lacksRoom {
+			p.reserve(d, known, n)
+		}
 		return
 	}
 	if !p.allPermitted(d, placements) {
@@ -197,6 +207,34 @@
 	return p.reservations < p.Policy.MaxReservations && !d.Excess
 }
 
+// lacksOnlyHeadroom reports whether hosts have room for n tasks of a gang, which only the
+// headroom keeps from it. Such a gang neither reserves capacity nor has others wait for it:
+// what is kept for urgent work would be kept a second time.
+func (p *planner) lacksOnlyHeadroom(d *Demand, hosts []*Host, n int) bool {
+	if d.Urgent {
+		return false
+	}
+	return d.slotsIn(hosts, n, func(h *Host) resource.Vector { return h.available(d) }) >= n && p.fillHosts(d, hosts, n) == nil
+}
+
+// slotsIn returns how many of n tasks of a gang have room on hosts with the given room.
+func (d *Demand) slotsIn(hosts []*Host, n int, room func(*Host) resource.Vector) int {
+	total := 0
+	for _, h := range hosts {
+		total += d.slotsInRoom(room(h), n)
+	}
+	return total
+}
+
+// slotsInRoom returns how many of n tasks of a gang have the given room on one host.
+func (d *Demand) slotsInRoom(room resource.Vector, n int) int {
+	k := int(d.Step.Spec.Charge().Copies(room, int64(n)))
+	if limit := d.Step.Spec.MaxPerEndpoint; limit > 0 {
+		k = min(k, limit)
+	}
+	return k
+}
+
 // reserve reserves the capacity on which a blocked gang is expected to start
 // earliest. Otherwise lower-ranked small tasks would take each gap as it
 // appears.
@@ -204,50 +242,94 @@
 	if !p.mayReserve(d) {
 		return
 	}
-	type event struct {
-		at   time.Duration
-		host int
-		size resource.Vector
+	releases := releasesInOrder(hosts)
+	for _, pl := range p.earliestPlacements(d, hosts, releases, n) {
+		pl.host.Reserved = pl.host.Reserved.Add(d.Step.Spec.Charge().Scale(int64(pl.tasks)))
+		p.plan.GangWaiting[pl.host.Endpoint] = true
+	}
+}
+
+// earliestPlacements returns the placements of n tasks of a gang after the fewest releases
+// with which it may start and the headroom stays, and counts them as a reservation. It
+// returns nil if there are none.
+func (p *planner) earliestPlacements(d *Demand, hosts []*Host, releases []hostRelease, n int) []placement {
+	first := d.releasesNeeded(hosts, releases, n)
+	if first < 0 {
+		return nil
 	}
-	var events []event
+	placements := p.placementsAfter(d, hosts, releases[:first], n)
+	if placements == nil {
+		if p.placementsAfter(d, hosts, releases, n) == nil {
+			return nil
+		}
+		more := sort.Search(len(releases)-first, func(i int) bool {
+			return p.placementsAfter(d, hosts, releases[:first+i], n) != nil
+		})
+		placements = p.placementsAfter(d, hosts, releases[:first+more], n)
+	}
+	p.reservations++
+	return placements
+}
+
+// hostRelease is capacity that is expected to become free on the host with an index.
+type hostRelease struct {
+	Release
+	host int
+}
+
+// releasesInOrder returns the expected ends on hosts in order of time.
+func releasesInOrder(hosts []*Host) []hostRelease {
+	var releases []hostRelease
 	for i, h := range hosts {
 		for _, r := range h.Releases {
-			events = append(events, event{at: r.At, host: i, size: r.Size})
+			releases = append(releases, hostRelease{Release: r, host: i})
 		}
 	}
-	sort.SliceStable(events, func(i, k int) bool { return events[i].at < events[k].at })
-	capacity := make([]resource.Vector, len(hosts))
-	slots := make([]int, len(hosts))
-	total := 0
+	sort.SliceStable(releases, func(i, k int) bool { return releases[i].At < releases[k].At })
+	return releases
+}
+
+// releasesNeeded returns after how many releases hosts have room for n tasks of a gang,
+// headroom or not; -1 if they never have.
+func (d *Demand) releasesNeeded(hosts []*Host, releases []hostRelease, n int) int {
+	room, slots, total := make([]resource.Vector, len(hosts)), make([]int, len(hosts)), 0
 	recount := func(i int) {
-		k := int(d.Step.Spec.Charge().Copies(capacity[i], int64(n)))
-		if limit := d.Step.Spec.MaxPerEndpoint; limit > 0 {
-			k = min(k, limit)
-		}
+		k := d.slotsInRoom(room[i], n)
 		total += k - slots[i]
 		slots[i] = k
 	}
 	for i, h := range hosts {
-		capacity[i] = h.available(d)
+		room[i] = h.available(d)
 		recount(i)
 	}
-	for _, e := range events {
+	for i, r := range releases {
 		if total >= n {
-			break
+			return i
 		}
-		capacity[e.host] = capacity[e.host].Add(e.size)
-		recount(e.host)
+		room[r.host] = room[r.host].Add(r.Size)
+		recount(r.host)
 	}
 	if total < n {
-		return
+		return -1
 	}
-	p.reservations++
-	left := n
-	for i, h := range hosts {
-		if k := min(slots[i], left); k > 0 {
-			h.Reserved = h.Reserved.Add(d.Step.Spec.Charge().Scale(int64(k)))
-			p.plan.GangWaiting[h.Endpoint] = true
-			left -= k
+	return len(releases)
+}
+
+// placementsAfter returns the placements of n tasks of a gang once the releases have
+// happened, or nil.
+func (p *planner) placementsAfter(d *Demand, hosts []*Host, releases []hostRelease, n int) []placement {
+	released := make([]resource.Vector, len(hosts))
+	for _, r := range releases {
+		released[r.host] = released[r.host].Add(r.Size)
+	}
+	charge := func(sign int64) {
+		for i, size := range released {
+			if size != (resource.Vector{}) {
+				p.charge(hosts[i], size.Scale(sign))
+			}
 		}
 	}
+	charge(-1)
+	defer charge(1)
+	return p.fillHosts(d, hosts, n)
 }
