Room that is kept for other work has a bound in time

The headroom is kept for as long as urgent tasks run, it counted urgent tasks that last as if they came in bursts, and nothing let work through that had waited for it.

Tasks that last don't count for the headroom.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -221,6 +221,12 @@
 	// it must be recomputed.
 	waiting      []int
 	waitingStale bool
+	// atWork is the number of tasks that occupy an endpoint, as of the last time that
+	// waiting was computed. waitingSince is since when plans have found waiting tasks, 0 if
+	// the last one found none, and lastEnd when a run last ended.
+	atWork       int
+	waitingSince time.Duration
+	lastEnd      time.Duration
 	// yielding is set once the step has waited for gangs of a better priority.
 	yielding bool
 	// preempted counts how often each task was stopped for more urgent work.
--- a/internal/controller/headroom.go
+++ b/internal/controller/headroom.go
@@ -47,8 +47,15 @@
 	averageRunning float64
 }
 
+// comesInBursts reports whether tasks of a step count for the room that is kept for bursts.
+// Tasks that last come once and stay.
+func comesInBursts(spec *workload.Step) bool { return !spec.LongRunning }
+
 // noteUrgentTask adds an urgent task that starts to the load of its class.
 func (c *Core) noteUrgentTask(pool string, spec *workload.Step) {
+	if !comesInBursts(spec) {
+		return
+	}
 	class := urgentClass{pool: pool, label: spec.RequiredLabel}
 	if c.urgent[class] == nil {
 		c.urgent[class] = &urgentLoad{}
@@ -105,7 +112,7 @@
 	running := make(map[urgentClass]int)
 	for _, e := range c.fleet.Endpoints() {
 		for _, r := range e.Runs() {
-			if r.Priority == 0 && r.Step != nil {
+			if r.Priority == 0 && r.Step != nil && comesInBursts(r.Step.Spec) {
 				running[urgentClass{pool: e.Pool, label: r.Step.Spec.RequiredLabel}]++
 			}
 		}
--- a/internal/controller/headroom_test.go
+++ b/internal/controller/headroom_test.go
@@ -101,3 +101,69 @@
 		})
 	}
 }
+
+// TestLastingTasksRestartBesideUrgentWork guards against tasks that last and fail while the
+// only free room is kept for urgent work: it has no bound in time, and they serve somebody.
+func TestLastingTasksRestartBesideUrgentWork(t *testing.T) {
+	for _, count := range []int{1, 3} {
+		t.Run(fmt.Sprintf("%d tasks", count), func(t *testing.T) {
+			w := newTwoPoolWorld(t, 8, 0)
+			one := workload.Step{Count: count, Size: resource.Vector{MilliCores: 1000, MemoryMB: 64}, Estimate: time.Second, LongRunning: true}
+			w.submit("b000000000000001", "c2", workload.Spec{Steps: []workload.Step{one}})
+			long := workload.Step{Count: 56, Size: resource.Vector{MilliCores: 1000, MemoryMB: 64}, Estimate: 40 * time.Second}
+			w.submit("a000000000000001", "c2", workload.Spec{Steps: []workload.Step{long}})
+			w.submitUrgentTraffic(35 * time.Second)
+			w.run(18 * time.Second)
+			atWork := func() (n int) {
+				for _, id := range w.ids() {
+					for key := range w.endpoints[id].running {
+						if key.Task.Job == "b000000000000001" {
+							n++
+						}
+					}
+				}
+				return n
+			}
+			if n := atWork(); n != count {
+				t.Fatalf("%d tasks are at work before the failure, want %d", n, count)
+			}
+			for _, id := range w.ids() {
+				for _, r := range w.endpoints[id].sorted() {
+					if r.key.Task.Job == "b000000000000001" {
+						w.endRun(w.endpoints[id], r, workload.EndFailed)
+					}
+				}
+			}
+			w.run(22 * time.Second)
+			if n := atWork(); n != count {
+				t.Errorf("%d of %d tasks that last are at work 4 s after they failed", n, count)
+			}
+		})
+	}
+}
+
+// TestRoomIsKeptForAWhile guards against work that waits for as long as urgent tasks do, in
+// a pool that has room for it: a job of single tasks and a gang.
+func TestRoomIsKeptForAWhile(t *testing.T) {
+	step := workload.Step{Count: 2, Size: resource.Vector{MilliCores: 4000, MemoryMB: 64}, Estimate: time.Second}
+	gang := step
+	gang.Gang = true
+	for id, step := range map[workload.ID]workload.Step{"b000000000000001": step, "c000000000000001": gang} {
+		t.Run(string(id), func(t *testing.T) {
+			w := newTwoPoolWorld(t, 8, 0)
+			long := workload.Step{Count: 56, Size: resource.Vector{MilliCores: 1000, MemoryMB: 64}, Estimate: 80 * time.Second}
+			w.submit("a000000000000001", "c2", workload.Spec{Steps: []workload.Step{long}})
+			w.submitUrgentTraffic(35 * time.Second)
+			w.run(15 * time.Second)
+			w.submit(id, "c2", workload.Spec{Steps: []workload.Step{step}})
+			w.run(17 * time.Second)
+			if w.jobs[id].begun {
+				t.Error("the job has begun at once, in room that is kept for urgent work")
+			}
+			w.run(29 * time.Second)
+			if !w.jobs[id].begun {
+				t.Error("the job hasn't begun after 14 s, with room for it twice over")
+			}
+		})
+	}
+}
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -159,8 +159,12 @@
 func (c *Core) demand(now clock.Instant, e *stepEntry) *scheduler.Demand {
 	waiting := c.waitingTasks(e)
 	if len(waiting) == 0 {
+		e.waitingSince = 0
 		return nil
 	}
+	if e.waitingSince == 0 {
+		e.waitingSince = now.Steady
+	}
 	q := c.catalog.Queue(e.jobEntry.job.Queue)
 	if q == nil || now.Steady < e.placeAfter || !c.couldRun(e, q) {
 		return nil
@@ -174,6 +178,8 @@
 		Excess:      e.jobEntry.job.Excess,
 		LatestStart: e.latestStart,
 		ReadyAt:     e.since,
+		Idle:        e.step.Spec.LongRunning || e.atWork == 0,
+		IdleSince:   e.idleSince(),
 		Duration:    c.runTimeOf(e.step),
 		Eligibility: c.eligibilityOf(now, e, q),
 	}
@@ -217,9 +223,12 @@
 		return e.waiting
 	}
 	e.waitingStale = false
-	e.waiting = e.waiting[:0]
+	e.waiting, e.atWork = e.waiting[:0], 0
 	for i := range e.step.Tasks {
-		if e.step.Pending(i) && len(c.fleet.RunsOf(e.step.ID(i))) == 0 {
+		switch {
+		case len(c.fleet.RunsOf(e.step.ID(i))) > 0:
+			e.atWork++
+		case e.step.Pending(i):
 			e.waiting = append(e.waiting, i)
 		}
 	}
@@ -229,6 +238,15 @@
 	return e.waiting
 }
 
+// idleSince returns since when a step with waiting tasks has none at work or, if its tasks
+// last, since when some wait.
+func (se *stepEntry) idleSince() time.Duration {
+	if se.step.Spec.LongRunning {
+		return se.waitingSince
+	}
+	return max(se.since, se.lastEnd)
+}
+
 // runsPerEndpoint counts the runs of a step by endpoint id.
 func (c *Core) runsPerEndpoint(e *stepEntry) map[string]int {
 	counts := make(map[string]int)
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -389,6 +389,10 @@
 	}
 	entry := c.jobs[r.Task.Job]
 	s := r.Step
+	se := c.steps[s]
+	if se != nil {
+		se.waitingStale, se.lastEnd = true, now.Steady
+	}
 	c.recordOutcome(now, r, end)
 	if !s.FinishRun(r.Index(), r.Number, end, checkpoint, c.maxAttempts(s), now.Wall) {
 		return
@@ -398,11 +402,8 @@
 		c.batch.addProgress(entry)
 	}
 	c.log.Info("run ended", "task", r.Task, "run", r.Number, "endpoint", e.ID, "end", end, "ran", runDuration(now, r))
-	if se := c.steps[s]; se != nil {
-		se.waitingStale = true
-		if end == workload.EndFailed {
-			se.recordFailure(r.Index(), e.ID)
-		}
+	if se != nil && end == workload.EndFailed {
+		se.recordFailure(r.Index(), e.ID)
 	}
 	c.handleRunEnd(now, entry, r, end)
 }
--- a/internal/scheduler/full.go
+++ b/internal/scheduler/full.go
@@ -10,13 +10,11 @@
 // room on them. The plan need not search for work that needs as much or more.
 type fullHosts map[hostClass][]needed
 
-// hostClass selects the hosts with a pool and a label, and what urgent or other work
-// may use of them.
+// hostClass selects the hosts with a pool and a label, and what may be used of them.
 type hostClass struct {
 	pool, label string
-	urgent      bool
-	// headroom is set if the headroom may be used as well.
-	headroom bool
+	// headroom is set if the headroom may be used, all if reserved room may be, too.
+	headroom, all bool
 }
 
 // withHeadroom returns the class of the same hosts with their headroom.
@@ -37,8 +35,8 @@
 // maxRemembered bounds the entries of a class.
 const maxRemembered = 8
 
-func classOf(d *Demand) hostClass {
-	return hostClass{pool: d.Pool, label: d.Step.Spec.RequiredLabel, urgent: d.Urgent}
+func (p *planner) classOf(d *Demand) hostClass {
+	return hostClass{pool: d.Pool, label: d.Step.Spec.RequiredLabel, all: p.mayUseAll(d), headroom: p.mayUseHeadroom(d)}
 }
 
 // add records that a class of hosts has no room for a number of a demand's tasks.
@@ -51,16 +49,9 @@
 	f[class] = append(entries, n)
 }
 
-// includes reports whether there is certainly no room for a number of a demand's tasks.
+// includes reports whether a class certainly has no room for a number of a demand's tasks.
 // Starts since the search have only taken room.
-func (f fullHosts) includes(d *Demand, tasks int) bool { return f.has(classOf(d), d, tasks) }
-
-// includesBesidesHeadroom reports the same if the headroom could be used as well.
-func (f fullHosts) includesBesidesHeadroom(d *Demand, tasks int) bool {
-	return f.has(classOf(d).withHeadroom(), d, tasks)
-}
-
-func (f fullHosts) has(class hostClass, d *Demand, tasks int) bool {
+func (f fullHosts) includes(class hostClass, d *Demand, tasks int) bool {
 	n := needed{size: d.Step.Spec.Charge(), tasks: tasks}
 	return slices.ContainsFunc(f[class], func(o needed) bool { return o.covers(n) })
 }
@@ -70,11 +61,11 @@
 // tasks it has at work.
 func (p *planner) rememberFullHosts(d *Demand) {
 	for _, h := range p.Hosts {
-		if p.suits(d, h.Endpoint) && d.Step.Spec.Charge().Copies(h.available(d), 1) > 0 && p.leaveHeadroom(d, h, 1) > 0 {
+		if p.suits(d, h.Endpoint) && d.Step.Spec.Charge().Copies(p.available(d, h), 1) > 0 && p.leaveHeadroom(d, h, 1) > 0 {
 			return
 		}
 	}
-	p.full.add(classOf(d), d, 1)
+	p.full.add(p.classOf(d), d, 1)
 }
 
 // holdsCapacity reports whether capacity is held for a demand.
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -22,9 +22,9 @@
 		p.rechargeHeldTasks(d)
 		return
 	}
-	if !d.holdsCapacity() && !p.mayReserve(d) && p.full.includes(d, n) {
+	if !d.holdsCapacity() && !p.mayReserve(d) && p.full.includes(p.classOf(d), d, n) {
 		p.plan.Blocked++
-		if p.full.includesBesidesHeadroom(d, n) {
+		if p.full.includes(p.classOf(d).withHeadroom(), d, n) {
 			p.noteOwed(d, n)
 		}
 		if p.gangQuestionsLeft(d) > 0 {
@@ -40,9 +40,9 @@
 		p.failedSearches++
 		lacksRoom := !p.lacksOnlyHeadroom(d, known, n)
 		if d.Eligibility == nil && d.Step.Spec.MaxPerEndpoint == 0 && (!d.Step.Spec.SameRack || p.rackWaitOver(d)) {
-			p.full.add(classOf(d), d, n)
+			p.full.add(p.classOf(d), d, n)
 			if lacksRoom {
-				p.full.add(classOf(d).withHeadroom(), d, n)
+				p.full.add(p.classOf(d).withHeadroom(), d, n)
 			}
 		}
 		p.rechargeHeldTasks(d)
@@ -211,10 +211,10 @@
 // headroom keeps from it. Such a gang neither reserves capacity nor has others wait for it:
 // what is kept for urgent work would be kept a second time.
 func (p *planner) lacksOnlyHeadroom(d *Demand, hosts []*Host, n int) bool {
-	if d.Urgent {
+	if p.mayUseHeadroom(d) {
 		return false
 	}
-	return d.slotsIn(hosts, n, func(h *Host) resource.Vector { return h.available(d) }) >= n && p.fillHosts(d, hosts, n) == nil
+	return d.slotsIn(hosts, n, func(h *Host) resource.Vector { return p.available(d, h) }) >= n && p.fillHosts(d, hosts, n) == nil
 }
 
 // slotsIn returns how many of n tasks of a gang have room on hosts with the given room.
@@ -253,7 +253,7 @@
 // with which it may start and the headroom stays, and counts them as a reservation. It
 // returns nil if there are none.
 func (p *planner) earliestPlacements(d *Demand, hosts []*Host, releases []hostRelease, n int) []placement {
-	first := d.releasesNeeded(hosts, releases, n)
+	first := p.releasesNeeded(d, hosts, releases, n)
 	if first < 0 {
 		return nil
 	}
@@ -291,7 +291,7 @@
 
 // releasesNeeded returns after how many releases hosts have room for n tasks of a gang,
 // headroom or not; -1 if they never have.
-func (d *Demand) releasesNeeded(hosts []*Host, releases []hostRelease, n int) int {
+func (p *planner) releasesNeeded(d *Demand, hosts []*Host, releases []hostRelease, n int) int {
 	room, slots, total := make([]resource.Vector, len(hosts)), make([]int, len(hosts)), 0
 	recount := func(i int) {
 		k := d.slotsInRoom(room[i], n)
@@ -299,7 +299,7 @@
 		slots[i] = k
 	}
 	for i, h := range hosts {
-		room[i] = h.available(d)
+		room[i] = p.available(d, h)
 		recount(i)
 	}
 	for i, r := range releases {
--- a/internal/scheduler/hosts.go
+++ b/internal/scheduler/hosts.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/bluebellstile/bluebellstile/internal/fleet"
-	"github.com/bluebellstile/bluebellstile/internal/resource"
 )
 
 // hostRank is a host with its place in the orders that urgent and other work prefers.
@@ -15,14 +14,6 @@
 	urgent, nonUrgent int
 }
 
-// available returns the capacity of a host that a demand may use.
-func (h *Host) available(d *Demand) resource.Vector {
-	if d.Urgent {
-		return h.Free
-	}
-	return h.Free.Sub(h.Reserved)
-}
-
 // candidates returns the hosts that may run the demand's tasks as far as is
 // known, in order of preference. Hosts in the preferred rack come first.
 func (p *planner) candidates(d *Demand) []*Host {
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -19,8 +19,8 @@
 	headrooms []*keptHeadroom
 	// reservations counts the gangs that have reserved capacity in this plan.
 	reservations int
-	// poolFree is the unused part of each pool.
-	poolFree map[string]resource.Vector
+	// pools holds the room of each pool with hosts or demands.
+	pools map[string]*poolRoom
 	// owed is what gangs need that have no room yet.
 	owed precedence.Owed
 	// failedSearches counts the demands for which all hosts were searched
@@ -53,12 +53,10 @@
 func MakePlan(s *Snapshot) Plan {
 	p := &planner{
 		Snapshot: s, allocated: make(map[string]resource.Vector), full: make(fullHosts),
-		poolFree: make(map[string]resource.Vector), owed: make(precedence.Owed),
+		pools: make(map[string]*poolRoom), owed: make(precedence.Owed),
 	}
 	p.plan.GangWaiting = make(map[*fleet.Endpoint]bool)
-	for _, h := range s.Hosts {
-		p.poolFree[h.Endpoint.Pool] = p.poolFree[h.Endpoint.Pool].Add(h.Free)
-	}
+	p.countPools()
 	p.keepHeadrooms()
 	p.chargeHeldTasks()
 	p.urgentHosts = sortedByScore(s.Hosts, urgentScore)
@@ -69,6 +67,27 @@
 	return p.plan
 }
 
+// poolRoom is the capacity of a pool's hosts and the unused part of it.
+type poolRoom struct{ capacity, free resource.Vector }
+
+// countPools sets the room of the pools, and the pool of each host and demand.
+func (p *planner) countPools() {
+	room := func(pool string) *poolRoom {
+		if p.pools[pool] == nil {
+			p.pools[pool] = &poolRoom{}
+		}
+		return p.pools[pool]
+	}
+	for _, h := range p.Hosts {
+		h.pool = room(h.Endpoint.Pool)
+		h.pool.capacity = h.pool.capacity.Add(h.Endpoint.Capacity)
+		h.pool.free = h.pool.free.Add(h.Free)
+	}
+	for _, d := range p.Demands {
+		d.pool = room(d.Pool)
+	}
+}
+
 // placeInOrder places demands in scheduling order until maxFailedInOrder searches have
 // failed, and returns the demands that are left.
 func (p *planner) placeInOrder(ordered []*Demand) []*Demand {
@@ -101,6 +120,8 @@
 
 // place starts the tasks of a demand as far as possible.
 func (p *planner) place(d *Demand) {
+	// A gang must not lose the room while it is searched for.
+	d.poolMostlyFree = d.pool.isMostlyFree()
 	if d.Step.Spec.Gang {
 		p.placeGang(d)
 	} else {
@@ -142,7 +163,7 @@
 // slots returns how many tasks of a demand fit on a host, at most limit.
 func (p *planner) slots(d *Demand, h *Host, limit int) int {
 	spec := d.Step.Spec
-	n := int(spec.Charge().Copies(h.available(d), int64(limit)))
+	n := int(spec.Charge().Copies(p.available(d, h), int64(limit)))
 	if spec.MaxPerEndpoint > 0 {
 		n = min(n, spec.MaxPerEndpoint-d.Occupied[h.Endpoint.ID])
 	}
@@ -173,6 +194,7 @@
 // start adds a start to the plan and accounts for its capacity.
 func (p *planner) start(d *Demand, task int, h *Host, permit string) {
 	spec := d.Step.Spec
+	d.started++
 	p.charge(h, spec.Charge())
 	customer := d.Step.Job.Customer
 	p.allocated[customer] = p.allocated[customer].Add(spec.Size)
@@ -209,7 +231,7 @@
 		p.plan.Blocked++
 		return
 	}
-	if !d.holdsCapacity() && p.quotaAllows(d, 1) && p.full.includes(d, 1) {
+	if !d.holdsCapacity() && p.quotaAllows(d, 1) && p.full.includes(p.classOf(d), d, 1) {
 		p.plan.Blocked++
 		p.noteStarved(d, len(d.Tasks))
 		return
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -81,7 +81,7 @@
 func (p *preemptor) makeRoom(d *Demand) {
 	n := p.tasksWithinQuota(d)
 	// Otherwise the room of the stopped runs would become the headroom that is missing.
-	if n == 0 || !d.Urgent && !p.headroomIsFree(d.Pool) {
+	if n == 0 || !d.Urgent && !p.headroomIsFree(d) {
 		return
 	}
 	known := p.hostsFor(d)
--- a/internal/scheduler/snapshot.go
+++ b/internal/scheduler/snapshot.go
@@ -80,8 +80,9 @@
 	GangWaiting bool
 	// Releases are the expected ends of the host's runs.
 	Releases []Release
-	// headrooms are those that are kept on the host.
+	// headrooms are those that are kept on the host, pool is the room of its pool.
 	headrooms []*keptHeadroom
+	pool      *poolRoom
 }
 
 // Release is capacity that is expected to become free.
@@ -103,6 +104,10 @@
 	LatestStart time.Duration
 	// ReadyAt is when the step became ready.
 	ReadyAt time.Duration
+	// Idle is set if no task of the step is at work, or if the tasks last and some wait.
+	// IdleSince is since when.
+	Idle      bool
+	IdleSince time.Duration
 	// Duration is how long a task is expected to run at the usual speed.
 	Duration time.Duration
 	// OverShare is set if the step's customer uses more than its share of a contended
@@ -112,6 +117,11 @@
 	Eligibility *Eligibility
 	// Occupied counts the step's runs by endpoint, to enforce MaxPerEndpoint.
 	Occupied map[string]int
+	// started is the number of tasks that the plan starts, pool the room of the pool, which
+	// was mostly free when the plan came to the demand if poolMostlyFree is set.
+	started        int
+	pool           *poolRoom
+	poolMostlyFree bool
 	// starving is the number of tasks for which a plan found no room.
 	starving int
 	// Avoid reports whether a task should not run on an endpoint because it
--- a/internal/scheduler/yield.go
+++ b/internal/scheduler/yield.go
@@ -46,10 +46,10 @@
 // only into room beyond what those need and beyond the headroom for urgent work. Tasks that
 // last don't wait, as they have no end by which to start.
 func (p *planner) yields(d *Demand) bool {
-	if len(p.owed) == 0 || d.Urgent || d.Step.Spec.LongRunning || p.mustStart(d) {
+	if len(p.owed) == 0 || d.Step.Spec.LongRunning || p.mayUseAll(d) || p.mustStart(d) {
 		return false
 	}
-	return p.owed.Yields(d.Pool, d.Priority, d.Step.Spec.Charge(), p.poolFree[d.Pool], p.headroomOf(d.Pool))
+	return p.owed.Yields(d.Pool, d.Priority, d.Step.Spec.Charge(), d.pool.free, p.headroomOf(d.Pool))
 }
 
 // noteYielding records that a step waits for gangs of a better priority.
