What an endpoint's new life offers is unknown until it registers

A report tells only that the endpoint has started again; the controller gave the new life the labels, pool and size of the former one, and placed work by them until the registry was read.

Change: such a life is registered with its id and address alone. It is held and its runs are listed and stopped, but it is no candidate for anything until its own entry is there.

--- a/internal/controller/judge_test.go
+++ b/internal/controller/judge_test.go
@@ -22,6 +22,7 @@
 	w.checkQuota(r)
 	w.checkDependencies(r)
 	w.checkZone(e, r)
+	w.checkRoute(e, r)
 	if !r.job.submitted {
 		w.violation("UNASKED", "%s was never submitted", id)
 	}
@@ -63,6 +64,17 @@
 	}
 }
 
+// checkRoute checks that an endpoint may run a task's step.
+func (w *world) checkRoute(e *simEndpoint, r *simRun) {
+	registration := e.registration()
+	if !registration.HasLabel(r.step.RequiredLabel) {
+		w.violation("ROUTE", "%s requires the label %s and starts on %s, which has %v", r.key.Task, r.step.RequiredLabel, e.id, e.labels)
+	}
+	if q := w.lastQueues[w.queueOf(r.key.Task.Job)]; q != nil && q.Pool != e.pool {
+		w.violation("ROUTE", "%s of pool %s starts on %s of pool %s", r.key.Task, q.Pool, e.id, e.pool)
+	}
+}
+
 func (w *world) checkQuota(r *simRun) {
 	limit := w.highestCap[r.job.customer]
 	if limit == 0 {
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -116,7 +116,7 @@
 
 // usable reports whether new tasks may be placed on an endpoint.
 func (c *Core) usable(now clock.Instant, e *fleet.Endpoint) bool {
-	return e.Adopted && e.Listed && !e.Draining && !c.isEvacuated(e) && e.Failures == 0 &&
+	return e.Adopted && e.Listed && e.Described() && !e.Draining && !c.isEvacuated(e) && e.Failures == 0 &&
 		e.Clock.Known() && now.Steady >= e.AvoidUntil &&
 		len(c.endpointStateOf(e).unwantedRuns) == 0 && !c.endpointStateOf(e).silent
 }
--- a/internal/controller/registry.go
+++ b/internal/controller/registry.go
@@ -24,7 +24,7 @@
 	c.boundInheritedLease(e)
 	if replaced != nil {
 		c.assumeLongestLease(now, e)
-		c.log.Info("endpoint is back as a new incarnation", "endpoint", e.ID, "incarnation", e.Incarnation,
+		c.log.Info("endpoint is back as a new incarnation", "endpoint", e.ID, "incarnation", e.Incarnation, "described", e.Described(),
 			"former", replaced.Incarnation, "runs", len(replaced.Runs()), "lapses_in", e.LeaseEnd()-now.Steady)
 		c.resolveReplacedRuns(now, replaced, e)
 	}
@@ -38,6 +38,10 @@
 	if !e.Listed || r.Draining != e.Draining || !e.OffersSame(&r) {
 		c.planDue = true
 	}
+	if !e.Described() {
+		c.log.Info("endpoint has registered", "endpoint", e.ID, "incarnation", e.Incarnation, "pool", r.Pool, "labels", r.Labels,
+			"millicores", r.Capacity.MilliCores)
+	}
 	if r.Draining && !e.Draining {
 		// The endpoint's report states how long it stays.
 		c.log.Info("endpoint drains", "endpoint", e.ID, "runs", len(e.Runs()))
@@ -72,16 +76,15 @@
 }
 
 // incarnationChanged handles a report from another incarnation than the
-// registered one.
+// registered one. What it offers is unknown until it registers: nothing is placed there
+// meanwhile, but its runs are listed, held and stopped.
 func (c *Core) incarnationChanged(now clock.Instant, e *fleet.Endpoint, incarnation int64) {
 	if incarnation < e.Incarnation {
 		c.log.Warn("endpoint reports an earlier incarnation than registered", "endpoint", e.ID, "incarnation", incarnation)
 		c.endpointStateOf(e).nextHoldAt = now.Steady + holdRetry
 		return
 	}
-	r := e.Registration
-	r.Incarnation, r.Draining, r.ColdLeft = incarnation, false, 0
-	c.EndpointListed(now, r)
+	c.EndpointListed(now, fleet.Registration{ID: e.ID, Incarnation: incarnation, Address: e.Address})
 }
 
 // resolveReplacedRuns resolves the runs of a replaced incarnation. Runs that it
--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -30,6 +30,10 @@
 	ColdLeft time.Duration
 }
 
+// Described reports whether the incarnation has registered. Of one that only its reports tell
+// of, nothing is known but its address: it may be of another kind than the one before.
+func (r *Registration) Described() bool { return r.Pool != "" }
+
 // HasLabel reports whether the endpoint has a label. The empty label matches
 // every endpoint.
 func (r *Registration) HasLabel(label string) bool {
