--- a/internal/controller/world_config_test.go
+++ b/internal/controller/world_config_test.go
@@ -47,6 +47,10 @@
 	for i := range w.catalog.Queues {
 		q := &w.catalog.Queues[i]
 		w.lastQueues[q.Name] = q
+		if w.everPools[q.Name] == nil {
+			w.everPools[q.Name] = make(map[string]bool)
+		}
+		w.everPools[q.Name][q.Pool] = true
 		most := q.Attempts
 		if most == 0 {
 			// Without a limit no number of failures is a violation.
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -36,6 +36,8 @@
 	replacedAt time.Duration
 	// lastQueues holds each queue as it was configured last.
 	lastQueues map[string]*catalog.Queue
+	// everPools holds the pools to which each queue was ever sent.
+	everPools map[string]map[string]bool
 	// mostAttempts and fewestAttempts hold the bounds of the attempts that each
 	// queue ever allowed.
 	mostAttempts   map[string]int
@@ -201,6 +203,7 @@
 		jobs:       make(map[workload.ID]*simJob),
 
 		lastQueues: make(map[string]*catalog.Queue),
+		everPools:  make(map[string]map[string]bool),
 
 		mostAttempts:   make(map[string]int),
 		fewestAttempts: make(map[string]int),
