A new life refuses the starts that were meant for the former ones

A start that got no answer may be carried out seconds later, in whatever life the endpoint is then. Only runs that the former life was still charged with were barred in the next one; starts given up before, and earlier sendings of starts that were answered later, were known to nobody. Besides, a life that another clock gave away was used before its first report; the task of a run that was stopped when it was listed started elsewhere meanwhile; and the end as done of a run that was given up wasn't noted.

Change: starts without an answer are remembered by endpoint and recorded for the next holder. A new life is told to refuse them, and is used once it has confirmed that and reported after it. Their tasks wait while the endpoint doesn't answer. A run that was given up and is listed occupies its task. Ends aren't acknowledged to an endpoint that doesn't answer. The stand-in can carry starts out late in any life, and no longer counts a start that it refuses as run twice.

--- a/internal/controller/batch.go
+++ b/internal/controller/batch.go
@@ -40,6 +40,8 @@
 	// silences holds the changes to the records of silent endpoints, by
 	// endpoint id.
 	silences map[string]silenceChange
+	// lateStarts holds the ids of the endpoints whose late starts have changed.
+	lateStarts map[string]bool
 	// replies are called once the batch is committed.
 	replies []func()
 }
@@ -60,6 +62,7 @@
 		progressed: make(map[workload.ID]*jobEntry),
 		ends:       make(map[*fleet.Endpoint]int64),
 		silences:   make(map[string]silenceChange),
+		lateStarts: make(map[string]bool),
 	}
 }
 
@@ -85,7 +88,7 @@
 // for an append.
 func (b *Batch) empty() bool {
 	return len(b.admitted) == 0 && len(b.progressed) == 0 && len(b.dropped) == 0 &&
-		len(b.starts) == 0 && len(b.ends) == 0 && len(b.replies) == 0 && len(b.silences) == 0
+		len(b.starts) == 0 && len(b.ends) == 0 && len(b.replies) == 0 && len(b.silences) == 0 && len(b.lateStarts) == 0
 }
 
 // observeWaits records the placement waits of the batch's tasks in the metrics.
@@ -134,6 +137,7 @@
 		}
 		b.Records = append(b.Records, keyedlog.Record{Key: silentPrefix + id, Value: value})
 	}
+	c.appendLateStarts(b)
 	return b
 }
 
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -118,8 +118,12 @@
 	stats    Stats
 
 	// urgent holds the loads of urgent work by class.
-	urgent  map[urgentClass]*urgentLoad
-	backlog backlog
+	urgent map[urgentClass]*urgentLoad
+	// lateStarts are the starts that may be carried out late. deferred is set if the last
+	// plan left out tasks because of them.
+	lateStarts lateStarts
+	deferred   bool
+	backlog    backlog
 	// shares is nil before the first plan that divides capacity among customers.
 	shares *shares
 	// preemptions bounds the work that preemptions throw away.
@@ -251,6 +255,7 @@
 		eligibleShare:  make(map[string]float64),
 		endpointStates: make(map[*fleet.Endpoint]*endpointState),
 		urgent:         make(map[urgentClass]*urgentLoad),
+		lateStarts:     make(lateStarts),
 
 		inheritedSilences: make(map[string]silentRecord),
 
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -39,7 +39,7 @@
 	}
 	c.planDue = false
 	c.stats.Plans++
-	c.plannedAt, c.blocked = now.Steady, false
+	c.plannedAt, c.blocked, c.deferred = now.Steady, false, false
 	snapshot := c.snapshot(now)
 	if len(snapshot.Demands) == 0 {
 		c.noteYielding(nil)
@@ -118,7 +118,7 @@
 func (c *Core) usable(now clock.Instant, e *fleet.Endpoint) bool {
 	return e.Adopted && e.Listed && e.Described() && !e.Draining && !c.isEvacuated(e) && e.Failures == 0 &&
 		e.Clock.Known() && now.Steady >= e.AvoidUntil &&
-		len(c.endpointStateOf(e).unwantedRuns) == 0 && !c.endpointStateOf(e).silent
+		len(c.endpointStateOf(e).unwantedRuns) == 0 && len(c.endpointStateOf(e).bars) == 0 && !c.endpointStateOf(e).silent
 }
 
 // hosts builds the scheduler's input for the usable endpoints. A plan is made many times a
@@ -165,6 +165,9 @@
 	if e.waitingSince == 0 {
 		e.waitingSince = now.Steady
 	}
+	if waiting = c.withoutLateStarts(now, e.step, waiting); len(waiting) == 0 {
+		return nil
+	}
 	q := c.catalog.Queue(e.jobEntry.job.Queue)
 	if q == nil || now.Steady < e.placeAfter || !c.couldRun(e, q) {
 		return nil
--- a/internal/controller/registry.go
+++ b/internal/controller/registry.go
@@ -28,6 +28,7 @@
 			"former", replaced.Incarnation, "runs", len(replaced.Runs()), "lapses_in", e.LeaseEnd()-now.Steady)
 		c.resolveReplacedRuns(now, replaced, e)
 	}
+	c.barLateStarts(now, e)
 	c.planDue = true
 }
 
--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -92,9 +92,9 @@
 	if wait == 0 {
 		c.flow.countHold(1, o.retried)
 	}
-	if e.Acked > es.ackedEnd {
-		// Each end is acknowledged once only: a delayed hold could reach a new
-		// incarnation of the endpoint, which numbers its ends from 1 again.
+	if e.Acked > es.ackedEnd && e.Adopted && e.Failures == 0 {
+		// Each end is acknowledged once only, and not to an endpoint that doesn't answer: a
+		// hold could reach a new incarnation, which numbers its ends from 1 again.
 		o.Acked = e.Acked
 	}
 	if len(e.Runs()) > 0 && c.mayExtendLease(e) {
@@ -132,6 +132,9 @@
 	c.updateReachability(now, e, out)
 	if out.Fate != FateDone {
 		es.nextHoldAt = now.Steady + holdRetry
+		if len(c.lateStarts[e.ID]) > 0 {
+			es.nextHoldAt = now.Steady + lateStartHoldRetry
+		}
 		if out.Reason == ReasonIncarnation {
 			c.log.Warn("another endpoint or incarnation answers than registered", "endpoint", e.ID, "address", e.Address)
 		}
@@ -165,6 +168,7 @@
 			delete(es.unwantedRuns, key)
 		}
 	}
+	c.dropReportedBars(es, out.Reading.Sent)
 	c.adjustPace(now, e, es)
 	if !e.Adopted {
 		// From now on the endpoint refuses the orders of earlier terms. Until now, they
@@ -212,6 +216,13 @@
 // requested.
 func (c *Core) handleRunningRow(now clock.Instant, e *fleet.Endpoint, es *endpointState, row *RunningRow, asked time.Duration) {
 	r := c.fleet.Find(row.Key)
+	if r == nil {
+		if r = c.chargeUnwanted(now, e, row.Key); r != nil {
+			r.ConfirmedAt, c.runStateOf(r).listed = now.Steady, true
+			c.stopWithGang(now, r)
+			return
+		}
+	}
 	if r == nil || r.Endpoint != e {
 		c.stopUnwanted(now, e, es, row.Key)
 		return
@@ -269,6 +280,10 @@
 	es.lastEnd = row.Number
 	c.batch.noteEnd(e, row.Number)
 	r := c.fleet.Find(row.Key)
+	if r == nil && row.End == workload.EndDone {
+		// The run was given up, and its task needn't run again.
+		r = c.chargeUnwanted(now, e, row.Key)
+	}
 	if r == nil || r.Endpoint != e {
 		return
 	}
--- a/internal/controller/restore.go
+++ b/internal/controller/restore.go
@@ -34,6 +34,10 @@
 			c.restoreSilence(rest, e.Value)
 			continue
 		}
+		if prefix == lateStartPrefix {
+			c.restoreLateStarts(now, rest, e.Value)
+			continue
+		}
 		id, name, ok := parseJobKey(rest)
 		switch {
 		case ok && prefix == admissionPrefix:
--- a/internal/controller/runs.go
+++ b/internal/controller/runs.go
@@ -70,6 +70,9 @@
 	// unwantedRuns holds the reported runs that the core doesn't have, with the
 	// time of their last stop.
 	unwantedRuns map[fleet.Key]time.Duration
+	// bars holds the starts for former incarnations that this one hasn't been told to
+	// refuse yet.
+	bars map[fleet.Key]*bar
 	// lastEnd is the number of the last end processed.
 	lastEnd int64
 	// ackedEnd is the number of the last end that the endpoint was ordered to
@@ -154,6 +157,9 @@
 	c.flow.recordLatency(now.Steady, now.Steady-o.sent)
 	defer c.sendReadyStarts(now)
 	c.noteFormerOrder(now, o.Target, o.Deadline, out)
+	if out.Fate == FateUnanswered {
+		c.noteLateStart(now, o.Target.ID, o.Key)
+	}
 	r := c.fleet.Find(o.Key)
 	if r == nil || r.Endpoint.ID != o.Target.ID || r.Endpoint.Incarnation != o.Target.Incarnation {
 		return
@@ -194,6 +200,8 @@
 		c.log.Info("endpoint answers with another clock", "endpoint", e.ID, "incarnation", e.Incarnation, "clock", out.Reading.Clock)
 		c.assumeLongestLease(now, e)
 		c.requestReport(e, now.Steady)
+		// It is used again once a report has told of its life.
+		e.Adopted = false
 	}
 }
 
@@ -330,6 +338,7 @@
 		return
 	}
 	c.updateReachability(now, e, out)
+	c.barAnswered(now, e, o.Key, out)
 	r := c.fleet.Find(o.Key)
 	if r == nil || r.Endpoint != e {
 		return
--- a/internal/controller/tick.go
+++ b/internal/controller/tick.go
@@ -16,6 +16,7 @@
 	c.backlog.updateRate(now.Steady)
 	c.openRecurring(now)
 	c.expireLeases(now)
+	c.forgetLateStarts(now)
 	c.retryStops(now)
 	c.forgetEndedJobs(now)
 	c.evictFromDraining(now)
@@ -33,7 +34,7 @@
 // passes without an event: an endpoint answers again, its backoff ends, or a task has
 // waited long enough for the rack of its data.
 func (c *Core) replanBlocked(now clock.Instant) {
-	if c.blocked && now.Steady-c.plannedAt >= replanInterval {
+	if (c.blocked || c.deferred) && now.Steady-c.plannedAt >= replanInterval {
 		c.planDue = true
 	}
 }
@@ -52,6 +53,9 @@
 func (c *Core) retryStops(now clock.Instant) {
 	for _, e := range c.fleet.Endpoints() {
 		es := c.endpointStates[e]
+		if es != nil && len(es.bars) > 0 {
+			c.sendBars(now, e, es)
+		}
 		if es == nil || es.pendingStops == 0 {
 			continue
 		}
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -66,6 +66,10 @@
 	// lateOrder is set while an order without an answer is executed late.
 	evacuated map[string]time.Duration
 	lateOrder bool
+	// unavoidable is set during a late start in a life of an endpoint that no holder knows
+	// yet, and unavoidableStarts counts those that were executed. Nothing can refuse them.
+	unavoidable       bool
+	unavoidableStarts int
 
 	endpoints map[string]*simEndpoint
 	// registryDelay is the longest time until a restarted endpoint is listed.
@@ -339,6 +343,7 @@
 	if w.now >= t.suspendedUntil {
 		t.core.Tick(w.instant())
 		w.checkTold(t)
+		w.noteKnownLives(t)
 		t.core.Plan(w.instant())
 		w.flush(t)
 	}
--- a/internal/standin/site_watch.go
+++ b/internal/standin/site_watch.go
@@ -14,9 +14,11 @@
 	running map[string]map[string]bool
 	done    map[string]bool
 	// acked holds the tasks whose end as done was acknowledged.
-	acked      map[string]bool
-	starts     int
-	violations []string
+	acked  map[string]bool
+	starts int
+	// unknownLives counts the late starts in lives that no daemon could know yet.
+	unknownLives int
+	violations   []string
 }
 
 // NewSiteWatch returns a SiteWatch without any records.
@@ -44,6 +46,24 @@
 	}
 }
 
+// recordUnknownLife records a late start in a life that no daemon could know yet, so that
+// nothing could refuse it.
+func (w *SiteWatch) recordUnknownLife() {
+	if w == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.unknownLives++
+}
+
+// UnknownLives returns how many late starts no daemon could refuse.
+func (w *SiteWatch) UnknownLives() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.unknownLives
+}
+
 // recordEnd records the end of task on runner. The state is "lost" if a crash of
 // the runner ended it, of which the scheduler gets no report.
 func (w *SiteWatch) recordEnd(runner, task, state string) {
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -112,6 +112,18 @@
 // Live returns the occurrences that are due and not done, in order.
 func (j *Job) Live() []*Occurrence { return j.live }
 
+// LiveStep returns the step of a task in a live occurrence, or nil.
+func (j *Job) LiveStep(task TaskID) *StepRun {
+	for _, o := range j.live {
+		if o.Index == task.Occurrence && task.Step >= 0 && task.Step < len(o.Steps) {
+			if s := o.Steps[task.Step]; task.Index >= 0 && task.Index < len(s.Tasks) {
+				return s
+			}
+		}
+	}
+	return nil
+}
+
 // NextDue returns when the next unopened occurrence is due; ok is false if
 // there is none.
 func (j *Job) NextDue() (due time.Time, ok bool) {
--- a/internal/workload/step.go
+++ b/internal/workload/step.go
@@ -181,6 +181,13 @@
 	s.Occurrence.changed = true
 }
 
+// ResumeRun records that a run which was given up is on an endpoint all the same.
+func (s *StepRun) ResumeRun(index, number int, endpoint string, incarnation int64) {
+	s.RaiseRunNumber(index, number)
+	t := &s.Tasks[index]
+	t.runs = append(t.runs, Run{Number: number, Endpoint: endpoint, Incarnation: incarnation})
+}
+
 // FinishRun records the end of a run. attempts is the number of failed runs of a
 // task that makes its job fail; 0 means unlimited. It reports false for an
 // unknown run, which has no effect.
