Work past its bound is not held to one task for each endpoint

Cause: a step that has waited out what is kept for urgent work was counted with one task for each endpoint, also where the headroom leaves room for more, so that its questions named more endpoints than they need.

Change: it gets what the headroom leaves, and one task where that is none. Classes of urgent work are forgotten in a fixed order.

--- a/internal/controller/headroom.go
+++ b/internal/controller/headroom.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/bluebellstile/bluebellstile/internal/clock"
@@ -39,6 +40,11 @@
 // urgentClass is the urgent work that needs the endpoints of a pool that have a label.
 type urgentClass struct{ pool, label string }
 
+// compare orders classes by pool and label.
+func (u urgentClass) compare(o urgentClass) int {
+	return cmp.Or(cmp.Compare(u.pool, o.pool), cmp.Compare(u.label, o.label))
+}
+
 // urgentLoad holds running averages of the urgent work of a class.
 type urgentLoad struct {
 	// size is the smoothed size of an urgent task, averageRunning the average
@@ -122,8 +128,8 @@
 		load.averageRunning += runningUrgentWeight * (float64(running[class]) - load.averageRunning)
 		classes[class.pool]++
 	}
-	for class, load := range c.urgent {
-		if classes[class.pool] > 1 && load.averageRunning < forgottenUrgentTasks && running[class] == 0 {
+	for _, class := range slices.SortedFunc(maps.Keys(c.urgent), urgentClass.compare) {
+		if classes[class.pool] > 1 && c.urgent[class].averageRunning < forgottenUrgentTasks && running[class] == 0 {
 			delete(c.urgent, class)
 			classes[class.pool]--
 		}
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -214,16 +214,11 @@
 	if p.mayUseHeadroom(d) {
 		return false
 	}
-	return d.slotsIn(hosts, n, func(h *Host) resource.Vector { return p.available(d, h) }) >= n && p.fillHosts(d, hosts, n) == nil
-}
-
-// slotsIn returns how many of n tasks of a gang have room on hosts with the given room.
-func (d *Demand) slotsIn(hosts []*Host, n int, room func(*Host) resource.Vector) int {
-	total := 0
+	slots := 0
 	for _, h := range hosts {
-		total += d.slotsInRoom(room(h), n)
+		slots += d.slotsInRoom(p.available(d, h), n)
 	}
-	return total
+	return slots >= n && p.fillHosts(d, hosts, n) == nil
 }
 
 // slotsInRoom returns how many of n tasks of a gang have the given room on one host.
--- a/internal/scheduler/headroom.go
+++ b/internal/scheduler/headroom.go
@@ -88,16 +88,18 @@
 // stays. An urgent task fits into a small gap on any host, so the slots are counted over
 // all hosts that a headroom covers.
 func (p *planner) leaveHeadroom(d *Demand, h *Host, n int) int {
-	if p.mayUseHeadroom(d) {
-		if d.startsOneByOne() {
-			return min(n, 1)
-		}
+	mayUse := p.mayUseHeadroom(d)
+	if mayUse && !d.startsOneByOne() {
 		return n
 	}
+	left := n
 	for _, k := range h.headrooms {
-		n = k.limit(d.Step.Spec.Charge(), h, n)
+		left = k.limit(d.Step.Spec.Charge(), h, left)
+	}
+	if mayUse {
+		return max(left, min(n, 1))
 	}
-	return n
+	return left
 }
 
 // startsOneByOne reports whether the tasks of a demand that uses headroom take it one at a
