Starts in doubt are looked up once a plan

Cause: each waiting task was looked for among the late starts of all endpoints, in every plan, although only those on endpoints that don't answer or haven't been told of them matter.

Change: a plan collects those endpoints once; there is usually none, and no task is looked for then.

--- a/internal/controller/late_starts.go
+++ b/internal/controller/late_starts.go
@@ -30,7 +30,10 @@
 // be carried out there, in whatever life the endpoint is then: an order names it by its id
 // alone, and a new life knows no stop of the one before. They are recorded, so that the next
 // holder has their tasks wait as well; a life that has seen its epoch refuses them.
-type lateStarts map[string]map[workload.TaskID]lateStart
+type lateStarts map[string]endpointStarts
+
+// endpointStarts holds the late starts on one endpoint by task.
+type endpointStarts map[workload.TaskID]lateStart
 
 // lateStart is the highest run number of a task that may start late.
 type lateStart struct {
@@ -45,7 +48,7 @@
 func (c *Core) noteLateStart(now clock.Instant, endpoint string, key fleet.Key) {
 	starts := c.lateStarts[endpoint]
 	if starts == nil {
-		starts = make(map[workload.TaskID]lateStart)
+		starts = make(endpointStarts)
 		c.lateStarts[endpoint] = starts
 	}
 	before, known := starts[key.Task]
@@ -172,29 +175,30 @@
 	}
 }
 
-// mayStartLate reports whether a run of a task may begin at any time on an endpoint of which
-// it isn't known whether it is still in the life that has barred it.
-func (c *Core) mayStartLate(now clock.Instant, task workload.TaskID) bool {
+// startsInDoubt returns the late starts on endpoints of which it isn't known whether they are
+// still in the life that has barred them: each may begin there at any time.
+func (c *Core) startsInDoubt() []endpointStarts {
+	var doubt []endpointStarts
 	for id, starts := range c.lateStarts {
-		if s, known := starts[task]; !known || now.Steady > s.until {
-			continue
-		}
 		if e := c.fleet.Endpoint(id); e != nil && (e.Failures > 0 || !e.Adopted || len(c.endpointStateOf(e).bars) > 0) {
-			return true
+			doubt = append(doubt, starts)
 		}
 	}
-	return false
+	return doubt
 }
 
-// withoutLateStarts returns those of a step's waiting tasks that can't start late elsewhere.
-// The others wait.
-func (c *Core) withoutLateStarts(now clock.Instant, s *workload.StepRun, tasks []int) []int {
-	if len(c.lateStarts) == 0 {
+// withoutLateStarts returns those of a step's waiting tasks of which no start is in doubt. The
+// others wait, as they would run twice.
+func (c *Core) withoutLateStarts(now clock.Instant, s *workload.StepRun, tasks []int, doubt []endpointStarts) []int {
+	if len(doubt) == 0 {
 		return tasks
 	}
-	var left []int
+	left := make([]int, 0, len(tasks))
 	for _, i := range tasks {
-		if !c.mayStartLate(now, s.ID(i)) {
+		if !slices.ContainsFunc(doubt, func(starts endpointStarts) bool {
+			late, known := starts[s.ID(i)]
+			return known && now.Steady <= late.until
+		}) {
 			left = append(left, i)
 		}
 	}
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -93,8 +93,9 @@
 	s.QuestionsInAll = max(c.eligibilityInstances-1, 1)
 	s.Questions = max(s.QuestionsInAll-c.questionsInFlight, 0)
 	s.UrgentQuestions = max(urgentQuestionsPerInstance*c.eligibilityInstances-c.urgentQuestionsInFlight, 0)
+	doubt := c.startsInDoubt()
 	for _, e := range c.steps {
-		if d := c.demand(now, e); d != nil {
+		if d := c.demand(now, e, doubt); d != nil {
 			c.backlog.add(e)
 			s.Demands = append(s.Demands, d)
 		}
@@ -153,10 +154,10 @@
 	return r.Step == nil || !r.Step.Spec.LongRunning || r.Phase == fleet.PhaseStopping
 }
 
-// demand builds the scheduler's input for a step. It returns nil if none of the
-// step's tasks waits, its queue is not configured, its starts are paused or the
-// registered endpoints could not run it.
-func (c *Core) demand(now clock.Instant, e *stepEntry) *scheduler.Demand {
+// demand builds the scheduler's input for a step, beside the starts that are in doubt. It
+// returns nil if none of the step's tasks may start, its queue is not configured, its starts
+// are paused or the registered endpoints could not run it.
+func (c *Core) demand(now clock.Instant, e *stepEntry, doubt []endpointStarts) *scheduler.Demand {
 	waiting := c.waitingTasks(e)
 	if len(waiting) == 0 {
 		e.waitingSince = 0
@@ -165,7 +166,7 @@
 	if e.waitingSince == 0 {
 		e.waitingSince = now.Steady
 	}
-	if waiting = c.withoutLateStarts(now, e.step, waiting); len(waiting) == 0 {
+	if waiting = c.withoutLateStarts(now, e.step, waiting, doubt); len(waiting) == 0 {
 		return nil
 	}
 	q := c.catalog.Queue(e.jobEntry.job.Queue)
