A new life that refuses stops isn't left out for good

Cause: an endpoint is used again once its new life has confirmed the stops of starts that were meant for the former one. A life that refuses them was never used again; found on reading, as a wait without an exit.

Change: a stop is dropped once its start can't be carried out any more.

--- a/internal/controller/late_starts.go
+++ b/internal/controller/late_starts.go
@@ -137,12 +137,18 @@
 	}
 }
 
-// sendBars emits the stops that are due.
+// sendBars emits the stops that are due, and drops those of starts that can't be carried out
+// any more: an endpoint that refuses stops is used again then.
 func (c *Core) sendBars(now clock.Instant, e *fleet.Endpoint, es *endpointState) {
 	keys := slices.SortedFunc(maps.Keys(es.bars), func(a, b fleet.Key) int {
 		return cmp.Or(strings.Compare(a.Task.String(), b.Task.String()), cmp.Compare(a.Number, b.Number))
 	})
 	for _, key := range keys {
+		if c.lateStarts[e.ID][key.Task].number < key.Number {
+			delete(es.bars, key)
+			c.planDue = true
+			continue
+		}
 		if b := es.bars[key]; !b.inFlight && b.confirmedAt == 0 && now.Steady >= b.retryAt {
 			b.inFlight = true
 			c.stats.Stops++
--- a/internal/controller/late_starts_test.go
+++ b/internal/controller/late_starts_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/bluebellstile/bluebellstile/internal/fleet"
 	"github.com/bluebellstile/bluebellstile/internal/resource"
 	"github.com/bluebellstile/bluebellstile/internal/workload"
 )
@@ -66,3 +67,24 @@
 	w.requireAllEnded()
 	t.Logf("%d late starts in a life that no holder knew", w.unavoidableStarts)
 }
+
+// TestBarsThatAreRefusedEnd guards against an endpoint that is left out for good because its
+// new life refuses the stops by which it is told of late starts.
+func TestBarsThatAreRefusedEnd(t *testing.T) {
+	w := newWorld(t, 1, faults{})
+	w.addEndpoint("e1")
+	w.beginTerm()
+	w.run(time.Second)
+	key := fleet.Key{Task: workload.TaskID{Job: "b000000000000009"}, Number: 1}
+	w.current().core.noteLateStart(w.instant(), "e1", key)
+	w.refuseStops = ReasonUnhealthy
+	w.crash(w.endpoints["e1"], 100*time.Millisecond)
+	w.run(3 * time.Second)
+	w.submit("b000000000000001", "c2", largeJob(10))
+	w.run(10 * time.Second)
+	if w.jobs["b000000000000001"].begun {
+		t.Error("the endpoint is used before it has confirmed the stop")
+	}
+	w.run(1*time.Second + maxOrderDelay + 3*time.Second)
+	w.requireAllEnded()
+}
--- a/internal/controller/world_endpoint_test.go
+++ b/internal/controller/world_endpoint_test.go
@@ -339,6 +339,9 @@
 	if e.rejectsEpoch(epoch) {
 		return refusal(ReasonFenced)
 	}
+	if w.refuseStops != "" {
+		return refusal(w.refuseStops)
+	}
 	e.barred[o.Key.Task] = max(e.barred[o.Key.Task], o.Key.Number)
 	if r := e.running[o.Key]; r != nil && !r.stopping {
 		r.stopping = true
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -53,6 +53,8 @@
 	refusedByTask map[workload.TaskID]int
 	// refuseStarts is the reason for which endpoints refuse all starts, if set.
 	refuseStarts Reason
+	// refuseStops is the same for stops.
+	refuseStops Reason
 	// serviceSilentUntil is until when questions get no answer.
 	serviceSilentUntil time.Duration
 
