Others yield to gangs that lack only the room for urgent work

Cause: since such gangs neither reserved nor were yielded to.

Change: a gang without room is owed it again, within the bounds that yielding has. Reservations need no rule of their own: the search charges the headroom, and finds none where no ends are expected.

Result: TestGangLeavesRoomThatItMayNotUse, TestBoundsOfWaits and the other tests of gangs and headroom pass.

--- a/internal/scheduler/full.go
+++ b/internal/scheduler/full.go
@@ -17,12 +17,6 @@
 	headroom, all bool
 }
 
-// withHeadroom returns the class of the same hosts with their headroom.
-func (c hostClass) withHeadroom() hostClass {
-	c.headroom = true
-	return c
-}
-
 // needed is a number of tasks of one size.
 type needed struct {
 	size  resource.Vector
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -24,9 +24,7 @@
 	}
 	if !d.holdsCapacity() && !p.mayReserve(d) && p.full.includes(p.classOf(d), d, n) {
 		p.plan.Blocked++
-		if p.full.includes(p.classOf(d).withHeadroom(), d, n) {
-			p.noteOwed(d, n)
-		}
+		p.noteOwed(d, n)
 		if p.gangQuestionsLeft(d) > 0 {
 			p.failedSearches++
 		}
@@ -38,21 +36,13 @@
 	if placements == nil {
 		p.plan.Blocked++
 		p.failedSearches++
-		lacksRoom := !p.lacksOnlyHeadroom(d, known, n)
 		if d.Eligibility == nil && d.Step.Spec.MaxPerEndpoint == 0 && (!d.Step.Spec.SameRack || p.rackWaitOver(d)) {
 			p.full.add(p.classOf(d), d, n)
-			if lacksRoom {
-				p.full.add(p.classOf(d).withHeadroom(), d, n)
-			}
 		}
 		p.rechargeHeldTasks(d)
-		if lacksRoom {
-			p.noteOwed(d, n)
-		}
+		p.noteOwed(d, n)
 		p.askOrStarve(d, n)
-		if lacksRoom {
-			p.reserve(d, known, n)
-		}
+		p.reserve(d, known, n)
 		return
 	}
 	if !p.allPermitted(d, placements) {
@@ -207,20 +197,6 @@
 	return p.reservations < p.Policy.MaxReservations && !d.Excess
 }
 
-// lacksOnlyHeadroom reports whether hosts have room for n tasks of a gang, which only the
-// headroom keeps from it. Such a gang neither reserves capacity nor has others wait for it:
-// what is kept for urgent work would be kept a second time.
-func (p *planner) lacksOnlyHeadroom(d *Demand, hosts []*Host, n int) bool {
-	if p.mayUseHeadroom(d) {
-		return false
-	}
-	slots := 0
-	for _, h := range hosts {
-		slots += d.slotsInRoom(p.available(d, h), n)
-	}
-	return slots >= n && p.fillHosts(d, hosts, n) == nil
-}
-
 // slotsInRoom returns how many of n tasks of a gang have the given room on one host.
 func (d *Demand) slotsInRoom(room resource.Vector, n int) int {
 	k := int(d.Step.Spec.Charge().Copies(room, int64(n)))
@@ -231,7 +207,7 @@
 }
 
 // reserve reserves the capacity on which a blocked gang is expected to start
-// earliest. Otherwise lower-ranked small tasks would take each gap as it
+// earliest, if the headroom stays then. Otherwise lower-ranked small tasks would take each gap as it
 // appears.
 func (p *planner) reserve(d *Demand, hosts []*Host, n int) {
 	if !p.mayReserve(d) {
